--- /dev/null
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/message.hpp"
+
+namespace teaseldrift::http {
+
+class EventLoop;
+
+/// @brief A request to a target.
+struct Request
+{
+    std::string method = "GET";
+    std::string path = "/";
+    Headers headers;
+    std::string body;
+};
+
+/// @brief Which connection a call goes over.
+enum class ConnectionUse {
+    /// A kept connection if one is idle.
+    Pooled,
+    /// A new connection, closed afterwards. An idle one may have gone silent for good.
+    Fresh,
+};
+
+/// @brief How a call ended.
+enum class CallEnd {
+    /// The whole answer arrived.
+    Complete,
+    /// No connection was made, so nothing was sent.
+    NotSent,
+    /// The connection broke or timed out after the request may have been sent.
+    Broken,
+};
+
+/// @brief Status and headers of an answer.
+struct ResponseHead
+{
+    int status = 0;
+    Headers headers;
+};
+
+/// @brief What a call reports. Exactly one onEnd follows unless the call is cancelled.
+struct CallHandlers
+{
+    std::function<void(const ResponseHead &)> onHead;
+    std::function<void(std::string_view)> onData;
+    std::function<void(CallEnd)> onEnd;
+};
+
+/// @brief A call under way. Destroying it cancels the call and closes its connection.
+class Call
+{
+public:
+    ~Call();
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+    /// @brief Stops reading, so that the target is slowed down.
+    void pause();
+
+    /// @brief Goes on after pause().
+    void resume();
+
+    /// @brief Whether bytes of the request may have reached the target.
+    [[nodiscard]] bool maybeSent() const;
+
+    /// Access for the client.
+    struct Native;
+    explicit Call(std::unique_ptr<Native> native);
+
+private:
+    std::unique_ptr<Native> m_native;
+};
+
+/// @brief How a client connects.
+struct ClientOptions
+{
+    Duration connectTimeout = 1s;
+    /// Longest silence on a connection in use.
+    Duration ioTimeout = 60s;
+    /// How long an idle connection is kept.
+    Duration keepAlive = 5s;
+};
+
+/// @brief An HTTP/1.1 client on one event loop.
+class Client
+{
+public:
+    Client(EventLoop &loop, ClientOptions options);
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /// @brief Sends a request.
+    /// @return the call; handlers run on the loop, never inside start()
+    [[nodiscard]] std::unique_ptr<Call> start(const Endpoint &endpoint, Request request,
+                                              ConnectionUse use, CallHandlers handlers);
+
+    /// @brief Drops the kept connections of an endpoint.
+    void forget(const Endpoint &endpoint);
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/include/teaseldrift/http/event_loop.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::http {
+
+/// @brief The event loop of one task. All sockets of the task belong to it.
+///
+/// Only post() and stop() may be called from other threads.
+class EventLoop
+{
+public:
+    /// Identifies a running timer; 0 is never used.
+    using TimerId = uint64_t;
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// @brief Runs until stop() is called.
+    void run();
+
+    /// @brief Makes run() return after the work at hand. Callable from any thread.
+    void stop();
+
+    /// @brief Runs a message's handler on the loop's thread. Callable from any thread.
+    void post(std::function<void()> message);
+
+    /// @brief Calls `action` once after `delay`.
+    TimerId startTimer(Duration delay, std::function<void()> action);
+
+    /// @brief Cancels a timer; an unknown or finished one is ignored.
+    void cancelTimer(TimerId timer);
+
+    /// @brief The monotonic time.
+    static Instant now();
+
+    /// Access for the other classes of this package.
+    struct Native;
+    Native &native();
+
+private:
+    std::unique_ptr<Native> m_native;
+};
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/include/teaseldrift/http/message.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teaseldrift::http {
+
+/// @brief One header line; names are in lower case.
+struct Header
+{
+    std::string name;
+    std::string value;
+};
+
+/// @brief Header lines in order of arrival.
+using Headers = std::vector<Header>;
+
+/// @brief The value of the first header of a name, empty if there is none.
+/// @param name in lower case
+std::string_view findHeader(const Headers &headers, std::string_view name);
+
+/// @brief A whole answer.
+struct Response
+{
+    int status = 200;
+    Headers headers;
+    std::string body;
+};
+
+/// @brief Where a server listens.
+struct Endpoint
+{
+    /// IP address without port.
+    std::string address;
+    uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+    bool operator<(const Endpoint &other) const;
+};
+
+/// @brief Reads "IP:port".
+/// @return false if the text is not of that form; `endpoint` is then unchanged
+bool parseEndpoint(std::string_view text, Endpoint &endpoint);
+
+/// @brief Writes "IP:port".
+std::string toString(const Endpoint &endpoint);
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/src/teaseldrift/http/http_test.cpp
@@ -0,0 +1,237 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
+
+namespace teaseldrift::http {
+
+namespace {
+
+/// A loop with a server and a client, stopped by a watchdog if a test hangs.
+struct Fixture
+{
+    EventLoop loop;
+    std::unique_ptr<Server> server;
+    Client client{loop, {}};
+
+    explicit Fixture(Server::Handler handler)
+        : server(std::make_unique<Server>(loop, ServerOptions{}, std::move(handler)))
+    {
+        REQUIRE_FALSE(server->listen());
+        loop.startTimer(20s, [this] { loop.stop(); });
+    }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {.address = "127.0.0.1", .port = server->port()};
+    }
+};
+
+struct Outcome
+{
+    int status = 0;
+    std::string body;
+    CallEnd end = CallEnd::NotSent;
+    bool ended = false;
+};
+
+CallHandlers handlersInto(Outcome &outcome, EventLoop &loop)
+{
+    return {
+            .onHead = [&outcome](const ResponseHead &head) { outcome.status = head.status; },
+            .onData = [&outcome](std::string_view data) { outcome.body += data; },
+            .onEnd =
+                    [&outcome, &loop](CallEnd end) {
+                        outcome.end = end;
+                        outcome.ended = true;
+                        loop.stop();
+                    },
+    };
+}
+
+} // namespace
+
+TEST_CASE("a whole answer arrives")
+{
+    Fixture fixture([](const std::shared_ptr<Exchange> &exchange) {
+        exchange->respond({.status = 201, .body = std::string(exchange->body()) + "!"});
+    });
+    for (const ConnectionUse use :
+         {ConnectionUse::Pooled, ConnectionUse::Pooled, ConnectionUse::Fresh}) {
+        Outcome outcome;
+        const std::unique_ptr<Call> call = fixture.client.start(
+                fixture.endpoint(), {.method = "POST", .path = "/x", .body = "hello"}, use,
+                handlersInto(outcome, fixture.loop));
+        fixture.loop.run();
+        CHECK(outcome.status == 201);
+        CHECK(outcome.body == "hello!");
+        CHECK(outcome.end == CallEnd::Complete);
+        CHECK(call->maybeSent());
+    }
+}
+
+TEST_CASE("a stream arrives piece by piece and an abort is seen as broken")
+{
+    const bool aborts = GENERATE(false, true);
+    std::shared_ptr<Exchange> held;
+    Fixture fixture([&held](const std::shared_ptr<Exchange> &exchange) {
+        held = exchange;
+        exchange->startStream(200, {{"content-type", "text/event-stream"}});
+        exchange->write("one ");
+    });
+    Outcome outcome;
+    CallHandlers handlers = handlersInto(outcome, fixture.loop);
+    handlers.onData = [&](std::string_view data) {
+        outcome.body += data;
+        if (data != "one ") {
+            return;
+        }
+        if (aborts) {
+            held->abort();
+            return;
+        }
+        held->write("two");
+        held->finish();
+    };
+    const std::unique_ptr<Call> call
+            = fixture.client.start(fixture.endpoint(), {}, ConnectionUse::Pooled, handlers);
+    fixture.loop.run();
+    REQUIRE(outcome.ended);
+    CHECK(outcome.body == (aborts ? "one " : "one two"));
+    CHECK(outcome.end == (aborts ? CallEnd::Broken : CallEnd::Complete));
+}
+
+TEST_CASE("a refused connection means not sent")
+{
+    Fixture fixture([](const std::shared_ptr<Exchange> &) {});
+    const Endpoint closed = fixture.endpoint();
+    fixture.server->stopAccepting();
+    Outcome outcome;
+    const std::unique_ptr<Call> call = fixture.client.start(closed, {}, ConnectionUse::Fresh,
+                                                            handlersInto(outcome, fixture.loop));
+    fixture.loop.run();
+    REQUIRE(outcome.ended);
+    CHECK(outcome.end == CallEnd::NotSent);
+    CHECK_FALSE(call->maybeSent());
+}
+
+TEST_CASE("a cancelled call closes its connection, and the server is told")
+{
+    bool gone = false;
+    std::unique_ptr<Call> call;
+    EventLoop *loop = nullptr;
+    std::function<void(std::shared_ptr<Exchange>)> pump;
+    Fixture fixture([&](const std::shared_ptr<Exchange> &exchange) {
+        exchange->onGone([&gone, &loop] {
+            gone = true;
+            loop->stop();
+        });
+        exchange->startStream(200, {});
+        exchange->onDrained([exchange = std::weak_ptr<Exchange>(exchange), &loop] {
+            loop->startTimer(1ms, [exchange] {
+                const std::shared_ptr<Exchange> open = exchange.lock();
+                if (open != nullptr) {
+                    open->write("x");
+                }
+            });
+        });
+        exchange->write("x");
+    });
+    loop = &fixture.loop;
+    call = fixture.client.start(fixture.endpoint(), {}, ConnectionUse::Pooled,
+                                {
+                                        .onHead = [](const ResponseHead &) {},
+                                        .onData = [&call](std::string_view) { call.reset(); },
+                                        .onEnd = [](CallEnd) {},
+                                });
+    fixture.loop.run();
+    CHECK(gone);
+    CHECK(fixture.server->openExchanges() == 0);
+}
+
+TEST_CASE("a paused call slows the server down")
+{
+    constexpr size_t total = 16U << 20U;
+    size_t written = 0;
+    Fixture fixture([&written](const std::shared_ptr<Exchange> &exchange) {
+        exchange->startStream(200, {});
+        std::weak_ptr<Exchange> weak = exchange;
+        exchange->onDrained([weak, &written] {
+            const std::shared_ptr<Exchange> open = weak.lock();
+            if (written >= total) {
+                open->finish();
+                return;
+            }
+            constexpr size_t piece = 65536;
+            written += piece;
+            open->write(std::string(piece, 'x'));
+        });
+        exchange->write("x");
+    });
+    Outcome outcome;
+    CallHandlers handlers = handlersInto(outcome, fixture.loop);
+    std::unique_ptr<Call> call;
+    bool paused = false;
+    size_t writtenWhenPaused = 0;
+    handlers.onData = [&](std::string_view data) {
+        outcome.body += data;
+        if (!paused) {
+            paused = true;
+            call->pause();
+            fixture.loop.startTimer(200ms, [&] {
+                writtenWhenPaused = written;
+                call->resume();
+            });
+        }
+    };
+    call = fixture.client.start(fixture.endpoint(), {}, ConnectionUse::Pooled, handlers);
+    fixture.loop.run();
+    REQUIRE(outcome.end == CallEnd::Complete);
+    CHECK(outcome.body.size() == total + 1);
+    CHECK(writtenWhenPaused < total);
+}
+
+TEST_CASE("timers fire in order and a cancelled one does not")
+{
+    EventLoop loop;
+    std::string order;
+    loop.startTimer(20ms, [&] {
+        order += "b";
+        loop.stop();
+    });
+    loop.startTimer(1ms, [&] { order += "a"; });
+    loop.cancelTimer(loop.startTimer(2ms, [&] { order += "x"; }));
+    loop.run();
+    CHECK(order == "ab");
+}
+
+TEST_CASE("a message posted from another thread runs on the loop")
+{
+    EventLoop loop;
+    const std::thread::id here = std::this_thread::get_id();
+    bool sameThread = false;
+    std::thread other([&] {
+        loop.post([&] {
+            sameThread = std::this_thread::get_id() == here;
+            loop.stop();
+        });
+    });
+    loop.run();
+    other.join();
+    CHECK(sameThread);
+}
+
+TEST_CASE("endpoints are read strictly")
+{
+    Endpoint endpoint;
+    CHECK(parseEndpoint("127.0.0.1:80", endpoint));
+    CHECK(endpoint == Endpoint{.address = "127.0.0.1", .port = 80});
+    CHECK_FALSE(parseEndpoint("127.0.0.1", endpoint));
+    CHECK_FALSE(parseEndpoint("localhost:80", endpoint));
+    CHECK_FALSE(parseEndpoint("127.0.0.1:99999", endpoint));
+}
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -0,0 +1,448 @@
+#include "teaseldrift/http/server.hpp"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/ssl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "native.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+
+namespace teaseldrift::http {
+
+struct Exchange::Native
+{
+    struct Generator
+    {
+        h2o_generator_t base;
+        Native *owner;
+    };
+
+    h2o_req_t *request = nullptr;
+    Headers headers;
+    Generator generator{};
+    std::string pending;
+    std::string inFlight;
+    Instant lastProgress{};
+    bool streaming = false;
+    bool sending = false;
+    bool finishing = false;
+    bool aborting = false;
+    bool ended = false;
+    size_t *openCount = nullptr;
+    std::weak_ptr<Exchange> self;
+    std::function<void()> onDrained;
+    std::function<void()> onGone;
+
+    void send();
+    void end(h2o_send_state_t state);
+    void requestGone();
+};
+
+namespace {
+
+/// Lives in the request's memory pool and tells the exchange when h2o frees the request.
+struct RequestWatch
+{
+    Exchange::Native *native;
+};
+
+void onRequestFreed(void *memory)
+{
+    RequestWatch *watch = static_cast<RequestWatch *>(memory);
+    if (watch->native != nullptr) {
+        watch->native->requestGone();
+    }
+}
+
+void setHeaders(h2o_req_t *request, const Headers &headers)
+{
+    for (const Header &header : headers) {
+        const h2o_iovec_t name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
+        const h2o_iovec_t value
+                = h2o_strdup(&request->pool, header.value.data(), header.value.size());
+        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1,
+                              nullptr, value.base, value.len);
+    }
+}
+
+int connectionDescriptor(h2o_req_t *request)
+{
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    return socket == nullptr ? -1 : h2o_socket_get_fd(socket);
+}
+
+void onProceed(h2o_generator_t *generator, h2o_req_t * /*request*/)
+{
+    Exchange::Native &native = *reinterpret_cast<Exchange::Native::Generator *>(generator)->owner;
+    const std::shared_ptr<Exchange> guard = native.self.lock();
+    native.sending = false;
+    native.inFlight.clear();
+    native.lastProgress = EventLoop::now();
+    native.send();
+    if (!native.sending && !native.ended && native.onDrained) {
+        const std::function<void()> callback = native.onDrained;
+        callback();
+    }
+}
+
+void onStop(h2o_generator_t *generator, h2o_req_t * /*request*/)
+{
+    reinterpret_cast<Exchange::Native::Generator *>(generator)->owner->requestGone();
+}
+
+} // namespace
+
+void Exchange::Native::send()
+{
+    if (request == nullptr || sending || ended) {
+        return;
+    }
+    if (aborting) {
+        end(H2O_SEND_STATE_ERROR);
+        return;
+    }
+    if (pending.empty()) {
+        if (finishing) {
+            end(H2O_SEND_STATE_FINAL);
+        }
+        return;
+    }
+    sending = true;
+    inFlight.swap(pending);
+    h2o_iovec_t buffer = toIovec(inFlight);
+    if (finishing) {
+        ended = true;
+    }
+    h2o_send(request, &buffer, 1, ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void Exchange::Native::end(h2o_send_state_t state)
+{
+    ended = true;
+    h2o_send(request, nullptr, 0, state);
+}
+
+void Exchange::Native::requestGone()
+{
+    if (request == nullptr) {
+        return;
+    }
+    request = nullptr;
+    if (openCount != nullptr) {
+        --*openCount;
+    }
+    const bool complete = ended && !aborting;
+    ended = true;
+    const std::function<void()> callback = std::move(onGone);
+    onGone = nullptr;
+    onDrained = nullptr;
+    if (!complete && callback) {
+        callback();
+    }
+}
+
+Exchange::Exchange(std::unique_ptr<Native> native) : m_native(std::move(native)) { }
+
+Exchange::~Exchange() = default;
+
+std::string_view Exchange::method() const
+{
+    return m_native->request == nullptr ? std::string_view() : toView(m_native->request->method);
+}
+
+std::string_view Exchange::path() const
+{
+    return m_native->request == nullptr ? std::string_view() : toView(m_native->request->path);
+}
+
+std::string_view Exchange::authority() const
+{
+    return m_native->request == nullptr ? std::string_view() : toView(m_native->request->authority);
+}
+
+std::string_view Exchange::body() const
+{
+    return m_native->request == nullptr ? std::string_view() : toView(m_native->request->entity);
+}
+
+const Headers &Exchange::headers() const
+{
+    return m_native->headers;
+}
+
+void Exchange::respond(const Response &response)
+{
+    if (m_native->request == nullptr || m_native->streaming) {
+        return;
+    }
+    m_native->request->res.content_length = response.body.size();
+    startStream(response.status, response.headers);
+    m_native->finishing = true;
+    if (response.body.empty()) {
+        m_native->end(H2O_SEND_STATE_FINAL);
+        return;
+    }
+    write(response.body);
+}
+
+void Exchange::startStream(int status, const Headers &headers)
+{
+    if (m_native->request == nullptr || m_native->streaming) {
+        return;
+    }
+    h2o_req_t *request = m_native->request;
+    request->res.status = status;
+    request->res.reason = "";
+    setHeaders(request, headers);
+    m_native->streaming = true;
+    m_native->lastProgress = EventLoop::now();
+    m_native->generator.base.proceed = onProceed;
+    m_native->generator.base.stop = onStop;
+    m_native->generator.owner = m_native.get();
+    h2o_start_response(request, &m_native->generator.base);
+}
+
+size_t Exchange::write(std::string_view data)
+{
+    if (m_native->request == nullptr || m_native->ended) {
+        return 0;
+    }
+    m_native->pending.append(data);
+    m_native->send();
+    return pendingBytes();
+}
+
+void Exchange::finish()
+{
+    m_native->finishing = true;
+    m_native->send();
+}
+
+void Exchange::abort()
+{
+    if (m_native->request == nullptr || m_native->ended) {
+        return;
+    }
+    m_native->aborting = true;
+    m_native->pending.clear();
+    if (m_native->sending || !m_native->streaming) {
+        // A write is stuck or no answer was started: only closing the connection ends it.
+        const int descriptor = connectionDescriptor(m_native->request);
+        if (descriptor >= 0) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+        return;
+    }
+    m_native->send();
+}
+
+size_t Exchange::pendingBytes() const
+{
+    return m_native->pending.size() + m_native->inFlight.size();
+}
+
+Instant Exchange::lastProgress() const
+{
+    return m_native->lastProgress;
+}
+
+void Exchange::onDrained(std::function<void()> callback)
+{
+    m_native->onDrained = std::move(callback);
+}
+
+void Exchange::onGone(std::function<void()> callback)
+{
+    m_native->onGone = std::move(callback);
+}
+
+bool Exchange::isCallerGone() const
+{
+    constexpr int http2 = 0x200;
+    if (m_native->request == nullptr) {
+        return true;
+    }
+    const int descriptor = connectionDescriptor(m_native->request);
+    if (m_native->request->version >= http2 || descriptor < 0) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+struct Server::Native
+{
+    struct HandlerSlot
+    {
+        h2o_handler_t base;
+        Native *owner;
+    };
+
+    EventLoop *loop = nullptr;
+    ServerOptions options;
+    Handler handler;
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t acceptContext{};
+    h2o_socket_t *listener = nullptr;
+    SSL_CTX *tls = nullptr;
+    uint16_t port = 0;
+    size_t openExchanges = 0;
+
+    std::error_code loadCertificate();
+};
+
+namespace {
+
+constexpr int listenBacklog = 4096;
+
+struct ExchangeHolder
+{
+    RequestWatch watch;
+    std::shared_ptr<Exchange> *exchange;
+};
+
+void onHolderFreed(void *memory)
+{
+    ExchangeHolder *holder = static_cast<ExchangeHolder *>(memory);
+    onRequestFreed(&holder->watch);
+    delete holder->exchange;
+}
+
+std::error_code lastError()
+{
+    return {errno, std::generic_category()};
+}
+
+} // namespace
+
+std::error_code Server::Native::loadCertificate()
+{
+    if (options.certificateFile.empty()) {
+        return {};
+    }
+    tls = SSL_CTX_new(TLS_server_method());
+    SSL_CTX_set_min_proto_version(tls, TLS1_2_VERSION);
+    if (SSL_CTX_use_certificate_chain_file(tls, options.certificateFile.c_str()) != 1
+        || SSL_CTX_use_PrivateKey_file(tls, options.keyFile.c_str(), SSL_FILETYPE_PEM) != 1) {
+        return std::make_error_code(std::errc::invalid_argument);
+    }
+    h2o_ssl_register_alpn_protocols(tls, h2o_http2_alpn_protocols);
+    return {};
+}
+
+Server::Server(EventLoop &loop, ServerOptions options, Handler handler)
+    : m_native(std::make_unique<Native>())
+{
+    m_native->loop = &loop;
+    m_native->options = std::move(options);
+    m_native->handler = std::move(handler);
+    h2o_config_init(&m_native->config);
+    m_native->config.server_name = toIovec("teaseldrift");
+    m_native->config.max_request_entity_size = m_native->options.maxBodyBytes;
+    m_native->config.http1.req_timeout = toMilliseconds(m_native->options.requestTimeout);
+    h2o_hostconf_t *host = h2o_config_register_host(&m_native->config, toIovec("default"), 65535);
+    h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+    Native::HandlerSlot *slot = reinterpret_cast<Native::HandlerSlot *>(
+            h2o_create_handler(path, sizeof(Native::HandlerSlot)));
+    slot->owner = m_native.get();
+    slot->base.on_req = [](h2o_handler_t *self, h2o_req_t *request) {
+        Native &server = *reinterpret_cast<Native::HandlerSlot *>(self)->owner;
+        std::unique_ptr<Exchange::Native> native = std::make_unique<Exchange::Native>();
+        native->request = request;
+        native->headers = toHeaders(request->headers.entries, request->headers.size);
+        native->openCount = &server.openExchanges;
+        ++server.openExchanges;
+        Exchange::Native *raw = native.get();
+        std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(std::move(native));
+        raw->self = exchange;
+        ExchangeHolder *holder = static_cast<ExchangeHolder *>(
+                h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeHolder), onHolderFreed));
+        holder->watch.native = raw;
+        holder->exchange = new std::shared_ptr<Exchange>(exchange);
+        server.handler(std::move(exchange));
+        return 0;
+    };
+    h2o_context_init(&m_native->context, loop.native().loop, &m_native->config);
+    m_native->acceptContext.ctx = &m_native->context;
+    m_native->acceptContext.hosts = m_native->config.hosts;
+}
+
+Server::~Server()
+{
+    stopAccepting();
+}
+
+std::error_code Server::listen()
+{
+    const std::error_code tlsError = m_native->loadCertificate();
+    if (tlsError) {
+        return tlsError;
+    }
+    m_native->acceptContext.ssl_ctx = m_native->tls;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_native->options.endpoint.port);
+    if (inet_pton(AF_INET, m_native->options.endpoint.address.c_str(), &address.sin_addr) != 1) {
+        return std::make_error_code(std::errc::invalid_argument);
+    }
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0
+        || ::listen(descriptor, listenBacklog) != 0) {
+        const std::error_code error = lastError();
+        ::close(descriptor);
+        return error;
+    }
+    socklen_t length = sizeof(address);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    m_native->port = ntohs(address.sin_port);
+    m_native->listener = h2o_evloop_socket_create(m_native->loop->native().loop, descriptor,
+                                                  H2O_SOCKET_FLAG_DONT_READ);
+    m_native->listener->data = m_native.get();
+    h2o_socket_read_start(m_native->listener, [](h2o_socket_t *listener, const char *error) {
+        if (error != nullptr) {
+            return;
+        }
+        constexpr int acceptsAtOnce = 16;
+        Native &server = *static_cast<Native *>(listener->data);
+        for (int i = 0; i < acceptsAtOnce; ++i) {
+            h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+            if (socket == nullptr) {
+                return;
+            }
+            h2o_accept(&server.acceptContext, socket);
+        }
+    });
+    return {};
+}
+
+uint16_t Server::port() const
+{
+    return m_native->port;
+}
+
+void Server::stopAccepting()
+{
+    if (m_native->listener == nullptr) {
+        return;
+    }
+    h2o_socket_read_stop(m_native->listener);
+    h2o_socket_close(m_native->listener);
+    m_native->listener = nullptr;
+    h2o_context_request_shutdown(&m_native->context);
+}
+
+size_t Server::openExchanges() const
+{
+    return m_native->openExchanges;
+}
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds and runs all tests. Closes with the runner's summary.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh
+ctest --test-dir build --output-on-failure --no-tests=error -j 4
