Serve one request through store, router and engine stand-in

The thin path: teaseldriftd reads its configuration through the etcd JSON gateway and passes a streamed completion from an engine stand-in to a caller. Settings become flags and variables by reflection over the schema.

--- /dev/null
+++ b/packages/platform/include/teaseldrift/platform/etcd_store.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <system_error>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/message.hpp"
+#include "teaseldrift/platform/store.hpp"
+
+namespace teaseldrift::http {
+class EventLoop;
+}
+
+namespace teaseldrift::platform {
+
+/// @brief A key-value service that speaks the etcd v3 JSON gateway.
+///
+/// Calls belong to the loop's thread. See https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/.
+class EtcdStore
+{
+public:
+    EtcdStore(http::EventLoop &loop, http::Endpoint endpoint, Duration timeout = 1s);
+    ~EtcdStore();
+    EtcdStore(const EtcdStore &) = delete;
+    EtcdStore &operator=(const EtcdStore &) = delete;
+
+    /// @brief Reads all keys of a prefix.
+    void readPrefix(std::string_view prefix,
+                    std::function<void(std::error_code, const StoreSnapshot &)> done);
+
+    /// @brief Writes all or nothing.
+    void write(std::span<const StoreWrite> writes, std::function<void(StoreWriteResult)> done);
+
+    /// @brief Reports changes of a prefix after a revision until the watch breaks.
+    /// @param onBroken called once when the watch has ended; start another after a while
+    void watchPrefix(std::string_view prefix, uint64_t afterRevision,
+                     std::function<void(std::span<const StoreEntry>)> onChange,
+                     std::function<void()> onBroken);
+
+    /// @brief Grants a lease; the answer is its id.
+    void grantLease(Duration timeToLive, std::function<void(std::error_code, uint64_t)> done);
+
+    /// @brief Extends a lease; the answer is the time that is left. Zero means it has ended.
+    void keepLease(uint64_t lease, std::function<void(std::error_code, Duration)> done);
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+static_assert(KeyValueStore<EtcdStore>);
+
+} // namespace teaseldrift::platform
--- /dev/null
+++ b/packages/platform/include/teaseldrift/platform/store.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::platform {
+
+/// @brief One key of the platform's key-value service.
+struct StoreEntry
+{
+    std::string key;
+    std::string value;
+    /// Store revision of the last write; 0 if the key does not exist.
+    uint64_t revision = 0;
+    /// The key was deleted at this revision.
+    bool deleted = false;
+};
+
+/// @brief What a read returned.
+struct StoreSnapshot
+{
+    std::vector<StoreEntry> entries;
+    /// Revision of the whole store at the time of the read.
+    uint64_t revision = 0;
+};
+
+/// @brief One write of a transaction.
+struct StoreWrite
+{
+    std::string key;
+    std::string value;
+    bool deletes = false;
+    /// The write holds only while the key's revision is this one; 0 if it must not exist.
+    uint64_t expectedRevision = 0;
+    /// Lease that removes the key when it ends; 0 for none.
+    uint64_t lease = 0;
+};
+
+/// @brief How a transaction ended.
+enum class StoreOutcome {
+    /// All writes took effect.
+    Written,
+    /// A key's revision was another one; nothing took effect.
+    Conflict,
+    /// Nothing was sent, so nothing took effect.
+    NotSent,
+    /// The answer was lost; the writes may have taken effect. Read back before saying anything.
+    Unknown,
+};
+
+struct StoreWriteResult
+{
+    StoreOutcome outcome = StoreOutcome::Unknown;
+    uint64_t revision = 0;
+};
+
+/// @brief The platform's key-value service as the system uses it.
+///
+/// Each call counts against the service's rates, a waiting watch as one.
+template <typename Store>
+concept KeyValueStore = requires(Store &store, std::string_view prefix, uint64_t revision,
+                                 std::span<const StoreWrite> writes)
+{
+    store.readPrefix(prefix, std::function<void(std::error_code, const StoreSnapshot &)>());
+    store.write(writes, std::function<void(StoreWriteResult)>());
+    store.watchPrefix(prefix, revision, std::function<void(std::span<const StoreEntry>)>(),
+                      std::function<void()>());
+    store.grantLease(Duration(), std::function<void(std::error_code, uint64_t)>());
+    store.keepLease(revision, std::function<void(std::error_code, Duration)>());
+};
+
+} // namespace teaseldrift::platform
--- /dev/null
+++ b/packages/settings/include/teaseldrift/settings/settings.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include <google/protobuf/message.h>
+
+namespace CLI {
+class App;
+}
+
+namespace teaseldrift::settings {
+
+/// @brief Adds a flag and an environment variable for each field of a settings message.
+///
+/// Field `caller_port` becomes `--caller-port` and `TEASELDRIFT_CALLER_PORT`. Names, defaults,
+/// ranges and texts come from the schema. A value out of range is refused while the command line
+/// is parsed, with an error that names the setting, the value and what is allowed.
+///
+/// ```cpp
+/// CLI::App app("teaseldriftd");
+/// schema::RouterSettings settings;
+/// settings::addOptions(app, settings);
+/// CLI11_PARSE(app, argc, argv);
+/// ```
+/// @param message must outlive the parse
+void addOptions(CLI::App &app, google::protobuf::Message &message);
+
+/// @brief The settings as lines of `TEASELDRIFT_NAME=value`; secrets are masked.
+std::string print(const google::protobuf::Message &message);
+
+} // namespace teaseldrift::settings
