Add interfaces of configuration, keys, membership and peers

Change: checks, documents, settings lookup, keys, replica, acceptance and change outcome with code; membership view, configuration sync, peer network and HTTP VM list as headers. Defaults have presence and take their ranges from the schema.

--- /dev/null
+++ b/packages/platform/include/teaseldrift/platform/http_vm_list.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <system_error>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/message.hpp"
+#include "teaseldrift/platform/vm_list.hpp"
+
+namespace teaseldrift::http {
+class EventLoop;
+}
+
+namespace teaseldrift::platform {
+
+/// @brief The platform's list of VMs as a JSON array at `GET /vms`.
+///
+/// Sends the last answer's ETag, so that an unchanged list costs no body.
+class HttpVmList
+{
+public:
+    HttpVmList(http::EventLoop &loop, http::Endpoint endpoint, Duration timeout = 1s);
+    ~HttpVmList();
+    HttpVmList(const HttpVmList &) = delete;
+    HttpVmList &operator=(const HttpVmList &) = delete;
+
+    /// @brief Reads the list. One read is under way at a time; a further call ends the former one
+    /// without an answer.
+    void read(std::function<void(std::error_code, const std::vector<VmRecord> &)> done);
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+static_assert(VmDirectory<HttpVmList>);
+
+} // namespace teaseldrift::platform
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/acceptance.cpp
@@ -0,0 +1,98 @@
+#include "teaseldrift/configuration/acceptance.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift {
+
+AcceptanceWaiter::AcceptanceWaiter(std::span<const std::string> listedVms, Instant writtenAt,
+                                   AcceptanceOptions options)
+    : m_writtenAt(writtenAt), m_options(options)
+{
+    onList(listedVms);
+}
+
+void AcceptanceWaiter::onList(std::span<const std::string> listedVms)
+{
+    std::map<std::string, Member, std::less<>> members;
+    for (const std::string &vmId : listedVms) {
+        const auto found = m_members.find(vmId);
+        members[vmId] = found == m_members.end() ? Member() : found->second;
+    }
+    m_members = std::move(members);
+    m_knownVms = std::max(m_knownVms, m_members.size());
+}
+
+void AcceptanceWaiter::onReport(const AcceptanceReport &report)
+{
+    const auto found = m_members.find(report.vmId);
+    if (found == m_members.end()) {
+        return;
+    }
+    m_knownVms = std::max(m_knownVms, report.knownVms);
+    Member &member = found->second;
+    const bool sameProcess = member.incarnation == report.incarnation;
+    if (!report.holds) {
+        // A late answer from before the change arrived does not undo a newer one.
+        if (!sameProcess) {
+            member = {.incarnation = report.incarnation};
+        }
+        return;
+    }
+    if (!sameProcess || !member.holds) {
+        member.heldFrom = report.receivedAt;
+        member.heldUntil = report.sentAt;
+        member.votes = false;
+    }
+    member.incarnation = report.incarnation;
+    member.holds = true;
+    member.votes = member.votes || report.votes;
+    member.heldFrom = std::min(member.heldFrom, report.receivedAt);
+    member.heldUntil = std::max(member.heldUntil, report.sentAt);
+}
+
+/// The first instant at which `count` members held the change together.
+std::optional<Instant> AcceptanceWaiter::heldTogetherAt(size_t count, bool votersOnly) const
+{
+    std::optional<Instant> first;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        const Instant candidate = it->second.heldFrom;
+        const auto heldThen = [candidate, votersOnly](const auto &item) {
+            const Member &member = item.second;
+            return member.holds && (member.votes || !votersOnly) && member.heldFrom <= candidate
+                   && candidate <= member.heldUntil;
+        };
+        const std::ptrdiff_t holding = std::count_if(m_members.begin(), m_members.end(), heldThen);
+        if (it->second.holds && static_cast<size_t>(holding) >= count
+            && (!first.has_value() || candidate < *first)) {
+            first = candidate;
+        }
+    }
+    return first;
+}
+
+AcceptanceState AcceptanceWaiter::state(Instant now) const
+{
+    const size_t majority = m_knownVms / 2 + 1;
+    const std::optional<Instant> majorityAt = heldTogetherAt(majority, true);
+    if (majorityAt.has_value()) {
+        if (heldTogetherAt(m_members.size(), false).has_value()
+            || now - *majorityAt > m_options.freshnessBound) {
+            return AcceptanceState::Accepted;
+        }
+    }
+    return now - m_writtenAt > m_options.giveUpAfter ? AcceptanceState::Unconfirmed
+                                                     : AcceptanceState::Waiting;
+}
+
+std::vector<std::string> AcceptanceWaiter::missing() const
+{
+    std::vector<std::string> missing;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        if (!it->second.holds) {
+            missing.push_back(it->first);
+        }
+    }
+    return missing;
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/check.cpp
@@ -0,0 +1,270 @@
+#include "teaseldrift/configuration/check.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <string_view>
+
+#include <arpa/inet.h>
+
+#include "teaseldrift/configuration/documents.hpp"
+#include "teaseldrift/configuration/settings_lookup.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+constexpr size_t maxDocumentBytes = 1000000;
+constexpr size_t maxNameLength = 128;
+constexpr size_t hashBytes = 32;
+constexpr size_t minSaltBytes = 8;
+constexpr uint32_t maxPort = 65535;
+
+using Names = std::set<std::string, std::less<>>;
+
+std::string at(std::string_view list, int index, std::string_view field = {})
+{
+    std::string where = std::string(list) + "[" + std::to_string(index) + "]";
+    if (!field.empty()) {
+        where += ".";
+        where += field;
+    }
+    return where;
+}
+
+bool isNameCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+           || (character >= '0' && character <= '9') || character == '-' || character == '_'
+           || character == '.';
+}
+
+/// Names become parts of store keys and of metric labels.
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameLength
+           && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+bool isBlank(std::string_view text)
+{
+    return text.find_first_not_of(" \t\r\n") == std::string_view::npos;
+}
+
+bool isPositive(double value)
+{
+    return std::isfinite(value) && value > 0.0;
+}
+
+/// Collects faults of one configuration.
+class Checker
+{
+public:
+    explicit Checker(const schema::Configuration &configuration)
+        : m_configuration(configuration) { }
+
+    std::vector<Problem> run()
+    {
+        checkModels();
+        checkTargets();
+        checkRoutes();
+        checkOrganisations();
+        checkDefaults();
+        checkExceptions();
+        checkSizes();
+        return std::move(m_problems);
+    }
+
+private:
+    const schema::Configuration &m_configuration;
+    std::vector<Problem> m_problems;
+    Names m_models;
+    Names m_services;
+    Names m_routes;
+    Names m_organisations;
+
+    void report(std::string where, std::string message)
+    {
+        m_problems.push_back({.where = std::move(where), .message = std::move(message)});
+    }
+
+    void require(bool holds, const std::string &where, std::string_view message)
+    {
+        if (!holds) {
+            report(where, std::string(message));
+        }
+    }
+
+    void checkName(const std::string &name, Names &names, const std::string &where)
+    {
+        require(isName(name), where, "must be letters, digits, '-', '_' and '.', at most 128");
+        require(names.insert(name).second, where, "'" + name + "' stands twice");
+    }
+
+    void checkModels()
+    {
+        const schema::FleetDocument &fleet = m_configuration.fleet();
+        for (int i = 0; i < fleet.models_size(); ++i) {
+            const schema::Model &model = fleet.models(i);
+            const std::string where = at("fleet.models", i);
+            require(!isBlank(model.name()), where + ".name", "must not be empty");
+            require(m_models.insert(model.name()).second, where + ".name",
+                    "'" + model.name() + "' stands twice");
+            require(!isBlank(model.weights_version()), where + ".weights_version",
+                    "must not be empty");
+            require(model.block_tokens() > 0, where + ".block_tokens", "must be positive");
+            Names adapters;
+            for (int j = 0; j < model.adapters_size(); ++j) {
+                const std::string adapter = at(where + ".adapters", j);
+                require(!isBlank(model.adapters(j)), adapter, "must not be empty");
+                require(adapters.insert(model.adapters(j)).second, adapter, "stands twice");
+            }
+        }
+    }
+
+    void checkTargets()
+    {
+        Names ids;
+        Names endpoints;
+        for (int i = 0; i < m_configuration.targets_size(); ++i) {
+            const schema::Target &target = m_configuration.targets(i);
+            checkName(target.id(), ids, at("targets", i, "id"));
+            in_addr address{};
+            require(inet_pton(AF_INET, target.address().c_str(), &address) == 1,
+                    at("targets", i, "address"), "must be an IPv4 address");
+            require(target.port() > 0 && target.port() <= maxPort, at("targets", i, "port"),
+                    "must be 1 to 65535");
+            require(target.events_port() <= maxPort, at("targets", i, "events_port"),
+                    "must be 0 to 65535");
+            const std::string endpoint = target.address() + ":" + std::to_string(target.port());
+            require(endpoints.insert(endpoint).second, at("targets", i, "address"),
+                    "'" + endpoint + "' stands twice");
+            require(!isBlank(target.availability_zone()), at("targets", i, "availability_zone"),
+                    "must not be empty");
+            checkRole(target, i);
+        }
+    }
+
+    void checkRole(const schema::Target &target, int index)
+    {
+        require(schema::TargetKind_IsValid(target.kind()), at("targets", index, "kind"),
+                "is not a known kind");
+        if (target.kind() == schema::PLAIN_SERVICE) {
+            require(isName(target.service()), at("targets", index, "service"),
+                    "a plain service needs a name");
+            m_services.insert(target.service());
+        }
+        if (target.kind() == schema::ENGINE) {
+            require(target.slots() > 0, at("targets", index, "slots"), "must be positive");
+        }
+        for (const std::string &model : target.models()) {
+            require(m_models.contains(model), at("targets", index, "models"),
+                    "no model '" + model + "' in the fleet document");
+        }
+    }
+
+    void checkRoutes()
+    {
+        const schema::FleetDocument &fleet = m_configuration.fleet();
+        for (int i = 0; i < fleet.routes_size(); ++i) {
+            const schema::Route &route = fleet.routes(i);
+            const std::string path = at("fleet.routes", i, "path_prefix");
+            require(route.path_prefix().starts_with('/'), path, "must start with '/'");
+            require(m_routes.insert(route.path_prefix()).second, path,
+                    "'" + route.path_prefix() + "' stands twice");
+            require(schema::RouteClass_IsValid(route.route_class()),
+                    at("fleet.routes", i, "route_class"), "is not a known class");
+            const std::string service = at("fleet.routes", i, "service");
+            if (!route.service().empty()) {
+                require(m_services.contains(route.service()), service,
+                        "no target carries the service '" + route.service() + "'");
+            } else {
+                require(route.route_class() == schema::GENERATION, service,
+                        "only a generation route goes without a service");
+            }
+        }
+    }
+
+    void checkOrganisations()
+    {
+        Names keyIds;
+        for (int i = 0; i < m_configuration.organisations_size(); ++i) {
+            const schema::Organisation &organisation = m_configuration.organisations(i);
+            checkName(organisation.name(), m_organisations, at("organisations", i, "name"));
+            require(isPositive(organisation.rate_tokens_per_s()),
+                    at("organisations", i, "rate_tokens_per_s"), "must be positive");
+            require(isPositive(organisation.burst_tokens()), at("organisations", i, "burst_tokens"),
+                    "must be positive");
+            require(std::isfinite(organisation.weight()) && organisation.weight() >= 0.0,
+                    at("organisations", i, "weight"), "must not be negative");
+            for (int j = 0; j < organisation.keys_size(); ++j) {
+                const schema::KeyRecord &key = organisation.keys(j);
+                const std::string where = at(at("organisations", i, "keys"), j);
+                checkName(key.id(), keyIds, where + ".id");
+                require(key.salt().size() >= minSaltBytes, where + ".salt", "is too short");
+                require(key.hash().size() == hashBytes, where + ".hash", "must be 32 bytes");
+            }
+        }
+    }
+
+    void checkDefaults()
+    {
+        const schema::Defaults &defaults = m_configuration.fleet().defaults();
+        std::vector<const google::protobuf::FieldDescriptor *> fields;
+        schema::Defaults::GetReflection()->ListFields(defaults, &fields);
+        for (const google::protobuf::FieldDescriptor *field : fields) {
+            schema::Defaults scratch;
+            const std::string value = valueOf(defaults, field->name());
+            require(setValue(scratch, field->name(), value), "fleet.defaults." + field->name(),
+                    "'" + value + "' is out of range");
+        }
+    }
+
+    void checkExceptions()
+    {
+        const schema::FleetDocument &fleet = m_configuration.fleet();
+        Names scopes;
+        for (int i = 0; i < fleet.exceptions_size(); ++i) {
+            const schema::SettingException &exception = fleet.exceptions(i);
+            const std::string where = at("fleet.exceptions", i);
+            require(!isBlank(exception.reason()), where + ".reason", "an exception needs a reason");
+            if (!isKnownSetting(exception.setting())) {
+                report(where + ".setting", "no setting '" + exception.setting() + "'");
+            } else {
+                schema::Defaults scratch;
+                require(setValue(scratch, exception.setting(), exception.value()), where + ".value",
+                        "'" + exception.value() + "' does not fit " + exception.setting());
+            }
+            require(!exception.organisation().empty() || !exception.route().empty(), where,
+                    "names neither an organisation nor a route; change the default instead");
+            require(exception.organisation().empty()
+                            || m_organisations.contains(exception.organisation()),
+                    where + ".organisation", "no organisation '" + exception.organisation() + "'");
+            require(exception.route().empty() || m_routes.contains(exception.route()),
+                    where + ".route", "no route '" + exception.route() + "'");
+            require(exception.until_unix_ms() >= 0, where + ".until_unix_ms",
+                    "must not be negative");
+            require(scopes.insert(exception.organisation() + "\n" + exception.route() + "\n"
+                                  + exception.setting())
+                            .second,
+                    where, "another exception has the same scope and setting");
+        }
+    }
+
+    void checkSizes()
+    {
+        for (const NamedDocument &named : split(m_configuration)) {
+            require(named.document.ByteSizeLong() <= maxDocumentBytes, named.name,
+                    "the document is larger than the store holds");
+        }
+    }
+};
+
+} // namespace
+
+std::vector<Problem> check(const schema::Configuration &configuration)
+{
+    return Checker(configuration).run();
+}
+
+} // namespace teaseldrift
