--- a/packages/policy/include/teaseldrift/configuration/acceptance.hpp
+++ b/packages/policy/include/teaseldrift/configuration/acceptance.hpp
@@ -43,6 +43,8 @@
 {
     /// Freshness bound of the VMs.
     Duration freshnessBound = 3s;
+    /// Allows for clocks of operator and VMs that run at slightly different speeds.
+    Duration clockMargin = 100ms;
     /// Longest wait before the operator is told that the change is written but unconfirmed.
     Duration giveUpAfter = 30s;
 };
--- a/packages/policy/include/teaseldrift/configuration/configuration_sync.hpp
+++ b/packages/policy/include/teaseldrift/configuration/configuration_sync.hpp
@@ -58,6 +58,8 @@
     /// All VMs that may serve, this one included: the base of majorities.
     std::vector<std::string> known;
     std::vector<std::string> neighbours;
+    /// The platform's list has been read, so that `known` may be the base of majorities.
+    bool listed = false;
 };
 
 struct SyncOptions
@@ -97,7 +99,7 @@
 /// Pure: each call returns what to do next.
 ///
 /// ```cpp
-/// ConfigurationSync sync("vm-1", now, {});
+/// ConfigurationSync sync("vm-1", incarnation, now);
 /// sync.setMembers(members);
 /// perform(sync.tick(now, random()));
 /// if (!sync.isCurrent(now)) { refuseKeyedRequest(); }
@@ -107,7 +109,9 @@
 public:
     using Actions = std::vector<SyncAction>;
 
-    ConfigurationSync(std::string selfId, Instant startedAt, SyncOptions options = {});
+    /// @param incarnation random per process start; keeps answers to a former process apart
+    ConfigurationSync(std::string selfId, uint64_t incarnation, Instant startedAt,
+                      SyncOptions options = {});
 
     void setMembers(SyncMembers members);
 
@@ -173,6 +177,8 @@
         uint64_t id = 0;
         Instant sentAt;
         uint64_t afterRevision = 0;
+        /// Newest document held when the call was sent.
+        uint64_t newestRevision = 0;
         bool all = false;
     };
 
@@ -181,7 +187,6 @@
         uint64_t id = 0;
         uint64_t revision = 0;
         std::optional<Instant> behindSince;
-        Instant nextStart;
     };
 
     std::string m_selfId;
@@ -191,39 +196,50 @@
     ConfigurationReplica m_replica;
     bool m_leaving = false;
     bool m_reader = false;
+    /// VMs to ask for a proof, the preferred one first.
     std::vector<std::string> m_parents;
-    uint64_t m_lastId = 0;
+    uint64_t m_lastId;
+    uint64_t m_random = 0;
     std::map<uint64_t, Request> m_requests;
     uint64_t m_parentRequest = 0;
-    bool m_parentMissed = false;
     std::optional<MajorityRound> m_round;
     std::optional<StoreCall> m_call;
     std::optional<StoreWatch> m_watch;
-    /// Store revision up to which the store's documents were last seen to be the same as here.
+    /// Store revision at which the store's documents were last seen to be the same as here.
     uint64_t m_verifiedRevision = 0;
     Duration m_storeBackoff{};
     Instant m_nextHeartbeat;
     Instant m_nextRefresh;
     Instant m_nextRound;
     Instant m_nextStoreCall;
+    Instant m_nextWatch;
     /// Revision that is being fetched after an announcement.
     uint64_t m_fetching = 0;
     Instant m_fetchUntil;
+    /// Newest revision that each neighbour is known to hold.
+    std::map<std::string, uint64_t, std::less<>> m_neighbourRevisions;
 
     void place();
     [[nodiscard]] Duration age(Instant now) const;
+    [[nodiscard]] Duration waited(Instant now) const;
+    [[nodiscard]] Duration jittered(Duration duration) const;
     void forgetRequests(Instant now);
     SyncAction request(std::string_view vmId, uint64_t round, Instant now);
     [[nodiscard]] schema::Heartbeat heartbeat(Instant now) const;
-    void announce(Actions &actions, Instant now);
+    void noteNeighbour(std::string_view vmId, uint64_t revision);
+    Actions announce(Instant now) const;
+    Actions announceIfNewer(uint64_t formerRevision, Instant now) const;
     void tickHeartbeat(Actions &actions, Instant now);
-    void tickParent(Actions &actions, Instant now, uint64_t random);
-    void tickMajority(Actions &actions, Instant now, uint64_t random);
-    void tickStore(Actions &actions, Instant now, uint64_t random);
-    void tickWatch(Actions &actions, Instant now, uint64_t random);
+    void tickParent(Actions &actions, Instant now);
+    void tickMajority(Actions &actions, Instant now);
+    void tickStore(Actions &actions, Instant now);
+    void tickWatch(Actions &actions, Instant now);
+    [[nodiscard]] bool wantsStore(Instant now) const;
     void countVote(std::string_view vmId, const schema::ConfigurationAnswer &answer);
-    void noteWatchLag(Instant now);
-    SyncAction readAll(Instant now);
+    void settleRound();
+    bool applyAll(const StoreCall &call, const StoreRead &read);
+    bool applyChanges(const StoreCall &call, const StoreRead &read, Instant now);
+    SyncAction readStore(bool all, Instant now);
 };
 
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/membership/membership_view.hpp
+++ b/packages/policy/include/teaseldrift/membership/membership_view.hpp
@@ -131,6 +131,8 @@
     std::map<std::string, Member, std::less<>> m_members;
     std::map<std::string, MemberState, std::less<>> m_targets;
 
+    [[nodiscard]] bool isSilentOn(std::span<const std::string> ring, std::string_view vmId,
+                                  Instant now) const;
     [[nodiscard]] bool isKnown(const Member &member, Instant now) const;
     [[nodiscard]] std::vector<std::string> ring(Instant now) const;
     bool dropMissing(std::span<const ListedVm> vms, Instant now);
--- a/packages/policy/src/teaseldrift/configuration/acceptance.cpp
+++ b/packages/policy/src/teaseldrift/configuration/acceptance.cpp
@@ -76,7 +76,7 @@
     const std::optional<Instant> majorityAt = heldTogetherAt(majority, true);
     if (majorityAt.has_value()) {
         if (heldTogetherAt(m_members.size(), false).has_value()
-            || now - *majorityAt > m_options.freshnessBound) {
+            || now - *majorityAt > m_options.freshnessBound + m_options.clockMargin) {
             return AcceptanceState::Accepted;
         }
     }
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync.cpp
@@ -0,0 +1,343 @@
+#include "teaseldrift/configuration/configuration_sync.hpp"
+
+#include <algorithm>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+/// Requests whose answers are still of use.
+constexpr Duration requestLifetime = 3s;
+constexpr std::string_view treeKey = "configuration";
+
+/// Rounded up, so that a proof never looks younger than it is.
+uint32_t toAgeMs(Duration age)
+{
+    const int64_t ms = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+    return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, UINT32_MAX));
+}
+
+} // namespace
+
+ConfigurationSync::ConfigurationSync(std::string selfId, uint64_t incarnation, Instant startedAt,
+                                     SyncOptions options)
+    : m_selfId(std::move(selfId)), m_startedAt(startedAt), m_options(options),
+      m_lastId(incarnation), m_nextHeartbeat(startedAt), m_nextRefresh(startedAt),
+      m_nextRound(startedAt), m_nextStoreCall(startedAt), m_nextWatch(startedAt)
+{
+    place();
+}
+
+void ConfigurationSync::setMembers(SyncMembers members)
+{
+    m_members = std::move(members);
+    std::erase_if(m_neighbourRevisions, [this](const auto &item) {
+        return std::find(m_members.neighbours.begin(), m_members.neighbours.end(), item.first)
+               == m_members.neighbours.end();
+    });
+    place();
+}
+
+/// Finds this VM's place in the tree: readers first, then `fanOut` children below each VM.
+void ConfigurationSync::place()
+{
+    std::vector<RendezvousMember> live;
+    for (const std::string &vmId : m_members.live) {
+        live.push_back({.id = vmId});
+    }
+    const std::vector<size_t> order
+            = rendezvousOrder(rendezvousKey(treeKey), live, m_members.live.size());
+    const auto self = std::find_if(order.begin(), order.end(), [this](size_t index) {
+        return m_members.live[index] == m_selfId;
+    });
+    const size_t rank = static_cast<size_t>(self - order.begin());
+    const bool placed = self != order.end();
+    m_reader = order.empty() || (placed && rank < m_options.readers);
+    const bool hasParent = placed && !m_reader;
+    const size_t parent = hasParent ? (rank - m_options.readers) / m_options.fanOut : 0;
+    const size_t candidates = std::min(std::max(m_options.readers, parent + 1), order.size());
+    m_parents.clear();
+    for (size_t i = 0; i < candidates; ++i) {
+        const std::string &vmId = m_members.live[order[i]];
+        if (vmId != m_selfId) {
+            m_parents.push_back(vmId);
+        }
+    }
+    if (hasParent && parent < m_parents.size()) {
+        std::swap(m_parents.front(), m_parents[parent]);
+    }
+}
+
+ConfigurationSync::Actions ConfigurationSync::tick(Instant now, uint64_t random)
+{
+    Actions actions;
+    m_random = random;
+    forgetRequests(now);
+    tickHeartbeat(actions, now);
+    tickParent(actions, now);
+    tickMajority(actions, now);
+    tickStore(actions, now);
+    tickWatch(actions, now);
+    return actions;
+}
+
+void ConfigurationSync::forgetRequests(Instant now)
+{
+    std::erase_if(m_requests,
+                  [now](const auto &item) { return now - item.second.sentAt > requestLifetime; });
+}
+
+Duration ConfigurationSync::age(Instant now) const
+{
+    const std::optional<Instant> confirmedAt = m_replica.confirmedAt();
+    return confirmedAt.has_value() ? now - *confirmedAt : Duration::max();
+}
+
+/// How long this process has been without a proof.
+Duration ConfigurationSync::waited(Instant now) const
+{
+    return std::min(age(now), now - m_startedAt);
+}
+
+/// The duration, longer or shorter by up to a fifth.
+Duration ConfigurationSync::jittered(Duration duration) const
+{
+    constexpr int64_t steps = 1024;
+    constexpr int64_t spreadDivisor = 5;
+    const int64_t step = static_cast<int64_t>(m_random % (2 * steps + 1)) - steps;
+    return duration + duration * step / (steps * spreadDivisor);
+}
+
+schema::Heartbeat ConfigurationSync::heartbeat(Instant now) const
+{
+    schema::Heartbeat heartbeat;
+    heartbeat.set_configuration_revision(m_replica.revision());
+    heartbeat.set_configuration_age_ms(toAgeMs(age(now)));
+    heartbeat.set_leaving(m_leaving);
+    if (m_replica.newestRevision() != m_replica.revision()) {
+        heartbeat.set_newest_document_revision(m_replica.newestRevision());
+    }
+    return heartbeat;
+}
+
+void ConfigurationSync::tickHeartbeat(Actions &actions, Instant now)
+{
+    if (now < m_nextHeartbeat) {
+        return;
+    }
+    m_nextHeartbeat = now + jittered(m_options.heartbeatInterval);
+    for (const std::string &neighbour : m_members.neighbours) {
+        SyncAction action{.vmId = neighbour};
+        *action.message.mutable_heartbeat() = heartbeat(now);
+        actions.push_back(std::move(action));
+    }
+}
+
+/// Tells the neighbours that are not known to hold the newest document.
+ConfigurationSync::Actions ConfigurationSync::announce(Instant now) const
+{
+    Actions actions;
+    for (const std::string &neighbour : m_members.neighbours) {
+        const auto found = m_neighbourRevisions.find(neighbour);
+        if (found != m_neighbourRevisions.end() && found->second >= m_replica.newestRevision()) {
+            continue;
+        }
+        SyncAction action{.vmId = neighbour};
+        *action.message.mutable_heartbeat() = heartbeat(now);
+        actions.push_back(std::move(action));
+    }
+    return actions;
+}
+
+ConfigurationSync::Actions ConfigurationSync::announceIfNewer(uint64_t formerRevision,
+                                                              Instant now) const
+{
+    return m_replica.newestRevision() > formerRevision ? announce(now) : Actions();
+}
+
+void ConfigurationSync::noteNeighbour(std::string_view vmId, uint64_t revision)
+{
+    const auto neighbour
+            = std::find(m_members.neighbours.begin(), m_members.neighbours.end(), vmId);
+    if (neighbour != m_members.neighbours.end()) {
+        m_neighbourRevisions[*neighbour] = revision;
+    }
+}
+
+SyncAction ConfigurationSync::request(std::string_view vmId, uint64_t round, Instant now)
+{
+    const uint64_t id = ++m_lastId;
+    m_requests[id] = {
+            .vmId = std::string(vmId),
+            .sentAt = now,
+            .knownRevision = m_replica.revision(),
+            .round = round,
+    };
+    SyncAction action{.vmId = std::string(vmId)};
+    schema::ConfigurationRequest &body = *action.message.mutable_configuration_request();
+    body.set_known_revision(m_replica.revision());
+    body.set_request_id(id);
+    return action;
+}
+
+/// Asks a VM nearer to the store for its proof.
+void ConfigurationSync::tickParent(Actions &actions, Instant now)
+{
+    if (m_parents.empty() || (m_reader && age(now) < m_options.readerMajorityAfter)) {
+        return;
+    }
+    const auto open = m_requests.find(m_parentRequest);
+    const bool missed
+            = open != m_requests.end() && now - open->second.sentAt >= m_options.answerTimeout;
+    if (now < m_nextRefresh && !missed) {
+        return;
+    }
+    m_nextRefresh = now + jittered(m_options.refreshInterval);
+    const size_t choice = missed || m_reader ? m_random % m_parents.size() : 0;
+    actions.push_back(request(m_parents[choice], 0, now));
+    m_parentRequest = m_lastId;
+}
+
+/// Asks all VMs, so that a majority's answers prove the configuration without the store.
+void ConfigurationSync::tickMajority(Actions &actions, Instant now)
+{
+    const Duration limit = m_reader ? m_options.readerMajorityAfter : m_options.majorityAfter;
+    if (waited(now) < limit) {
+        m_round.reset();
+        return;
+    }
+    if (now < m_nextRound || !m_members.listed) {
+        return;
+    }
+    m_nextRound = now + jittered(m_options.majorityInterval);
+    m_round = MajorityRound{
+            .id = ++m_lastId,
+            .startedAt = now,
+            .knownVms = m_members.known.size(),
+    };
+    for (const std::string &vmId : m_members.known) {
+        if (vmId != m_selfId) {
+            actions.push_back(request(vmId, m_round->id, now));
+        }
+    }
+    if (votes()) {
+        m_round->votes.insert(m_selfId);
+        settleRound();
+    }
+}
+
+void ConfigurationSync::settleRound()
+{
+    if (m_round->votes.size() * 2 <= m_round->knownVms) {
+        return;
+    }
+    m_replica.confirm(m_round->startedAt);
+    m_round.reset();
+}
+
+void ConfigurationSync::countVote(std::string_view vmId, const schema::ConfigurationAnswer &answer)
+{
+    m_round->knownVms = std::max<size_t>(m_round->knownVms, answer.known_vms());
+    if (!answer.votes()) {
+        return;
+    }
+    m_round->votes.insert(std::string(vmId));
+    settleRound();
+}
+
+bool ConfigurationSync::votes() const
+{
+    return m_replica.confirmedAt().has_value() && *m_replica.confirmedAt() >= m_startedAt;
+}
+
+ConfigurationSync::Actions ConfigurationSync::onHeartbeat(std::string_view vmId,
+                                                          const schema::Heartbeat &heartbeat,
+                                                          Instant now)
+{
+    const uint64_t offered
+            = std::max(heartbeat.configuration_revision(), heartbeat.newest_document_revision());
+    noteNeighbour(vmId, offered);
+    const bool underWay = m_fetching >= offered && now < m_fetchUntil;
+    const bool newer = offered > m_replica.newestRevision()
+                       || heartbeat.configuration_revision() > m_replica.revision();
+    if (!newer || underWay) {
+        return {};
+    }
+    m_fetching = offered;
+    m_fetchUntil = now + m_options.answerTimeout;
+    return {request(vmId, 0, now)};
+}
+
+ConfigurationSync::Actions ConfigurationSync::onRequest(std::string_view vmId,
+                                                        const schema::ConfigurationRequest &request,
+                                                        Instant now)
+{
+    SyncAction action{.vmId = std::string(vmId)};
+    schema::ConfigurationAnswer &answer = *action.message.mutable_configuration_answer();
+    const ConfigurationDelta delta = m_replica.newerThan(request.known_revision());
+    answer.set_request_id(request.request_id());
+    answer.mutable_documents()->Add(delta.documents.begin(), delta.documents.end());
+    answer.set_revision(delta.revision);
+    answer.set_complete(delta.complete);
+    answer.set_forgotten_revision(delta.complete ? delta.forgottenRevision : 0);
+    answer.set_unconfirmed(!m_replica.confirmedAt().has_value());
+    answer.set_age_ms(answer.unconfirmed() ? 0 : toAgeMs(age(now)));
+    answer.set_votes(votes());
+    answer.set_known_vms(static_cast<uint32_t>(m_members.known.size()));
+    return {std::move(action)};
+}
+
+ConfigurationSync::Actions ConfigurationSync::onAnswer(std::string_view vmId,
+                                                       const schema::ConfigurationAnswer &answer,
+                                                       Instant now)
+{
+    const auto found = m_requests.find(answer.request_id());
+    if (found == m_requests.end() || found->second.vmId != vmId) {
+        return {};
+    }
+    const Request request = found->second;
+    m_requests.erase(found);
+    const uint64_t formerRevision = m_replica.newestRevision();
+    m_replica.apply(
+            {
+                    .documents = {answer.documents().begin(), answer.documents().end()},
+                    .revision = answer.revision(),
+                    .complete = answer.complete(),
+                    .forgottenRevision = answer.forgotten_revision(),
+            },
+            request.knownRevision);
+    if (!answer.unconfirmed()) {
+        m_replica.confirm(request.sentAt - std::chrono::milliseconds(answer.age_ms()));
+    }
+    if (m_round.has_value() && request.round == m_round->id) {
+        countVote(vmId, answer);
+    }
+    noteNeighbour(vmId, std::max(answer.revision(), m_replica.newestRevision()));
+    return announceIfNewer(formerRevision, now);
+}
+
+ConfigurationSync::Actions
+ConfigurationSync::offer(std::span<const schema::VersionedDocument> documents, Instant now)
+{
+    const uint64_t formerRevision = m_replica.newestRevision();
+    m_replica.applySingle(documents);
+    return announceIfNewer(formerRevision, now);
+}
+
+bool ConfigurationSync::isCurrent(Instant now) const
+{
+    return m_replica.isCurrent(now, m_options.freshnessBound);
+}
+
+std::optional<Instant> ConfigurationSync::currentUntil() const
+{
+    const std::optional<Instant> confirmedAt = m_replica.confirmedAt();
+    if (!confirmedAt.has_value()) {
+        return std::nullopt;
+    }
+    return *confirmedAt + m_options.freshnessBound;
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
@@ -0,0 +1,236 @@
+#include <algorithm>
+#include <map>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "sync_fixture.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+using testing::Faults;
+using testing::PendingChange;
+using testing::SyncFixture;
+using testing::SyncVm;
+
+enum class StepKind {
+    Advance,
+    AdvanceFar,
+    Change,
+    ChangeAndPush,
+    DeleteOrCreate,
+    ChangeWithStoreGoingDown,
+    ToggleStore,
+    Pause,
+    Resume,
+    Restart,
+    RestartAll,
+    ToggleLink,
+    SilenceWatch,
+    Replace,
+    RefreshLists,
+    GoodNetwork,
+    BadNetwork,
+    Last,
+};
+
+struct Step
+{
+    StepKind kind = StepKind::Advance;
+    unsigned argument = 0;
+};
+
+void showValue(const Step &step, std::ostream &out)
+{
+    out << "{" << static_cast<int>(step.kind) << ", " << step.argument << "}";
+}
+
+rc::Gen<Step> anyStep()
+{
+    constexpr unsigned argumentLimit = 400;
+    const rc::Gen<StepKind> kind = rc::gen::weightedOneOf<StepKind>({
+            {12, rc::gen::element(StepKind::Advance, StepKind::AdvanceFar)},
+            {17, rc::gen::map(rc::gen::inRange(0, static_cast<int>(StepKind::Last)),
+                              [](int value) { return static_cast<StepKind>(value); })},
+    });
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind, kind),
+                                rc::gen::set(&Step::argument, rc::gen::inRange(0U, argumentLimit)));
+}
+
+void toggle(bool &flag)
+{
+    flag = !flag;
+}
+
+void perform(SyncFixture &fleet, const Step &step)
+{
+    const size_t index = step.argument % fleet.vms.size();
+    SyncVm &vm = fleet.vms[index];
+    switch (step.kind) {
+    case StepKind::Advance:
+        fleet.run(Duration(1ms) * step.argument);
+        break;
+    case StepKind::AdvanceFar:
+        fleet.run(Duration(10ms) * step.argument);
+        break;
+    case StepKind::Change:
+        fleet.change("organisation/a", false);
+        break;
+    case StepKind::ChangeAndPush:
+        fleet.change("organisation/a", false, true);
+        break;
+    case StepKind::DeleteOrCreate:
+        fleet.change("organisation/b", fleet.documentRevision("organisation/b") != 0);
+        break;
+    case StepKind::ChangeWithStoreGoingDown:
+        fleet.change("organisation/a", false, step.argument % 2 == 0);
+        fleet.run(Duration(10us) * step.argument);
+        fleet.storeDown = true;
+        break;
+    case StepKind::ToggleStore:
+        toggle(fleet.storeDown);
+        break;
+    case StepKind::Pause:
+        fleet.pause(index);
+        break;
+    case StepKind::Resume:
+        fleet.resume(index);
+        break;
+    case StepKind::Restart:
+        fleet.restart(index);
+        break;
+    case StepKind::RestartAll:
+        for (size_t i = 0; i < fleet.vms.size(); ++i) {
+            fleet.restart(i);
+        }
+        break;
+    case StepKind::ToggleLink:
+        toggle(vm.cutOff);
+        break;
+    case StepKind::SilenceWatch:
+        vm.watchSilent = true;
+        break;
+    case StepKind::Replace:
+        fleet.replace(index);
+        break;
+    case StepKind::RefreshLists:
+        fleet.operatorList.clear();
+        for (size_t i = 0; i < fleet.vms.size(); ++i) {
+            fleet.refreshList(i);
+            fleet.operatorList.push_back(fleet.vms[i].id);
+        }
+        break;
+    case StepKind::GoodNetwork:
+        fleet.faults = {};
+        break;
+    case StepKind::BadNetwork:
+        fleet.faults = {
+                .dropPercent = step.argument % 40,
+                .duplicatePercent = step.argument % 30,
+                .maxDelay = Duration(10ms) * step.argument,
+        };
+        break;
+    case StepKind::Last:
+        break;
+    }
+}
+
+/// An older version of the changed document is there.
+bool servesOlder(const SyncVm &vm, const PendingChange &change)
+{
+    const std::vector<schema::VersionedDocument> documents = vm.sync->replica().documents();
+    return std::any_of(documents.begin(), documents.end(), [&change](const auto &document) {
+        return document.name() == change.name && document.has_document()
+               && document.revision() < change.revision;
+    });
+}
+
+/// Promise: once a change is accepted, no VM serves keyed requests without it.
+void checkAccepted(const SyncFixture &fleet)
+{
+    for (const PendingChange &change : fleet.changes) {
+        for (const SyncVm &vm : fleet.vms) {
+            const bool serves = !vm.paused && vm.sync->isCurrent(fleet.now());
+            if (change.acceptedAt.has_value() && serves && servesOlder(vm, change)) {
+                RC_FAIL("accepted change of revision " + std::to_string(change.revision)
+                        + " is not in force on " + vm.id);
+            }
+        }
+    }
+}
+
+/// Promise: no document of a process goes back to an older revision, also not after a deletion.
+class RevisionOracle
+{
+public:
+    void check(const SyncFixture &fleet)
+    {
+        for (const SyncVm &vm : fleet.vms) {
+            for (const schema::VersionedDocument &document : vm.sync->replica().documents()) {
+                uint64_t &seen = m_seen[std::to_string(vm.incarnation) + document.name()];
+                if (document.revision() < seen) {
+                    RC_FAIL(document.name() + " went back on " + vm.id);
+                }
+                seen = document.revision();
+            }
+        }
+    }
+
+private:
+    std::map<std::string, uint64_t> m_seen;
+};
+
+} // namespace
+
+TEST_CASE("an accepted change is in force everywhere and nothing goes back", "[fuzz]")
+{
+    REQUIRE(rc::check("configuration under faults", [] {
+        const size_t count = *rc::gen::inRange<size_t>(1, 6);
+        const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+        const std::vector<Step> steps = *rc::gen::container<std::vector<Step>>(anyStep());
+        SyncFixture fleet(count, seed);
+        RevisionOracle revisions;
+        fleet.afterEvent = [&] { checkAccepted(fleet); };
+        fleet.run(2s);
+        for (const Step &step : steps) {
+            perform(fleet, step);
+            checkAccepted(fleet);
+            revisions.check(fleet);
+        }
+    }));
+}
+
+TEST_CASE("a fleet recovers from any faults once they end", "[fuzz]")
+{
+    REQUIRE(rc::check("recovery", [] {
+        const size_t count = *rc::gen::inRange<size_t>(1, 6);
+        const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+        const std::vector<Step> steps = *rc::gen::container<std::vector<Step>>(anyStep());
+        SyncFixture fleet(count, seed);
+        for (const Step &step : steps) {
+            perform(fleet, step);
+        }
+        fleet.storeDown = false;
+        fleet.faults = {};
+        for (size_t i = 0; i < count; ++i) {
+            fleet.vms[i].cutOff = false;
+            fleet.resume(i);
+        }
+        perform(fleet, {.kind = StepKind::RefreshLists});
+        // Messages sent before may arrive for another few seconds.
+        constexpr Duration settling = 10s;
+        fleet.run(settling);
+        RC_ASSERT(fleet.change("organisation/a", false));
+        // A watch may still be silent, so that only the next read sees the change.
+        fleet.run(2s);
+        RC_ASSERT(fleet.changes.back().acceptedAt.has_value());
+        for (const SyncVm &vm : fleet.vms) {
+            RC_ASSERT(vm.sync->isCurrent(fleet.now()));
+            RC_ASSERT(!servesOlder(vm, fleet.changes.back()));
+        }
+    }));
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_store.cpp
@@ -0,0 +1,178 @@
+#include <algorithm>
+
+#include "teaseldrift/configuration/configuration_sync.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+/// A store call that has not even failed by then is given up.
+constexpr Duration storeCallLifetime = 3s;
+/// VMs beyond this number share the store's rate when all of them must ask it.
+constexpr size_t vmsPerFallbackInterval = 200;
+constexpr Duration fallbackInterval = 1s;
+/// Time until a read is repeated that was overtaken by another change.
+constexpr Duration overtakenDelay = 50ms;
+
+} // namespace
+
+/// Readers always ask the store; others only if no peer has given them a proof for long.
+bool ConfigurationSync::wantsStore(Instant now) const
+{
+    if (m_reader) {
+        return true;
+    }
+    const bool empty = m_replica.revision() == 0;
+    return waited(now) >= (empty ? m_options.startGrace : m_options.majorityAfter);
+}
+
+void ConfigurationSync::tickStore(Actions &actions, Instant now)
+{
+    if (m_call.has_value() && now - m_call->sentAt > storeCallLifetime) {
+        onStoreFailed(m_call->id, now);
+    }
+    if (m_call.has_value() || now < m_nextStoreCall || !wantsStore(now)) {
+        return;
+    }
+    actions.push_back(readStore(m_replica.revision() == 0, now));
+}
+
+SyncAction ConfigurationSync::readStore(bool all, Instant now)
+{
+    const int64_t crowd = 1 + static_cast<int64_t>(m_members.known.size() / vmsPerFallbackInterval);
+    m_nextStoreCall = now + jittered(m_reader ? m_options.storeInterval : fallbackInterval * crowd);
+    m_call = StoreCall{
+            .id = ++m_lastId,
+            .sentAt = now,
+            .afterRevision = m_replica.revision(),
+            .newestRevision = m_replica.newestRevision(),
+            .all = all,
+    };
+    return {
+            .kind = all ? SyncActionKind::ReadAll : SyncActionKind::ReadChanges,
+            .callId = m_call->id,
+            .afterRevision = m_call->afterRevision,
+    };
+}
+
+ConfigurationSync::Actions ConfigurationSync::onStoreRead(uint64_t callId, const StoreRead &read,
+                                                          Instant now)
+{
+    if (!m_call.has_value() || m_call->id != callId) {
+        return {};
+    }
+    const StoreCall call = *m_call;
+    m_call.reset();
+    m_storeBackoff = Duration::zero();
+    const uint64_t formerRevision = m_replica.newestRevision();
+    const bool proven = call.all ? applyAll(call, read) : applyChanges(call, read, now);
+    Actions actions = announceIfNewer(formerRevision, now);
+    if (proven) {
+        m_replica.confirm(call.sentAt);
+        m_verifiedRevision = std::max(m_verifiedRevision, read.revision);
+    } else if (!call.all && call.newestRevision == formerRevision) {
+        actions.push_back(readStore(true, now));
+    } else if (!call.all) {
+        m_nextStoreCall = now + overtakenDelay;
+    }
+    return actions;
+}
+
+/// @return whether the store's documents are those held here
+bool ConfigurationSync::applyAll(const StoreCall &call, const StoreRead &read)
+{
+    if (read.revision < call.afterRevision) {
+        // The store has lost what it once told; the documents held here are newer.
+        return false;
+    }
+    m_replica.apply(
+            {
+                    .documents = read.documents,
+                    .revision = read.revision,
+                    .complete = true,
+                    .forgottenRevision = read.revision,
+            },
+            0);
+    return true;
+}
+
+/// Every document in the store is either unchanged since the call's revision, and so held here, or
+/// among those read. With as many documents here as there, the sets are the same.
+bool ConfigurationSync::applyChanges(const StoreCall &call, const StoreRead &read, Instant now)
+{
+    const bool undisturbed = m_replica.newestRevision() == call.newestRevision
+                             && m_replica.revision() == call.afterRevision;
+    m_replica.applySingle(read.documents);
+    if (!undisturbed || read.revision < call.afterRevision || m_replica.liveCount() != read.count) {
+        return false;
+    }
+    m_replica.apply({.revision = m_replica.newestRevision()}, call.afterRevision);
+    if (m_watch.has_value() && m_watch->revision < m_replica.newestRevision()
+        && !read.documents.empty() && !m_watch->behindSince.has_value()) {
+        m_watch->behindSince = now;
+    }
+    return true;
+}
+
+void ConfigurationSync::onStoreFailed(uint64_t callId, Instant now)
+{
+    if (!m_call.has_value() || m_call->id != callId) {
+        return;
+    }
+    m_call.reset();
+    m_storeBackoff
+            = std::clamp(m_storeBackoff * 2, m_options.storeInterval, m_options.maxStoreBackoff);
+    m_nextStoreCall = std::max(m_nextStoreCall, now + jittered(m_storeBackoff));
+}
+
+void ConfigurationSync::tickWatch(Actions &actions, Instant now)
+{
+    const bool lags = m_watch.has_value() && m_watch->behindSince.has_value()
+                      && now - *m_watch->behindSince > m_options.watchLagLimit;
+    if (m_watch.has_value() && (lags || !m_reader)) {
+        actions.push_back({.kind = SyncActionKind::StopWatch, .callId = m_watch->id});
+        m_watch.reset();
+    }
+    if (m_watch.has_value() || !m_reader || m_replica.revision() == 0 || now < m_nextWatch) {
+        return;
+    }
+    // The documents at m_verifiedRevision are those held here.
+    m_watch = StoreWatch{
+            .id = ++m_lastId,
+            .revision = std::max(m_verifiedRevision, m_replica.revision()),
+    };
+    actions.push_back({
+            .kind = SyncActionKind::StartWatch,
+            .callId = m_watch->id,
+            .afterRevision = m_watch->revision,
+    });
+}
+
+ConfigurationSync::Actions
+ConfigurationSync::onWatchEvent(uint64_t callId,
+                                std::span<const schema::VersionedDocument> documents, Instant now)
+{
+    if (!m_watch.has_value() || m_watch->id != callId || documents.empty()) {
+        return {};
+    }
+    const uint64_t formerRevision = m_replica.newestRevision();
+    for (const schema::VersionedDocument &document : documents) {
+        m_watch->revision = std::max(m_watch->revision, document.revision());
+    }
+    m_watch->behindSince.reset();
+    m_replica.apply(
+            {.documents = {documents.begin(), documents.end()}, .revision = m_watch->revision},
+            m_replica.revision());
+    return announceIfNewer(formerRevision, now);
+}
+
+void ConfigurationSync::onWatchBroken(uint64_t callId, Instant now)
+{
+    if (!m_watch.has_value() || m_watch->id != callId) {
+        return;
+    }
+    m_watch.reset();
+    m_nextWatch = now + jittered(m_options.storeInterval);
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_test.cpp
@@ -0,0 +1,141 @@
+#include "teaseldrift/configuration/configuration_sync.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "sync_fixture.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+using testing::PendingChange;
+using testing::SyncFixture;
+using testing::SyncVm;
+
+constexpr Duration acceptWithin = 6s;
+
+bool allCurrent(const SyncFixture &fleet)
+{
+    return std::all_of(fleet.vms.begin(), fleet.vms.end(),
+                       [&fleet](const SyncVm &vm) { return vm.sync->isCurrent(fleet.now()); });
+}
+
+bool allHold(const SyncFixture &fleet, const PendingChange &change)
+{
+    return std::all_of(fleet.vms.begin(), fleet.vms.end(), [&change](const SyncVm &vm) {
+        return vm.sync->replica().holds(change.name, change.revision);
+    });
+}
+
+} // namespace
+
+TEST_CASE("a change is accepted within a second on a healthy fleet")
+{
+    const size_t count = GENERATE(size_t(1), size_t(3), size_t(7), size_t(24));
+    SyncFixture fleet(count, 1);
+    fleet.run(3s);
+    REQUIRE(allCurrent(fleet));
+    REQUIRE(fleet.change("organisation/a", false));
+    fleet.run(1s);
+    CHECK(fleet.changes[0].acceptedAt.has_value());
+    CHECK(allHold(fleet, fleet.changes[0]));
+}
+
+TEST_CASE("a deletion that no watch reported is found by counting")
+{
+    SyncFixture fleet(3, 2);
+    fleet.run(3s);
+    for (SyncVm &vm : fleet.vms) {
+        vm.watchSilent = true;
+    }
+    REQUIRE(fleet.change("organisation/b", true));
+    fleet.run(1500ms);
+    CHECK(allHold(fleet, fleet.changes[0]));
+    CHECK(fleet.changes[0].acceptedAt.has_value());
+}
+
+TEST_CASE("a change is accepted although the store goes down right after it")
+{
+    const bool pushes = GENERATE(false, true);
+    SyncFixture fleet(7, 3);
+    fleet.run(3s);
+    REQUIRE(fleet.change("organisation/a", false, pushes));
+    fleet.storeDown = true;
+    if (pushes) {
+        // Not even the watches have reported it.
+        for (SyncVm &vm : fleet.vms) {
+            vm.watchId = 0;
+        }
+    }
+    fleet.run(acceptWithin);
+    REQUIRE(fleet.changes[0].acceptedAt.has_value());
+    CHECK(allHold(fleet, fleet.changes[0]));
+    CHECK(allCurrent(fleet));
+}
+
+TEST_CASE("a change is accepted within six seconds although one VM is cut off")
+{
+    SyncFixture fleet(7, 4);
+    fleet.run(3s);
+    fleet.vms[2].cutOff = true;
+    REQUIRE(fleet.change("organisation/a", false));
+    fleet.run(acceptWithin);
+    REQUIRE(fleet.changes[0].acceptedAt.has_value());
+    CHECK(*fleet.changes[0].acceptedAt - fleet.changes[0].writtenAt <= acceptWithin);
+    CHECK_FALSE(fleet.vms[2].sync->isCurrent(*fleet.changes[0].acceptedAt));
+}
+
+TEST_CASE("service goes on through a long outage of the store, and a VM restarts in it")
+{
+    const size_t count = GENERATE(size_t(3), size_t(7), size_t(24));
+    SyncFixture fleet(count, 5);
+    fleet.run(3s);
+    fleet.storeDown = true;
+    bool interrupted = false;
+    fleet.afterEvent = [&] { interrupted = interrupted || !allCurrent(fleet); };
+    fleet.run(30s);
+    CHECK_FALSE(interrupted);
+    fleet.afterEvent = [] {};
+    for (size_t i = 0; i < count; ++i) {
+        fleet.restart(i);
+        fleet.run(1s);
+        CHECK(allCurrent(fleet));
+    }
+    CHECK(fleet.vms[0].sync->replica().liveCount() == 3);
+}
+
+TEST_CASE("a VM that hears nobody stops being current")
+{
+    SyncFixture fleet(3, 6);
+    fleet.run(3s);
+    fleet.vms[0].cutOff = true;
+    fleet.run(3100ms);
+    CHECK_FALSE(fleet.vms[0].sync->isCurrent(fleet.now()));
+    CHECK(fleet.vms[1].sync->isCurrent(fleet.now()));
+}
+
+TEST_CASE("a process that forgot does not count towards a majority")
+{
+    SyncFixture fleet(3, 7);
+    fleet.run(3s);
+    fleet.vms[2].cutOff = true;
+    REQUIRE(fleet.change("organisation/a", false));
+    fleet.run(5s);
+    REQUIRE(fleet.changes[0].acceptedAt.has_value());
+    fleet.storeDown = true;
+    fleet.vms[2].cutOff = false;
+    fleet.restart(0);
+    fleet.restart(1);
+    fleet.run(10s);
+    // The only process that remembers anything missed the change.
+    for (const SyncVm &vm : fleet.vms) {
+        CHECK_FALSE(vm.sync->isCurrent(fleet.now()));
+    }
+    fleet.storeDown = false;
+    fleet.run(5s);
+    CHECK(allCurrent(fleet));
+    CHECK(allHold(fleet, fleet.changes[0]));
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
@@ -0,0 +1,480 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "teaseldrift/configuration/acceptance.hpp"
+#include "teaseldrift/configuration/configuration_sync.hpp"
+
+namespace teaseldrift::testing {
+
+/// @brief What happens to messages and store calls.
+struct Faults
+{
+    unsigned dropPercent = 0;
+    unsigned duplicatePercent = 0;
+    Duration minDelay = 1ms;
+    Duration maxDelay = 3ms;
+};
+
+/// @brief Messages and bytes of all VMs, and calls of the store.
+struct Traffic
+{
+    uint64_t messages = 0;
+    uint64_t bytes = 0;
+    uint64_t storeCalls = 0;
+    uint64_t watches = 0;
+};
+
+/// @brief One process of a VM.
+struct SyncVm
+{
+    std::string id;
+    uint64_t incarnation = 0;
+    std::unique_ptr<ConfigurationSync> sync;
+    bool paused = false;
+    bool cutOff = false;
+    /// Work that arrived while the process was paused.
+    std::vector<std::function<void()>> inbox;
+    uint64_t watchId = 0;
+    bool watchSilent = false;
+    Instant watchBusyUntil;
+};
+
+/// @brief A written change and the operator's wait for its acceptance.
+struct PendingChange
+{
+    std::string name;
+    uint64_t revision = 0;
+    Instant writtenAt;
+    AcceptanceWaiter waiter;
+    std::optional<Instant> acceptedAt;
+    schema::VersionedDocument document;
+    bool pushes = false;
+};
+
+/// @brief Several ConfigurationSync objects with a store, an operator and a queue of delayed work
+/// between them, in virtual time.
+class SyncFixture
+{
+public:
+    Faults faults;
+    bool storeDown = false;
+    Traffic traffic;
+    std::vector<SyncVm> vms;
+    std::vector<std::string> operatorList;
+    std::vector<PendingChange> changes;
+    std::function<void()> afterEvent = [] {};
+
+    SyncFixture(size_t count, uint64_t seed, SyncOptions options = {});
+
+    [[nodiscard]] Instant now() const { return m_now; }
+    [[nodiscard]] uint64_t storeRevision() const { return m_storeRevision; }
+
+    /// @brief Runs delayed work and ticks until `duration` has passed.
+    void run(Duration duration);
+
+    /// @brief Starts a new, empty process on a VM.
+    void restart(size_t index);
+
+    /// @brief Ends a VM and starts another one with a new id; lists still show the old one.
+    void replace(size_t index);
+
+    void pause(size_t index) { vms[index].paused = true; }
+    void resume(size_t index);
+
+    /// @brief Lets a VM read the list of VMs as it is now.
+    void refreshList(size_t index);
+
+    /// @brief Writes if the document still has this revision.
+    /// @return the new revision
+    std::optional<uint64_t> write(const std::string &name, uint64_t expectedRevision, bool deletes);
+
+    [[nodiscard]] uint64_t documentRevision(const std::string &name) const;
+
+    /// @brief Writes and waits for acceptance.
+    bool change(const std::string &name, bool deletes, bool pushes = false);
+
+private:
+    SyncOptions m_options;
+    std::mt19937_64 m_random;
+    Instant m_now{1000s};
+    Instant m_nextTick = m_now;
+    Instant m_nextPoll = m_now;
+    uint64_t m_storeRevision = 100;
+    size_t m_lastVm = 0;
+    std::map<std::string, schema::VersionedDocument> m_documents;
+    std::vector<schema::VersionedDocument> m_history;
+    std::multimap<Instant, std::function<void()>> m_queue;
+
+    SyncVm *find(const std::string &id, uint64_t incarnation = 0);
+    void startProcess(SyncVm &vm);
+    void later(Duration delay, std::function<void()> work);
+    void at(const std::string &id, uint64_t incarnation, Duration delay,
+            std::function<void(SyncVm &)> work);
+    Duration delay();
+    bool lost();
+    void perform(SyncVm &vm, const ConfigurationSync::Actions &actions);
+    void send(SyncVm &from, const SyncAction &action);
+    void deliver(SyncVm &to, const std::string &from, const schema::PeerMessage &message);
+    void callStore(SyncVm &vm, const SyncAction &action);
+    void startWatch(SyncVm &vm, const SyncAction &action);
+    void notifyWatch(SyncVm &vm, const schema::VersionedDocument &document);
+    void poll();
+    void pollVm(size_t change, const std::string &vmId);
+};
+
+inline SyncFixture::SyncFixture(size_t count, uint64_t seed, SyncOptions options)
+    : m_options(options), m_random(seed)
+{
+    vms.resize(count);
+    for (SyncVm &vm : vms) {
+        vm.id = "vm-" + std::to_string(++m_lastVm);
+        operatorList.push_back(vm.id);
+    }
+    for (const char *name : {"fleet", "organisation/a", "organisation/b"}) {
+        write(name, 0, false);
+    }
+    for (size_t i = 0; i < count; ++i) {
+        startProcess(vms[i]);
+    }
+}
+
+inline void SyncFixture::startProcess(SyncVm &vm)
+{
+    vm = SyncVm{.id = vm.id, .incarnation = m_random(), .cutOff = vm.cutOff};
+    vm.sync = std::make_unique<ConfigurationSync>(vm.id, vm.incarnation, m_now, m_options);
+    refreshList(static_cast<size_t>(&vm - vms.data()));
+}
+
+inline void SyncFixture::restart(size_t index)
+{
+    startProcess(vms[index]);
+}
+
+inline void SyncFixture::replace(size_t index)
+{
+    vms[index].id = "vm-" + std::to_string(++m_lastVm);
+    startProcess(vms[index]);
+}
+
+inline void SyncFixture::refreshList(size_t index)
+{
+    SyncMembers members{.listed = true};
+    for (const SyncVm &vm : vms) {
+        members.live.push_back(vm.id);
+        members.known.push_back(vm.id);
+        if (&vm != &vms[index]) {
+            members.neighbours.push_back(vm.id);
+        }
+    }
+    constexpr size_t maxNeighbours = 8;
+    std::rotate(members.neighbours.begin(),
+                members.neighbours.begin()
+                        + static_cast<std::ptrdiff_t>(std::min(index, members.neighbours.size())),
+                members.neighbours.end());
+    members.neighbours.resize(std::min(members.neighbours.size(), maxNeighbours));
+    vms[index].sync->setMembers(std::move(members));
+}
+
+inline void SyncFixture::resume(size_t index)
+{
+    vms[index].paused = false;
+    const std::vector<std::function<void()>> inbox = std::move(vms[index].inbox);
+    vms[index].inbox.clear();
+    for (const std::function<void()> &work : inbox) {
+        work();
+        afterEvent();
+    }
+}
+
+inline SyncVm *SyncFixture::find(const std::string &id, uint64_t incarnation)
+{
+    const auto found = std::find_if(vms.begin(), vms.end(), [&](const SyncVm &vm) {
+        return vm.id == id && (incarnation == 0 || vm.incarnation == incarnation);
+    });
+    return found == vms.end() ? nullptr : &*found;
+}
+
+inline void SyncFixture::later(Duration delay, std::function<void()> work)
+{
+    m_queue.insert({m_now + delay, std::move(work)});
+}
+
+/// Work for a process, which waits while the process is paused and ends with it.
+inline void SyncFixture::at(const std::string &id, uint64_t incarnation, Duration delay,
+                            std::function<void(SyncVm &)> work)
+{
+    later(delay, [this, id, incarnation, work = std::move(work)] {
+        SyncVm *vm = find(id, incarnation);
+        if (vm == nullptr) {
+            return;
+        }
+        if (!vm->paused) {
+            work(*vm);
+            return;
+        }
+        vm->inbox.emplace_back([this, id, incarnation, work] {
+            SyncVm *resumed = find(id, incarnation);
+            if (resumed != nullptr) {
+                work(*resumed);
+            }
+        });
+    });
+}
+
+inline Duration SyncFixture::delay()
+{
+    const uint64_t spread = static_cast<uint64_t>((faults.maxDelay - faults.minDelay).count());
+    return faults.minDelay + Duration(static_cast<int64_t>(m_random() % (spread + 1)));
+}
+
+inline bool SyncFixture::lost()
+{
+    constexpr unsigned hundred = 100;
+    return m_random() % hundred < faults.dropPercent;
+}
+
+inline void SyncFixture::run(Duration duration)
+{
+    constexpr Duration tickInterval = 50ms;
+    constexpr Duration pollInterval = 200ms;
+    const Instant end = m_now + duration;
+    while (m_now < end) {
+        const Instant due = m_queue.empty() ? end : std::min(m_queue.begin()->first, end);
+        m_now = std::max(m_now, std::min({due, m_nextTick, m_nextPoll}));
+        if (!m_queue.empty() && m_queue.begin()->first <= m_now) {
+            const std::function<void()> work = std::move(m_queue.begin()->second);
+            m_queue.erase(m_queue.begin());
+            work();
+        } else if (m_nextTick <= m_now) {
+            m_nextTick = m_now + tickInterval;
+            for (SyncVm &vm : vms) {
+                if (!vm.paused) {
+                    perform(vm, vm.sync->tick(m_now, m_random()));
+                }
+            }
+        } else if (m_nextPoll <= m_now) {
+            m_nextPoll = m_now + pollInterval;
+            poll();
+        }
+        afterEvent();
+    }
+}
+
+inline void SyncFixture::perform(SyncVm &vm, const ConfigurationSync::Actions &actions)
+{
+    for (const SyncAction &action : actions) {
+        if (action.kind == SyncActionKind::Send) {
+            send(vm, action);
+        } else if (action.kind == SyncActionKind::StartWatch) {
+            startWatch(vm, action);
+        } else if (action.kind == SyncActionKind::StopWatch) {
+            vm.watchId = 0;
+        } else {
+            callStore(vm, action);
+        }
+    }
+}
+
+inline void SyncFixture::send(SyncVm &from, const SyncAction &action)
+{
+    constexpr unsigned hundred = 100;
+    // Sender and sequence as the transport adds them, with the frame around.
+    constexpr uint64_t envelopeBytes = 32;
+    ++traffic.messages;
+    traffic.bytes += action.message.ByteSizeLong() + envelopeBytes;
+    const unsigned copies = m_random() % hundred < faults.duplicatePercent ? 2 : 1;
+    for (unsigned copy = 0; copy < copies; ++copy) {
+        if (lost() || from.cutOff) {
+            continue;
+        }
+        at(action.vmId, 0, delay(), [this, sender = from.id, message = action.message](SyncVm &to) {
+            if (!to.cutOff) {
+                deliver(to, sender, message);
+            }
+        });
+    }
+}
+
+inline void SyncFixture::deliver(SyncVm &to, const std::string &from,
+                                 const schema::PeerMessage &message)
+{
+    if (message.has_heartbeat()) {
+        perform(to, to.sync->onHeartbeat(from, message.heartbeat(), m_now));
+    } else if (message.has_configuration_request()) {
+        perform(to, to.sync->onRequest(from, message.configuration_request(), m_now));
+    } else if (message.has_configuration_answer()) {
+        perform(to, to.sync->onAnswer(from, message.configuration_answer(), m_now));
+    }
+}
+
+inline void SyncFixture::callStore(SyncVm &vm, const SyncAction &action)
+{
+    constexpr Duration callTimeout = 1s;
+    ++traffic.storeCalls;
+    const std::string id = vm.id;
+    const uint64_t incarnation = vm.incarnation;
+    const uint64_t callId = action.callId;
+    at(id, incarnation, callTimeout,
+       [this, callId](SyncVm &caller) { caller.sync->onStoreFailed(callId, m_now); });
+    if (vm.cutOff || lost()) {
+        return;
+    }
+    const bool all = action.kind == SyncActionKind::ReadAll;
+    later(delay(), [this, id, incarnation, callId, all, after = action.afterRevision] {
+        if (storeDown || lost()) {
+            return;
+        }
+        StoreRead read{.count = m_documents.size(), .revision = m_storeRevision};
+        for (auto it = m_documents.begin(); it != m_documents.end(); ++it) {
+            if (all || it->second.revision() > after) {
+                read.documents.push_back(it->second);
+            }
+        }
+        at(id, incarnation, delay(), [this, callId, read](SyncVm &caller) {
+            if (!caller.cutOff) {
+                perform(caller, caller.sync->onStoreRead(callId, read, m_now));
+            }
+        });
+    });
+}
+
+inline void SyncFixture::startWatch(SyncVm &vm, const SyncAction &action)
+{
+    ++traffic.watches;
+    ++traffic.storeCalls;
+    if (storeDown || vm.cutOff) {
+        at(vm.id, vm.incarnation, delay(), [this, watchId = action.callId](SyncVm &watcher) {
+            watcher.sync->onWatchBroken(watchId, m_now);
+        });
+        return;
+    }
+    vm.watchId = action.callId;
+    vm.watchSilent = false;
+    for (const schema::VersionedDocument &document : m_history) {
+        if (document.revision() > action.afterRevision) {
+            notifyWatch(vm, document);
+        }
+    }
+}
+
+/// A watch reports in order; one that missed anything reports nothing more.
+inline void SyncFixture::notifyWatch(SyncVm &vm, const schema::VersionedDocument &document)
+{
+    vm.watchSilent = vm.watchSilent || vm.cutOff;
+    if (vm.watchId == 0 || vm.watchSilent) {
+        return;
+    }
+    vm.watchBusyUntil = std::max(vm.watchBusyUntil, m_now + delay());
+    at(vm.id, vm.incarnation, vm.watchBusyUntil - m_now,
+       [this, document, watchId = vm.watchId](SyncVm &watcher) {
+           perform(watcher, watcher.sync->onWatchEvent(watchId, {&document, 1}, m_now));
+       });
+}
+
+inline std::optional<uint64_t> SyncFixture::write(const std::string &name,
+                                                  uint64_t expectedRevision, bool deletes)
+{
+    if (storeDown || documentRevision(name) != expectedRevision) {
+        return std::nullopt;
+    }
+    ++m_storeRevision;
+    schema::VersionedDocument document;
+    document.set_name(name);
+    document.set_revision(m_storeRevision);
+    if (deletes) {
+        m_documents.erase(name);
+    } else {
+        document.mutable_document()->mutable_organisation()->set_name(name);
+        m_documents[name] = document;
+    }
+    m_history.push_back(document);
+    for (SyncVm &vm : vms) {
+        notifyWatch(vm, document);
+    }
+    return m_storeRevision;
+}
+
+inline uint64_t SyncFixture::documentRevision(const std::string &name) const
+{
+    const auto found = m_documents.find(name);
+    return found == m_documents.end() ? 0 : found->second.revision();
+}
+
+inline bool SyncFixture::change(const std::string &name, bool deletes, bool pushes)
+{
+    const std::optional<uint64_t> revision = write(name, documentRevision(name), deletes);
+    if (!revision.has_value()) {
+        return false;
+    }
+    changes.push_back({
+            .name = name,
+            .revision = *revision,
+            .writtenAt = m_now,
+            .waiter
+            = AcceptanceWaiter(operatorList, m_now, {.freshnessBound = m_options.freshnessBound}),
+            .pushes = pushes,
+    });
+    schema::VersionedDocument &document = changes.back().document;
+    document.set_name(name);
+    document.set_revision(*revision);
+    if (!deletes) {
+        document = m_documents[name];
+    }
+    return true;
+}
+
+inline void SyncFixture::poll()
+{
+    for (size_t i = 0; i < changes.size(); ++i) {
+        PendingChange &change = changes[i];
+        if (change.acceptedAt.has_value()) {
+            continue;
+        }
+        change.waiter.onList(operatorList);
+        if (change.waiter.state(m_now) == AcceptanceState::Accepted) {
+            change.acceptedAt = m_now;
+            continue;
+        }
+        for (const std::string &vmId : operatorList) {
+            pollVm(i, vmId);
+        }
+    }
+}
+
+inline void SyncFixture::pollVm(size_t index, const std::string &vmId)
+{
+    if (lost()) {
+        return;
+    }
+    at(vmId, 0, delay(), [this, index, sentAt = m_now](SyncVm &vm) {
+        if (vm.cutOff || lost()) {
+            return;
+        }
+        PendingChange &change = changes[index];
+        if (change.pushes) {
+            perform(vm, vm.sync->offer({&change.document, 1}, m_now));
+        }
+        AcceptanceReport report{
+                .vmId = vm.id,
+                .incarnation = vm.incarnation,
+                .holds = vm.sync->replica().holds(change.name, change.revision),
+                .votes = vm.sync->votes(),
+                .sentAt = sentAt,
+                .knownVms = vm.sync->knownVms(),
+        };
+        later(delay(), [this, index, report]() mutable {
+            report.receivedAt = m_now;
+            changes[index].waiter.onReport(report);
+        });
+    });
+}
+
+} // namespace teaseldrift::testing
--- /dev/null
+++ b/packages/policy/src/teaseldrift/membership/membership_view.cpp
@@ -0,0 +1,238 @@
+#include "teaseldrift/membership/membership_view.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift {
+
+namespace {
+
+/// Former incarnations remembered for each VM.
+constexpr size_t rememberedIncarnations = 8;
+
+bool isSame(const ListedVm &left, const ListedVm &right)
+{
+    return left.address == right.address && left.callerPort == right.callerPort
+           && left.peerPort == right.peerPort && left.availabilityZone == right.availabilityZone
+           && left.leaving == right.leaving && left.isTarget == right.isTarget;
+}
+
+} // namespace
+
+MembershipView::MembershipView(std::string selfId, MembershipOptions options)
+    : m_selfId(std::move(selfId)), m_options(options)
+{ }
+
+bool MembershipView::onList(std::span<const ListedVm> vms, Instant now)
+{
+    bool changed = dropMissing(vms, now);
+    for (const ListedVm &vm : vms) {
+        if (vm.isTarget) {
+            const MemberState state = vm.leaving ? MemberState::Leaving : MemberState::Live;
+            const auto [it, added] = m_targets.insert({vm.id, state});
+            changed = changed || added || it->second != state;
+            it->second = state;
+            continue;
+        }
+        const auto [it, added] = m_members.try_emplace(vm.id);
+        Member &member = it->second;
+        if (added || !member.onList) {
+            member.expectedSince = now;
+        }
+        changed = changed || !member.onList || !isSame(member.vm.listed, vm);
+        member.onList = true;
+        member.vm.listed = vm;
+        member.vm.state
+                = vm.leaving || member.saysLeaving ? MemberState::Leaving : MemberState::Live;
+    }
+    return changed;
+}
+
+/// Marks what was on the list before and no longer is.
+bool MembershipView::dropMissing(std::span<const ListedVm> vms, Instant now)
+{
+    const auto isMissing = [&vms](std::string_view id) {
+        return std::none_of(vms.begin(), vms.end(),
+                            [id](const ListedVm &vm) { return vm.id == id; });
+    };
+    bool changed = false;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        if (it->second.onList && isMissing(it->first)) {
+            it->second.onList = false;
+            it->second.vm.state = MemberState::Gone;
+            changed = true;
+        }
+    }
+    for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
+        if (it->second != MemberState::Gone && isMissing(it->first)) {
+            it->second = MemberState::Gone;
+            changed = true;
+        }
+    }
+    std::erase_if(m_members, [this, now](const auto &item) {
+        const Member &member = item.second;
+        const Instant lastSign
+                = std::max(member.expectedSince, member.lastHeard.value_or(member.expectedSince));
+        return !member.onList && now - lastSign > m_options.unlistedLifetime;
+    });
+    return changed;
+}
+
+SenderStatus MembershipView::onMessage(std::string_view vmId, uint64_t incarnation, Instant now)
+{
+    const auto [it, added] = m_members.try_emplace(std::string(vmId));
+    Member &member = it->second;
+    if (added) {
+        member.vm.listed.id = std::string(vmId);
+        member.expectedSince = now;
+    }
+    if (std::find(member.replaced.begin(), member.replaced.end(), incarnation)
+        != member.replaced.end()) {
+        return SenderStatus::Replaced;
+    }
+    member.lastHeard = now;
+    if (member.vm.incarnation == incarnation) {
+        return SenderStatus::Known;
+    }
+    if (member.vm.incarnation != 0) {
+        if (member.replaced.capacity() == 0) {
+            member.replaced.set_capacity(rememberedIncarnations);
+        }
+        member.replaced.push_back(member.vm.incarnation);
+    }
+    member.vm.incarnation = incarnation;
+    if (member.saysLeaving) {
+        member.saysLeaving = false;
+        member.vm.state = member.vm.listed.leaving ? MemberState::Leaving : MemberState::Live;
+    }
+    return SenderStatus::NewIncarnation;
+}
+
+void MembershipView::onHeartbeat(std::string_view vmId, uint64_t incarnation, bool leaving,
+                                 Instant now)
+{
+    if (onMessage(vmId, incarnation, now) == SenderStatus::Replaced || !leaving) {
+        return;
+    }
+    Member &member = m_members.find(vmId)->second;
+    member.saysLeaving = true;
+    if (member.vm.state == MemberState::Live) {
+        member.vm.state = MemberState::Leaving;
+    }
+}
+
+bool MembershipView::isKnown(const Member &member, Instant now) const
+{
+    if (member.onList) {
+        return true;
+    }
+    return member.vm.state != MemberState::Gone && member.lastHeard.has_value()
+           && now - *member.lastHeard <= m_options.unlistedLifetime;
+}
+
+std::vector<FleetVm> MembershipView::knownVms(Instant now) const
+{
+    std::vector<FleetVm> known;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        if (isKnown(it->second, now)) {
+            known.push_back(it->second.vm);
+        }
+    }
+    if (!m_members.contains(m_selfId) && !isGone(m_selfId)) {
+        FleetVm self{.listed = {.id = m_selfId}};
+        known.insert(std::lower_bound(known.begin(), known.end(), m_selfId,
+                                      [](const FleetVm &vm, const std::string &id) {
+                                          return vm.listed.id < id;
+                                      }),
+                     std::move(self));
+    }
+    return known;
+}
+
+std::vector<FleetVm> MembershipView::liveVms(Instant now) const
+{
+    std::vector<FleetVm> live = knownVms(now);
+    const std::vector<std::string> ids = ring(now);
+    std::erase_if(live, [this, now, &ids](const FleetVm &vm) {
+        if (vm.listed.id == m_selfId) {
+            return m_selfLeaving || vm.state != MemberState::Live;
+        }
+        return vm.state != MemberState::Live || isSilentOn(ids, vm.listed.id, now);
+    });
+    return live;
+}
+
+/// All known VMs in order of id, turned so that this VM comes first.
+std::vector<std::string> MembershipView::ring(Instant now) const
+{
+    std::vector<std::string> ids;
+    for (const FleetVm &vm : knownVms(now)) {
+        ids.push_back(vm.listed.id);
+    }
+    const auto self = std::find(ids.begin(), ids.end(), m_selfId);
+    if (self != ids.end()) {
+        std::rotate(ids.begin(), self, ids.end());
+    }
+    return ids;
+}
+
+std::vector<std::string> MembershipView::neighbours(Instant now) const
+{
+    const std::vector<std::string> ids = ring(now);
+    std::vector<std::string> neighbours;
+    if (ids.size() <= m_options.maxNeighbours + 1) {
+        neighbours.assign(ids.empty() ? ids.begin() : ids.begin() + 1, ids.end());
+        return neighbours;
+    }
+    for (size_t distance = 1; distance < ids.size() && neighbours.size() < m_options.maxNeighbours;
+         distance *= 2) {
+        neighbours.push_back(ids[distance]);
+    }
+    return neighbours;
+}
+
+bool MembershipView::isSilent(std::string_view vmId, Instant now) const
+{
+    return isSilentOn(ring(now), vmId, now);
+}
+
+bool MembershipView::isSilentOn(std::span<const std::string> ids, std::string_view vmId,
+                                Instant now) const
+{
+    const auto found = m_members.find(vmId);
+    if (found == m_members.end()) {
+        return false;
+    }
+    const Member &member = found->second;
+    const auto position = std::find(ids.begin(), ids.end(), vmId);
+    const size_t distance = static_cast<size_t>(ids.end() - position);
+    const bool fullMesh = ids.size() <= m_options.maxNeighbours + 1;
+    // VMs at a distance of a power of two before this one have it as their neighbour.
+    const bool sendsHere = fullMesh
+                           || ((distance & (distance - 1)) == 0
+                               && distance < (size_t(1) << m_options.maxNeighbours));
+    if (!sendsHere) {
+        return false;
+    }
+    const Instant since
+            = std::max(member.expectedSince, member.lastHeard.value_or(member.expectedSince));
+    return now - since > m_options.silentAfter;
+}
+
+bool MembershipView::isGone(std::string_view vmId) const
+{
+    const auto found = m_members.find(vmId);
+    return found != m_members.end() && found->second.vm.state == MemberState::Gone;
+}
+
+std::vector<std::string> MembershipView::leavingTargets() const
+{
+    std::vector<std::string> leaving;
+    for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
+        if (it->second != MemberState::Live) {
+            leaving.push_back(it->first);
+        }
+    }
+    return leaving;
+}
+
+} // namespace teaseldrift
