--- a/packages/platform/include/teaseldrift/platform/etcd_store.hpp
+++ b/packages/platform/include/teaseldrift/platform/etcd_store.hpp
@@ -31,14 +31,26 @@
     void readPrefix(std::string_view prefix,
                     std::function<void(std::error_code, const StoreSnapshot &)> done);
 
+    /// @brief Reads the keys of a prefix that were written after a revision, and counts all.
+    ///
+    /// The reader holds what the store holds if its own entries up to `afterRevision`, together
+    /// with those read, are as many as the count. A deletion shows as a lower count.
+    void readChanges(std::string_view prefix, uint64_t afterRevision,
+                     std::function<void(std::error_code, const StoreSnapshot &)> done);
+
     /// @brief Writes all or nothing.
     void write(std::span<const StoreWrite> writes, std::function<void(StoreWriteResult)> done);
 
     /// @brief Reports changes of a prefix after a revision until the watch breaks.
-    /// @param onBroken called once when the watch has ended; start another after a while
-    void watchPrefix(std::string_view prefix, uint64_t afterRevision,
-                     std::function<void(std::span<const StoreEntry>)> onChange,
-                     std::function<void()> onBroken);
+    /// @param onChange called with the entries of one or more whole revisions, in order
+    /// @param onBroken called once when the watch has ended by itself; start another after a while
+    /// @return identifies the watch
+    uint64_t watchPrefix(std::string_view prefix, uint64_t afterRevision,
+                         std::function<void(std::span<const StoreEntry>)> onChange,
+                         std::function<void()> onBroken);
+
+    /// @brief Ends a watch without a further call; an unknown one is ignored.
+    void stopWatch(uint64_t watch);
 
     /// @brief Grants a lease; the answer is its id.
     void grantLease(Duration timeToLive, std::function<void(std::error_code, uint64_t)> done);
--- a/packages/platform/include/teaseldrift/platform/store.hpp
+++ b/packages/platform/include/teaseldrift/platform/store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <span>
@@ -28,6 +29,8 @@
 struct StoreSnapshot
 {
     std::vector<StoreEntry> entries;
+    /// Keys of the prefix that exist, also those that were not asked for.
+    size_t count = 0;
     /// Revision of the whole store at the time of the read.
     uint64_t revision = 0;
 };
@@ -70,9 +73,14 @@
                                  std::span<const StoreWrite> writes)
 {
     store.readPrefix(prefix, std::function<void(std::error_code, const StoreSnapshot &)>());
+    store.readChanges(prefix, revision,
+                      std::function<void(std::error_code, const StoreSnapshot &)>());
     store.write(writes, std::function<void(StoreWriteResult)>());
-    store.watchPrefix(prefix, revision, std::function<void(std::span<const StoreEntry>)>(),
-                      std::function<void()>());
+    {
+        store.watchPrefix(prefix, revision, std::function<void(std::span<const StoreEntry>)>(),
+                          std::function<void()>())
+        } -> std::same_as<uint64_t>;
+    store.stopWatch(revision);
     store.grantLease(Duration(), std::function<void(std::error_code, uint64_t)>());
     store.keepLease(revision, std::function<void(std::error_code, Duration)>());
 };
--- a/packages/platform/src/teaseldrift/platform/etcd_store.cpp
+++ b/packages/platform/src/teaseldrift/platform/etcd_store.cpp
@@ -1,5 +1,6 @@
 #include "teaseldrift/platform/etcd_store.hpp"
 
+#include <charconv>
 #include <map>
 #include <string>
 
@@ -42,14 +43,34 @@
     return decoded;
 }
 
-/// The gateway writes 64-bit numbers as strings.
+/// The gateway writes 64-bit numbers as strings, and leaves zero out.
 uint64_t number(const json &object, const char *field)
 {
     const auto found = object.find(field);
     if (found == object.end()) {
         return 0;
     }
-    return found->is_string() ? std::stoull(found->get<std::string>()) : found->get<uint64_t>();
+    if (found->is_number_unsigned()) {
+        return found->get<uint64_t>();
+    }
+    uint64_t value = 0;
+    const std::string text = found->is_string() ? found->get<std::string>() : std::string();
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+/// A field's text, empty if it is missing or of another type.
+std::string textOf(const json &object, const char *field)
+{
+    const auto found = object.find(field);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+/// A field's object or array, empty if it is missing.
+json partOf(const json &object, const char *field)
+{
+    const auto found = object.find(field);
+    return found != object.end() && found->is_structured() ? *found : json::object();
 }
 
 /// The first key after all keys with this prefix.
@@ -67,12 +88,24 @@
 StoreEntry entryOf(const json &object)
 {
     return {
-            .key = decodeBase64(object.value("key", "")),
-            .value = decodeBase64(object.value("value", "")),
+            .key = decodeBase64(textOf(object, "key")),
+            .value = decodeBase64(textOf(object, "value")),
             .revision = number(object, "mod_revision"),
     };
 }
 
+StoreSnapshot snapshotOf(const json &answer)
+{
+    StoreSnapshot snapshot{
+            .count = number(answer, "count"),
+            .revision = number(partOf(answer, "header"), "revision"),
+    };
+    for (const json &entry : partOf(answer, "kvs")) {
+        snapshot.entries.push_back(entryOf(entry));
+    }
+    return snapshot;
+}
+
 json putOf(const StoreWrite &write)
 {
     if (write.deletes) {
@@ -139,6 +172,7 @@
 
     void post(std::string path, const json &body,
               std::function<void(http::CallEnd, const json &)> done);
+    void read(const json &body, std::function<void(std::error_code, const StoreSnapshot &)> done);
     void finish(uint64_t id, http::CallEnd end);
     void readWatch(uint64_t id, std::string_view data);
     void breakWatch(uint64_t id);
@@ -171,6 +205,18 @@
             });
 }
 
+void EtcdStore::Native::read(const json &body,
+                             std::function<void(std::error_code, const StoreSnapshot &)> done)
+{
+    post("/v3/kv/range", body, [done = std::move(done)](http::CallEnd end, const json &answer) {
+        if (end != http::CallEnd::Complete) {
+            done(failure(end), {});
+            return;
+        }
+        done({}, snapshotOf(answer));
+    });
+}
+
 void EtcdStore::Native::finish(uint64_t id, http::CallEnd end)
 {
     constexpr int statusOk = 200;
@@ -199,17 +245,22 @@
         }
         const json message = json::parse(watch.buffer.substr(0, lineEnd), nullptr, false);
         watch.buffer.erase(0, lineEnd + 1);
-        if (!message.is_object() || !message.contains("result")) {
-            continue;
+        const json result = message.is_object() ? partOf(message, "result") : json();
+        if (!result.is_object() || result.contains("canceled")) {
+            // The gateway reports an error, or that the start revision is compacted.
+            breakWatch(id);
+            return;
         }
         std::vector<StoreEntry> entries;
-        for (const json &event : message["result"].value("events", json::array())) {
-            StoreEntry entry = entryOf(event.value("kv", json::object()));
-            entry.deleted = event.value("type", "PUT") == "DELETE";
+        for (const json &event : partOf(result, "events")) {
+            StoreEntry entry = entryOf(partOf(event, "kv"));
+            entry.deleted = textOf(event, "type") == "DELETE";
             entries.push_back(std::move(entry));
         }
-        const std::function<void(std::span<const StoreEntry>)> onChange = watch.onChange;
-        onChange(entries);
+        if (!entries.empty()) {
+            const std::function<void(std::span<const StoreEntry>)> onChange = watch.onChange;
+            onChange(entries);
+        }
     }
 }
 
@@ -233,21 +284,18 @@
 void EtcdStore::readPrefix(std::string_view prefix,
                            std::function<void(std::error_code, const StoreSnapshot &)> done)
 {
-    const json body = {{"key", encodeBase64(prefix)},
-                       {"range_end", encodeBase64(prefixEnd(std::string(prefix)))}};
-    m_native->post(
-            "/v3/kv/range", body, [done = std::move(done)](http::CallEnd end, const json &answer) {
-                if (end != http::CallEnd::Complete) {
-                    done(failure(end), {});
-                    return;
-                }
-                StoreSnapshot snapshot;
-                snapshot.revision = number(answer.value("header", json::object()), "revision");
-                for (const json &entry : answer.value("kvs", json::array())) {
-                    snapshot.entries.push_back(entryOf(entry));
-                }
-                done({}, snapshot);
-            });
+    m_native->read({{"key", encodeBase64(prefix)},
+                    {"range_end", encodeBase64(prefixEnd(std::string(prefix)))}},
+                   std::move(done));
+}
+
+void EtcdStore::readChanges(std::string_view prefix, uint64_t afterRevision,
+                            std::function<void(std::error_code, const StoreSnapshot &)> done)
+{
+    m_native->read({{"key", encodeBase64(prefix)},
+                    {"range_end", encodeBase64(prefixEnd(std::string(prefix)))},
+                    {"min_mod_revision", std::to_string(afterRevision + 1)}},
+                   std::move(done));
 }
 
 void EtcdStore::write(std::span<const StoreWrite> writes,
@@ -265,15 +313,15 @@
                                                                    : StoreOutcome::Unknown});
                     return;
                 }
-                done({.outcome = answer.value("succeeded", false) ? StoreOutcome::Written
-                                                                  : StoreOutcome::Conflict,
-                      .revision = number(answer.value("header", json::object()), "revision")});
+                done({.outcome = answer.value("succeeded", json()) == true ? StoreOutcome::Written
+                                                                           : StoreOutcome::Conflict,
+                      .revision = number(partOf(answer, "header"), "revision")});
             });
 }
 
-void EtcdStore::watchPrefix(std::string_view prefix, uint64_t afterRevision,
-                            std::function<void(std::span<const StoreEntry>)> onChange,
-                            std::function<void()> onBroken)
+uint64_t EtcdStore::watchPrefix(std::string_view prefix, uint64_t afterRevision,
+                                std::function<void(std::span<const StoreEntry>)> onChange,
+                                std::function<void()> onBroken)
 {
     const uint64_t id = ++m_native->lastId;
     const json body = {{"create_request",
@@ -297,6 +345,12 @@
                     .onData = [native, id](std::string_view data) { native->readWatch(id, data); },
                     .onEnd = [native, id](http::CallEnd) { native->breakWatch(id); },
             });
+    return id;
+}
+
+void EtcdStore::stopWatch(uint64_t watch)
+{
+    m_native->watches.erase(watch);
 }
 
 void EtcdStore::grantLease(Duration timeToLive, std::function<void(std::error_code, uint64_t)> done)
@@ -322,7 +376,7 @@
                            done(failure(end), {});
                            return;
                        }
-                       const json result = answer.value("result", json::object());
+                       const json result = partOf(answer, "result");
                        done({}, std::chrono::seconds(number(result, "TTL")));
                    });
 }
--- a/testing/standins/store.cpp
+++ b/testing/standins/store.cpp
@@ -1,8 +1,13 @@
 /// Stand-in for the platform's key-value service: the etcd v3 JSON gateway, in memory.
+///
+/// POST /fault {"mode": "none|down|slow|lose_answers", "ms": N} changes how it answers, GET /calls
+/// tells how many calls it has had.
 
+#include <algorithm>
 #include <iostream>
 #include <list>
 #include <map>
+#include <set>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
@@ -20,20 +25,39 @@
 std::string decode(const std::string &text)
 {
     std::string decoded(text.size() / 4 * 3 + 3, '\0');
-    int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
-                                 reinterpret_cast<const unsigned char *>(text.data()),
-                                 static_cast<int>(text.size()));
-    while (length > 0 && !text.empty() && decoded[static_cast<size_t>(length) - 1] == '\0') {
-        --length;
-    }
-    decoded.resize(static_cast<size_t>(std::max(length, 0)));
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
+                                       reinterpret_cast<const unsigned char *>(text.data()),
+                                       static_cast<int>(text.size()));
+    const auto padding = std::count(text.begin(), text.end(), '=');
+    decoded.resize(static_cast<size_t>(std::max<std::ptrdiff_t>(length - padding, 0)));
     return decoded;
 }
 
+uint64_t number(const json &object, const char *field)
+{
+    const json value = object.value(field, json("0"));
+    return value.is_string() ? std::stoull(value.get<std::string>()) : value.get<uint64_t>();
+}
+
 struct Value
 {
     json entry;
-    uint64_t revision;
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+};
+
+struct Event
+{
+    std::string key;
+    json event;
+    uint64_t revision = 0;
+};
+
+struct Lease
+{
+    Duration timeToLive{};
+    Instant end;
+    std::set<std::string> keys;
 };
 
 struct Watch
@@ -41,6 +65,7 @@
     std::weak_ptr<http::Exchange> exchange;
     std::string begin;
     std::string end;
+    bool progress = false;
 };
 
 class Store
@@ -51,13 +76,18 @@
         json entries = json::array();
         const std::string begin = decode(request.value("key", ""));
         const std::string end = decode(request.value("range_end", ""));
+        const uint64_t minRevision = number(request, "min_mod_revision");
+        uint64_t count = 0;
         for (auto it = m_values.lower_bound(begin); it != m_values.end(); ++it) {
             if (end.empty() ? it->first != begin : it->first >= end) {
                 break;
             }
-            entries.push_back(it->second.entry);
+            ++count;
+            if (it->second.revision >= minRevision) {
+                entries.push_back(it->second.entry);
+            }
         }
-        return {{"header", header()}, {"kvs", entries}};
+        return {{"header", header()}, {"kvs", entries}, {"count", std::to_string(count)}};
     }
 
     json transact(const json &request)
@@ -65,16 +95,19 @@
         for (const json &compare : request.value("compare", json::array())) {
             const auto found = m_values.find(decode(compare.value("key", "")));
             const uint64_t revision = found == m_values.end() ? 0 : found->second.revision;
-            if (revision != std::stoull(compare.value("modRevision", "0"))) {
+            if (revision != number(compare, "modRevision")) {
                 return {{"header", header()}, {"succeeded", false}};
             }
         }
         ++m_revision;
-        json events = json::array();
         for (const json &operation : request.value("success", json::array())) {
-            events.push_back(apply(operation));
+            if (operation.contains("requestDeleteRange")) {
+                erase(decode(operation["requestDeleteRange"].value("key", "")));
+            } else {
+                put(operation["requestPut"]);
+            }
         }
-        notify(events);
+        notify();
         return {{"header", header()}, {"succeeded", true}};
     }
 
@@ -84,56 +117,249 @@
         exchange->startStream(200, {{"content-type", "application/json"}});
         const json created = {{"result", {{"header", header()}, {"created", true}}}};
         exchange->write(created.dump() + "\n");
-        m_watches.push_back(
-                {exchange, decode(create.value("key", "")), decode(create.value("range_end", ""))});
+        m_watches.push_back({
+                .exchange = exchange,
+                .begin = decode(create.value("key", "")),
+                .end = decode(create.value("range_end", "")),
+                .progress = create.value("progress_notify", false),
+        });
+        const uint64_t start = number(create, "start_revision");
+        if (start != 0) {
+            send(m_watches.back(), start);
+        }
+    }
+
+    json grant(const json &request, Instant now)
+    {
+        const std::chrono::seconds timeToLive(number(request, "TTL"));
+        const uint64_t id = ++m_lastLease;
+        m_leases[id] = {.timeToLive = timeToLive, .end = now + timeToLive};
+        return {{"ID", std::to_string(id)}, {"TTL", std::to_string(timeToLive.count())}};
+    }
+
+    json keepAlive(const json &request, Instant now)
+    {
+        const auto found = m_leases.find(number(request, "ID"));
+        int64_t left = 0;
+        if (found != m_leases.end()) {
+            found->second.end = now + found->second.timeToLive;
+            left = std::chrono::duration_cast<std::chrono::seconds>(found->second.timeToLive)
+                           .count();
+        }
+        return {{"result",
+                 {{"ID", std::to_string(number(request, "ID"))}, {"TTL", std::to_string(left)}}}};
+    }
+
+    void expire(Instant now)
+    {
+        for (auto it = m_leases.begin(); it != m_leases.end();) {
+            if (it->second.end > now) {
+                ++it;
+                continue;
+            }
+            const std::set<std::string> keys = it->second.keys;
+            it = m_leases.erase(it);
+            ++m_revision;
+            for (const std::string &key : keys) {
+                erase(key);
+            }
+            notify();
+        }
+    }
+
+    void reportProgress()
+    {
+        const json message = {{"result", {{"header", header()}}}};
+        for (const Watch &watch : m_watches) {
+            const std::shared_ptr<http::Exchange> exchange = watch.exchange.lock();
+            if (exchange != nullptr && watch.progress) {
+                exchange->write(message.dump() + "\n");
+            }
+        }
+    }
+
+    void breakWatches()
+    {
+        for (const Watch &watch : m_watches) {
+            const std::shared_ptr<http::Exchange> exchange = watch.exchange.lock();
+            if (exchange != nullptr) {
+                exchange->abort();
+            }
+        }
+        m_watches.clear();
+    }
+
+    size_t openWatches()
+    {
+        m_watches.remove_if([](const Watch &watch) { return watch.exchange.expired(); });
+        return m_watches.size();
     }
 
 private:
     std::map<std::string, Value> m_values;
+    std::map<uint64_t, Lease> m_leases;
+    std::vector<Event> m_history;
     std::list<Watch> m_watches;
     uint64_t m_revision = 1;
+    uint64_t m_lastLease = 0;
 
     [[nodiscard]] json header() const { return {{"revision", std::to_string(m_revision)}}; }
 
-    json apply(const json &operation)
+    void detach(const std::string &key)
+    {
+        const auto found = m_values.find(key);
+        if (found != m_values.end() && m_leases.contains(found->second.lease)) {
+            m_leases[found->second.lease].keys.erase(key);
+        }
+    }
+
+    void erase(const std::string &key)
     {
-        if (operation.contains("requestDeleteRange")) {
-            const json &request = operation["requestDeleteRange"];
-            m_values.erase(decode(request.value("key", "")));
-            return {{"type", "DELETE"},
-                    {"kv",
-                     {{"key", request.value("key", "")},
-                      {"mod_revision", std::to_string(m_revision)}}}};
+        const auto found = m_values.find(key);
+        if (found == m_values.end()) {
+            return;
         }
-        const json &put = operation["requestPut"];
-        const json entry = {{"key", put.value("key", "")},
-                            {"value", put.value("value", "")},
+        const json kv = {{"key", found->second.entry["key"]},
+                         {"mod_revision", std::to_string(m_revision)}};
+        detach(key);
+        m_values.erase(found);
+        m_history.push_back({key, {{"type", "DELETE"}, {"kv", kv}}, m_revision});
+    }
+
+    void put(const json &request)
+    {
+        const std::string key = decode(request.value("key", ""));
+        const uint64_t lease = number(request, "lease");
+        const json entry = {{"key", request.value("key", "")},
+                            {"value", request.value("value", "")},
                             {"mod_revision", std::to_string(m_revision)}};
-        m_values[decode(put.value("key", ""))] = {entry, m_revision};
-        return {{"type", "PUT"}, {"kv", entry}};
+        detach(key);
+        if (m_leases.contains(lease)) {
+            m_leases[lease].keys.insert(key);
+        }
+        m_values[key] = {.entry = entry, .revision = m_revision, .lease = lease};
+        m_history.push_back({key, {{"type", "PUT"}, {"kv", entry}}, m_revision});
     }
 
-    void notify(const json &events)
+    /// Sends the events of the newest revision.
+    void notify()
     {
-        for (auto it = m_watches.begin(); it != m_watches.end();) {
-            const std::shared_ptr<http::Exchange> exchange = it->exchange.lock();
-            if (exchange == nullptr) {
-                it = m_watches.erase(it);
-                continue;
-            }
-            json matching = json::array();
-            for (const json &event : events) {
-                const std::string key = decode(event["kv"].value("key", ""));
-                if (key >= it->begin && key < it->end) {
-                    matching.push_back(event);
-                }
-            }
-            if (!matching.empty()) {
-                const json message = {{"result", {{"header", header()}, {"events", matching}}}};
-                exchange->write(message.dump() + "\n");
+        for (const Watch &watch : m_watches) {
+            send(watch, m_revision);
+        }
+    }
+
+    void send(const Watch &watch, uint64_t startRevision) const
+    {
+        const std::shared_ptr<http::Exchange> exchange = watch.exchange.lock();
+        const auto begin = std::find_if(
+                m_history.rbegin(), m_history.rend(),
+                [startRevision](const Event &event) { return event.revision < startRevision; });
+        json matching = json::array();
+        for (auto it = begin.base(); it != m_history.end(); ++it) {
+            if (it->key >= watch.begin && it->key < watch.end) {
+                matching.push_back(it->event);
             }
-            ++it;
         }
+        if (exchange != nullptr && !matching.empty()) {
+            const json message = {{"result", {{"header", header()}, {"events", matching}}}};
+            exchange->write(message.dump() + "\n");
+        }
+    }
+};
+
+/// HTTP side of the store, with faults and counts.
+class Gateway
+{
+public:
+    explicit Gateway(http::EventLoop &loop) : m_loop(loop) { tick(); }
+
+    void handle(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        const std::string path(exchange->path());
+        const json request = json::parse(exchange->body(), nullptr, false);
+        if (path == "/fault") {
+            setFault(request);
+            exchange->respond({.body = "{}"});
+        } else if (path == "/calls") {
+            m_calls["watches_open"] = m_store.openWatches();
+            exchange->respond({.body = m_calls.dump()});
+        } else if (m_mode == "down") {
+            drop(exchange);
+        } else {
+            count(path);
+            serve(exchange, path, request);
+        }
+    }
+
+private:
+    http::EventLoop &m_loop;
+    Store m_store;
+    json m_calls = {{"total", 0}};
+    std::string m_mode = "none";
+    Duration m_answerDelay{};
+
+    void setFault(const json &request)
+    {
+        m_mode = request.value("mode", "none");
+        m_answerDelay = std::chrono::milliseconds(request.value("ms", 0));
+        if (m_mode == "down") {
+            m_store.breakWatches();
+        }
+    }
+
+    void count(const std::string &path)
+    {
+        m_calls["total"] = m_calls["total"].get<uint64_t>() + 1;
+        m_calls[path] = m_calls.value(path, uint64_t(0)) + 1;
+    }
+
+    static void drop(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        exchange->startStream(503, {});
+        exchange->abort();
+    }
+
+    void serve(const std::shared_ptr<http::Exchange> &exchange, const std::string &path,
+               const json &request)
+    {
+        const Instant now = http::EventLoop::now();
+        if (path == "/v3/kv/range") {
+            answer(exchange, m_store.range(request));
+        } else if (path == "/v3/kv/txn") {
+            answer(exchange, m_store.transact(request));
+        } else if (path == "/v3/watch") {
+            m_store.watch(exchange, request);
+        } else if (path == "/v3/lease/grant") {
+            answer(exchange, m_store.grant(request, now));
+        } else if (path == "/v3/lease/keepalive") {
+            answer(exchange, m_store.keepAlive(request, now));
+        } else {
+            exchange->respond({.status = 404});
+        }
+    }
+
+    void answer(const std::shared_ptr<http::Exchange> &exchange, const json &body)
+    {
+        if (m_mode == "lose_answers") {
+            drop(exchange);
+        } else if (m_mode == "slow") {
+            m_loop.startTimer(m_answerDelay, [exchange, text = body.dump()] {
+                exchange->respond({.body = text});
+            });
+        } else {
+            exchange->respond({.body = body.dump()});
+        }
+    }
+
+    void tick()
+    {
+        constexpr Duration interval = 200ms;
+        m_store.expire(http::EventLoop::now());
+        if (m_mode == "none") {
+            m_store.reportProgress();
+        }
+        m_loop.startTimer(interval, [this] { tick(); });
     }
 };
 
@@ -147,20 +373,10 @@
     CLI11_PARSE(app, argc, argv);
 
     http::EventLoop loop;
-    Store store;
+    Gateway gateway(loop);
     http::Server server(loop, {.endpoint = {.address = "127.0.0.1", .port = port}},
-                        [&store](const std::shared_ptr<http::Exchange> &exchange) {
-                            const json request = json::parse(exchange->body(), nullptr, false);
-                            const std::string path(exchange->path());
-                            if (path == "/v3/kv/range") {
-                                exchange->respond({.body = store.range(request).dump()});
-                            } else if (path == "/v3/kv/txn") {
-                                exchange->respond({.body = store.transact(request).dump()});
-                            } else if (path == "/v3/watch") {
-                                store.watch(exchange, request);
-                            } else {
-                                exchange->respond({.status = 404});
-                            }
+                        [&gateway](const std::shared_ptr<http::Exchange> &exchange) {
+                            gateway.handle(exchange);
                         });
     const std::error_code error = server.listen();
     if (error) {
