--- /dev/null
+++ b/packages/fleet/src/teaseldrift/fleet/peer_network.cpp
@@ -0,0 +1,156 @@
+#include "teaseldrift/fleet/peer_network.hpp"
+
+#include <map>
+#include <thread>
+
+#include "peer_thread.hpp"
+
+namespace teaseldrift::fleet {
+
+namespace {
+
+constexpr const char *commandEndpoint = "inproc://peer-commands";
+
+} // namespace
+
+struct PeerNetwork::Native
+{
+    PeerNetworkOptions options;
+    Mailbox mailbox;
+    AtomicPeerCounters counters;
+    zmq::context_t context;
+    zmq::socket_t commands;
+    zmq::socket_t commandReceiver;
+    PeerSockets sockets;
+    std::thread thread;
+    uint64_t lastSequence = 0;
+    std::map<schema::PeerMessage::BodyCase, Handler> handlers;
+    std::function<bool(const schema::PeerMessage &)> filter;
+    /// Read on the owner's thread only, by messages that may outlive this object.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Native(PeerNetworkOptions networkOptions, Mailbox ownerMailbox)
+        : options(std::move(networkOptions)), mailbox(std::move(ownerMailbox)),
+          commands(context, zmq::socket_type::push),
+          commandReceiver(context, zmq::socket_type::pull),
+          sockets(context, options, counters,
+                  [this](schema::PeerMessage message) { deliver(std::move(message)); })
+    {
+        // Commands are bounded by the sockets behind, not here, so that none is lost silently.
+        commands.set(zmq::sockopt::sndhwm, 0);
+        commandReceiver.set(zmq::sockopt::rcvhwm, 0);
+        commands.set(zmq::sockopt::linger, 0);
+        commandReceiver.bind(commandEndpoint);
+        commands.connect(commandEndpoint);
+    }
+
+    void command(PeerCommand command);
+    void deliver(schema::PeerMessage message);
+    void handle(const schema::PeerMessage &message);
+    void discardCommands();
+};
+
+void PeerNetwork::Native::command(PeerCommand command)
+{
+    std::unique_ptr<PeerCommand> owned = std::make_unique<PeerCommand>(std::move(command));
+    PeerCommand *pointer = owned.release();
+    commands.send(zmq::buffer(&pointer, sizeof(pointer)), zmq::send_flags::none);
+}
+
+/// Runs on the peer thread.
+void PeerNetwork::Native::deliver(schema::PeerMessage message)
+{
+    mailbox([this, stillAlive = alive, message = std::move(message)] {
+        if (*stillAlive) {
+            handle(message);
+        }
+    });
+}
+
+void PeerNetwork::Native::handle(const schema::PeerMessage &message)
+{
+    if (filter != nullptr && !filter(message)) {
+        return;
+    }
+    const auto handler = handlers.find(message.body_case());
+    if (handler != handlers.end()) {
+        handler->second(message);
+    }
+}
+
+/// Frees commands that the thread has not taken.
+void PeerNetwork::Native::discardCommands()
+{
+    zmq::message_t message;
+    while (commandReceiver.recv(message, zmq::recv_flags::dontwait).has_value()) {
+        const std::unique_ptr<PeerCommand> command(*message.data<PeerCommand *>());
+    }
+}
+
+PeerNetwork::PeerNetwork(PeerNetworkOptions options, Mailbox mailbox)
+    : m_native(std::make_unique<Native>(std::move(options), std::move(mailbox)))
+{ }
+
+PeerNetwork::~PeerNetwork()
+{
+    *m_native->alive = false;
+    if (m_native->thread.joinable()) {
+        m_native->command({.kind = PeerCommand::Kind::Stop});
+        m_native->thread.join();
+    }
+    m_native->discardCommands();
+}
+
+void PeerNetwork::handle(schema::PeerMessage::BodyCase body, Handler handler)
+{
+    m_native->handlers[body] = std::move(handler);
+}
+
+void PeerNetwork::setFilter(std::function<bool(const schema::PeerMessage &)> filter)
+{
+    m_native->filter = std::move(filter);
+}
+
+std::error_code PeerNetwork::start()
+{
+    const std::error_code error = m_native->sockets.bind();
+    if (error) {
+        return error;
+    }
+    m_native->thread = std::thread(
+            [native = m_native.get()] { native->sockets.run(native->commandReceiver); });
+    return {};
+}
+
+uint16_t PeerNetwork::port() const
+{
+    return m_native->sockets.port();
+}
+
+void PeerNetwork::setPeers(std::span<const PeerAddress> peers)
+{
+    m_native->command({.kind = PeerCommand::Kind::SetPeers, .peers = {peers.begin(), peers.end()}});
+}
+
+void PeerNetwork::send(std::string_view vmId, schema::PeerMessage message)
+{
+    message.mutable_sender()->set_vm_id(m_native->options.vmId);
+    message.mutable_sender()->set_incarnation(m_native->options.incarnation);
+    message.set_sequence(++m_native->lastSequence);
+    m_native->command({.vmId = std::string(vmId), .payload = message.SerializeAsString()});
+}
+
+PeerCounters PeerNetwork::counters() const
+{
+    const AtomicPeerCounters &counters = m_native->counters;
+    return {
+            .messagesSent = counters.messagesSent,
+            .bytesSent = counters.bytesSent,
+            .messagesReceived = counters.messagesReceived,
+            .bytesReceived = counters.bytesReceived,
+            .messagesDropped = counters.messagesDropped,
+            .messagesRefused = counters.messagesRefused,
+    };
+}
+
+} // namespace teaseldrift::fleet
--- a/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
@@ -27,7 +27,11 @@
     Resume,
     Restart,
     RestartAll,
+    RestartOthers,
     ToggleLink,
+    ToggleStoreLink,
+    Split,
+    ChangeWhileCutOff,
     SilenceWatch,
     Replace,
     RefreshLists,
@@ -106,9 +110,30 @@
             fleet.restart(i);
         }
         break;
+    case StepKind::RestartOthers:
+        for (size_t i = 0; i < fleet.vms.size(); ++i) {
+            if (i != index) {
+                fleet.restart(i);
+            }
+        }
+        break;
     case StepKind::ToggleLink:
         toggle(vm.cutOff);
         break;
+    case StepKind::ToggleStoreLink:
+        toggle(vm.storeCutOff);
+        break;
+    case StepKind::Split:
+        for (size_t i = 0; i < fleet.vms.size(); ++i) {
+            fleet.vms[i].group = (step.argument >> i) % 2;
+        }
+        break;
+    case StepKind::ChangeWhileCutOff:
+        vm.cutOff = true;
+        fleet.change("organisation/a", false);
+        fleet.run(4s);
+        vm.cutOff = false;
+        break;
     case StepKind::SilenceWatch:
         vm.watchSilent = true;
         break;
@@ -216,6 +241,8 @@
         fleet.faults = {};
         for (size_t i = 0; i < count; ++i) {
             fleet.vms[i].cutOff = false;
+            fleet.vms[i].storeCutOff = false;
+            fleet.vms[i].group = 0;
             fleet.resume(i);
         }
         perform(fleet, {.kind = StepKind::RefreshLists});
--- a/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
+++ b/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
@@ -39,7 +39,11 @@
     uint64_t incarnation = 0;
     std::unique_ptr<ConfigurationSync> sync;
     bool paused = false;
+    /// Reaches neither peers nor the store nor the operator.
     bool cutOff = false;
+    bool storeCutOff = false;
+    /// Messages pass only within a group.
+    unsigned group = 0;
     /// Work that arrived while the process was paused.
     std::vector<std::function<void()>> inbox;
     uint64_t watchId = 0;
@@ -148,7 +152,11 @@
 
 inline void SyncFixture::startProcess(SyncVm &vm)
 {
-    vm = SyncVm{.id = vm.id, .incarnation = m_random(), .cutOff = vm.cutOff};
+    vm = SyncVm{.id = vm.id,
+                .incarnation = m_random(),
+                .cutOff = vm.cutOff,
+                .storeCutOff = vm.storeCutOff,
+                .group = vm.group};
     vm.sync = std::make_unique<ConfigurationSync>(vm.id, vm.incarnation, m_now, m_options);
     refreshList(static_cast<size_t>(&vm - vms.data()));
 }
@@ -324,7 +332,7 @@
     const uint64_t callId = action.callId;
     at(id, incarnation, callTimeout,
        [this, callId](SyncVm &caller) { caller.sync->onStoreFailed(callId, m_now); });
-    if (vm.cutOff || lost()) {
+    if (vm.cutOff || vm.storeCutOff || lost()) {
         return;
     }
     const bool all = action.kind == SyncActionKind::ReadAll;
@@ -339,7 +347,7 @@
             }
         }
         at(id, incarnation, delay(), [this, callId, read](SyncVm &caller) {
-            if (!caller.cutOff) {
+            if (!caller.cutOff && !caller.storeCutOff) {
                 perform(caller, caller.sync->onStoreRead(callId, read, m_now));
             }
         });
@@ -350,7 +358,7 @@
 {
     ++traffic.watches;
     ++traffic.storeCalls;
-    if (storeDown || vm.cutOff) {
+    if (storeDown || vm.cutOff || vm.storeCutOff) {
         at(vm.id, vm.incarnation, delay(), [this, watchId = action.callId](SyncVm &watcher) {
             watcher.sync->onWatchBroken(watchId, m_now);
         });
@@ -368,7 +376,7 @@
 /// A watch reports in order; one that missed anything reports nothing more.
 inline void SyncFixture::notifyWatch(SyncVm &vm, const schema::VersionedDocument &document)
 {
-    vm.watchSilent = vm.watchSilent || vm.cutOff;
+    vm.watchSilent = vm.watchSilent || vm.cutOff || vm.storeCutOff;
     if (vm.watchId == 0 || vm.watchSilent) {
         return;
     }
