--- /dev/null
+++ b/packages/fleet/src/teaseldrift/fleet/silent_proxy.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teaseldrift::fleet::testing {
+
+/// @brief Passes TCP connections on, and can make those that are open silent for good.
+class SilentProxy
+{
+public:
+    explicit SilentProxy(uint16_t targetPort)
+        : m_targetPort(targetPort), m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = loopback(0);
+        socklen_t length = sizeof(address);
+        bind(m_listener, reinterpret_cast<sockaddr *>(&address), length);
+        listen(m_listener, SOMAXCONN);
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~SilentProxy()
+    {
+        m_stopped = true;
+        m_thread.join();
+        for (const Link &link : m_links) {
+            close(link.client);
+            close(link.server);
+        }
+        close(m_listener);
+    }
+
+    SilentProxy(const SilentProxy &) = delete;
+    SilentProxy &operator=(const SilentProxy &) = delete;
+
+    [[nodiscard]] uint16_t port() const { return m_port; }
+
+    /// @brief Connections accepted so far.
+    [[nodiscard]] int accepted() const { return m_accepted; }
+
+    /// @brief Open connections pass nothing on any more; new ones do.
+    void silenceOpen() { m_silenced = m_accepted.load(); }
+
+private:
+    struct Link
+    {
+        int client = -1;
+        int server = -1;
+        int number = 0;
+    };
+
+    uint16_t m_targetPort;
+    int m_listener;
+    uint16_t m_port = 0;
+    std::vector<Link> m_links;
+    std::atomic<bool> m_stopped = false;
+    std::atomic<int> m_accepted = 0;
+    std::atomic<int> m_silenced = 0;
+    std::thread m_thread;
+
+    static sockaddr_in loopback(uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    void run()
+    {
+        constexpr int waitMs = 20;
+        while (!m_stopped) {
+            std::vector<pollfd> waits{{m_listener, POLLIN, 0}};
+            for (const Link &link : m_links) {
+                const bool silent = link.number <= m_silenced;
+                waits.push_back({silent ? -1 : link.client, POLLIN, 0});
+                waits.push_back({silent ? -1 : link.server, POLLIN, 0});
+            }
+            poll(waits.data(), waits.size(), waitMs);
+            for (size_t i = 0; i < m_links.size(); ++i) {
+                pass(waits[1 + 2 * i], m_links[i].server);
+                pass(waits[2 + 2 * i], m_links[i].client);
+            }
+            if ((waits[0].revents & POLLIN) != 0) {
+                acceptOne();
+            }
+        }
+    }
+
+    void acceptOne()
+    {
+        Link link{.client = accept(m_listener, nullptr, nullptr),
+                  .server = socket(AF_INET, SOCK_STREAM, 0)};
+        const sockaddr_in address = loopback(m_targetPort);
+        connect(link.server, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        link.number = m_accepted + 1;
+        m_accepted = link.number;
+        m_links.push_back(link);
+    }
+
+    static void pass(const pollfd &from, int to)
+    {
+        constexpr size_t bufferSize = 16384;
+        if (from.fd < 0 || (from.revents & POLLIN) == 0) {
+            return;
+        }
+        std::vector<char> buffer(bufferSize);
+        const ssize_t length = recv(from.fd, buffer.data(), buffer.size(), 0);
+        if (length <= 0) {
+            shutdown(to, SHUT_WR);
+            return;
+        }
+        send(to, buffer.data(), static_cast<size_t>(length), MSG_NOSIGNAL);
+    }
+};
+
+} // namespace teaseldrift::fleet::testing
