--- a/packages/policy/include/teaseldrift/membership/membership_view.hpp
+++ b/packages/policy/include/teaseldrift/membership/membership_view.hpp
@@ -63,6 +63,8 @@
     Duration silentAfter = 2s;
     /// How long a VM that is not on the list yet is kept after its last message.
     Duration unlistedLifetime = 15s;
+    /// How long it is remembered that a VM or target has left the list.
+    Duration goneLifetime = 600s;
 };
 
 /// @brief One VM's view of the fleet, from the platform's list and from messages.
@@ -122,20 +124,29 @@
         std::optional<Instant> lastHeard;
         /// Since when messages of this VM are expected.
         Instant expectedSince;
+        std::optional<Instant> leftListAt;
         boost::circular_buffer<uint64_t> replaced;
     };
 
+    struct Target
+    {
+        MemberState state = MemberState::Live;
+        std::optional<Instant> leftListAt;
+    };
+
     std::string m_selfId;
     MembershipOptions m_options;
     bool m_selfLeaving = false;
     std::map<std::string, Member, std::less<>> m_members;
-    std::map<std::string, MemberState, std::less<>> m_targets;
+    std::map<std::string, Target, std::less<>> m_targets;
 
     [[nodiscard]] bool isSilentOn(std::span<const std::string> ring, std::string_view vmId,
                                   Instant now) const;
     [[nodiscard]] bool isKnown(const Member &member, Instant now) const;
     [[nodiscard]] std::vector<std::string> ring(Instant now) const;
-    bool dropMissing(std::span<const ListedVm> vms, Instant now);
+    bool onTarget(const ListedVm &vm);
+    bool markMissing(std::span<const ListedVm> vms, Instant now);
+    void forgetGone(Instant now);
 };
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
@@ -24,6 +24,7 @@
     ChangeWithStoreGoingDown,
     ToggleStore,
     Pause,
+    PauseAfterTick,
     Resume,
     Restart,
     RestartAll,
@@ -99,6 +100,10 @@
     case StepKind::Pause:
         fleet.pause(index);
         break;
+    case StepKind::PauseAfterTick:
+        fleet.runTick();
+        fleet.pause(index);
+        break;
     case StepKind::Resume:
         fleet.resume(index);
         break;
--- /dev/null
+++ b/packages/policy/src/teaseldrift/configuration/replica_test.cpp
@@ -0,0 +1,104 @@
+#include "teaseldrift/configuration/replica.hpp"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace teaseldrift {
+
+namespace {
+
+schema::VersionedDocument versioned(const std::string &name, uint64_t revision, bool exists)
+{
+    schema::VersionedDocument document;
+    document.set_name(name);
+    document.set_revision(revision);
+    if (exists) {
+        document.mutable_document()->mutable_organisation()->set_name(name);
+    }
+    return document;
+}
+
+using Contents = std::map<std::string, uint64_t>;
+
+Contents contentsOf(const ConfigurationReplica &replica)
+{
+    Contents contents;
+    for (const schema::VersionedDocument &document : replica.documents()) {
+        if (document.has_document()) {
+            contents[document.name()] = document.revision();
+        }
+    }
+    return contents;
+}
+
+} // namespace
+
+TEST_CASE("an older document never replaces a newer one, nor its deletion")
+{
+    ConfigurationReplica replica;
+    replica.apply({.documents = {versioned("a", 5, true)}, .revision = 5}, 0);
+    replica.apply({.documents = {versioned("a", 7, false)}, .revision = 7}, 5);
+    CHECK_FALSE(replica.apply({.documents = {versioned("a", 5, true)}, .revision = 5}, 0));
+    CHECK(replica.liveCount() == 0);
+    CHECK(replica.revision() == 7);
+    replica.apply({.documents = {versioned("a", 9, true)}, .revision = 9}, 7);
+    CHECK(replica.liveCount() == 1);
+}
+
+TEST_CASE("a delta from above the own revision does not advance it")
+{
+    ConfigurationReplica replica;
+    replica.apply({.documents = {versioned("a", 9, true)}, .revision = 9}, 5);
+    CHECK(replica.revision() == 0);
+    CHECK(replica.newestRevision() == 9);
+}
+
+TEST_CASE("a proof of age counts from when the request was sent")
+{
+    ConfigurationReplica replica;
+    CHECK_FALSE(replica.isCurrent(Instant(5s), 3s));
+    replica.confirm(Instant(10s) - 1s);
+    CHECK(replica.isCurrent(Instant(12s), 3s));
+    CHECK_FALSE(replica.isCurrent(Instant(12s) + 1us, 3s));
+    replica.confirm(Instant(5s));
+    CHECK(replica.isCurrent(Instant(12s), 3s));
+}
+
+TEST_CASE("deltas bring a replica to the same documents, also after forgotten deletions", "[fuzz]")
+{
+    REQUIRE(rc::check("replicas converge", [] {
+        ConfigurationReplica source({.maxTombstones = 2});
+        ConfigurationReplica follower({.maxTombstones = 2});
+        Contents truth;
+        uint64_t revision = 0;
+        const std::vector<int> steps
+                = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
+        for (const int step : steps) {
+            constexpr int names = 8;
+            if (step >= names) {
+                // An old answer must not undo anything.
+                follower.apply(source.newerThan(follower.revision()), follower.revision());
+                RC_ASSERT(contentsOf(follower) == truth);
+                continue;
+            }
+            const std::string name(1, static_cast<char>('a' + step));
+            const bool exists = !truth.contains(name);
+            ++revision;
+            if (exists) {
+                truth[name] = revision;
+            } else {
+                truth.erase(name);
+            }
+            source.apply({.documents = {versioned(name, revision, exists)}, .revision = revision},
+                         revision - 1);
+            RC_ASSERT(contentsOf(source) == truth);
+        }
+        follower.apply(source.newerThan(follower.revision()), follower.revision());
+        RC_ASSERT(contentsOf(follower) == truth);
+        RC_ASSERT(follower.revision() == revision);
+    }));
+}
+
+} // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
+++ b/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
@@ -84,6 +84,9 @@
     /// @brief Runs delayed work and ticks until `duration` has passed.
     void run(Duration duration);
 
+    /// @brief Runs until just after the next tick, so that what it sent is still under way.
+    void runTick() { run(m_nextTick - m_now + 1us); }
+
     /// @brief Starts a new, empty process on a VM.
     void restart(size_t index);
 
--- a/packages/policy/src/teaseldrift/membership/membership_view.cpp
+++ b/packages/policy/src/teaseldrift/membership/membership_view.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/membership/membership_view.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace teaseldrift {
 
@@ -24,13 +25,11 @@
 
 bool MembershipView::onList(std::span<const ListedVm> vms, Instant now)
 {
-    bool changed = dropMissing(vms, now);
+    bool changed = markMissing(vms, now);
+    forgetGone(now);
     for (const ListedVm &vm : vms) {
         if (vm.isTarget) {
-            const MemberState state = vm.leaving ? MemberState::Leaving : MemberState::Live;
-            const auto [it, added] = m_targets.insert({vm.id, state});
-            changed = changed || added || it->second != state;
-            it->second = state;
+            changed = onTarget(vm) || changed;
             continue;
         }
         const auto [it, added] = m_members.try_emplace(vm.id);
@@ -40,6 +39,7 @@
         }
         changed = changed || !member.onList || !isSame(member.vm.listed, vm);
         member.onList = true;
+        member.leftListAt.reset();
         member.vm.listed = vm;
         member.vm.state
                 = vm.leaving || member.saysLeaving ? MemberState::Leaving : MemberState::Live;
@@ -47,34 +47,54 @@
     return changed;
 }
 
+bool MembershipView::onTarget(const ListedVm &vm)
+{
+    const Target target{.state = vm.leaving ? MemberState::Leaving : MemberState::Live};
+    const auto [it, added] = m_targets.insert({vm.id, target});
+    const bool changed = added || it->second.state != target.state;
+    it->second = target;
+    return changed;
+}
+
 /// Marks what was on the list before and no longer is.
-bool MembershipView::dropMissing(std::span<const ListedVm> vms, Instant now)
+bool MembershipView::markMissing(std::span<const ListedVm> vms, Instant now)
 {
-    const auto isMissing = [&vms](std::string_view id) {
-        return std::none_of(vms.begin(), vms.end(),
-                            [id](const ListedVm &vm) { return vm.id == id; });
-    };
+    std::set<std::string_view> present;
+    for (const ListedVm &vm : vms) {
+        present.insert(vm.id);
+    }
     bool changed = false;
     for (auto it = m_members.begin(); it != m_members.end(); ++it) {
-        if (it->second.onList && isMissing(it->first)) {
+        if (it->second.onList && !present.contains(it->first)) {
             it->second.onList = false;
             it->second.vm.state = MemberState::Gone;
+            it->second.leftListAt = now;
             changed = true;
         }
     }
     for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
-        if (it->second != MemberState::Gone && isMissing(it->first)) {
-            it->second = MemberState::Gone;
+        if (it->second.state != MemberState::Gone && !present.contains(it->first)) {
+            it->second = {.state = MemberState::Gone, .leftListAt = now};
             changed = true;
         }
     }
+    return changed;
+}
+
+void MembershipView::forgetGone(Instant now)
+{
     std::erase_if(m_members, [this, now](const auto &item) {
         const Member &member = item.second;
-        const Instant lastSign
-                = std::max(member.expectedSince, member.lastHeard.value_or(member.expectedSince));
-        return !member.onList && now - lastSign > m_options.unlistedLifetime;
+        const Instant lastHeard = member.lastHeard.value_or(member.expectedSince);
+        if (member.leftListAt.has_value()) {
+            return now - std::max(*member.leftListAt, lastHeard) > m_options.goneLifetime;
+        }
+        return !member.onList && now - lastHeard > m_options.unlistedLifetime;
+    });
+    std::erase_if(m_targets, [this, now](const auto &item) {
+        const std::optional<Instant> leftListAt = item.second.leftListAt;
+        return leftListAt.has_value() && now - *leftListAt > m_options.goneLifetime;
     });
-    return changed;
 }
 
 SenderStatus MembershipView::onMessage(std::string_view vmId, uint64_t incarnation, Instant now)
@@ -228,7 +248,7 @@
 {
     std::vector<std::string> leaving;
     for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
-        if (it->second != MemberState::Live) {
+        if (it->second.state != MemberState::Live) {
             leaving.push_back(it->first);
         }
     }
