--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -27,6 +27,9 @@
     /// PEM files; both empty for plain HTTP.
     std::string certificateFile;
     std::string keyFile;
+    /// Headers added to an error that the server answers itself, before the handler sees the
+    /// request: 400 for a malformed head, 413 for a body over the limit.
+    std::function<Headers(int status)> errorHeaders;
 };
 
 /// @brief One request of a caller and the way to answer it.
@@ -115,8 +118,10 @@
     /// @brief Requests whose answer is not complete.
     [[nodiscard]] size_t openExchanges() const;
 
-private:
+    /// Access for the other parts of this package.
     struct Native;
+
+private:
     std::unique_ptr<Native> m_native;
 };
 
--- a/packages/http/src/teaseldrift/http/http_test.cpp
+++ b/packages/http/src/teaseldrift/http/http_test.cpp
@@ -194,6 +194,34 @@
     CHECK(writtenWhenPaused < total);
 }
 
+TEST_CASE("a body over the limit is refused with the owner's headers")
+{
+    EventLoop loop;
+    Server server(loop,
+                  {.maxBodyBytes = 10,
+                   .errorHeaders =
+                           [](int status) {
+                               return Headers{{"x-result", std::to_string(status)}};
+                           }},
+                  [](const std::shared_ptr<Exchange> &exchange) { exchange->respond({}); });
+    REQUIRE_FALSE(server.listen());
+    loop.startTimer(20s, [&loop] { loop.stop(); });
+    Client client(loop, {});
+    Outcome outcome;
+    std::string marker;
+    CallHandlers handlers = handlersInto(outcome, loop);
+    handlers.onHead = [&](const ResponseHead &head) {
+        outcome.status = head.status;
+        marker = findHeader(head.headers, "x-result");
+    };
+    const std::unique_ptr<Call> call = client.start(
+            {.address = "127.0.0.1", .port = server.port()},
+            {.method = "POST", .body = std::string(11, 'x')}, ConnectionUse::Fresh, handlers);
+    loop.run();
+    CHECK(outcome.status == 413);
+    CHECK(marker == "413");
+}
+
 TEST_CASE("timers fire in order and a cancelled one does not")
 {
     EventLoop loop;
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -284,6 +284,12 @@
         Native *owner;
     };
 
+    struct FilterSlot
+    {
+        h2o_filter_t base;
+        Native *owner;
+    };
+
     EventLoop *loop = nullptr;
     ServerOptions options;
     Handler handler;
@@ -315,6 +321,18 @@
     delete holder->exchange;
 }
 
+/// Marks errors that h2o answers before the handler sees the request.
+void onSetupErrorStream(h2o_filter_t *filter, h2o_req_t *request, h2o_ostream_t **slot)
+{
+    constexpr int firstError = 400;
+    const ServerOptions &options
+            = reinterpret_cast<Server::Native::FilterSlot *>(filter)->owner->options;
+    if (options.errorHeaders && request->res.status >= firstError) {
+        setHeaders(request, options.errorHeaders(request->res.status));
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
 std::error_code lastError()
 {
     return {errno, std::generic_category()};
@@ -369,6 +387,10 @@
         server.handler(std::move(exchange));
         return 0;
     };
+    Native::FilterSlot *filter = reinterpret_cast<Native::FilterSlot *>(
+            h2o_create_filter(&host->fallback_path, sizeof(Native::FilterSlot)));
+    filter->owner = m_native.get();
+    filter->base.on_setup_ostream = onSetupErrorStream;
     h2o_context_init(&m_native->context, loop.native().loop, &m_native->config);
     m_native->acceptContext.ctx = &m_native->context;
     m_native->acceptContext.hosts = m_native->config.hosts;
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/caller_request.cpp
@@ -0,0 +1,251 @@
+#include "teaseldrift/router/caller_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/schema/result.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+using nlohmann::json;
+
+/// Separates the parts of a chat, so that two different chats never give the same text.
+constexpr char partSeparator = '\x1e';
+
+void appendContent(const json &content, std::string &prompt)
+{
+    if (content.is_string()) {
+        prompt += content.get_ref<const std::string &>();
+        return;
+    }
+    for (const json &part : content) {
+        if (part.is_object() && part.contains("text") && part["text"].is_string()) {
+            prompt += part["text"].get_ref<const std::string &>();
+        } else {
+            prompt += part.dump();
+        }
+    }
+}
+
+bool readMessages(const json &body, std::string &prompt)
+{
+    const auto messages = body.find("messages");
+    if (messages == body.end() || !messages->is_array() || messages->empty()) {
+        return false;
+    }
+    for (const json &message : *messages) {
+        if (!message.is_object() || !message.contains("role") || !message["role"].is_string()) {
+            return false;
+        }
+        prompt += message["role"].get_ref<const std::string &>();
+        prompt += partSeparator;
+        const auto content = message.find("content");
+        if (content != message.end() && (content->is_string() || content->is_array())) {
+            appendContent(*content, prompt);
+        }
+        prompt += partSeparator;
+    }
+    return true;
+}
+
+bool readPrompt(const json &body, std::string &prompt)
+{
+    const auto found = body.find("prompt");
+    if (found == body.end()) {
+        return false;
+    }
+    if (found->is_string()) {
+        prompt = found->get<std::string>();
+        return true;
+    }
+    // Token ids; their text form keeps equal prefixes equal.
+    if (found->is_array() && std::all_of(found->begin(), found->end(), [](const json &id) {
+            return id.is_number_integer();
+        })) {
+        prompt = found->dump();
+        return true;
+    }
+    return false;
+}
+
+template <typename Value>
+bool readOptional(const json &body, const char *name, Value &value)
+{
+    const auto found = body.find(name);
+    if (found == body.end() || found->is_null()) {
+        return true;
+    }
+    if constexpr (std::is_same_v<Value, bool>) {
+        if (!found->is_boolean()) {
+            return false;
+        }
+    } else if constexpr (std::is_unsigned_v<Value>) {
+        if (!found->is_number_unsigned() || found->get<uint64_t>() > UINT32_MAX) {
+            return false;
+        }
+    } else if (!found->is_number_integer()) {
+        return false;
+    }
+    value = found->get<Value>();
+    return true;
+}
+
+bool readLimits(const json &body, uint32_t maxOutputTokens, CompletionRequest &request)
+{
+    request.maxTokens = maxOutputTokens;
+    uint32_t asked = 0;
+    if (!readOptional(body, "max_tokens", asked)
+        || (asked == 0 && !readOptional(body, "max_completion_tokens", asked))) {
+        return false;
+    }
+    if (asked != 0) {
+        request.maxTokens = std::min(asked, maxOutputTokens);
+    }
+    return readOptional(body, "stream", request.streams)
+           && readOptional(body, "priority", request.priority);
+}
+
+bool readUsageWish(const json &body, bool &wantsUsage)
+{
+    const auto options = body.find("stream_options");
+    if (options == body.end() || options->is_null()) {
+        return true;
+    }
+    return options->is_object() && readOptional(*options, "include_usage", wantsUsage);
+}
+
+bool hasControlCharacter(std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+        return (c < firstPrintable && c != '\t') || c == deleteCharacter;
+    });
+}
+
+bool parseTimeout(std::string_view text, std::optional<Duration> &timeout)
+{
+    uint32_t milliseconds = 0;
+    const char *end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, milliseconds);
+    if (result.ec != std::errc() || result.ptr != end || milliseconds == 0) {
+        return false;
+    }
+    timeout = std::chrono::milliseconds(milliseconds);
+    return true;
+}
+
+} // namespace
+
+std::error_code parseCompletion(std::string_view body, const CompletionOptions &options,
+                                CompletionRequest &request)
+{
+    const std::error_code malformed = schema::makeError(schema::MALFORMED_BODY);
+    json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object()) {
+        return malformed;
+    }
+    const auto model = parsed.find("model");
+    if (model == parsed.end() || !model->is_string()) {
+        return malformed;
+    }
+    request.model = model->get<std::string>();
+    request.isChat = options.isChat;
+    const bool hasPrompt = options.isChat ? readMessages(parsed, request.prompt)
+                                          : readPrompt(parsed, request.prompt);
+    if (!hasPrompt || !readLimits(parsed, options.maxOutputTokens, request)
+        || !readUsageWish(parsed, request.wantsUsage)) {
+        return malformed;
+    }
+    parsed["max_tokens"] = request.maxTokens;
+    parsed.erase("max_completion_tokens");
+    parsed["cache_salt"] = options.cacheSalt;
+    if (request.streams) {
+        parsed["stream_options"] = {{"include_usage", true}};
+    }
+    request.targetBody = parsed.dump();
+    return {};
+}
+
+std::error_code parseHeaders(const http::Headers &headers, CallerHeaders &parsed)
+{
+    constexpr std::string_view bearerPrefix = "Bearer ";
+    constexpr size_t longestId = 128;
+    for (const http::Header &header : headers) {
+        if (hasControlCharacter(header.value)) {
+            return schema::makeError(schema::HEADER_REFUSED);
+        }
+        if (header.name == "authorization" && header.value.starts_with(bearerPrefix)) {
+            parsed.bearer = header.value.substr(bearerPrefix.size());
+        } else if (header.name == "x-request-id" && header.value.size() <= longestId) {
+            parsed.requestId = header.value;
+        } else if (header.name == "idempotency-key") {
+            if (header.value.empty() || header.value.size() > longestId) {
+                return schema::makeError(schema::HEADER_REFUSED);
+            }
+            parsed.idempotencyKey = header.value;
+        } else if (header.name == "x-request-timeout-ms"
+                   && !parseTimeout(header.value, parsed.timeout)) {
+            return schema::makeError(schema::DEADLINE_REFUSED);
+        }
+    }
+    return {};
+}
+
+http::Headers headersForTarget(const http::Headers &headers)
+{
+    // Hop-by-hop headers, the key, and what the router writes itself.
+    constexpr std::array<std::string_view, 15> removed{
+            "authorization",
+            "proxy-authorization",
+            "cookie",
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "te",
+            "trailer",
+            "upgrade",
+            "host",
+            "content-length",
+            "expect",
+            "x-request-id",
+            "last-event-id",
+            "accept-encoding",
+    };
+    http::Headers kept;
+    for (const http::Header &header : headers) {
+        if (std::find(removed.begin(), removed.end(), header.name) == removed.end()) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::string_view pathOnly(std::string_view pathWithQuery)
+{
+    return pathWithQuery.substr(0, pathWithQuery.find('?'));
+}
+
+std::string_view queryValue(std::string_view pathWithQuery, std::string_view name)
+{
+    const size_t queryAt = pathWithQuery.find('?');
+    if (queryAt == std::string_view::npos) {
+        return {};
+    }
+    std::string_view rest = pathWithQuery.substr(queryAt + 1);
+    while (!rest.empty()) {
+        const std::string_view pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        if (pair.starts_with(name) && pair.substr(name.size()).starts_with('=')) {
+            return pair.substr(name.size() + 1);
+        }
+    }
+    return {};
+}
+
+} // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/caller_request_test.cpp
@@ -0,0 +1,103 @@
+#include "teaseldrift/router/caller_request.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/schema/result.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+using nlohmann::json;
+
+std::error_code parse(std::string_view body, CompletionRequest &request, bool isChat = false)
+{
+    return parseCompletion(body, {.isChat = isChat, .maxOutputTokens = 100, .cacheSalt = "ours"},
+                           request);
+}
+
+} // namespace
+
+TEST_CASE("a completion's limits and salt are set for the target")
+{
+    CompletionRequest request;
+    REQUIRE_FALSE(
+            parse(R"({"model":"m","prompt":"p","max_tokens":500,"cache_salt":"theirs"})", request));
+    CHECK(request.maxTokens == 100);
+    const json sent = json::parse(request.targetBody);
+    CHECK(sent["cache_salt"] == "ours");
+    CHECK(sent["max_tokens"] == 100);
+}
+
+TEST_CASE("chats with another split of the same text are different prompts")
+{
+    CompletionRequest one;
+    CompletionRequest two;
+    REQUIRE_FALSE(parse(R"({"model":"m","messages":[{"role":"user","content":"ab"}]})", one, true));
+    REQUIRE_FALSE(parse(
+            R"({"model":"m","messages":[{"role":"user","content":"a"},{"role":"user","content":"b"}]})",
+            two, true));
+    CHECK(one.prompt != two.prompt);
+}
+
+TEST_CASE("malformed bodies are refused")
+{
+    for (const char *body : {
+                 "",
+                 "[]",
+                 "{\"model\":\"m\"",
+                 R"({"prompt":"p"})",
+                 R"({"model":7,"prompt":"p"})",
+                 R"({"model":"m","prompt":{}})",
+                 R"({"model":"m","prompt":"p","max_tokens":-1})",
+                 R"({"model":"m","prompt":"p","max_tokens":"9"})",
+                 R"({"model":"m","prompt":"p","stream":1})",
+                 R"({"model":"m","prompt":"p","stream_options":3})",
+         }) {
+        CAPTURE(body);
+        CompletionRequest request;
+        CHECK(parse(body, request) == schema::makeError(schema::MALFORMED_BODY));
+    }
+    CompletionRequest chat;
+    CHECK(parse(R"({"model":"m","messages":[]})", chat, true));
+    CHECK(parse(R"({"model":"m","messages":["x"]})", chat, true));
+}
+
+TEST_CASE("headers are read and keys never go to a target")
+{
+    const http::Headers headers{{"authorization", "Bearer secret"},
+                                {"cookie", "key=secret"},
+                                {"x-request-id", "r1"},
+                                {"x-request-timeout-ms", "250"},
+                                {"x-call-id", "c1"}};
+    CallerHeaders parsed;
+    REQUIRE_FALSE(parseHeaders(headers, parsed));
+    CHECK(parsed.bearer == "secret");
+    CHECK(parsed.requestId == "r1");
+    CHECK(parsed.timeout == Duration(250ms));
+    for (const http::Header &header : headersForTarget(headers)) {
+        CHECK(header.value.find("secret") == std::string::npos);
+    }
+    CHECK(http::findHeader(headersForTarget(headers), "x-call-id") == "c1");
+}
+
+TEST_CASE("bad headers are refused")
+{
+    CallerHeaders parsed;
+    CHECK(parseHeaders({{"x-a", "b\x01"}}, parsed) == schema::makeError(schema::HEADER_REFUSED));
+    for (const char *timeout : {"0", "-5", "x", "1s"}) {
+        CHECK(parseHeaders({{"x-request-timeout-ms", timeout}}, parsed)
+              == schema::makeError(schema::DEADLINE_REFUSED));
+    }
+}
+
+TEST_CASE("queries are read by name")
+{
+    CHECK(pathOnly("/v1/entry?model=m") == "/v1/entry");
+    CHECK(queryValue("/v1/entry?a=1&model=m", "model") == "m");
+    CHECK(queryValue("/v1/entry?mode=1", "model").empty());
+    CHECK(queryValue("/v1/entry", "model").empty());
+}
+
+} // namespace teaseldrift::router
