--- /dev/null
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -0,0 +1,198 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/attempts/answer_head.hpp"
+#include "teaseldrift/attempts/request_action.hpp"
+#include "teaseldrift/attempts/retry_budget.hpp"
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/schema/configuration.pb.h"
+
+namespace teaseldrift {
+
+/// @brief How far an attempt has come.
+enum class AttemptPhase {
+    /// Nothing has left this VM.
+    NotSent,
+    /// Bytes of the request may have reached the target.
+    PossiblySent,
+    /// The target has begun to answer.
+    Answering,
+    /// The whole answer is here.
+    Answered,
+};
+
+/// @brief Where a request stands as a whole.
+enum class RequestPhase {
+    /// start() has not been called.
+    New,
+    /// An attempt is to be given a target.
+    Choosing,
+    /// An attempt is under way.
+    Attempting,
+    /// All targets are excluded; another attempt follows after a pause.
+    Waiting,
+    /// The caller has its one final outcome.
+    Finished,
+};
+
+/// @brief How an answer reaches the caller.
+enum class AnswerMode {
+    /// Held back until it is whole, so that a broken one can be replaced as a whole.
+    Buffered,
+    /// Passed on event by event.
+    Streamed,
+};
+
+/// @brief What bounds a request.
+struct RequestOptions
+{
+    schema::RouteClass routeClass = schema::IDEMPOTENT;
+    AnswerMode answerMode = AnswerMode::Buffered;
+    /// Longest time to the whole answer, or to the first delivered position of a stream.
+    Duration deadline = 30s;
+    /// Longest silence of a target before its answer begins.
+    Duration firstByteTimeout = 30s;
+    /// Longest silence of a target within an answer.
+    Duration progressTimeout = 5s;
+    /// Attempts in all.
+    uint32_t maxAttempts = 3;
+    /// Targets resume a stream after a broken connection.
+    bool targetsResume = true;
+    /// Pause before targets that failed are tried again when there is no other.
+    Duration retryDelay = 100ms;
+    /// How late timer() may be called before this VM is taken to have been paused itself.
+    Duration timerTolerance = 500ms;
+};
+
+/// @brief One request of a caller and all its attempts.
+///
+/// Pure: the task reports what happened, with the time, and carries out the returned actions in
+/// order. Whatever comes from an attempt that is no longer current is ignored. After the first
+/// FinishCaller, RefuseCaller, EndStreamWithError or callerGone() there is no other outcome.
+///
+/// ```cpp
+/// RequestMachine machine({.routeClass = schema::GENERATION}, organisationBudget);
+/// perform(machine.start(now));              // StartAttempt{id = 1}
+/// machine.targetChosen(1, "engine-7", now);
+/// machine.sent(1, now);                     // before the first byte is handed over
+/// perform(machine.headReceived(1, {.status = 200}, now));
+/// if (machine.isCurrent(1)) { perform(machine.data(1, {.first = 0, .count = 3}, now)); }
+/// perform(machine.endMarker(1, now));       // FinishCaller{1}
+/// ```
+class RequestMachine
+{
+public:
+    /// Positions of a stream that an attempt has just brought.
+    struct PositionRange
+    {
+        uint64_t first = 0;
+        uint64_t count = 0;
+    };
+
+    RequestMachine(RequestOptions options, RetryBudget &organisationBudget);
+
+    /// @brief Begins; called once.
+    RequestActions start(Instant now);
+
+    /// @brief A target was chosen for an attempt and its connection is being made.
+    void targetChosen(AttemptId id, std::string_view target, Instant now);
+
+    /// @brief No target can take the attempt, because there is none or its retry budget is spent.
+    /// @param retryAfter when to come back, if known
+    RequestActions noTarget(AttemptId id, Instant now, Duration retryAfter = Duration(0));
+
+    /// @brief Bytes may leave from now on.
+    ///
+    /// Must be called before they do; with a client that tells only afterwards, before any other
+    /// event of the attempt, timer() included.
+    void sent(AttemptId id, Instant now);
+
+    /// @brief No connection was made, so nothing was sent.
+    RequestActions connectFailed(AttemptId id, Instant now);
+
+    /// @brief The head of an answer.
+    /// @return nothing if the answer's body is to be taken
+    RequestActions headReceived(AttemptId id, const AnswerHead &head, Instant now);
+
+    /// @brief Bytes arrived that bring no position: a buffered body, a comment in a stream.
+    void progress(AttemptId id, Instant now);
+
+    /// @brief Events of a stream arrived. Only if nothing is returned may they go to the caller.
+    RequestActions data(AttemptId id, PositionRange range, Instant now);
+
+    /// @brief The end marker of a stream arrived.
+    RequestActions endMarker(AttemptId id, Instant now);
+
+    /// @brief The transport says that the answer is complete.
+    RequestActions answerComplete(AttemptId id, Instant now);
+
+    /// @brief The connection broke, or what came over it is not a valid answer.
+    RequestActions broken(AttemptId id, Instant now);
+
+    /// @brief The delivered part of the stream cannot be continued by another target.
+    void forbidContinuation() { m_canContinue = false; }
+
+    /// @brief The caller went away.
+    RequestActions callerGone(Instant now);
+
+    /// @brief This VM's time to finish its streams is over.
+    RequestActions shuttingDown(Instant now);
+
+    /// @brief nextDeadline() has passed. Report readable sockets first.
+    RequestActions timer(Instant now);
+
+    /// @brief When timer() is to be called; empty if never.
+    [[nodiscard]] std::optional<Instant> nextDeadline() const;
+
+    /// @brief Whether data of this attempt may be read and passed on.
+    [[nodiscard]] bool isCurrent(AttemptId id) const;
+
+    [[nodiscard]] RequestPhase phase() const { return m_phase; }
+    [[nodiscard]] AttemptPhase attemptPhase() const { return m_attemptPhase; }
+    /// @brief Positions delivered to the caller.
+    [[nodiscard]] uint64_t delivered() const { return m_delivered; }
+    [[nodiscard]] uint32_t attempts() const { return m_attempt; }
+    /// @brief The target of the current attempt, empty before it is chosen.
+    [[nodiscard]] std::string_view target() const { return m_target; }
+
+private:
+    enum class Failure { ConnectFailed, Refused, Broken, Silent };
+
+    RequestActions fail(Failure failure, Instant now);
+    RequestActions retry(Failure failure, Instant now);
+    RequestActions nextAttempt(Instant now);
+    RequestActions giveUp(schema::ResultCode whenNotRun);
+    RequestActions finish();
+    void chooseKind(Failure failure);
+    void noteRun();
+    [[nodiscard]] bool mayRetry(Failure failure, Instant now) const;
+    [[nodiscard]] bool isDeadlineOver(Instant now) const;
+    [[nodiscard]] Instant silenceDeadline() const;
+    [[nodiscard]] StartAttempt startAttempt() const;
+
+    RequestOptions m_options;
+    RetryBudget &m_budget;
+    RequestPhase m_phase = RequestPhase::New;
+    AttemptPhase m_attemptPhase = AttemptPhase::NotSent;
+    AttemptId m_attempt = 0;
+    AttemptKind m_kind = AttemptKind::Whole;
+    schema::RetryReason m_reason = schema::RETRY_NONE;
+    std::string m_target;
+    std::vector<std::string> m_excluded;
+    Instant m_deadline;
+    Instant m_lastProgress;
+    Instant m_retryAt;
+    uint64_t m_delivered = 0;
+    Duration m_retryAfter{0};
+    schema::ResultCode m_lastCause = schema::NO_TARGET;
+    bool m_mayHaveRun = false;
+    bool m_callerHasPart = false;
+    bool m_canContinue = true;
+    bool m_lingering = false;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/idempotency/claim_table.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/idempotency/claim_types.hpp"
+
+namespace teaseldrift {
+
+/// @brief Bounds of claims at one VM.
+struct ClaimOptions
+{
+    /// Claims under way at once; further ones are refused as not run.
+    size_t maxClaims = 4096;
+    /// Tries to write or read before a claim is given up.
+    uint32_t maxTries = 4;
+    /// Longest time for a claim to be granted.
+    Duration claimTimeout = 2s;
+    /// Longest time between the grant and the hand-over to a connection.
+    Duration sendWithin = 30s;
+    /// Largest answer that is kept for replay.
+    size_t maxAnswerBytes = 65536;
+};
+
+/// @brief Claims of idempotency keys, kept in the platform's store.
+///
+/// A key is claimed by creating its record in the store before the request is sent anywhere, so
+/// the claim is seen from every VM and survives the VM that made it. One table serves a VM. Each
+/// step holds at most one operation on the store; its result is reported with the claim's id.
+///
+/// ```cpp
+/// ClaimStep step = table.begin(request, now);          // step.write
+/// step = table.writeDone(request.claimId, ClaimWriteOutcome::Written, revision, now);
+/// // step.verdict == ClaimVerdict::Granted: send the request, then
+/// step = table.end(request.claimId, ClaimEnd::Answered, answer, now); // step.write
+/// ```
+class ClaimTable
+{
+public:
+    explicit ClaimTable(ClaimOptions options = {});
+
+    /// @brief Begins to claim the key of a request.
+    ClaimStep begin(const ClaimRequest &request, Instant now);
+
+    /// @brief A write or a deletion ended.
+    ClaimStep writeDone(std::string_view claimId, ClaimWriteOutcome outcome, uint64_t revision,
+                        Instant now);
+
+    /// @brief A read ended.
+    /// @param nowUnixMs wall-clock time, only to tell a request under way from one whose VM died
+    ClaimStep readDone(std::string_view claimId, const ClaimReadResult &result, Instant now,
+                       int64_t nowUnixMs);
+
+    /// @brief A granted request has its final outcome.
+    ClaimStep end(std::string_view claimId, ClaimEnd end, const schema::KeptAnswer &answer,
+                  Instant now);
+
+    /// @brief Gives up claims that were not granted in time.
+    /// @return ids of claims that are refused with IDEMPOTENCY_CLAIM_FAILED
+    std::vector<std::string> expire(Instant now);
+
+    /// @brief Claims under way.
+    [[nodiscard]] size_t size() const { return m_claims.size(); }
+
+    /// @brief The store's key, without the system's prefix, of an idempotency key.
+    static std::string storeKey(std::string_view organisation, std::string_view route,
+                                std::string_view idempotencyKey);
+
+private:
+    enum class Phase { Creating, ReadingBack, Granted, Recording, Releasing };
+
+    struct Claim
+    {
+        std::string key;
+        schema::ClaimRecord record;
+        Phase phase = Phase::Creating;
+        Instant begun;
+        uint64_t revision = 0;
+        uint32_t tries = 0;
+    };
+
+    using Claims = std::map<std::string, Claim, std::less<>>;
+
+    ClaimStep create(Claim &claim);
+    ClaimStep readBack(Claim &claim);
+    ClaimStep grant(Claim &claim, uint64_t revision, Instant now);
+    ClaimStep refuse(Claims::iterator claim, schema::ResultCode code);
+    ClaimStep judgeOther(Claims::iterator claim, const schema::ClaimRecord &other,
+                         int64_t nowUnixMs);
+    ClaimStep createdDone(Claims::iterator claim, ClaimWriteOutcome outcome, uint64_t revision,
+                          Instant now);
+    ClaimStep endDone(Claims::iterator claim, ClaimWriteOutcome outcome);
+    void forget(Claims::iterator claim);
+
+    ClaimOptions m_options;
+    Claims m_claims;
+    /// Claim id by store key.
+    std::map<std::string, std::string, std::less<>> m_byKey;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/orders/controller_lease.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/orders/order_types.hpp"
+
+namespace teaseldrift {
+
+/// @brief What the task shall ask of the store for the controller's lease.
+enum class LeaseStep {
+    None,
+    /// Grant a lease, create the controller's key under it, report acquired() or lost().
+    Acquire,
+    /// Keep the lease alive, report kept() or lost().
+    Keep,
+};
+
+/// @brief Holds the controller's lease, as far as one process can know that it holds it.
+///
+/// Time is counted from the moment at which a call to the store was made, never from its answer,
+/// so the holder's own view ends before the store's. Only the store's lease decides who may
+/// begin; only this view decides when to stop.
+///
+/// ```cpp
+/// if (lease.nextStep(now) == LeaseStep::Acquire) { ... lease.acquired(sentAt, fencing, now); }
+/// if (lease.mayOrder(now, target.checksFencing)) { ... }
+/// ```
+class ControllerLease
+{
+public:
+    explicit ControllerLease(OrderOptions options = {});
+
+    /// @brief What to ask of the store now; called again after each answer and each second.
+    LeaseStep nextStep(Instant now);
+
+    /// @brief The controller's key was created under a new lease.
+    /// @param askedAt when the lease was asked for
+    /// @param fencing revision of the store at which the key was created
+    void acquired(Instant askedAt, uint64_t fencing, Instant now);
+
+    /// @brief The lease was kept alive.
+    void kept(Instant askedAt);
+
+    /// @brief The store said that the lease is gone, or that another holds the key.
+    void lost(Instant now);
+
+    /// @brief The store did not answer; asks again later.
+    void unanswered(Instant now);
+
+    /// @brief Whether an order may be given to a target now.
+    ///
+    /// A target that ignores fencing numbers gets one only once no order of an earlier holder
+    /// can still arrive.
+    [[nodiscard]] bool mayOrder(Instant now, bool targetChecksFencing) const;
+
+    /// @brief End of the time in which orders may be handed over.
+    [[nodiscard]] Instant orderUntil() const;
+
+    /// @brief 0 while no lease is held.
+    [[nodiscard]] uint64_t fencing() const { return m_fencing; }
+
+    /// @brief When the lease was acquired.
+    [[nodiscard]] Instant acquiredAt() const { return m_acquiredAt; }
+
+private:
+    OrderOptions m_options;
+    uint64_t m_fencing = 0;
+    Instant m_acquiredAt;
+    Instant m_heldUntil;
+    Instant m_nextAsk;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/streams/chunk_scan.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace teaseldrift {
+
+/// @brief What one chunk of an OpenAI-compatible stream brings.
+struct ChunkContent
+{
+    /// The chunk is a JSON object of the expected form.
+    bool isValid = false;
+    /// The chunk holds text that belongs to a position.
+    bool hasText = false;
+    /// `finish_reason` is set.
+    bool hasFinish = false;
+    bool hasUsage = false;
+    bool hasError = false;
+    /// The chunk holds something that a continuation by text cannot reproduce: tool calls, log
+    /// probabilities, or a second choice.
+    bool isOpaque = false;
+    /// Value of the top-level `id`, still escaped as in the chunk.
+    std::string_view id;
+    uint64_t promptTokens = 0;
+    uint64_t completionTokens = 0;
+    uint64_t cachedTokens = 0;
+};
+
+/// @brief Reads a chunk and appends its text, unescaped, to `text`.
+///
+/// One pass without building a document.
+ChunkContent scanChunk(std::string_view json, std::string &text);
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/streams/sse_parser.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace teaseldrift {
+
+/// @brief One server-sent event. The views hold until the next call of the parser.
+struct SseEvent
+{
+    /// Value of the `id` line; empty if there was none.
+    std::string_view id;
+    /// Value of the `event` line; empty if there was none.
+    std::string_view type;
+    /// Values of the `data` lines joined by newlines.
+    std::string_view data;
+    bool hasId = false;
+    /// False for comments and other events without a `data` line.
+    bool hasData = false;
+};
+
+/// @brief Splits a byte stream into server-sent events, whatever the boundaries of its pieces.
+///
+/// ```cpp
+/// SseParser parser;
+/// parser.append(bytes);
+/// SseEvent event;
+/// while (parser.next(event)) { ... }
+/// if (parser.isOverfull()) { ... }
+/// ```
+class SseParser
+{
+public:
+    explicit SseParser(size_t maxEventBytes = 1U << 20U);
+
+    /// @brief Adds bytes as they arrived.
+    void append(std::string_view bytes);
+
+    /// @brief Takes the next whole event.
+    /// @return false if none is whole yet
+    bool next(SseEvent &event);
+
+    /// @brief Whether an event is larger than allowed; the stream can then not be read further.
+    [[nodiscard]] bool isOverfull() const { return m_overfull; }
+
+    /// @brief Whether bytes of an unfinished event are held.
+    [[nodiscard]] bool hasPartialEvent() const { return m_begin < m_buffer.size(); }
+
+    /// @brief Forgets all held bytes.
+    void reset();
+
+private:
+    void parseLine(std::string_view line, SseEvent &event);
+
+    size_t m_maxEventBytes;
+    std::string m_buffer;
+    std::string m_joinedData;
+    size_t m_begin = 0;
+    size_t m_scanned = 0;
+    bool m_overfull = false;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/streams/stream_relay.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "teaseldrift/attempts/request_action.hpp"
+#include "teaseldrift/streams/chunk_scan.hpp"
+#include "teaseldrift/streams/sse_parser.hpp"
+
+namespace teaseldrift {
+
+/// @brief Token counts that a finished answer reports.
+struct StreamUsage
+{
+    uint64_t promptTokens = 0;
+    uint64_t completionTokens = 0;
+    uint64_t cachedTokens = 0;
+};
+
+/// @brief What a piece of a target's stream brought.
+struct StreamProgress
+{
+    /// First new position and how many.
+    uint64_t first = 0;
+    uint64_t count = 0;
+    /// The end marker arrived.
+    bool isEnded = false;
+    /// Not a valid stream, a gap, or an error event: treat the attempt as broken.
+    bool isBroken = false;
+};
+
+/// @brief The caller's view of one stream over all attempts that feed it.
+///
+/// Whole events only are passed on, so a broken connection never leaves half an event. Positions
+/// count events with text; events of an attempt that the caller already has are dropped. The end
+/// marker is not passed on by feed(): write endMarker() when RequestMachine says FinishCaller.
+///
+/// ```cpp
+/// StreamRelay relay;
+/// relay.beginAttempt(AttemptKind::Whole);
+/// StreamProgress progress = relay.feed(bytes, out);
+/// std::optional<std::string> body = relay.continuationBody(originalBody);
+/// ```
+class StreamRelay
+{
+public:
+    explicit StreamRelay(size_t maxEventBytes = 1U << 20U);
+
+    /// @brief What follows comes from a new attempt.
+    void beginAttempt(AttemptKind kind);
+
+    /// @brief Reads bytes of the current attempt.
+    /// @param out whole events for the caller are appended to it
+    StreamProgress feed(std::string_view bytes, std::string &out);
+
+    /// @brief Positions passed on so far.
+    [[nodiscard]] uint64_t position() const { return m_position; }
+
+    /// @brief The text passed on so far.
+    [[nodiscard]] std::string_view deliveredText() const { return m_text; }
+
+    /// @brief Value for `Last-Event-ID`; empty if the target numbers no events.
+    [[nodiscard]] std::string_view lastEventId() const { return m_lastEventId; }
+
+    /// @brief Whether another target can continue from the delivered text.
+    [[nodiscard]] bool canContinue() const { return m_canContinue; }
+
+    /// @brief The request that makes another target continue where this stream stands.
+    /// @return empty if that cannot be asked for
+    [[nodiscard]] std::optional<std::string> continuationBody(std::string_view originalBody) const;
+
+    /// @brief Token counts, once a finished answer has reported them.
+    [[nodiscard]] const std::optional<StreamUsage> &usage() const { return m_usage; }
+
+    /// @brief The event that ends a stream properly.
+    static std::string_view endMarker();
+
+    /// @brief An event that ends a stream with an error.
+    static std::string errorEvent(schema::ResultCode code);
+
+private:
+    enum class Verdict { Pass, Drop, Broken };
+
+    Verdict judge(const SseEvent &event, const ChunkContent &chunk, uint64_t &number) const;
+    void take(const SseEvent &event, const ChunkContent &chunk, std::string &out);
+    void writeEvent(const SseEvent &event, std::string_view data, std::string &out) const;
+    std::string rewritten(std::string_view data, const ChunkContent &chunk) const;
+
+    SseParser m_parser;
+    AttemptKind m_kind = AttemptKind::Whole;
+    uint64_t m_position = 0;
+    /// Position at which the current attempt began.
+    uint64_t m_base = 0;
+    std::string m_text;
+    std::string m_chunkText;
+    std::string m_lastEventId;
+    std::string m_chunkId;
+    std::optional<uint64_t> m_lastNumber;
+    std::optional<StreamUsage> m_usage;
+    bool m_canContinue = true;
+    bool m_finishPassed = false;
+    bool m_usagePassed = false;
+};
+
+} // namespace teaseldrift
