--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -49,6 +49,9 @@
 /// @brief What a call reports. Exactly one onEnd follows unless the call is cancelled.
 struct CallHandlers
 {
+    /// Optional; runs just before the first byte is handed to the connection. It must not destroy
+    /// the call. Unlike the others it may run inside start().
+    std::function<void()> onSent;
     std::function<void(const ResponseHead &)> onHead;
     std::function<void(std::string_view)> onData;
     std::function<void(CallEnd)> onEnd;
@@ -99,7 +102,7 @@
     Client &operator=(const Client &) = delete;
 
     /// @brief Sends a request.
-    /// @return the call; handlers run on the loop, never inside start()
+    /// @return the call; handlers but onSent run on the loop, never inside start()
     [[nodiscard]] std::unique_ptr<Call> start(const Endpoint &endpoint, Request request,
                                               ConnectionUse use, CallHandlers handlers);
 
--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -65,6 +65,9 @@
     /// @brief Breaks the stream off, so that the caller sees an incomplete answer.
     void abort();
 
+    /// @brief Like abort(), once the caller has taken everything written so far.
+    void abortAfterWrites();
+
     /// @brief Bytes that wait for the caller to read.
     [[nodiscard]] size_t pendingBytes() const;
 
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -117,6 +117,9 @@
         return nullptr;
     }
     call.sent = true;
+    if (call.handlers.onSent) {
+        call.handlers.onSent();
+    }
     call.wireVector = toIovec(call.wire);
     *buffers = &call.wireVector;
     *bufferCount = 1;
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -32,6 +32,7 @@
     bool sending = false;
     bool finishing = false;
     bool aborting = false;
+    bool abortsWhenDrained = false;
     bool ended = false;
     size_t *openCount = nullptr;
     std::weak_ptr<Exchange> self;
@@ -107,7 +108,10 @@
         return;
     }
     if (pending.empty()) {
-        if (finishing) {
+        if (abortsWhenDrained) {
+            aborting = true;
+            end(H2O_SEND_STATE_ERROR);
+        } else if (finishing) {
             end(H2O_SEND_STATE_FINAL);
         }
         return;
@@ -241,6 +245,12 @@
     m_native->send();
 }
 
+void Exchange::abortAfterWrites()
+{
+    m_native->abortsWhenDrained = true;
+    m_native->send();
+}
+
 size_t Exchange::pendingBytes() const
 {
     return m_native->pending.size() + m_native->inFlight.size();
--- a/packages/router/include/teaseldrift/router/refusal.hpp
+++ b/packages/router/include/teaseldrift/router/refusal.hpp
@@ -6,6 +6,7 @@
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/message.hpp"
+#include "teaseldrift/schema/options.pb.h"
 #include "teaseldrift/schema/result_code.pb.h"
 
 namespace teaseldrift::router {
@@ -17,6 +18,8 @@
     /// When the caller may try again.
     std::optional<Duration> retryAfter;
     std::string requestId;
+    /// Replaces what the code says about whether the request ran.
+    std::optional<schema::Ran> ran = {};
 };
 
 /// @brief The answer that a caller gets: status, `x-teaseldrift-result`, whether the request ran,
--- a/packages/router/src/teaseldrift/router/refusal.cpp
+++ b/packages/router/src/teaseldrift/router/refusal.cpp
@@ -31,7 +31,7 @@
             {"code", static_cast<int>(refusal.code)},
             {"type", schema::metricLabel(refusal.code)},
             {"message", info.message()},
-            {"ran", ranText(info.ran())},
+            {"ran", ranText(refusal.ran.value_or(info.ran()))},
     };
     if (!refusal.requestId.empty()) {
         error["request_id"] = refusal.requestId;
@@ -55,7 +55,7 @@
             .status = static_cast<int>(info.http_status()),
             .headers = {{"content-type", "application/json"},
                         {"x-teaseldrift-result", std::to_string(refusal.code)},
-                        {"x-teaseldrift-ran", std::string(ranText(info.ran()))}},
+                        {"x-teaseldrift-ran", std::string(ranText(refusal.ran.value_or(info.ran())))}},
             .body = errorObject(refusal).dump() + "\n",
     };
     if (!refusal.requestId.empty()) {
