--- a/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
+++ b/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
@@ -46,6 +46,9 @@
 
     double requestsPerSecond(const hashing::BlockHash &block, Instant now) const;
 
+    /// @brief Time over which rates are known, at most the window.
+    Duration observedTime(Instant now) const;
+
     /// @brief The hottest prefixes, hottest first.
     std::vector<HotPrefix> table(Instant now) const;
 
@@ -55,6 +58,8 @@
     size_t memoryBytes() const;
 
 private:
+    static constexpr double maxMergedCount = 1e9;
+
     struct Window
     {
         std::vector<uint32_t> counters;
@@ -68,6 +73,8 @@
     double rate(uint64_t hash, Instant now) const;
 
     HotPrefixOptions m_options;
+    bool m_started = false;
+    Instant m_startedAt{};
     Instant m_windowStart{};
     Window m_current;
     Window m_previous;
--- a/packages/policy/include/teaseldrift/placement/prefix_index.hpp
+++ b/packages/policy/include/teaseldrift/placement/prefix_index.hpp
@@ -3,7 +3,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <limits>
+#include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,6 +18,13 @@
 
 namespace teaseldrift::placement {
 
+/// @brief Hash of a target's id that also takes views.
+struct TargetIdHash
+{
+    using is_transparent = void;
+    size_t operator()(std::string_view id) const { return std::hash<std::string_view>{}(id); }
+};
+
 struct PrefixIndexOptions
 {
     /// Blocks remembered at most; rounded up to a power of two.
@@ -33,6 +41,9 @@
 /// @brief Number of a target inside a PrefixIndex.
 using TargetSlot = uint16_t;
 
+/// @brief Slot of a target for which the index has no place; nothing is believed of it.
+constexpr TargetSlot unknownSlot = UINT16_MAX;
+
 /// @brief A target that may hold a block.
 struct Holder
 {
@@ -64,15 +75,25 @@
     /// @brief The target holds the blocks since it is computing or has computed them.
     void recordUse(TargetSlot slot, std::span<const hashing::BlockHash> chain, Instant now);
 
-    /// @brief An answer showed that of a chain's blocks only the first `cached` were there.
-    /// @param believedAge age of the belief in the first block that was or was not there
-    void recordAnswer(TargetSlot slot, bool wasCached, Duration believedAge);
+    /// @brief The blocks are not in the target's cache after all.
+    void recordAbsence(TargetSlot slot, std::span<const hashing::BlockHash> chain);
+
+    /// @brief An answer showed whether a block was still cached at an age, which tells how long
+    /// blocks live there.
+    void learnLife(TargetSlot slot, bool wasCached, Duration age);
+
+    /// @brief Time since the last sign of a block on a target; empty if nothing is believed.
+    std::optional<Duration> ageOf(TargetSlot slot, const hashing::BlockHash &block,
+                                  Instant now) const;
 
     /// @brief Applies an event; a gap in the sequence ends trust in what events had said before.
     void onCacheEvent(const CacheEvent &event, Instant now);
 
     void forgetTarget(std::string_view targetId);
 
+    /// @brief Slot of a target; empty if it is not known.
+    std::optional<TargetSlot> slotOf(std::string_view targetId) const;
+
     /// @brief Targets that may hold a block of the given weights.
     /// @return number of holders written
     size_t holders(const hashing::BlockHash &block, const hashing::VersionSalt &version,
@@ -103,34 +124,37 @@
     {
         std::string id;
         uint64_t incarnation = 0;
-        uint64_t formerIncarnation = 0;
+        /// Incarnation that an event named and no view has confirmed yet.
+        uint64_t announcedIncarnation = 0;
         std::string weightsVersion;
         hashing::VersionSalt salt;
         uint16_t generation = 0;
-        bool known = false;
         bool streaming = false;
         uint64_t nextSequence = 0;
         Instant lastEvent{};
-        /// Events before this tick are no longer trusted beyond their age.
+        /// What events said before this tick is no longer trusted beyond its age.
         uint32_t trustedSince = 0;
         double lifeSeconds = 0.0;
     };
 
-    Entry *find(const hashing::BlockHash &block);
     const Entry *find(const hashing::BlockHash &block) const;
-    Entry &findOrReplace(const hashing::BlockHash &block, uint32_t tick);
-    void store(TargetSlot slot, const hashing::BlockHash &block, Instant now, bool byEvent);
+    Entry &findOrReplace(const hashing::BlockHash &block);
+    void store(TargetSlot slot, const hashing::BlockHash &block, uint32_t tick, bool byEvent);
     void remove(TargetSlot slot, const hashing::BlockHash &block);
-    void restart(Target &target);
-    float belief(const Record &record, const Target &target, Instant now) const;
-    size_t bucketOf(const hashing::BlockHash &block) const;
+    void restart(TargetSlot slot);
+    void eraseRecords(TargetSlot slot);
+    bool isCurrent(const Record &record) const;
+    const Record *recordOf(TargetSlot slot, const hashing::BlockHash &block) const;
+    float belief(const Record &record, const Target &target, uint32_t tick, bool trusted) const;
+    bool isStreamTrusted(const Target &target, Instant now) const;
 
     PrefixIndexOptions m_options;
     size_t m_buckets;
     std::vector<uint16_t> m_tags;
     std::vector<Entry> m_entries;
     std::vector<Target> m_targets;
-    std::unordered_map<std::string, TargetSlot> m_slots;
+    std::vector<TargetSlot> m_freeSlots;
+    std::unordered_map<std::string, TargetSlot, TargetIdHash, std::equal_to<>> m_slots;
 };
 
 } // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/include/teaseldrift/placement/target_load.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/placement/views.hpp"
+
+namespace teaseldrift::placement {
+
+/// @brief A target's load as estimated for this moment.
+struct LoadEstimate
+{
+    double inFlight = 0.0;
+    double backlogTokens = 0.0;
+    /// The report is missing or too old to rely on.
+    bool stale = false;
+};
+
+/// @brief This VM's own work on one target, which corrects the target's lagging reports.
+///
+/// A report says nothing of requests that this VM has sent since, and still counts those that
+/// have ended since.
+class TargetLoad
+{
+public:
+    void started(uint64_t attemptId, uint32_t prefillTokens, Instant now);
+    void firstToken(uint64_t attemptId, Instant now);
+    void finished(uint64_t attemptId, Instant now);
+
+    /// @brief Own requests in flight.
+    uint32_t ownInFlight() const { return m_inFlight; }
+
+    /// @param prefillTokensPerSecond speed at which the reported backlog shrinks
+    /// @param staleReport age from which a report is not relied on
+    LoadEstimate estimate(const LoadReport &report, double prefillTokensPerSecond,
+                          Duration staleReport, Instant now);
+
+private:
+    struct OwnWork
+    {
+        uint64_t attemptId = 0;
+        uint32_t prefillTokens = 0;
+        Instant startedAt{};
+        Instant firstTokenAt = Instant::max();
+        Instant finishedAt = Instant::max();
+    };
+
+    void dropReported(Instant reportedAt);
+
+    std::vector<OwnWork> m_work;
+    uint32_t m_inFlight = 0;
+};
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -0,0 +1,155 @@
+#include "chain_match.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace teaseldrift::placement {
+
+namespace {
+
+/// Probability assumed of the placement's targets before rates are known.
+constexpr double unknownPrior = 0.5;
+/// Probability below which a level is not worth following.
+constexpr float negligible = 0.05F;
+/// Belief from which a block counts as held by the index's word.
+constexpr float indexedBelief = 0.7F;
+/// Time after which observed rates replace the assumed probability.
+constexpr Duration rateLearningTime = 2s;
+
+} // namespace
+
+void ChainMatch::reset()
+{
+    m_positions.clear();
+    m_positionOfSlot.clear();
+}
+
+void ChainMatch::resolve(std::span<const TargetView> targets, PrefixIndex &index)
+{
+    for (const TargetMatch &match : m_matches) {
+        if (match.slot < m_positionOfSlot.size()) {
+            m_positionOfSlot[match.slot] = 0;
+        }
+    }
+    m_positions.resize(targets.size());
+    m_matches.assign(targets.size(), {});
+    m_ids.resize(targets.size());
+    m_salts.clear();
+    m_eligible.clear();
+    for (uint32_t i = 0; i < targets.size(); ++i) {
+        const TargetView &target = targets[i];
+        Position &position = m_positions[i];
+        const bool current = position.slot != unknownSlot && position.id == target.id
+                             && position.incarnation == target.incarnation
+                             && position.weightsVersion == target.weightsVersion;
+        if (!current) {
+            position = {
+                    .id = std::string(target.id),
+                    .incarnation = target.incarnation,
+                    .weightsVersion = std::string(target.weightsVersion),
+                    .slot
+                    = index.observeTarget(target.id, target.incarnation, target.weightsVersion),
+                    .salt = hashing::VersionSalt(target.weightsVersion),
+            };
+        }
+        m_matches[i].slot = position.slot;
+        m_matches[i].salt = position.salt;
+        m_ids[i] = target.id;
+        if (std::ranges::find(m_salts, position.salt) == m_salts.end()) {
+            m_salts.push_back(position.salt);
+        }
+        if (position.slot != unknownSlot) {
+            if (m_positionOfSlot.size() <= position.slot) {
+                m_positionOfSlot.resize(size_t{position.slot} + 1);
+            }
+            m_positionOfSlot[position.slot] = i + 1;
+        }
+        if (target.accepting && target.role == TargetRole::Engine) {
+            m_eligible.push_back(i);
+        }
+    }
+}
+
+double ChainMatch::priorAt(double requestsPerSecond, size_t replicas,
+                           const WalkOptions &options) const
+{
+    const double requestsInLife
+            = requestsPerSecond * options.blockLifeSeconds / static_cast<double>(replicas);
+    const double byRate = 1.0 - std::exp(-requestsInLife);
+    return m_knownPart * byRate + (1.0 - m_knownPart) * std::max(unknownPrior, byRate);
+}
+
+void ChainMatch::walk(const RequestView &request, const WalkOptions &options,
+                      const PrefixIndex &index, const HotPrefixSketch &sketch,
+                      ReplicaCounts &replicas, Instant now)
+{
+    m_candidates = m_eligible;
+    m_knownPart = std::min(1.0, toSeconds(sketch.observedTime(now)) / toSeconds(rateLearningTime));
+    double lastRate = -1.0;
+    float prior = 0.0F;
+    bool following = true;
+    for (uint32_t level = 0; level < request.chain.size() && following; ++level) {
+        const hashing::BlockHash &block = request.chain[level];
+        const double rate = sketch.requestsPerSecond(block, now) / options.trafficShare;
+        const double needed = rate * options.targetSecondsPerRequest / options.replicaUtilisation;
+        const size_t count = replicas.update(block, needed);
+        if (count < m_candidates.size()) {
+            narrowCandidates(block, m_ids, count, m_candidates);
+            lastRate = -1.0;
+        }
+        if (rate != lastRate && !m_candidates.empty()) {
+            prior = static_cast<float>(priorAt(rate, m_candidates.size(), options));
+            lastRate = rate;
+        }
+        following = matchLevel(block, level, prior, index, now);
+    }
+}
+
+void ChainMatch::extend(TargetMatch &match, uint32_t level, float probability)
+{
+    if (match.levels != level) {
+        return;
+    }
+    match.run = std::min(match.run, probability);
+    match.expectedBlocks += match.run;
+    match.levels = level + 1;
+}
+
+bool ChainMatch::matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
+                            const PrefixIndex &index, Instant now)
+{
+    const bool placedCounts = prior >= negligible;
+    bool matched = false;
+    std::array<Holder, PrefixIndex::holdersPerBlock> holders;
+    for (const hashing::VersionSalt &salt : m_salts) {
+        const size_t count = index.holders(block, salt, now, holders);
+        for (const Holder &holder : std::span(holders).first(count)) {
+            const uint32_t position
+                    = holder.slot < m_positionOfSlot.size() ? m_positionOfSlot[holder.slot] : 0;
+            if (position == 0 || m_matches[position - 1].salt != salt) {
+                continue;
+            }
+            TargetMatch &match = m_matches[position - 1];
+            const bool isPlaced
+                    = placedCounts
+                      && std::ranges::find(m_candidates, position - 1) != m_candidates.end();
+            if (match.indexedBlocks == level && holder.belief >= indexedBelief) {
+                match.indexedBlocks = level + 1;
+            }
+            matched = matched || match.levels == level;
+            extend(match, level, isPlaced ? std::max(prior, holder.belief) : holder.belief);
+        }
+    }
+    if (placedCounts) {
+        for (const uint32_t candidate : m_candidates) {
+            TargetMatch &match = m_matches[candidate];
+            matched = matched || match.levels == level;
+            extend(match, level, prior);
+            match.placed = true;
+        }
+    }
+    return matched;
+}
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/placement/hot_prefix_sketch.hpp"
+#include "teaseldrift/placement/prefix_index.hpp"
+#include "teaseldrift/placement/prefix_placement.hpp"
+#include "teaseldrift/placement/views.hpp"
+
+namespace teaseldrift::placement {
+
+/// @brief What one target is expected to hold of a chain.
+struct TargetMatch
+{
+    TargetSlot slot = unknownSlot;
+    hashing::VersionSalt salt;
+    /// Blocks expected in its cache.
+    double expectedBlocks = 0.0;
+    /// Leading blocks that the index, and not placement alone, says it holds.
+    uint32_t indexedBlocks = 0;
+    /// Probability that all blocks up to the last matched level are there.
+    float run = 1.0F;
+    /// Levels matched without a break.
+    uint32_t levels = 0;
+    bool placed = false;
+};
+
+/// @brief Inputs of a walk along a chain that stay the same for all levels.
+struct WalkOptions
+{
+    /// Part of the model's requests that this VM sees.
+    double trafficShare = 1.0;
+    /// Whole seconds of a target that one request takes.
+    double targetSecondsPerRequest = 0.1;
+    double replicaUtilisation = 0.5;
+    double blockLifeSeconds = 20.0;
+};
+
+/// @brief Walks along a request's chain and finds for each target how much of it is cached there.
+///
+/// Two sources of knowledge are joined at each level: the index of what targets hold, and the
+/// placement, by which other VMs send the same prefix to the same targets.
+class ChainMatch
+{
+public:
+    /// @brief Prepares one entry for each target; the views need not outlive the call.
+    void resolve(std::span<const TargetView> targets, PrefixIndex &index);
+
+    void walk(const RequestView &request, const WalkOptions &options, const PrefixIndex &index,
+              const HotPrefixSketch &sketch, ReplicaCounts &replicas, Instant now);
+
+    /// @brief Forgets positions of targets, after one has left.
+    void reset();
+
+    std::span<const TargetMatch> matches() const { return m_matches; }
+    /// @brief Targets on which the whole chain is placed.
+    std::span<const uint32_t> placed() const { return m_candidates; }
+    std::span<const uint32_t> eligible() const { return m_eligible; }
+
+private:
+    struct Position
+    {
+        std::string id;
+        uint64_t incarnation = 0;
+        std::string weightsVersion;
+        TargetSlot slot = unknownSlot;
+        hashing::VersionSalt salt;
+    };
+
+    /// @brief Probability that a target of the placement holds a block that nothing is known of.
+    double priorAt(double requestsPerSecond, size_t replicas, const WalkOptions &options) const;
+    bool matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
+                    const PrefixIndex &index, Instant now);
+    void extend(TargetMatch &match, uint32_t level, float probability);
+
+    std::vector<Position> m_positions;
+    std::vector<TargetMatch> m_matches;
+    std::vector<hashing::VersionSalt> m_salts;
+    std::vector<std::string_view> m_ids;
+    std::vector<uint32_t> m_eligible;
+    std::vector<uint32_t> m_candidates;
+    /// Position of each slot plus one, 0 for none.
+    std::vector<uint32_t> m_positionOfSlot;
+    double m_knownPart = 0.0;
+};
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/prefix_index.cpp
@@ -0,0 +1,369 @@
+#include "teaseldrift/placement/prefix_index.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace teaseldrift::placement {
+
+namespace {
+
+/// Length of a tick of the index's time; 31 bits of them last four years.
+constexpr Duration tickLength = 64ms;
+constexpr uint32_t byEventBit = 1U;
+constexpr size_t maxTargets = 65535;
+constexpr uint16_t emptyTag = 0;
+/// Belief in a block that an unbroken event stream reported and has not removed.
+constexpr float streamedBelief = 0.98F;
+/// Ages relative to the learned life between which belief falls from 1 to 0.
+constexpr double fullBeliefUntil = 0.7;
+constexpr double noBeliefFrom = 1.4;
+/// Weight of one answer in a target's learned life.
+constexpr double lifeLearningRate = 0.1;
+
+uint32_t tickOf(Instant now)
+{
+    return static_cast<uint32_t>(now.time_since_epoch() / tickLength) + 1;
+}
+
+uint32_t tickOf(uint32_t seen)
+{
+    return seen >> 1U;
+}
+
+double secondsSince(uint32_t seen, uint32_t nowTick)
+{
+    const uint32_t then = tickOf(seen);
+    return nowTick > then ? toSeconds(tickLength) * (nowTick - then) : 0.0;
+}
+
+uint16_t tagOf(const hashing::BlockHash &block)
+{
+    const uint16_t tag = static_cast<uint16_t>(block.high);
+    return tag == emptyTag ? uint16_t{1} : tag;
+}
+
+} // namespace
+
+PrefixIndex::PrefixIndex(const PrefixIndexOptions &options)
+    : m_options(options),
+      m_buckets(std::bit_ceil(std::max(options.capacityBlocks / waysPerBucket, size_t{1}))),
+      m_tags(m_buckets * waysPerBucket), m_entries(m_buckets * waysPerBucket)
+{ }
+
+TargetSlot PrefixIndex::observeTarget(std::string_view targetId, uint64_t incarnation,
+                                      std::string_view weightsVersion)
+{
+    const auto known = m_slots.find(targetId);
+    if (known != m_slots.end()) {
+        Target &target = m_targets[known->second];
+        if (target.incarnation != incarnation || target.weightsVersion != weightsVersion) {
+            restart(known->second);
+            target.incarnation = incarnation;
+            target.weightsVersion = weightsVersion;
+            target.salt = hashing::VersionSalt(weightsVersion);
+        }
+        return known->second;
+    }
+    TargetSlot slot = 0;
+    if (!m_freeSlots.empty()) {
+        slot = m_freeSlots.back();
+        m_freeSlots.pop_back();
+    } else if (m_targets.size() < maxTargets) {
+        slot = static_cast<TargetSlot>(m_targets.size());
+        m_targets.emplace_back();
+    } else {
+        return unknownSlot;
+    }
+    Target &target = m_targets[slot];
+    target.id = targetId;
+    target.incarnation = incarnation;
+    target.weightsVersion = weightsVersion;
+    target.salt = hashing::VersionSalt(weightsVersion);
+    target.lifeSeconds = toSeconds(m_options.initialBlockLife);
+    m_slots.emplace(target.id, slot);
+    return slot;
+}
+
+void PrefixIndex::forgetTarget(std::string_view targetId)
+{
+    const auto known = m_slots.find(targetId);
+    if (known == m_slots.end()) {
+        return;
+    }
+    const TargetSlot slot = known->second;
+    m_slots.erase(known);
+    restart(slot);
+    m_freeSlots.push_back(slot);
+}
+
+std::optional<TargetSlot> PrefixIndex::slotOf(std::string_view targetId) const
+{
+    const auto known = m_slots.find(targetId);
+    return known == m_slots.end() ? std::nullopt : std::optional<TargetSlot>(known->second);
+}
+
+void PrefixIndex::restart(TargetSlot slot)
+{
+    Target &target = m_targets[slot];
+    ++target.generation;
+    if (target.generation == 0) {
+        // The generation wrapped, so records of its first use could seem current again.
+        eraseRecords(slot);
+    }
+    target.streaming = false;
+    target.announcedIncarnation = 0;
+    target.trustedSince = 0;
+}
+
+void PrefixIndex::eraseRecords(TargetSlot slot)
+{
+    for (Entry &entry : m_entries) {
+        for (Record &record : entry.records) {
+            if (record.slot == slot) {
+                record = {};
+            }
+        }
+    }
+}
+
+void PrefixIndex::recordUse(TargetSlot slot, std::span<const hashing::BlockHash> chain, Instant now)
+{
+    if (slot >= m_targets.size()) {
+        return;
+    }
+    for (const hashing::BlockHash &block : chain) {
+        store(slot, m_targets[slot].salt.apply(block), tickOf(now), false);
+    }
+}
+
+void PrefixIndex::recordAbsence(TargetSlot slot, std::span<const hashing::BlockHash> chain)
+{
+    if (slot >= m_targets.size()) {
+        return;
+    }
+    for (const hashing::BlockHash &block : chain) {
+        remove(slot, m_targets[slot].salt.apply(block));
+    }
+}
+
+void PrefixIndex::onCacheEvent(const CacheEvent &event, Instant now)
+{
+    const auto known = m_slots.find(event.targetId);
+    if (known == m_slots.end()) {
+        return;
+    }
+    const TargetSlot slot = known->second;
+    Target &target = m_targets[slot];
+    if (event.incarnation != target.incarnation) {
+        // Either the target has restarted and its view is late, or the event is. Both are safe.
+        if (event.incarnation != target.announcedIncarnation) {
+            restart(slot);
+            target.announcedIncarnation = event.incarnation;
+        }
+        return;
+    }
+    const uint32_t tick = tickOf(now);
+    if (target.streaming && event.sequence < target.nextSequence) {
+        return;
+    }
+    if (!target.streaming || event.sequence != target.nextSequence) {
+        target.trustedSince = tick;
+    }
+    target.streaming = true;
+    target.nextSequence = event.sequence + 1;
+    target.lastEvent = now;
+    if (event.kind == CacheEventKind::Cleared) {
+        const uint64_t next = target.nextSequence;
+        restart(slot);
+        target.streaming = true;
+        target.nextSequence = next;
+        target.trustedSince = tick;
+        return;
+    }
+    for (const hashing::BlockHash &block : event.blocks) {
+        if (event.kind == CacheEventKind::Stored) {
+            store(slot, target.salt.apply(block), tick, true);
+        } else {
+            remove(slot, target.salt.apply(block));
+        }
+    }
+}
+
+void PrefixIndex::store(TargetSlot slot, const hashing::BlockHash &block, uint32_t tick,
+                        bool byEvent)
+{
+    Entry &entry = findOrReplace(block);
+    const Target &target = m_targets[slot];
+    Record *place = &entry.records.front();
+    for (Record &record : entry.records) {
+        if (record.seen != 0 && record.slot == slot) {
+            place = &record;
+            break;
+        }
+        const uint32_t seen = isCurrent(record) ? record.seen : 0;
+        const uint32_t placeSeen = isCurrent(*place) ? place->seen : 0;
+        if (seen < placeSeen) {
+            place = &record;
+        }
+    }
+    const bool wasByEvent = place->slot == slot && isCurrent(*place)
+                            && (place->seen & byEventBit) != 0
+                            && tickOf(place->seen) >= target.trustedSince;
+    *place = {
+            .slot = slot,
+            .generation = target.generation,
+            .seen = (tick << 1U) | (byEvent || wasByEvent ? byEventBit : 0U),
+    };
+}
+
+void PrefixIndex::remove(TargetSlot slot, const hashing::BlockHash &block)
+{
+    const Entry *found = find(block);
+    if (found == nullptr) {
+        return;
+    }
+    Entry &entry = m_entries[static_cast<size_t>(found - m_entries.data())];
+    for (Record &record : entry.records) {
+        if (record.slot == slot) {
+            record = {};
+        }
+    }
+}
+
+const PrefixIndex::Entry *PrefixIndex::find(const hashing::BlockHash &block) const
+{
+    const size_t first = (block.low & (m_buckets - 1)) * waysPerBucket;
+    const uint16_t tag = tagOf(block);
+    for (size_t way = first; way < first + waysPerBucket; ++way) {
+        if (m_tags[way] == tag && m_entries[way].block == block) {
+            return &m_entries[way];
+        }
+    }
+    return nullptr;
+}
+
+PrefixIndex::Entry &PrefixIndex::findOrReplace(const hashing::BlockHash &block)
+{
+    const Entry *found = find(block);
+    if (found != nullptr) {
+        return m_entries[static_cast<size_t>(found - m_entries.data())];
+    }
+    const size_t first = (block.low & (m_buckets - 1)) * waysPerBucket;
+    size_t oldest = first;
+    uint32_t oldestSeen = UINT32_MAX;
+    for (size_t way = first; way < first + waysPerBucket; ++way) {
+        uint32_t seen = 0;
+        for (const Record &record : m_entries[way].records) {
+            seen = std::max(seen, isCurrent(record) ? record.seen : 0);
+        }
+        if (m_tags[way] == emptyTag) {
+            seen = 0;
+        }
+        if (seen < oldestSeen) {
+            oldest = way;
+            oldestSeen = seen;
+        }
+    }
+    m_tags[oldest] = tagOf(block);
+    m_entries[oldest] = {.block = block};
+    return m_entries[oldest];
+}
+
+bool PrefixIndex::isCurrent(const Record &record) const
+{
+    return record.seen != 0 && record.generation == m_targets[record.slot].generation;
+}
+
+bool PrefixIndex::isStreamTrusted(const Target &target, Instant now) const
+{
+    return target.streaming && now - target.lastEvent < m_options.streamSilence;
+}
+
+float PrefixIndex::belief(const Record &record, const Target &target, uint32_t tick,
+                          bool trusted) const
+{
+    const bool byEvent = (record.seen & byEventBit) != 0;
+    if (trusted && byEvent && tickOf(record.seen) >= target.trustedSince) {
+        return streamedBelief;
+    }
+    const double age = secondsSince(record.seen, tick) / target.lifeSeconds;
+    const double belief = (noBeliefFrom - age) / (noBeliefFrom - fullBeliefUntil);
+    return static_cast<float>(std::clamp(belief, 0.0, 1.0));
+}
+
+size_t PrefixIndex::holders(const hashing::BlockHash &block, const hashing::VersionSalt &version,
+                            Instant now, std::span<Holder, holdersPerBlock> out) const
+{
+    const Entry *entry = find(version.apply(block));
+    if (entry == nullptr) {
+        return 0;
+    }
+    const uint32_t tick = tickOf(now);
+    size_t count = 0;
+    for (const Record &record : entry->records) {
+        if (!isCurrent(record)) {
+            continue;
+        }
+        const Target &target = m_targets[record.slot];
+        const float probability = belief(record, target, tick, isStreamTrusted(target, now));
+        if (probability > 0.0F) {
+            out[count++] = {.slot = record.slot, .belief = probability};
+        }
+    }
+    return count;
+}
+
+const PrefixIndex::Record *PrefixIndex::recordOf(TargetSlot slot,
+                                                 const hashing::BlockHash &block) const
+{
+    const Entry *entry = find(m_targets[slot].salt.apply(block));
+    if (entry == nullptr) {
+        return nullptr;
+    }
+    for (const Record &record : entry->records) {
+        if (record.slot == slot && isCurrent(record)) {
+            return &record;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<Duration> PrefixIndex::ageOf(TargetSlot slot, const hashing::BlockHash &block,
+                                           Instant now) const
+{
+    const Record *record = slot < m_targets.size() ? recordOf(slot, block) : nullptr;
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    return tickLength * (tickOf(now) - std::min(tickOf(now), tickOf(record->seen)));
+}
+
+void PrefixIndex::learnLife(TargetSlot slot, bool wasCached, Duration age)
+{
+    if (slot >= m_targets.size()) {
+        return;
+    }
+    double &life = m_targets[slot].lifeSeconds;
+    const double seconds = toSeconds(age);
+    const bool contradicts = wasCached ? seconds > life * fullBeliefUntil : seconds < life;
+    if (contradicts) {
+        const double evidence = wasCached ? seconds / fullBeliefUntil : seconds;
+        life += lifeLearningRate * (evidence - life);
+    }
+    life = std::clamp(life, toSeconds(m_options.minBlockLife), toSeconds(m_options.maxBlockLife));
+}
+
+Duration PrefixIndex::blockLife(TargetSlot slot) const
+{
+    const double seconds = slot < m_targets.size() ? m_targets[slot].lifeSeconds
+                                                   : toSeconds(m_options.initialBlockLife);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+size_t PrefixIndex::memoryBytes() const
+{
+    return sizeof(*this) + m_tags.size() * sizeof(uint16_t) + m_entries.size() * sizeof(Entry)
+           + m_targets.capacity() * sizeof(Target);
+}
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
@@ -0,0 +1,68 @@
+#include "teaseldrift/placement/prefix_placement.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+#include <boost/container/small_vector.hpp>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift::placement {
+
+ReplicaCounts::ReplicaCounts(const ReplicaOptions &options)
+    : m_options(options),
+      m_remembered(std::bit_ceil(std::max<size_t>(options.rememberedPrefixes, 1)))
+{ }
+
+uint32_t ReplicaCounts::update(const hashing::BlockHash &block, double needed)
+{
+    const double bounded = std::clamp(needed, 1.0, static_cast<double>(m_options.maxReplicas));
+    Remembered &slot = m_remembered[block.high & (m_remembered.size() - 1)];
+    const bool known = slot.hash == block.low && slot.replicas > 0;
+    const uint32_t wanted = static_cast<uint32_t>(std::ceil(bounded));
+    if (!known && wanted == 1) {
+        return 1;
+    }
+    const bool grows = !known || wanted > slot.replicas;
+    const bool shrinks = known && needed < m_options.shrinkBelow * slot.replicas;
+    if (grows || shrinks) {
+        slot = {.hash = block.low, .replicas = wanted};
+    }
+    return slot.replicas;
+}
+
+size_t ReplicaCounts::memoryBytes() const
+{
+    return m_remembered.size() * sizeof(Remembered);
+}
+
+void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
+                      size_t count, std::vector<uint32_t> &candidates)
+{
+    if (candidates.size() <= count) {
+        return;
+    }
+    struct Scored
+    {
+        double score;
+        uint32_t index;
+    };
+    boost::container::small_vector<Scored, 32> scored;
+    scored.reserve(candidates.size());
+    for (const uint32_t index : candidates) {
+        scored.push_back({rendezvousScore(block.low, targetIds[index]), index});
+    }
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
+                      scored.end(), [&targetIds](const Scored &left, const Scored &right) {
+                          return left.score != right.score
+                                         ? left.score > right.score
+                                         : targetIds[left.index] < targetIds[right.index];
+                      });
+    candidates.resize(count);
+    for (size_t i = 0; i < count; ++i) {
+        candidates[i] = scored[i].index;
+    }
+}
+
+} // namespace teaseldrift::placement
