Let the stand-in engine batch, cache, resume and fail

Cause: the first stand-in only counted positions, so that neither placement, retries nor continuations could be tried against it. Change: slots with a queue by priority, prefix cache with LRU and cached-token count, vLLM's form of cache events with delay and loss, a load report with lag, orders with fencing, resume, cancel, faults, and tokens that are a function of the text before them. A plain service that records runs. With the token made to depend on the number of calls, the continuation property fails after 1 test. Conclusion: a continuation's text can be compared with an uninterrupted run's.

--- a/testing/standins/engine.cpp
+++ b/testing/standins/engine.cpp
@@ -3,84 +3,53 @@
 #include <iostream>
 
 #include <CLI/CLI.hpp>
-#include <nlohmann/json.hpp>
 
-#include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/http/server.hpp"
+#include "standins/engine/engine.hpp"
 
 namespace {
 
-using nlohmann::json;
 using namespace teaseldrift;
 
-struct EngineOptions
+void addOptions(CLI::App &app, standins::EngineOptions &options)
 {
-    uint16_t port = 9000;
-    uint32_t tokenMs = 5;
-};
-
-/// One answer under way.
-struct Generation
-{
-    std::shared_ptr<http::Exchange> exchange;
-    uint32_t position = 0;
-    uint32_t length = 0;
-    std::string model;
-};
-
-std::string event(const Generation &generation)
-{
-    const json chunk = {
-            {"object", "text_completion"},
-            {"model", generation.model},
-            {"choices",
-             json::array(
-                     {{{"index", 0},
-                       {"text", "t" + std::to_string(generation.position) + " "},
-                       {"delta", {{"content", "t" + std::to_string(generation.position) + " "}}},
-                       {"finish_reason", nullptr}}})},
-    };
-    return "id: " + std::to_string(generation.position) + "\ndata: " + chunk.dump() + "\n\n";
-}
-
-void step(http::EventLoop &loop, const EngineOptions &options,
-          const std::shared_ptr<Generation> &generation)
-{
-    if (generation->position == generation->length) {
-        generation->exchange->write("data: [DONE]\n\n");
-        generation->exchange->finish();
-        return;
-    }
-    generation->exchange->write(event(*generation));
-    ++generation->position;
-    loop.startTimer(std::chrono::milliseconds(options.tokenMs),
-                    [&loop, &options, generation] { step(loop, options, generation); });
+    app.add_option("--port", options.port, "0 for any");
+    app.add_option("--token-ms", options.tokenMs, "time between tokens");
+    app.add_option("--prefill-us-per-token", options.prefillUsPerToken);
+    app.add_option("--slots", options.slots);
+    app.add_option("--max-queued", options.maxQueued);
+    app.add_option("--cache-blocks", options.cacheBlocks);
+    app.add_option("--block-tokens", options.blockTokens)->check(CLI::PositiveNumber);
+    app.add_option("--resume-ms", options.resumeMs, "how long a cut answer can be resumed");
+    app.add_option("--load-lag-ms", options.loadLagMs, "age of the load report");
+    app.add_option("--events-port", options.eventsPort, "cache events; 0 for none");
+    app.add_option("--events-delay-ms", options.eventsDelayMs);
+    app.add_option("--events-loss", options.eventsLoss, "fraction of event batches lost");
+    app.add_option("--models", options.models, "NAME or NAME@VERSION; none serves any")
+            ->delimiter(',');
+    app.add_flag("--checks-fencing", options.checksFencing);
+    app.add_option("--load-ms", options.loadMs, "time to load weights");
+    app.add_option("--fast-loads", options.fastLoads, "more loads at once take twice as long");
+    app.add_option("--incarnation", options.incarnation, "0 for a random one");
+    app.add_option("--seed", options.seed);
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
+    constexpr size_t maxBodyBytes = 64U << 20U;
     CLI::App app("stand-in for a model engine");
-    EngineOptions options;
-    app.add_option("--port", options.port);
-    app.add_option("--token-ms", options.tokenMs);
+    standins::EngineOptions options;
+    addOptions(app, options);
     CLI11_PARSE(app, argc, argv);
 
     http::EventLoop loop;
-    http::Server server(loop, {.endpoint = {.address = "127.0.0.1", .port = options.port}},
-                        [&loop, &options](const std::shared_ptr<http::Exchange> &exchange) {
-                            const json request = json::parse(exchange->body(), nullptr, false);
-                            if (!request.is_object()) {
-                                exchange->respond({.status = 400});
-                                return;
-                            }
-                            std::shared_ptr<Generation> generation = std::make_shared<Generation>();
-                            generation->exchange = exchange;
-                            generation->length = request.value("max_tokens", 16U);
-                            generation->model = request.value("model", "");
-                            exchange->startStream(200, {{"content-type", "text/event-stream"}});
-                            step(loop, options, generation);
+    standins::Engine engine(loop, options);
+    http::Server server(loop,
+                        {.endpoint = {.address = "127.0.0.1", .port = options.port},
+                         .maxBodyBytes = maxBodyBytes},
+                        [&engine](const std::shared_ptr<http::Exchange> &exchange) {
+                            engine.handle(exchange);
                         });
     const std::error_code error = server.listen();
     if (error) {
--- /dev/null
+++ b/testing/standins/engine/generation.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/engine/completion_request.hpp"
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/server.hpp"
+#include "teaseldrift/load/standin_text.hpp"
+
+namespace teaseldrift::standins {
+
+/// @brief One answer: queued, in a slot, or ended.
+struct Generation
+{
+    enum class State { Queued, Running, Ended };
+
+    std::shared_ptr<http::Exchange> exchange;
+    CompletionRequest request;
+    load::StandinText text;
+    std::string requestId;
+    std::vector<uint64_t> chain;
+    State state = State::Queued;
+    /// Position of the next token.
+    uint32_t position = 0;
+    uint32_t cachedTokens = 0;
+    uint32_t promptTokens = 0;
+    /// Text so far of an answer that is not streamed.
+    std::string collected;
+    /// Events that were generated in the current step.
+    std::string unsent;
+    /// A lost connection: neither data nor an end will ever come.
+    bool frozen = false;
+
+    Generation(std::shared_ptr<http::Exchange> caller, CompletionRequest parsed)
+        : exchange(std::move(caller)), request(std::move(parsed)), text(request.prompt)
+    { }
+
+    /// @brief Generates one token into `unsent` or `collected`.
+    void advance();
+
+    /// @brief Whether all tokens have been generated.
+    [[nodiscard]] bool isComplete() const { return position >= request.maxTokens; }
+
+    /// @brief Events after the last token.
+    [[nodiscard]] std::string closingEvents() const;
+
+    /// @brief The whole answer, if it is not streamed.
+    [[nodiscard]] http::Response wholeAnswer() const;
+
+private:
+    [[nodiscard]] std::string usage() const;
+    void appendEvent(const std::string &token);
+};
+
+} // namespace teaseldrift::standins
--- /dev/null
+++ b/testing/standins/engine/prefix_cache.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace teaseldrift::standins {
+
+/// Characters that the stand-in counts as one token.
+inline constexpr size_t charactersPerToken = 4;
+
+/// @brief The number of tokens that the stand-in counts in a text.
+uint32_t tokensIn(std::string_view text);
+
+/// @brief Hashes of the full blocks of a prompt, each over its block and the hash before it.
+/// @param salt keeps the blocks of different organisations and weights apart
+std::vector<uint64_t> blockChain(std::string_view prompt, std::string_view salt,
+                                 uint32_t blockTokens);
+
+/// @brief What one prompt changed in the cache.
+struct CacheChange
+{
+    /// Leading blocks that were there before.
+    size_t hits = 0;
+    std::vector<uint64_t> removed;
+};
+
+/// @brief Prefix cache of limited blocks; the least recently used goes first.
+class PrefixCache
+{
+public:
+    explicit PrefixCache(size_t capacity) : m_capacity(capacity) { }
+
+    /// @brief Uses the blocks of a prompt and stores those that are missing.
+    CacheChange use(std::span<const uint64_t> chain);
+
+    /// @brief Drops everything.
+    void clear();
+
+    [[nodiscard]] size_t size() const { return m_blocks.size(); }
+
+private:
+    size_t m_capacity;
+    /// Most recently used first.
+    std::list<uint64_t> m_order;
+    std::unordered_map<uint64_t, std::list<uint64_t>::iterator> m_blocks;
+};
+
+} // namespace teaseldrift::standins
--- /dev/null
+++ b/testing/standins/plain_service.cpp
@@ -0,0 +1,211 @@
+/// Stand-in for a plain service. It answers any method on any path and records each run by the
+/// caller's x-call-id or Idempotency-Key.
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
+
+namespace {
+
+using nlohmann::json;
+using namespace teaseldrift;
+
+struct ServiceOptions
+{
+    uint16_t port = 9100;
+    uint32_t latencyMs = 0;
+    /// Gets one line per run, which outlives a crash.
+    std::string recordFile;
+};
+
+/// What goes wrong with the next calls.
+enum class Fault {
+    None,
+    /// Runs the call and dies before the answer.
+    Die,
+    /// Runs the call and closes the connection before the answer.
+    DropAnswer,
+    /// Runs the call and never answers.
+    Silent,
+    /// Runs the call after a delay.
+    Slow,
+    /// Answers 503 without running the call.
+    Refuse,
+};
+
+Fault parseFault(std::string_view mode)
+{
+    if (mode == "die") {
+        return Fault::Die;
+    }
+    if (mode == "drop_answer") {
+        return Fault::DropAnswer;
+    }
+    if (mode == "silent") {
+        return Fault::Silent;
+    }
+    if (mode == "slow") {
+        return Fault::Slow;
+    }
+    return mode == "refuse" ? Fault::Refuse : Fault::None;
+}
+
+http::Response jsonAnswer(int status, const json &body)
+{
+    return {.status = status,
+            .headers = {{"content-type", "application/json"}},
+            .body = body.dump()};
+}
+
+class Service
+{
+public:
+    Service(http::EventLoop &loop, const ServiceOptions &options) : m_loop(loop), m_options(options)
+    {
+        if (!options.recordFile.empty()) {
+            m_recordFile.open(options.recordFile, std::ios::app);
+        }
+    }
+
+    void handle(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        if (exchange->path() == "/runs") {
+            exchange->respond(runs());
+        } else if (exchange->path() == "/fault") {
+            setFault(exchange);
+        } else {
+            call(exchange);
+        }
+    }
+
+private:
+    http::EventLoop &m_loop;
+    ServiceOptions m_options;
+    std::ofstream m_recordFile;
+    std::map<std::string, uint64_t> m_runs;
+    std::vector<std::shared_ptr<http::Exchange>> m_unanswered;
+    uint64_t m_keysSeen = 0;
+    uint64_t m_refused = 0;
+    Fault m_fault = Fault::None;
+    uint64_t m_faultyCalls = 0;
+    std::chrono::milliseconds m_slowness{};
+
+    Fault takeFault()
+    {
+        if (m_faultyCalls == 0) {
+            return Fault::None;
+        }
+        --m_faultyCalls;
+        return m_fault;
+    }
+
+    void setFault(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        constexpr int64_t defaultSlownessMs = 1000;
+        const json order = json::parse(exchange->body(), nullptr, false);
+        if (!order.is_object()) {
+            exchange->respond({.status = 400});
+            return;
+        }
+        m_fault = parseFault(order.value("mode", "none"));
+        m_faultyCalls = order.value("calls", UINT64_MAX);
+        m_slowness = std::chrono::milliseconds(order.value("ms", defaultSlownessMs));
+        exchange->respond(jsonAnswer(200, order));
+    }
+
+    void call(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        const Fault fault = takeFault();
+        if (fault == Fault::Refuse) {
+            ++m_refused;
+            exchange->respond(jsonAnswer(503, {{"error", "refused, not run"}}));
+            return;
+        }
+        const std::chrono::milliseconds latency(m_options.latencyMs);
+        const Duration delay = fault == Fault::Slow ? m_slowness : latency;
+        if (delay == Duration::zero()) {
+            run(exchange, fault);
+            return;
+        }
+        m_loop.startTimer(delay, [this, exchange, fault] { run(exchange, fault); });
+    }
+
+    void run(const std::shared_ptr<http::Exchange> &exchange, Fault fault)
+    {
+        std::string id(http::findHeader(exchange->headers(), "x-call-id"));
+        if (id.empty()) {
+            id = http::findHeader(exchange->headers(), "idempotency-key");
+        }
+        if (!http::findHeader(exchange->headers(), "authorization").empty()) {
+            ++m_keysSeen;
+        }
+        const uint64_t count = ++m_runs[id];
+        if (m_recordFile.is_open()) {
+            m_recordFile << id << std::endl;
+        }
+        if (fault == Fault::Die) {
+            std::_Exit(1);
+        }
+        if (fault == Fault::DropAnswer) {
+            exchange->abort();
+        } else if (fault == Fault::Silent) {
+            m_unanswered.push_back(exchange);
+        } else {
+            exchange->respond(jsonAnswer(200, {{"call_id", id},
+                                               {"run", count},
+                                               {"method", exchange->method()},
+                                               {"path", exchange->path()},
+                                               {"body_bytes", exchange->body().size()}}));
+        }
+    }
+
+    [[nodiscard]] http::Response runs() const
+    {
+        uint64_t total = 0;
+        uint64_t repeated = 0;
+        for (auto it = m_runs.begin(); it != m_runs.end(); ++it) {
+            total += it->second;
+            repeated += it->second > 1 ? 1 : 0;
+        }
+        return jsonAnswer(200, {{"calls", m_runs.size()},
+                                {"runs", total},
+                                {"repeated", repeated},
+                                {"refused", m_refused},
+                                {"keys_seen", m_keysSeen},
+                                {"by_call", m_runs}});
+    }
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("stand-in for a plain service");
+    ServiceOptions options;
+    app.add_option("--port", options.port, "0 for any");
+    app.add_option("--latency-ms", options.latencyMs);
+    app.add_option("--record-file", options.recordFile, "gets one line per run");
+    CLI11_PARSE(app, argc, argv);
+
+    http::EventLoop loop;
+    Service service(loop, options);
+    http::Server server(loop, {.endpoint = {.address = "127.0.0.1", .port = options.port}},
+                        [&service](const std::shared_ptr<http::Exchange> &exchange) {
+                            service.handle(exchange);
+                        });
+    const std::error_code error = server.listen();
+    if (error) {
+        std::cerr << error.message() << "\n";
+        return 1;
+    }
+    std::cout << "listening on " << server.port() << std::endl;
+    loop.run();
+    return 0;
+}
