--- /dev/null
+++ b/packages/router/include/teaseldrift/router/claim_task.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "teaseldrift/idempotency/claim_types.hpp"
+#include "teaseldrift/platform/etcd_store.hpp"
+
+namespace teaseldrift::http {
+class EventLoop;
+}
+
+namespace teaseldrift::router {
+
+/// @brief What a claim came to.
+struct ClaimAnswer
+{
+    ClaimVerdict verdict = ClaimVerdict::Refused;
+    schema::ResultCode code = schema::OK;
+    schema::KeptAnswer answer;
+    Instant sendUntil {};
+};
+
+/// @brief Claims idempotency keys in the platform's store, through a ClaimTable.
+class ClaimTask
+{
+public:
+    ClaimTask(http::EventLoop &loop, platform::EtcdStore &store, std::string storePrefix);
+    ~ClaimTask();
+    ClaimTask(const ClaimTask &) = delete;
+    ClaimTask &operator=(const ClaimTask &) = delete;
+
+    /// @brief Claims a key; `done` is called once.
+    void claim(const ClaimRequest &request, std::function<void(const ClaimAnswer &)> done);
+
+    /// @brief Records the outcome of a granted request.
+    void end(const std::string &claimId, ClaimEnd end, const schema::KeptAnswer &answer);
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+} // namespace teaseldrift::router
--- a/packages/router/include/teaseldrift/router/front.hpp
+++ b/packages/router/include/teaseldrift/router/front.hpp
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 
-#include "teaseldrift/schema/configuration.pb.h"
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/router/routing_table.hpp"
 #include "teaseldrift/schema/settings.pb.h"
 
 namespace teaseldrift::http {
@@ -12,21 +17,57 @@
 
 namespace teaseldrift::router {
 
-/// @brief Answers callers: picks a target for each request and passes its answer on.
+class AllowanceTask;
+class ClaimTask;
+class EntryBook;
+class RouterMetrics;
+class TargetPool;
+
+/// @brief The parts of a VM that the front hands requests to.
+struct FrontParts
+{
+    http::EventLoop &loop;
+    const schema::RouterSettings &settings;
+    RouterMetrics &metrics;
+    TargetPool &targets;
+    AllowanceTask &allowance;
+    ClaimTask &claims;
+    EntryBook &entries;
+    /// Seed of request ids.
+    uint64_t seed = 0;
+};
+
+/// @brief Answers callers.
+///
+/// Each request is read, authenticated, admitted against its organisation's rate, claimed if it
+/// carries an Idempotency-Key, and then handed to a RequestTask.
 class Front
 {
 public:
-    Front(http::EventLoop &loop, const schema::RouterSettings &settings);
+    explicit Front(const FrontParts &parts);
     ~Front();
     Front(const Front &) = delete;
     Front &operator=(const Front &) = delete;
 
     /// @brief Uses this configuration from now on.
-    void configure(schema::Configuration configuration);
+    void configure(std::shared_ptr<const RoutingTable> table);
+
+    /// @brief Up to when the configuration is proven to be current; keyed requests are refused
+    /// afterwards.
+    void setCurrentUntil(std::optional<Instant> currentUntil);
+
+    /// @brief Says in /readyz and /admin/status that this VM is leaving.
+    void setLeaving();
 
     /// @brief Takes over one request.
     void handle(std::shared_ptr<http::Exchange> exchange);
 
+    /// @brief Requests that have not had their final outcome.
+    [[nodiscard]] size_t openRequests() const;
+
+    /// @brief Ends all open requests, because their time at shutdown is over.
+    void shutDown();
+
 private:
     struct Native;
     std::unique_ptr<Native> m_native;
--- /dev/null
+++ b/packages/router/include/teaseldrift/router/request_log.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+#include "teaseldrift/router/request_task.hpp"
+
+namespace teaseldrift::router {
+
+/// @brief Writes the one log line of a request.
+void logOutcome(std::string_view requestId, std::string_view organisation,
+                const RequestOutcome &outcome);
+
+} // namespace teaseldrift::router
--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -83,9 +84,9 @@
     uint64_t prefillBacklogTokens = 0;
     uint32_t slots = 0;
     Instant observedAt {};
-    /// Models that the engine serves now; a model that is being loaded is missing.
-    std::vector<std::string> models;
-    std::string weightsVersion;
+    /// Weights version by model that the engine serves now; a model that is being loaded is
+    /// missing. Empty if the engine does not say.
+    std::map<std::string, std::string> models;
 };
 
 /// @brief A target to be asked for a report.
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -0,0 +1,250 @@
+#include "teaseldrift/router/allowance_task.hpp"
+
+#include <cmath>
+#include <map>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/fleet/peer_network.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/platform/etcd_store.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+using allowance::microTokensPerToken;
+using allowance::MicroTokens;
+
+MicroTokens toMicroTokens(double tokens)
+{
+    return static_cast<MicroTokens>(std::ceil(tokens * microTokensPerToken));
+}
+
+allowance::RecordWriteOutcome outcomeOf(platform::StoreOutcome outcome)
+{
+    switch (outcome) {
+    case platform::StoreOutcome::Written:
+        return allowance::RecordWriteOutcome::Written;
+    case platform::StoreOutcome::Conflict:
+        return allowance::RecordWriteOutcome::Conflict;
+    case platform::StoreOutcome::NotSent:
+        return allowance::RecordWriteOutcome::NotSent;
+    default:
+        return allowance::RecordWriteOutcome::Unknown;
+    }
+}
+
+AdmissionAnswer answerOf(const allowance::Decision &decision)
+{
+    AdmissionAnswer answer {.code = decision.code, .admissionId = decision.requestId};
+    if (decision.retryAfter > Duration::zero()) {
+        answer.retryAfter = decision.retryAfter;
+    }
+    return answer;
+}
+
+} // namespace
+
+struct AllowanceTask::Native
+{
+    using Done = std::function<void(const AdmissionAnswer &)>;
+
+    http::EventLoop &loop;
+    platform::EtcdStore &store;
+    fleet::PeerNetwork &peers;
+    std::string prefix;
+    allowance::Options options;
+    allowance::AllowanceBook book;
+    std::set<std::string> organisations;
+    /// Callers of pending questions, by organisation and request id.
+    std::map<std::pair<std::string, uint64_t>, Done> pending;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore,
+           fleet::PeerNetwork &peerNetwork, allowance::SelfView self, std::string storePrefix)
+        : loop(eventLoop), store(etcdStore), peers(peerNetwork),
+          prefix(std::move(storePrefix) + "allowance/"), book(std::move(self), options)
+    {
+    }
+
+    void perform();
+    void read(const std::string &organisation);
+    void write(const allowance::RecordWrite &write);
+    void decide(const allowance::PendingDecision &decision);
+    void scheduleTick();
+};
+
+void AllowanceTask::Native::perform()
+{
+    const allowance::Actions actions = book.takeActions();
+    for (const allowance::Outgoing &outgoing : actions.messages) {
+        schema::PeerMessage message;
+        *message.mutable_allowance() = outgoing.message;
+        peers.send(outgoing.vm, std::move(message));
+    }
+    for (const allowance::RecordRead &wanted : actions.reads) {
+        read(wanted.organisation);
+    }
+    for (const allowance::RecordWrite &wanted : actions.writes) {
+        write(wanted);
+    }
+    for (const allowance::PendingDecision &decision : actions.decisions) {
+        decide(decision);
+    }
+}
+
+void AllowanceTask::Native::read(const std::string &organisation)
+{
+    const std::string key = prefix + organisation;
+    store.readPrefix(key, [this, stillAlive = alive, organisation, key](
+                                  std::error_code error, const platform::StoreSnapshot &snapshot) {
+        if (!*stillAlive) {
+            return;
+        }
+        allowance::RecordState state {.failed = static_cast<bool>(error)};
+        for (const platform::StoreEntry &entry : snapshot.entries) {
+            schema::DivisionRecord record;
+            if (entry.key == key && record.ParseFromString(entry.value)) {
+                state.record = std::move(record);
+                state.revision = entry.revision;
+            }
+        }
+        book.onRead(organisation, state, http::EventLoop::now());
+        perform();
+    });
+}
+
+void AllowanceTask::Native::write(const allowance::RecordWrite &wanted)
+{
+    const platform::StoreWrite write {
+            .key = prefix + wanted.organisation,
+            .value = wanted.record.SerializeAsString(),
+            .expectedRevision = wanted.expectedRevision,
+    };
+    store.write({&write, 1}, [this, stillAlive = alive, organisation = wanted.organisation](
+                                     platform::StoreWriteResult result) {
+        if (!*stillAlive) {
+            return;
+        }
+        book.onWrite(organisation, outcomeOf(result.outcome), http::EventLoop::now());
+        perform();
+    });
+}
+
+void AllowanceTask::Native::decide(const allowance::PendingDecision &decision)
+{
+    const auto found = pending.find({decision.organisation, decision.decision.requestId});
+    if (found == pending.end()) {
+        return;
+    }
+    const Done done = std::move(found->second);
+    pending.erase(found);
+    done(answerOf(decision.decision));
+}
+
+void AllowanceTask::Native::scheduleTick()
+{
+    loop.startTimer(options.tickInterval, [this, stillAlive = alive] {
+        if (!*stillAlive) {
+            return;
+        }
+        book.tick(http::EventLoop::now());
+        perform();
+        scheduleTick();
+    });
+}
+
+AllowanceTask::AllowanceTask(http::EventLoop &loop, platform::EtcdStore &store,
+                             fleet::PeerNetwork &peers, allowance::SelfView self,
+                             std::string storePrefix)
+    : m_native(std::make_unique<Native>(loop, store, peers, std::move(self),
+                                        std::move(storePrefix)))
+{
+    m_native->scheduleTick();
+    Native *native = m_native.get();
+    peers.handle(schema::PeerMessage::kAllowance, [native](const schema::PeerMessage &message) {
+        native->book.onMessage(message.sender().vm_id(), message.allowance(),
+                               http::EventLoop::now());
+        native->perform();
+    });
+}
+
+AllowanceTask::~AllowanceTask()
+{
+    *m_native->alive = false;
+}
+
+void AllowanceTask::configure(const schema::Configuration &configuration)
+{
+    const Instant now = http::EventLoop::now();
+    std::set<std::string> configured;
+    for (const schema::Organisation &organisation : configuration.organisations()) {
+        configured.insert(organisation.name());
+        m_native->book.configure(organisation.name(),
+                                 allowance::limitsFromTokens(organisation.rate_tokens_per_s(),
+                                                             organisation.burst_tokens()),
+                                 now);
+    }
+    for (const std::string &organisation : m_native->organisations) {
+        if (!configured.contains(organisation)) {
+            m_native->book.remove(organisation, now);
+        }
+    }
+    m_native->organisations = std::move(configured);
+    m_native->perform();
+}
+
+void AllowanceTask::setVms(std::span<const homes::VmView> vms)
+{
+    m_native->book.setVms(vms, http::EventLoop::now());
+    m_native->perform();
+}
+
+void AllowanceTask::admit(const AdmissionRequest &request,
+                          std::function<void(const AdmissionAnswer &)> done)
+{
+    const allowance::Decision decision = m_native->book.admit(
+            request.organisation, toMicroTokens(request.tokens), http::EventLoop::now());
+    if (decision.verdict == allowance::Verdict::Pending) {
+        m_native->pending[{request.organisation, decision.requestId}] = std::move(done);
+        m_native->perform();
+        return;
+    }
+    m_native->perform();
+    done(answerOf(decision));
+}
+
+void AllowanceTask::giveBack(const std::string &organisation, uint64_t admissionId, double tokens)
+{
+    m_native->book.giveBack(organisation, admissionId,
+                            static_cast<MicroTokens>(tokens * microTokensPerToken),
+                            http::EventLoop::now());
+    m_native->perform();
+}
+
+void AllowanceTask::drain()
+{
+    m_native->book.drain(http::EventLoop::now());
+    m_native->perform();
+}
+
+std::string AllowanceTask::statusJson() const
+{
+    const Instant now = http::EventLoop::now();
+    nlohmann::json list = nlohmann::json::array();
+    for (const std::string &organisation : m_native->organisations) {
+        const double share = static_cast<double>(m_native->book.share(organisation))
+                / allowance::wholeShare;
+        list.push_back({{"name", organisation},
+                        {"share", share},
+                        {"level_tokens",
+                         static_cast<double>(m_native->book.level(organisation, now))
+                                 / microTokensPerToken},
+                        {"homes", m_native->book.members(organisation)}});
+    }
+    return list.dump();
+}
+
+} // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -0,0 +1,164 @@
+#include "teaseldrift/router/claim_task.hpp"
+
+#include <chrono>
+#include <map>
+
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/idempotency/claim_table.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+constexpr Duration expiryInterval = 100ms;
+
+ClaimWriteOutcome outcomeOf(platform::StoreOutcome outcome)
+{
+    switch (outcome) {
+    case platform::StoreOutcome::Written:
+        return ClaimWriteOutcome::Written;
+    case platform::StoreOutcome::Conflict:
+        return ClaimWriteOutcome::Conflict;
+    case platform::StoreOutcome::NotSent:
+        return ClaimWriteOutcome::NotSent;
+    default:
+        return ClaimWriteOutcome::Unknown;
+    }
+}
+
+int64_t nowUnixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+ClaimReadResult resultOf(std::error_code error, const platform::StoreSnapshot &snapshot,
+                         const std::string &key)
+{
+    ClaimReadResult result {.isAnswered = !error};
+    for (const platform::StoreEntry &entry : snapshot.entries) {
+        schema::ClaimRecord record;
+        if (entry.key == key && record.ParseFromString(entry.value)) {
+            result.record = std::move(record);
+            result.revision = entry.revision;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+struct ClaimTask::Native
+{
+    http::EventLoop &loop;
+    platform::EtcdStore &store;
+    std::string prefix;
+    ClaimTable table;
+    std::map<std::string, std::function<void(const ClaimAnswer &)>> waiting;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore, std::string storePrefix)
+        : loop(eventLoop), store(etcdStore), prefix(std::move(storePrefix))
+    {
+    }
+
+    void perform(const std::string &claimId, const ClaimStep &step);
+    void write(const std::string &claimId, platform::StoreWrite write);
+    void read(const std::string &claimId, const std::string &key);
+    void answer(const std::string &claimId, const ClaimAnswer &answer);
+    void scheduleExpiry();
+};
+
+void ClaimTask::Native::perform(const std::string &claimId, const ClaimStep &step)
+{
+    if (step.verdict.has_value()) {
+        answer(claimId, {.verdict = *step.verdict,
+                         .code = step.code,
+                         .answer = step.answer,
+                         .sendUntil = step.sendUntil});
+    }
+    if (step.read.has_value()) {
+        read(claimId, prefix + step.read->key);
+    }
+    if (step.write.has_value()) {
+        write(claimId, {.key = prefix + step.write->key,
+                        .value = step.write->record.SerializeAsString(),
+                        .expectedRevision = step.write->expectedRevision});
+    }
+    if (step.erase.has_value()) {
+        write(claimId, {.key = prefix + step.erase->key,
+                        .deletes = true,
+                        .expectedRevision = step.erase->expectedRevision});
+    }
+}
+
+void ClaimTask::Native::write(const std::string &claimId, platform::StoreWrite write)
+{
+    store.write({&write, 1}, [this, stillAlive = alive, claimId](platform::StoreWriteResult result) {
+        if (*stillAlive) {
+            perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome), result.revision,
+                                             http::EventLoop::now()));
+        }
+    });
+}
+
+void ClaimTask::Native::read(const std::string &claimId, const std::string &key)
+{
+    store.readPrefix(key, [this, stillAlive = alive, claimId, key](
+                                  std::error_code error, const platform::StoreSnapshot &snapshot) {
+        if (*stillAlive) {
+            perform(claimId, table.readDone(claimId, resultOf(error, snapshot, key),
+                                            http::EventLoop::now(), nowUnixMs()));
+        }
+    });
+}
+
+void ClaimTask::Native::answer(const std::string &claimId, const ClaimAnswer &answer)
+{
+    const auto found = waiting.find(claimId);
+    if (found == waiting.end()) {
+        return;
+    }
+    const std::function<void(const ClaimAnswer &)> done = std::move(found->second);
+    waiting.erase(found);
+    done(answer);
+}
+
+void ClaimTask::Native::scheduleExpiry()
+{
+    loop.startTimer(expiryInterval, [this, stillAlive = alive] {
+        if (!*stillAlive) {
+            return;
+        }
+        for (const std::string &claimId : table.expire(http::EventLoop::now())) {
+            answer(claimId, {.verdict = ClaimVerdict::Refused,
+                             .code = schema::IDEMPOTENCY_CLAIM_FAILED});
+        }
+        scheduleExpiry();
+    });
+}
+
+ClaimTask::ClaimTask(http::EventLoop &loop, platform::EtcdStore &store, std::string storePrefix)
+    : m_native(std::make_unique<Native>(loop, store, std::move(storePrefix)))
+{
+    m_native->scheduleExpiry();
+}
+
+ClaimTask::~ClaimTask()
+{
+    *m_native->alive = false;
+}
+
+void ClaimTask::claim(const ClaimRequest &request, std::function<void(const ClaimAnswer &)> done)
+{
+    m_native->waiting[request.claimId] = std::move(done);
+    m_native->perform(request.claimId, m_native->table.begin(request, http::EventLoop::now()));
+}
+
+void ClaimTask::end(const std::string &claimId, ClaimEnd end, const schema::KeptAnswer &answer)
+{
+    m_native->perform(claimId, m_native->table.end(claimId, end, answer, http::EventLoop::now()));
+}
+
+} // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/entry_book.cpp
@@ -0,0 +1,46 @@
+#include "teaseldrift/router/entry_book.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/homes/entry_answer.hpp"
+
+namespace teaseldrift::router {
+
+EntryBook::EntryBook(std::string availabilityZone)
+    : m_availabilityZone(std::move(availabilityZone))
+{
+}
+
+void EntryBook::setVms(std::vector<EntryVm> vms)
+{
+    m_vms = std::move(vms);
+    m_views.clear();
+    for (const EntryVm &vm : m_vms) {
+        m_views.push_back(vm.view);
+    }
+}
+
+std::string EntryBook::answerJson(std::string_view organisation, std::string_view prefix,
+                                  Duration lifetime) const
+{
+    homes::EntryQuestion question {.organisation = organisation,
+                                   .availabilityZone = m_availabilityZone};
+    if (!prefix.empty()) {
+        question.prefixRoot = rendezvousKey(prefix);
+    }
+    const homes::EntryAnswer answer =
+            homes::entryAnswer(question, m_views, {.lifetime = lifetime});
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const size_t index : answer.vms) {
+        addresses.push_back(http::toString(m_vms[index].endpoint));
+    }
+    const nlohmann::json body = {
+            {"addresses", addresses},
+            {"lifetime_ms",
+             std::chrono::duration_cast<std::chrono::milliseconds>(answer.lifetime).count()},
+    };
+    return body.dump();
+}
+
+} // namespace teaseldrift::router
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -1,11 +1,28 @@
 #include "teaseldrift/router/front.hpp"
 
+#include <array>
+#include <chrono>
+#include <map>
+#include <random>
+
 #include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
 
-#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/configuration/settings_lookup.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
+#include "teaseldrift/keys/key.hpp"
+#include "teaseldrift/router/allowance_task.hpp"
+#include "teaseldrift/router/caller_request.hpp"
+#include "teaseldrift/router/claim_task.hpp"
+#include "teaseldrift/router/entry_book.hpp"
+#include "teaseldrift/router/refusal.hpp"
+#include "teaseldrift/router/request_log.hpp"
+#include "teaseldrift/router/request_task.hpp"
+#include "teaseldrift/router/router_metrics.hpp"
 #include "teaseldrift/schema/result.hpp"
+#include "teaseldrift/telemetry/log.hpp"
 
 namespace teaseldrift::router {
 
@@ -13,98 +30,596 @@
 
 using nlohmann::json;
 
-http::Response refusal(schema::ResultCode code)
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view completionPath = "/v1/completions";
+constexpr double bytesPerToken = 4.0;
+constexpr Duration defaultsLifetime = 1s;
+
+int64_t nowUnixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+std::string hexText(std::span<const uint64_t> words)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr int bitsPerDigit = 4;
+    constexpr int digitsPerWord = 16;
+    std::string text;
+    for (const uint64_t word : words) {
+        for (int digit = digitsPerWord - 1; digit >= 0; --digit) {
+            text += digits[(word >> (digit * bitsPerDigit)) & 0xfU];
+        }
+    }
+    return text;
+}
+
+http::Response jsonResponse(std::string body, int status = 200)
 {
-    const schema::ResultInfo &info = schema::describe(code);
-    const json body = {{"error",
-                        {{"code", static_cast<int>(code)},
-                         {"type", schema::metricLabel(code)},
-                         {"message", info.message()},
-                         {"ran", info.ran() == schema::RAN_NO ? "no" : "unknown"}}}};
     return {
-            .status = static_cast<int>(info.http_status()),
+            .status = status,
             .headers = {{"content-type", "application/json"}},
-            .body = body.dump(),
+            .body = std::move(body),
     };
 }
 
-/// One request on its way through a target.
-struct Relay
+bool isSameSecret(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size()
+            && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string sha256Of(std::string_view method, std::string_view path, std::string_view body)
+{
+    const std::string text = std::string(method) + "\n" + std::string(path) + "\n"
+            + std::string(body);
+    std::string digest(SHA256_DIGEST_LENGTH, '\0');
+    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+           reinterpret_cast<unsigned char *>(digest.data()));
+    return digest;
+}
+
+/// A request between its arrival and its RequestTask.
+struct Arrival
 {
     std::shared_ptr<http::Exchange> exchange;
-    std::unique_ptr<http::Call> call;
+    std::shared_ptr<const RoutingTable> table;
+    CallerHeaders headers;
+    std::string organisation;
+    const schema::Organisation *organisationRecord = nullptr;
+    /// Path prefix of the route, or the path of a completion.
+    std::string route;
+    RequestSpec spec;
+    double tokens = 0.0;
+    uint64_t admissionId = 0;
+    /// Set while an Idempotency-Key is claimed.
+    std::string claimId;
 };
 
+schema::KeptAnswer keptAnswer(const http::Response &response)
+{
+    schema::KeptAnswer kept;
+    kept.set_status(static_cast<uint32_t>(response.status));
+    kept.set_body(response.body);
+    for (const http::Header &header : response.headers) {
+        schema::KeptHeader *keptHeader = kept.add_headers();
+        keptHeader->set_name(header.name);
+        keptHeader->set_value(header.value);
+    }
+    return kept;
+}
+
+http::Response replayOf(const schema::KeptAnswer &kept)
+{
+    http::Response response {.status = static_cast<int>(kept.status()), .body = kept.body()};
+    for (const schema::KeptHeader &header : kept.headers()) {
+        response.headers.push_back({header.name(), header.value()});
+    }
+    response.headers.push_back({"idempotent-replayed", "true"});
+    return response;
+}
+
+ClaimEnd claimEndOf(const RequestOutcome &outcome)
+{
+    if (outcome.code == schema::OK) {
+        return ClaimEnd::Answered;
+    }
+    return outcome.ran == schema::RAN_NO ? ClaimEnd::NotRun : ClaimEnd::Unknown;
+}
+
 } // namespace
 
 struct Front::Native
 {
-    http::EventLoop &loop;
+    struct CachedDefaults
+    {
+        schema::Defaults defaults;
+        Instant madeAt {};
+    };
+
+    FrontParts parts;
+    std::mt19937_64 generator;
     http::Client client;
-    schema::Configuration configuration;
-    size_t nextTarget = 0;
+    std::shared_ptr<const RoutingTable> table;
+    KeyRing keys;
+    std::optional<Instant> currentUntil;
+    std::map<std::string, CachedDefaults> defaults;
+    std::map<std::string, RetryBudget> budgets;
+    std::map<uint64_t, std::shared_ptr<RequestTask>> tasks;
+    uint64_t lastTask = 0;
+    bool leaving = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    explicit Native(const FrontParts &frontParts)
+        : parts(frontParts), generator(frontParts.seed),
+          client(frontParts.loop,
+                 {.connectTimeout = std::chrono::milliseconds(
+                          frontParts.settings.connect_timeout_ms())})
+    {
+    }
 
-    explicit Native(http::EventLoop &eventLoop) : loop(eventLoop), client(eventLoop, {}) { }
+    void refuse(const Arrival &arrival, schema::ResultCode code,
+                std::optional<Duration> retryAfter = std::nullopt);
+    bool answerOwnPaths(const std::shared_ptr<http::Exchange> &exchange, std::string_view path);
+    void answerAdmin(const std::shared_ptr<http::Exchange> &exchange, std::string_view path);
+    [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] std::string modelsJson() const;
+    void explainRoute(const std::shared_ptr<http::Exchange> &exchange);
+    void answerEntry(const std::shared_ptr<http::Exchange> &exchange);
 
-    void relay(const std::shared_ptr<http::Exchange> &exchange, const schema::Target &target);
+    [[nodiscard]] bool isCurrent() const;
+    const schema::Defaults &defaultsFor(const std::string &organisation, const std::string &route);
+    RetryBudget &budgetFor(const std::string &organisation, const schema::Defaults &defaults);
+
+    void take(const std::shared_ptr<Arrival> &arrival);
+    std::error_code route(Arrival &arrival, bool &isOpen);
+    std::error_code authenticate(Arrival &arrival, bool isOpen);
+    std::error_code readCompletion(Arrival &arrival);
+    std::error_code readPlain(Arrival &arrival);
+    void admit(const std::shared_ptr<Arrival> &arrival);
+    void claim(const std::shared_ptr<Arrival> &arrival);
+    void start(const std::shared_ptr<Arrival> &arrival);
+    void finish(const Arrival &arrival, uint64_t taskId, const RequestOutcome &outcome);
 };
 
-void Front::Native::relay(const std::shared_ptr<http::Exchange> &exchange,
-                          const schema::Target &target)
-{
-    std::shared_ptr<Relay> relay = std::make_shared<Relay>();
-    relay->exchange = exchange;
-    exchange->onGone([relay] { relay->call.reset(); });
-    relay->call = client.start(
-            {.address = target.address(), .port = static_cast<uint16_t>(target.port())},
-            {.method = std::string(exchange->method()),
-             .path = std::string(exchange->path()),
-             .headers = {{"content-type", "application/json"}},
-             .body = std::string(exchange->body())},
-            http::ConnectionUse::Pooled,
-            {
-                    .onHead =
-                            [relay](const http::ResponseHead &head) {
-                                const std::string_view type
-                                        = http::findHeader(head.headers, "content-type");
-                                relay->exchange->startStream(head.status,
-                                                             {{"content-type", std::string(type)}});
-                            },
-                    .onData = [relay](std::string_view data) { relay->exchange->write(data); },
-                    .onEnd =
-                            [relay](http::CallEnd end) {
-                                if (end == http::CallEnd::Complete) {
-                                    relay->exchange->finish();
-                                } else if (end == http::CallEnd::NotSent) {
-                                    relay->exchange->respond(refusal(schema::CONNECT_FAILED));
-                                } else {
-                                    relay->exchange->abort();
-                                }
-                            },
+void Front::Native::refuse(const Arrival &arrival, schema::ResultCode code,
+                           std::optional<Duration> retryAfter)
+{
+    parts.metrics.countResult(code);
+    telemetry::log(telemetry::LogLevel::Info, "request refused",
+                   {{"request_id", arrival.headers.requestId},
+                    {"organisation", arrival.organisation},
+                    {"result", std::to_string(code)}});
+    arrival.exchange->respond(toResponse(
+            {.code = code, .retryAfter = retryAfter, .requestId = arrival.headers.requestId}));
+}
+
+bool Front::Native::isCurrent() const
+{
+    return currentUntil.has_value() && http::EventLoop::now() <= *currentUntil;
+}
+
+std::string Front::Native::statusJson() const
+{
+    json status = {
+            {"vm_id", parts.settings.vm_id()},
+            {"availability_zone", parts.settings.availability_zone()},
+            {"revision", table == nullptr ? 0 : table->revision()},
+            {"configuration_current", isCurrent()},
+            {"leaving", leaving},
+            {"open_requests", tasks.size()},
+            {"targets", json::parse(parts.targets.statusJson())},
+            {"organisations", json::parse(parts.allowance.statusJson())},
+    };
+    return status.dump();
+}
+
+std::string Front::Native::modelsJson() const
+{
+    json models = json::array();
+    if (table != nullptr) {
+        for (const schema::Model &model : table->configuration().fleet().models()) {
+            models.push_back({{"id", model.name()},
+                              {"object", "model"},
+                              {"owned_by", "teaseldrift"}});
+        }
+    }
+    const json list = {{"object", "list"}, {"data", models}};
+    return list.dump();
+}
+
+void Front::Native::explainRoute(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const json question = json::parse(exchange->body(), nullptr, false);
+    if (!question.is_object() || !question.contains("model") || !question["model"].is_string()) {
+        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
+        return;
+    }
+    const TargetQuery query {
+            .organisation = question.value("organisation", ""),
+            .model = question["model"].get<std::string>(),
+            .prompt = question.value("prompt", ""),
+            .maxTokens = question.value("max_tokens", 0U),
+            .deadline = http::EventLoop::now() + 1min,
+    };
+    if (table == nullptr || table->findModel(query.model) == nullptr) {
+        exchange->respond(toResponse({.code = schema::UNKNOWN_MODEL}));
+        return;
+    }
+    exchange->respond(jsonResponse(parts.targets.explainJson(query)));
+}
+
+void Front::Native::answerAdmin(const std::shared_ptr<http::Exchange> &exchange,
+                                std::string_view path)
+{
+    CallerHeaders headers;
+    const std::string &token = parts.settings.admin_token();
+    if (parseHeaders(exchange->headers(), headers) || token.empty()
+        || !isSameSecret(headers.bearer, token)) {
+        exchange->respond(toResponse({.code = schema::KEY_REFUSED}));
+    } else if (path == "/admin/status") {
+        exchange->respond(jsonResponse(statusJson()));
+    } else if (path == "/admin/explain-route") {
+        explainRoute(exchange);
+    } else {
+        exchange->respond(toResponse({.code = schema::UNKNOWN_ROUTE}));
+    }
+}
+
+void Front::Native::answerEntry(const std::shared_ptr<http::Exchange> &exchange)
+{
+    CallerHeaders headers;
+    std::string organisation;
+    if (!parseHeaders(exchange->headers(), headers) && !headers.bearer.empty()) {
+        const std::optional<std::string_view> owner = keys.organisationOf(headers.bearer);
+        if (!owner.has_value()) {
+            exchange->respond(toResponse({.code = schema::KEY_REFUSED}));
+            return;
+        }
+        organisation = std::string(*owner);
+    }
+    exchange->respond(jsonResponse(parts.entries.answerJson(
+            organisation, queryValue(exchange->path(), "prefix"),
+            std::chrono::milliseconds(defaultsFor(organisation, "").entry_lifetime_ms()))));
+}
+
+/// @return whether the path is one that the router answers itself
+bool Front::Native::answerOwnPaths(const std::shared_ptr<http::Exchange> &exchange,
+                                   std::string_view path)
+{
+    constexpr int unavailable = 503;
+    if (path == "/healthz") {
+        exchange->respond({.body = "ok\n"});
+    } else if (path == "/readyz") {
+        const bool ready = table != nullptr && !leaving && isCurrent();
+        exchange->respond({.status = ready ? 200 : unavailable,
+                           .body = ready ? "ready\n" : "not ready\n"});
+    } else if (path == "/metrics") {
+        parts.metrics.figures().setGauge({"teaseldrift_open_requests"},
+                                         static_cast<double>(tasks.size()));
+        exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
+                           .body = parts.metrics.figures().text()});
+    } else if (path == "/v1/entry") {
+        answerEntry(exchange);
+    } else if (path == "/v1/models") {
+        exchange->respond(jsonResponse(modelsJson()));
+    } else if (path.starts_with("/admin/")) {
+        answerAdmin(exchange, path);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+const schema::Defaults &Front::Native::defaultsFor(const std::string &organisation,
+                                                   const std::string &route)
+{
+    const Instant now = http::EventLoop::now();
+    CachedDefaults &cached = defaults[organisation + "\n" + route];
+    if (cached.madeAt == Instant() || now - cached.madeAt > defaultsLifetime) {
+        const schema::FleetDocument none;
+        const schema::FleetDocument &fleet =
+                table == nullptr ? none : table->configuration().fleet();
+        cached = {.defaults = effective(fleet, organisation, route, nowUnixMs()), .madeAt = now};
+    }
+    return cached.defaults;
+}
+
+RetryBudget &Front::Native::budgetFor(const std::string &organisation,
+                                      const schema::Defaults &settings)
+{
+    const auto found = budgets.find(organisation);
+    if (found != budgets.end()) {
+        return found->second;
+    }
+    return budgets.emplace(organisation, RetryBudget({.ratio = settings.retry_budget()}))
+            .first->second;
+}
+
+std::error_code Front::Native::route(Arrival &arrival, bool &isOpen)
+{
+    const std::string_view path = pathOnly(arrival.exchange->path());
+    if (path == chatPath || path == completionPath) {
+        arrival.route = std::string(path);
+        arrival.spec.isCompletion = true;
+        arrival.spec.isChat = path == chatPath;
+        arrival.spec.routeClass = schema::GENERATION;
+        return arrival.exchange->method() == "POST" ? std::error_code()
+                                                    : makeError(schema::METHOD_NOT_ALLOWED);
+    }
+    const schema::Route *found = arrival.table->findRoute(path);
+    if (found == nullptr) {
+        return makeError(schema::UNKNOWN_ROUTE);
+    }
+    arrival.route = found->path_prefix();
+    arrival.spec.routeClass = found->route_class();
+    isOpen = found->open();
+    return {};
+}
+
+std::error_code Front::Native::authenticate(Arrival &arrival, bool isOpen)
+{
+    if (isOpen) {
+        return {};
+    }
+    if (arrival.headers.bearer.empty()) {
+        return makeError(schema::KEY_MISSING);
+    }
+    if (!isCurrent()) {
+        return makeError(schema::CONFIGURATION_NOT_CURRENT);
+    }
+    const std::optional<std::string_view> owner = keys.organisationOf(arrival.headers.bearer);
+    if (!owner.has_value()) {
+        return makeError(schema::KEY_REFUSED);
+    }
+    arrival.organisation = std::string(*owner);
+    arrival.organisationRecord = arrival.table->findOrganisation(arrival.organisation);
+    return arrival.organisationRecord == nullptr ? makeError(schema::KEY_REFUSED)
+                                                 : std::error_code();
+}
+
+std::error_code Front::Native::readCompletion(Arrival &arrival)
+{
+    RequestSpec &spec = arrival.spec;
+    CompletionRequest completion;
+    const std::error_code error =
+            parseCompletion(arrival.exchange->body(),
+                            {.isChat = spec.isChat,
+                             .maxOutputTokens = spec.defaults.max_output_tokens(),
+                             .cacheSalt = "organisation:" + arrival.organisation},
+                            completion);
+    if (error) {
+        return error;
+    }
+    if (arrival.table->findModel(completion.model) == nullptr) {
+        return makeError(schema::UNKNOWN_MODEL);
+    }
+    spec.streams = completion.streams;
+    spec.wantsUsage = completion.wantsUsage;
+    spec.body = std::move(completion.targetBody);
+    arrival.tokens = static_cast<double>(completion.prompt.size()) / bytesPerToken
+            + completion.maxTokens;
+    const double weight = arrival.organisationRecord->weight();
+    spec.query = std::make_shared<TargetQuery>(TargetQuery {
+            .organisation = arrival.organisation,
+            .model = std::move(completion.model),
+            .prompt = std::move(completion.prompt),
+            .maxTokens = completion.maxTokens,
+            .priority = -completion.priority,
+            .weight = weight > 0.0 ? weight : 1.0,
+            .deadline = http::EventLoop::now() + spec.deadline,
+    });
+    return {};
+}
+
+std::error_code Front::Native::readPlain(Arrival &arrival)
+{
+    RequestSpec &spec = arrival.spec;
+    const schema::Route *found = arrival.table->findRoute(pathOnly(arrival.exchange->path()));
+    spec.body = std::string(arrival.exchange->body());
+    arrival.tokens = 1.0 + static_cast<double>(spec.body.size()) / bytesPerToken;
+    spec.query = std::make_shared<TargetQuery>(TargetQuery {
+            .organisation = arrival.organisation,
+            .service = found->service(),
+            .deadline = http::EventLoop::now() + spec.deadline,
+    });
+    return {};
+}
+
+void Front::Native::take(const std::shared_ptr<Arrival> &arrival)
+{
+    if (arrival->table == nullptr) {
+        refuse(*arrival, schema::CONFIGURATION_ABSENT, 1s);
+        return;
+    }
+    bool isOpen = false;
+    std::error_code error = route(*arrival, isOpen);
+    if (!error) {
+        error = authenticate(*arrival, isOpen);
+    }
+    if (error) {
+        refuse(*arrival, schema::resultCodeOf(error));
+        return;
+    }
+    RequestSpec &spec = arrival->spec;
+    spec.requestId = arrival->headers.requestId;
+    spec.organisation = arrival->organisation;
+    spec.defaults = defaultsFor(arrival->organisation, arrival->route);
+    spec.deadline = arrival->headers.timeout.value_or(
+            std::chrono::milliseconds(spec.defaults.request_deadline_ms()));
+    spec.method = std::string(arrival->exchange->method());
+    spec.path = std::string(arrival->exchange->path());
+    spec.headers = headersForTarget(arrival->exchange->headers());
+    error = spec.isCompletion ? readCompletion(*arrival) : readPlain(*arrival);
+    if (error) {
+        refuse(*arrival, schema::resultCodeOf(error));
+        return;
+    }
+    admit(arrival);
+}
+
+void Front::Native::admit(const std::shared_ptr<Arrival> &arrival)
+{
+    if (arrival->organisation.empty()) {
+        claim(arrival);
+        return;
+    }
+    parts.allowance.admit({.organisation = arrival->organisation, .tokens = arrival->tokens},
+                          [this, stillAlive = alive, arrival](const AdmissionAnswer &answer) {
+                              if (!*stillAlive) {
+                                  return;
+                              }
+                              if (answer.code != schema::OK) {
+                                  refuse(*arrival, answer.code, answer.retryAfter);
+                                  return;
+                              }
+                              arrival->admissionId = answer.admissionId;
+                              claim(arrival);
+                          });
+}
+
+void Front::Native::claim(const std::shared_ptr<Arrival> &arrival)
+{
+    if (arrival->headers.idempotencyKey.empty()
+        || arrival->spec.routeClass != schema::NON_IDEMPOTENT) {
+        start(arrival);
+        return;
+    }
+    const std::array<uint64_t, 2> claimWords {generator(), generator()};
+    arrival->claimId = hexText(claimWords);
+    const int64_t endsUnixMs = nowUnixMs()
+            + std::chrono::duration_cast<std::chrono::milliseconds>(arrival->spec.deadline).count();
+    parts.claims.claim(
+            {.organisation = arrival->organisation,
+             .route = arrival->route,
+             .idempotencyKey = arrival->headers.idempotencyKey,
+             .requestHash = sha256Of(arrival->spec.method, arrival->spec.path, arrival->spec.body),
+             .claimId = arrival->claimId,
+             .endsUnixMs = endsUnixMs},
+            [this, stillAlive = alive, arrival](const ClaimAnswer &answer) {
+                if (!*stillAlive) {
+                    return;
+                }
+                switch (answer.verdict) {
+                case ClaimVerdict::Granted:
+                    arrival->spec.sendUntil = answer.sendUntil;
+                    start(arrival);
+                    return;
+                case ClaimVerdict::Replay:
+                    parts.metrics.countResult(schema::OK);
+                    arrival->exchange->respond(replayOf(answer.answer));
+                    return;
+                case ClaimVerdict::Refused:
+                    refuse(*arrival, answer.code);
+                    return;
+                }
+            });
+}
+
+void Front::Native::start(const std::shared_ptr<Arrival> &arrival)
+{
+    const RequestServices services {
+            .loop = parts.loop,
+            .client = client,
+            .targets = parts.targets,
+            .metrics = parts.metrics,
+            .streamBufferBytes = parts.settings.stream_buffer_bytes(),
+            .callerIdle = std::chrono::milliseconds(parts.settings.caller_idle_ms()),
+            .debugHeaders = parts.settings.debug_headers(),
+    };
+    const uint64_t taskId = ++lastTask;
+    RetryBudget &budget = budgetFor(arrival->organisation, arrival->spec.defaults);
+    budget.countRequest();
+    tasks[taskId] = RequestTask::start(
+            services, arrival->exchange, std::move(arrival->spec), budget,
+            [this, stillAlive = alive, arrival, taskId](const RequestOutcome &outcome) {
+                if (*stillAlive) {
+                    finish(*arrival, taskId, outcome);
+                }
             });
 }
 
-Front::Front(http::EventLoop &loop, const schema::RouterSettings & /*settings*/)
-    : m_native(std::make_unique<Native>(loop))
-{ }
+void Front::Native::finish(const Arrival &arrival, uint64_t taskId, const RequestOutcome &outcome)
+{
+    tasks.erase(taskId);
+    logOutcome(arrival.headers.requestId, arrival.organisation, outcome);
+    if (!arrival.claimId.empty()) {
+        parts.claims.end(arrival.claimId, claimEndOf(outcome), keptAnswer(outcome.answer));
+    }
+    double used = arrival.tokens;
+    if (outcome.usage.has_value()) {
+        used = static_cast<double>(outcome.usage->promptTokens + outcome.usage->completionTokens);
+    } else if (outcome.ran == schema::RAN_NO) {
+        used = 0.0;
+    }
+    if (used < arrival.tokens && !arrival.organisation.empty()) {
+        parts.allowance.giveBack(arrival.organisation, arrival.admissionId,
+                                 arrival.tokens - used);
+    }
+}
 
-Front::~Front() = default;
+Front::Front(const FrontParts &parts) : m_native(std::make_unique<Native>(parts)) { }
 
-void Front::configure(schema::Configuration configuration)
+Front::~Front()
 {
-    m_native->configuration = std::move(configuration);
+    *m_native->alive = false;
+}
+
+void Front::configure(std::shared_ptr<const RoutingTable> table)
+{
+    m_native->keys = KeyRing(table->configuration().organisations());
+    m_native->table = std::move(table);
+    m_native->defaults.clear();
+    m_native->parts.targets.configure(m_native->table);
+}
+
+void Front::setCurrentUntil(std::optional<Instant> currentUntil)
+{
+    m_native->currentUntil = currentUntil;
+}
+
+void Front::setLeaving()
+{
+    m_native->leaving = true;
 }
 
 void Front::handle(std::shared_ptr<http::Exchange> exchange)
 {
-    const google::protobuf::RepeatedPtrField<schema::Target> &targets
-            = m_native->configuration.targets();
-    if (targets.empty()) {
-        exchange->respond(refusal(schema::NO_TARGET));
+    const std::string path(pathOnly(exchange->path()));
+    if (m_native->answerOwnPaths(exchange, path)) {
         return;
     }
-    m_native->nextTarget = (m_native->nextTarget + 1) % static_cast<size_t>(targets.size());
-    m_native->relay(exchange, targets[static_cast<int>(m_native->nextTarget)]);
+    const std::shared_ptr<Arrival> arrival = std::make_shared<Arrival>();
+    arrival->exchange = std::move(exchange);
+    arrival->table = m_native->table;
+    const std::error_code error =
+            parseHeaders(arrival->exchange->headers(), arrival->headers);
+    if (arrival->headers.requestId.empty()) {
+        const std::array<uint64_t, 2> words {m_native->generator(), m_native->generator()};
+        arrival->headers.requestId = hexText(words);
+    }
+    if (arrival->exchange->authority().empty()) {
+        m_native->refuse(*arrival, schema::HOST_MISSING);
+    } else if (error) {
+        m_native->refuse(*arrival, schema::resultCodeOf(error));
+    } else {
+        m_native->take(arrival);
+    }
+}
+
+size_t Front::openRequests() const
+{
+    return m_native->tasks.size();
+}
+
+void Front::shutDown()
+{
+    const std::map<uint64_t, std::shared_ptr<RequestTask>> open = m_native->tasks;
+    for (auto it = open.begin(); it != open.end(); ++it) {
+        it->second->shutDown();
+    }
 }
 
 } // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -0,0 +1,172 @@
+#include "teaseldrift/router/target_poller.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/router/target_pool.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+using nlohmann::json;
+
+/// @return false if the body is no load report
+bool parseReport(const std::string &body, TargetReport &report)
+{
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("incarnation")
+        || !parsed["incarnation"].is_number_unsigned()) {
+        return false;
+    }
+    report.incarnation = parsed["incarnation"].get<uint64_t>();
+    report.running = parsed.value("running", 0U);
+    report.queued = parsed.value("queued", 0U);
+    report.slots = parsed.value("slots", 0U);
+    report.prefillBacklogTokens = parsed.value("prefill_backlog_tokens", uint64_t {0});
+    const std::chrono::milliseconds age(parsed.value("age_ms", 0U));
+    report.observedAt = http::EventLoop::now() - age;
+    for (const json &model : parsed.value("models", json::array())) {
+        if (model.is_object()) {
+            report.models[model.value("name", "")] = model.value("version", "");
+        }
+    }
+    return true;
+}
+
+struct Question
+{
+    std::unique_ptr<http::Call> call;
+    std::string body;
+    http::EventLoop::TimerId timer = 0;
+    bool isEngine = true;
+};
+
+} // namespace
+
+struct TargetPoller::Native
+{
+    http::EventLoop &loop;
+    TargetPool &targets;
+    TargetPollerOptions options;
+    http::Client client;
+    std::map<std::string, Question> questions;
+    std::deque<TargetAddress> round;
+    Instant roundStartedAt {};
+    http::EventLoop::TimerId timer = 0;
+
+    Native(http::EventLoop &eventLoop, TargetPool &pool, TargetPollerOptions pollerOptions)
+        : loop(eventLoop), targets(pool), options(pollerOptions),
+          client(eventLoop, {.connectTimeout = options.timeout,
+                             .ioTimeout = options.timeout,
+                             .keepAlive = 30s})
+    {
+    }
+
+    void step();
+    void startRound();
+    void ask(const TargetAddress &target);
+    void finish(const std::string &target, HealthEvidence evidence);
+};
+
+void TargetPoller::Native::startRound()
+{
+    const Instant now = http::EventLoop::now();
+    if (!round.empty() || now - roundStartedAt < options.interval) {
+        return;
+    }
+    roundStartedAt = now;
+    for (TargetAddress &address : targets.addresses()) {
+        if (address.isEngine) {
+            round.push_back(std::move(address));
+        }
+    }
+}
+
+void TargetPoller::Native::step()
+{
+    timer = loop.startTimer(options.spacing, [this] { step(); });
+    for (TargetAddress &probe : targets.takeProbes()) {
+        round.push_front(std::move(probe));
+    }
+    startRound();
+    if (round.empty()) {
+        return;
+    }
+    const TargetAddress next = std::move(round.front());
+    round.pop_front();
+    if (!questions.contains(next.id)) {
+        ask(next);
+    }
+}
+
+void TargetPoller::Native::ask(const TargetAddress &target)
+{
+    const std::string id = target.id;
+    Question &question = questions[id];
+    question.isEngine = target.isEngine;
+    question.timer = loop.startTimer(options.timeout, [this, id] {
+        finish(id, HealthEvidence::Silent);
+    });
+    question.call = client.start(
+            target.endpoint, {.path = target.isEngine ? "/load" : "/healthz"},
+            http::ConnectionUse::Pooled,
+            {
+                    .onHead = [](const http::ResponseHead &) { },
+                    .onData = [this, id](std::string_view data) { questions[id].body += data; },
+                    .onEnd =
+                            [this, id](http::CallEnd end) {
+                                switch (end) {
+                                case http::CallEnd::Complete:
+                                    finish(id, HealthEvidence::Answered);
+                                    return;
+                                case http::CallEnd::NotSent:
+                                    finish(id, HealthEvidence::ConnectFailed);
+                                    return;
+                                case http::CallEnd::Broken:
+                                    finish(id, HealthEvidence::Broken);
+                                    return;
+                                }
+                            },
+            });
+}
+
+void TargetPoller::Native::finish(const std::string &target, HealthEvidence evidence)
+{
+    const auto found = questions.find(target);
+    if (found == questions.end()) {
+        return;
+    }
+    const Question question = std::move(found->second);
+    questions.erase(found);
+    loop.cancelTimer(question.timer);
+    TargetReport report;
+    if (evidence == HealthEvidence::Answered && question.isEngine
+        && parseReport(question.body, report)) {
+        targets.report(target, report);
+        return;
+    }
+    targets.reportEvidence(target, evidence);
+}
+
+TargetPoller::TargetPoller(http::EventLoop &loop, TargetPool &targets,
+                           TargetPollerOptions options)
+    : m_native(std::make_unique<Native>(loop, targets, options))
+{
+    m_native->step();
+}
+
+TargetPoller::~TargetPoller()
+{
+    m_native->loop.cancelTimer(m_native->timer);
+    for (auto it = m_native->questions.begin(); it != m_native->questions.end(); ++it) {
+        m_native->loop.cancelTimer(it->second.timer);
+    }
+}
+
+} // namespace teaseldrift::router
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -42,11 +42,13 @@
 
     [[nodiscard]] bool serves(const std::string &model) const
     {
-        if (!hasReport) {
-            return true;
-        }
-        return std::find(report.models.begin(), report.models.end(), model)
-                != report.models.end();
+        return report.models.empty() || report.models.contains(model);
+    }
+
+    [[nodiscard]] std::string_view versionOf(const std::string &model) const
+    {
+        const auto found = report.models.find(model);
+        return found == report.models.end() ? std::string_view() : found->second;
     }
 };
 
@@ -132,12 +134,12 @@
     return selection;
 }
 
-placement::TargetView viewOf(const TargetState &state, bool accepting)
+placement::TargetView viewOf(const TargetState &state, const std::string &model, bool accepting)
 {
     placement::TargetView view {
             .id = state.target.id(),
             .incarnation = state.report.incarnation,
-            .weightsVersion = state.report.weightsVersion,
+            .weightsVersion = state.versionOf(model),
             .availabilityZone = state.target.availability_zone(),
             .slots = state.slots(),
             .accepting = accepting,
@@ -268,7 +270,7 @@
         const std::string &id = state->target.id();
         const bool accepting = health.isEligible(id) && !waiting.excludes(id)
                 && state->serves(waiting.query->model);
-        list.push_back(viewOf(*state, accepting));
+        list.push_back(viewOf(*state, waiting.query->model, accepting));
     }
     return list;
 }
@@ -319,7 +321,8 @@
     TargetState &state = *selection.target;
     ++state.inFlight;
     if (pool.chooser.has_value()) {
-        pool.chooser->started(ticket, waiting.view(), viewOf(state, true), choice, now);
+        pool.chooser->started(ticket, waiting.view(), viewOf(state, waiting.query->model, true),
+                              choice, now);
     }
     uses[ticket] = {.pool = name, .target = state.target.id()};
     answer(waiting.done,
@@ -562,7 +565,7 @@
                         {"running", state.report.running},
                         {"queued", state.report.queued},
                         {"incarnation", std::to_string(state.report.incarnation)},
-                        {"weights_version", state.report.weightsVersion}});
+                        {"models", state.report.models}});
     }
     return list.dump();
 }
