Declare homes and allowances: interfaces, home sets, token slice

Cause: the router needs the entry answer and the interface of the rates early. Conclusion: the lead can wire against these headers.

--- /dev/null
+++ b/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/homes/home_set.hpp"
+
+namespace teaseldrift::allowance {
+
+/// @brief The platform's list as this VM has seen it, and what it proves.
+class VmRegistry
+{
+public:
+    /// @param listLag longest age of a view
+    explicit VmRegistry(Duration listLag) : m_listLag(listLag) { }
+
+    /// @brief Takes a view that is newer than the last.
+    void update(std::span<const homes::VmView> vms, Instant now);
+
+    [[nodiscard]] std::span<const homes::VmView> vms() const { return m_vms; }
+    [[nodiscard]] bool isListed(std::string_view vm) const;
+
+    /// @brief Whether a VM has provably left the list, and so can no longer spend.
+    ///
+    /// Absence alone is no proof: the view may be older than the VM. It is one after an earlier
+    /// view showed the VM, or once the view is newer than the moment at which the VM was known.
+    /// @param knownSince when this process learned that the VM had been listed
+    [[nodiscard]] bool isGone(std::string_view vm, Instant knownSince) const;
+
+private:
+    Duration m_listLag;
+    std::vector<homes::VmView> m_vms;
+    /// The VMs that vanished last, oldest first.
+    std::vector<std::string> m_vanished;
+    Instant m_viewAt{};
+};
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/peer.cpp
@@ -0,0 +1,13 @@
+#include "teaseldrift/allowance/peer.hpp"
+
+namespace teaseldrift::allowance {
+
+void PeerAccount::restart(uint64_t newIncarnation)
+{
+    const ShareUnits stillHeld = held();
+    *this = PeerAccount{};
+    incarnation = newIncarnation;
+    carriedHeld = stillHeld;
+}
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/tokens.cpp
@@ -0,0 +1,68 @@
+#include "teaseldrift/allowance/tokens.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaseldrift::allowance {
+
+namespace {
+
+/// Products of tokens, shares and times do not fit into 64 bits.
+__extension__ using Wide = __int128;
+
+constexpr Wide unitsPerSecond = static_cast<Wide>(wholeShare) * std::micro::den;
+
+} // namespace
+
+Limits limitsFromTokens(double rateTokensPerSecond, double burstTokens)
+{
+    constexpr double perToken = microTokensPerToken;
+    return {.rate = static_cast<MicroTokens>(std::max(rateTokensPerSecond, 0.0) * perToken),
+            .burst = static_cast<MicroTokens>(std::max(burstTokens, 0.0) * perToken)};
+}
+
+MicroTokens capacityOf(const Limits &limits, ShareUnits share)
+{
+    return static_cast<MicroTokens>(static_cast<Wide>(limits.burst) * share / wholeShare);
+}
+
+ShareUnits shareHolding(const Limits &limits, MicroTokens tokens)
+{
+    if (tokens <= 0) {
+        return 0;
+    }
+    if (tokens >= limits.burst) {
+        return wholeShare;
+    }
+    const Wide scaled = static_cast<Wide>(tokens) * wholeShare;
+    return static_cast<ShareUnits>((scaled + limits.burst - 1) / limits.burst);
+}
+
+MicroTokens earned(const Limits &limits, ShareUnits share, Duration time)
+{
+    if (time <= Duration::zero()) {
+        return 0;
+    }
+    const Wide perTime = static_cast<Wide>(limits.rate) * share;
+    // A share that has idled long is full anyway; the cap keeps the product in range.
+    constexpr int64_t longest = int64_t{1'000'000} * 86'400;
+    const Wide total = perTime * std::min<int64_t>(time.count(), longest) / unitsPerSecond;
+    constexpr Wide most = int64_t{1} << 62;
+    return static_cast<MicroTokens>(std::min(total, most));
+}
+
+Duration timeToEarn(const Limits &limits, ShareUnits share, MicroTokens tokens)
+{
+    if (tokens <= 0) {
+        return Duration::zero();
+    }
+    const Wide perTime = static_cast<Wide>(limits.rate) * share;
+    if (perTime == 0) {
+        return Duration::max();
+    }
+    const Wide time = (static_cast<Wide>(tokens) * unitsPerSecond + perTime - 1) / perTime;
+    constexpr Wide longest = int64_t{1} << 62;
+    return Duration(static_cast<int64_t>(std::min(time, longest)));
+}
+
+} // namespace teaseldrift::allowance
