--- a/packages/router/include/teaseldrift/router/allowance_task.hpp
+++ b/packages/router/include/teaseldrift/router/allowance_task.hpp
@@ -40,7 +40,7 @@
     schema::ResultCode code = schema::OK;
     std::optional<Duration> retryAfter;
     /// Names an admitted request in giveBack().
-    uint64_t admissionId = 0;
+    allowance::Ticket ticket;
 };
 
 /// @brief The allowances of all organisations on this VM: an AllowanceBook with the store for its
@@ -65,7 +65,7 @@
     void admit(const AdmissionRequest &request, std::function<void(const AdmissionAnswer &)> done);
 
     /// @brief Returns tokens that an admitted request did not use; once for a request.
-    void giveBack(const std::string &organisation, uint64_t admissionId, double tokens);
+    void giveBack(const std::string &organisation, const allowance::Ticket &ticket, double tokens);
 
     /// @brief Lends everything to the other homes, before the process stops.
     void drain();
--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -75,7 +75,7 @@
 };
 
 /// @brief What a target reported of itself.
-struct TargetReport
+struct TargetLoad
 {
     /// Changes whenever the engine's cache starts empty.
     uint64_t incarnation = 0;
@@ -118,7 +118,7 @@
     void setLeaving(const std::vector<std::string> &targets);
 
     /// @brief Takes a target's report.
-    void report(const std::string &target, const TargetReport &report);
+    void report(const std::string &target, const TargetLoad &report);
 
     /// @brief Takes what a probe of a target showed.
     void reportEvidence(const std::string &target, HealthEvidence evidence);
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -38,7 +38,7 @@
 
 AdmissionAnswer answerOf(const allowance::Decision &decision)
 {
-    AdmissionAnswer answer {.code = decision.code, .admissionId = decision.requestId};
+    AdmissionAnswer answer {.code = decision.code, .ticket = decision.ticket};
     if (decision.retryAfter > Duration::zero()) {
         answer.retryAfter = decision.retryAfter;
     }
@@ -216,9 +216,10 @@
     done(answerOf(decision));
 }
 
-void AllowanceTask::giveBack(const std::string &organisation, uint64_t admissionId, double tokens)
+void AllowanceTask::giveBack(const std::string &organisation, const allowance::Ticket &ticket,
+                             double tokens)
 {
-    m_native->book.giveBack(organisation, admissionId,
+    m_native->book.giveBack(organisation, ticket,
                             static_cast<MicroTokens>(tokens * microTokensPerToken),
                             http::EventLoop::now());
     m_native->perform();
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -10,6 +10,7 @@
 #include <openssl/sha.h>
 
 #include "teaseldrift/configuration/settings_lookup.hpp"
+#include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
 #include "teaseldrift/keys/key.hpp"
@@ -93,7 +94,7 @@
     std::string route;
     RequestSpec spec;
     double tokens = 0.0;
-    uint64_t admissionId = 0;
+    allowance::Ticket ticket;
     /// Set while an Idempotency-Key is claimed.
     std::string claimId;
 };
@@ -242,7 +243,7 @@
             .model = question["model"].get<std::string>(),
             .prompt = question.value("prompt", ""),
             .maxTokens = question.value("max_tokens", 0U),
-            .deadline = http::EventLoop::now() + 1min,
+            .deadline = http::EventLoop::now() + 60s,
     };
     if (table == nullptr || table->findModel(query.model) == nullptr) {
         exchange->respond(toResponse({.code = schema::UNKNOWN_MODEL}));
@@ -475,7 +476,7 @@
                                   refuse(*arrival, answer.code, answer.retryAfter);
                                   return;
                               }
-                              arrival->admissionId = answer.admissionId;
+                              arrival->ticket = answer.ticket;
                               claim(arrival);
                           });
 }
@@ -555,7 +556,7 @@
         used = 0.0;
     }
     if (used < arrival.tokens && !arrival.organisation.empty()) {
-        parts.allowance.giveBack(arrival.organisation, arrival.admissionId,
+        parts.allowance.giveBack(arrival.organisation, arrival.ticket,
                                  arrival.tokens - used);
     }
 }
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -17,7 +17,7 @@
 using nlohmann::json;
 
 /// @return false if the body is no load report
-bool parseReport(const std::string &body, TargetReport &report)
+bool parseReport(const std::string &body, TargetLoad &report)
 {
     const json parsed = json::parse(body, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("incarnation")
@@ -145,7 +145,7 @@
     const Question question = std::move(found->second);
     questions.erase(found);
     loop.cancelTimer(question.timer);
-    TargetReport report;
+    TargetLoad report;
     if (evidence == HealthEvidence::Answered && question.isEngine
         && parseReport(question.body, report)) {
         targets.report(target, report);
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -28,7 +28,7 @@
 struct TargetState
 {
     schema::Target target;
-    TargetReport report;
+    TargetLoad report;
     bool hasReport = false;
     uint32_t inFlight = 0;
 
@@ -409,7 +409,7 @@
     }
 }
 
-void TargetPool::report(const std::string &target, const TargetReport &report)
+void TargetPool::report(const std::string &target, const TargetLoad &report)
 {
     const auto found = m_native->targets.find(target);
     if (found == m_native->targets.end()) {
--- /dev/null
+++ b/testing/processes/conversation.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+
+namespace teaseldrift::testing {
+
+/// @brief An answer as far as it arrived.
+struct Answer
+{
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    http::CallEnd end = http::CallEnd::NotSent;
+    bool ended = false;
+
+    [[nodiscard]] bool isComplete() const
+    {
+        return ended && end == http::CallEnd::Complete;
+    }
+};
+
+/// @brief A caller on a loop of its own that waits for answers.
+class Conversation
+{
+public:
+    /// @brief Sends a request and waits for the end of the answer.
+    Answer ask(const http::Endpoint &endpoint, http::Request request, Duration patience = 20s);
+
+    /// @brief Sends a request; the answer fills up while the loop runs.
+    std::shared_ptr<Answer> begin(const http::Endpoint &endpoint, http::Request request);
+
+    /// @brief Closes the connection of a request that was begun.
+    void drop(const std::shared_ptr<Answer> &answer);
+
+    /// @brief Runs the loop until a condition holds.
+    /// @return whether it held in time
+    bool waitFor(const std::function<bool()> &condition, Duration patience = 20s);
+
+    http::EventLoop &loop() { return m_loop; }
+
+private:
+    http::EventLoop m_loop;
+    http::Client m_client {m_loop, {.connectTimeout = 2s, .ioTimeout = 120s}};
+    std::map<Answer *, std::unique_ptr<http::Call>> m_calls;
+
+    void poll(const std::function<bool()> &condition, Instant deadline, bool &held);
+};
+
+} // namespace teaseldrift::testing
--- /dev/null
+++ b/testing/processes/process.cpp
@@ -0,0 +1,108 @@
+#include "processes/process.hpp"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+extern char **environ;
+
+namespace teaseldrift::testing {
+
+namespace {
+
+int exitCodeOf(int status)
+{
+    constexpr int signalBase = 128;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
+}
+
+} // namespace
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments,
+                 const std::string &errorFile)
+{
+    constexpr int readableByOwner = 0600;
+    const std::string errors = errorFile.empty() ? "/dev/null" : errorFile;
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, readableByOwner);
+    std::vector<char *> argv {const_cast<char *>(program.c_str())};
+    for (const std::string &argument : arguments) {
+        argv.push_back(const_cast<char *>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    const int result =
+            posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (result != 0) {
+        throw std::runtime_error("cannot start " + program);
+    }
+}
+
+Process::~Process()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGCONT);
+        ::kill(m_pid, SIGKILL);
+        wait();
+    }
+}
+
+Process::Process(Process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1)), m_status(other.m_status)
+{
+}
+
+Process &Process::operator=(Process &&other) noexcept
+{
+    std::swap(m_pid, other.m_pid);
+    std::swap(m_status, other.m_status);
+    return *this;
+}
+
+void Process::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+int Process::wait()
+{
+    if (m_pid > 0) {
+        ::waitpid(m_pid, &m_status, 0);
+        m_pid = -1;
+    }
+    return exitCodeOf(m_status);
+}
+
+bool Process::isRunning()
+{
+    if (m_pid > 0 && ::waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
+        m_pid = -1;
+    }
+    return m_pid > 0;
+}
+
+uint16_t freePort()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    ::close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+} // namespace teaseldrift::testing
--- /dev/null
+++ b/testing/processes/process.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace teaseldrift::testing {
+
+/// @brief A program of this project running beside a test. Killed when destroyed.
+class Process
+{
+public:
+    /// @param program path of the program
+    /// @param errorFile gets its standard error; empty discards it
+    Process(const std::string &program, const std::vector<std::string> &arguments,
+            const std::string &errorFile = {});
+    ~Process();
+    Process(Process &&other) noexcept;
+    Process &operator=(Process &&other) noexcept;
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    void signal(int number) const;
+
+    /// @brief Waits for the end.
+    /// @return the exit code, or 128 plus the signal that ended it
+    int wait();
+
+    /// @brief Whether it still runs.
+    [[nodiscard]] bool isRunning();
+
+    [[nodiscard]] pid_t pid() const { return m_pid; }
+
+private:
+    pid_t m_pid = -1;
+    int m_status = 0;
+};
+
+/// @brief A loopback port that was free a moment ago.
+uint16_t freePort();
+
+} // namespace teaseldrift::testing
