Add teaseldriftctl: edit, apply, explain, status and load

Cause: operators had no way to create organisations and keys, and nothing measured the router. Change: commands by noun over the schema's own fields, written by compare-and-swap with the change id read back after a lost answer; whole documents with diff and dry run; explain; status; and an open-loop load of nested shared prompts whose streams are checked token by token.

--- /dev/null
+++ b/packages/ctl/include/teaseldrift/load/entry_book.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/message.hpp"
+
+namespace teaseldrift::http {
+class Client;
+class EventLoop;
+} // namespace teaseldrift::http
+
+namespace teaseldrift::load {
+
+/// @brief An answer of GET /v1/entry.
+struct EntryAnswer
+{
+    std::vector<http::Endpoint> vms;
+    Duration lifetime = 10s;
+};
+
+/// @brief Reads an answer of GET /v1/entry; no VMs if it is not valid.
+EntryAnswer parseEntry(std::string_view body);
+
+/// @brief The entry VMs that one key uses, asked for again when the answer's lifetime ends.
+class EntryBook
+{
+public:
+    /// @param known VMs to ask, and to use until an answer comes
+    EntryBook(http::EventLoop &loop, http::Client &client, std::vector<http::Endpoint> known,
+              std::string key);
+    ~EntryBook();
+    EntryBook(const EntryBook &) = delete;
+    EntryBook &operator=(const EntryBook &) = delete;
+
+    /// @brief Asks a known VM now, and again whenever the lifetime has passed.
+    /// @param onFirst called once when the first answer is there or could not be had
+    void keepAsking(std::function<void()> onFirst);
+
+    /// @brief The VM for try number `attempt` of request number `request`.
+    [[nodiscard]] const http::Endpoint &choose(uint64_t request, uint32_t attempt) const;
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+} // namespace teaseldrift::load
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/ctl/change.cpp
@@ -0,0 +1,166 @@
+#include "teaseldrift/ctl/change.hpp"
+
+#include <ostream>
+#include <thread>
+
+#include <openssl/rand.h>
+
+#include "teaseldrift/configuration/acceptance.hpp"
+#include "teaseldrift/configuration/check.hpp"
+#include "teaseldrift/ctl/configuration_store.hpp"
+#include "teaseldrift/ctl/vm_admin.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+
+namespace teaseldrift::ctl {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval(100);
+
+std::string randomChangeId()
+{
+    constexpr size_t idBytes = 16;
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned char lowNibble = 15;
+    unsigned char bytes[idBytes];
+    RAND_bytes(bytes, idBytes);
+    std::string id;
+    for (const unsigned char byte : bytes) {
+        id += digits[byte >> 4U];
+        id += digits[byte & lowNibble];
+    }
+    return id;
+}
+
+http::Endpoint storeOf(const Context &context)
+{
+    http::Endpoint endpoint;
+    http::parseEndpoint(context.storeAddress, endpoint);
+    return endpoint;
+}
+
+AcceptanceReport reportOf(const VmAnswer &answer, uint64_t revision)
+{
+    VmStatus status;
+    parseStatus(answer.body, status);
+    return {
+            .vmId = http::toString(answer.vm),
+            .incarnation = status.incarnation,
+            .holds = status.revision >= revision,
+            .votes = status.votes,
+            .sentAt = answer.sentAt,
+            .receivedAt = answer.receivedAt,
+            .knownVms = status.knownVms,
+    };
+}
+
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return text;
+}
+
+/// Asks the VMs until the change is in force wherever requests could still be served.
+ExitCode waitUntilInForce(const Context &context, uint64_t revision)
+{
+    if (context.noWait || context.vmAddresses.empty()) {
+        return ExitCode::Ok;
+    }
+    const std::vector<http::Endpoint> vms = context.vms();
+    const Instant writtenAt = http::EventLoop::now();
+    AcceptanceWaiter waiter(context.vmAddresses, writtenAt,
+                            {.giveUpAfter = std::chrono::seconds(context.waitSeconds)});
+    while (true) {
+        for (const VmAnswer &answer : askVms(vms, context.adminToken, {.path = "/admin/status"})) {
+            if (answer.reached && answer.status == 200) {
+                waiter.onReport(reportOf(answer, revision));
+            }
+        }
+        const AcceptanceState state = waiter.state(http::EventLoop::now());
+        if (state == AcceptanceState::Accepted) {
+            return ExitCode::Ok;
+        }
+        if (state == AcceptanceState::Unconfirmed) {
+            return context.fail(ExitCode::Unclear, "written at revision " + std::to_string(revision)
+                                                           + ", not yet in force on "
+                                                           + joined(waiter.missing()));
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+ExitCode refuse(const Context &context, const std::vector<Problem> &problems)
+{
+    for (const Problem &problem : problems) {
+        context.fail(ExitCode::Usage, problem.where + ": " + problem.message);
+    }
+    return ExitCode::Usage;
+}
+
+ExitCode writeChanges(const Context &context, ConfigurationStore &store,
+                      const std::vector<DocumentChange> &changes, std::string_view changeId)
+{
+    const ChangeReport report = store.write(changes, changeId);
+    switch (report.result) {
+    case ChangeResult::Written:
+        return waitUntilInForce(context, report.revision);
+    case ChangeResult::Conflict:
+        return context.fail(ExitCode::Conflict,
+                            "another change came first, nothing was written; it changed:\n"
+                                    + report.winnerDiff);
+    case ChangeResult::NotSent:
+        return context.fail(ExitCode::Failure, "the store " + context.storeAddress
+                                                       + " cannot be reached, nothing was written");
+    default:
+        return context.fail(ExitCode::Unclear,
+                            "the store's answer was lost; change " + std::string(changeId)
+                                    + " may still take effect. Look with: teaseldriftctl get");
+    }
+}
+
+} // namespace
+
+ExitCode readConfiguration(const Context &context, schema::Configuration &configuration)
+{
+    ConfigurationStore store(storeOf(context), context.prefix);
+    const ConfigurationRead read = store.read();
+    if (read.error) {
+        return context.fail(ExitCode::Failure, "cannot read the store " + context.storeAddress
+                                                       + ": " + read.error.message());
+    }
+    configuration = join(read.documents);
+    return ExitCode::Ok;
+}
+
+ExitCode changeConfiguration(const Context &context, const Edit &edit, bool showsDiff)
+{
+    ConfigurationStore store(storeOf(context), context.prefix);
+    const ConfigurationRead read = store.read();
+    if (read.error) {
+        return context.fail(ExitCode::Failure, "cannot read the store " + context.storeAddress
+                                                       + ": " + read.error.message());
+    }
+    schema::Configuration wanted = join(read.documents);
+    const std::string obstacle = edit(wanted);
+    if (!obstacle.empty()) {
+        return context.fail(ExitCode::Usage, obstacle);
+    }
+    const std::vector<Problem> problems = check(wanted);
+    if (!problems.empty()) {
+        return refuse(context, problems);
+    }
+    const std::string changeId = randomChangeId();
+    const std::vector<DocumentChange> changes = plan(read.documents, wanted, changeId);
+    if (showsDiff || context.dryRun) {
+        context.out << (changes.empty() ? "no difference\n" : diffText(changes));
+    }
+    if (changes.empty() || context.dryRun) {
+        return ExitCode::Ok;
+    }
+    return writeChanges(context, store, changes, changeId);
+}
+
+} // namespace teaseldrift::ctl
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/ctl/configuration_store.cpp
@@ -0,0 +1,149 @@
+#include "teaseldrift/ctl/configuration_store.hpp"
+
+#include <chrono>
+
+#include "teaseldrift/configuration/change_outcome.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/platform/etcd_store.hpp"
+
+namespace teaseldrift::ctl {
+
+namespace {
+
+constexpr int writeTries = 3;
+constexpr int readTries = 5;
+constexpr Duration pauseBetweenTries = 300ms;
+
+platform::StoreWrite toWrite(const DocumentChange &change, const std::string &keyPrefix)
+{
+    return {
+            .key = keyPrefix + change.name,
+            .value = change.after ? change.after->SerializeAsString() : "",
+            .deletes = !change.after,
+            .expectedRevision = change.expectedRevision,
+    };
+}
+
+} // namespace
+
+struct ConfigurationStore::Native
+{
+    http::EventLoop loop;
+    platform::EtcdStore store;
+    std::string keyPrefix;
+
+    Native(http::Endpoint endpoint, const std::string &prefix)
+        : store(loop, std::move(endpoint)), keyPrefix(prefix + std::string(configurationKeyPart))
+    { }
+
+    platform::StoreWriteResult writeOnce(std::span<const DocumentChange> changes);
+    ChangeReport settle(std::span<const DocumentChange> changes, std::string_view changeId,
+                        const ConfigurationRead &read, bool wasRefused) const;
+    void pause();
+};
+
+void ConfigurationStore::Native::pause()
+{
+    loop.startTimer(pauseBetweenTries, [this] { loop.stop(); });
+    loop.run();
+}
+
+platform::StoreWriteResult
+ConfigurationStore::Native::writeOnce(std::span<const DocumentChange> changes)
+{
+    std::vector<platform::StoreWrite> writes;
+    for (const DocumentChange &change : changes) {
+        writes.push_back(toWrite(change, keyPrefix));
+    }
+    platform::StoreWriteResult result;
+    store.write(writes, [this, &result](platform::StoreWriteResult answer) {
+        result = answer;
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+ChangeReport ConfigurationStore::Native::settle(std::span<const DocumentChange> changes,
+                                                std::string_view changeId,
+                                                const ConfigurationRead &read,
+                                                bool wasRefused) const
+{
+    const ChangeResolution resolution = resolveUnclear(changes, read.documents, changeId);
+    if (resolution.outcome == ChangeOutcome::TookEffect) {
+        return {.result = ChangeResult::Written, .revision = resolution.revision};
+    }
+    if (resolution.outcome == ChangeOutcome::Overtaken || wasRefused) {
+        return {.result = ChangeResult::Conflict, .winnerDiff = resolution.winnerDiff};
+    }
+    return {.result = ChangeResult::Unclear};
+}
+
+ConfigurationStore::ConfigurationStore(http::Endpoint store, std::string prefix)
+    : m_native(std::make_unique<Native>(std::move(store), prefix))
+{ }
+
+ConfigurationStore::~ConfigurationStore() = default;
+
+ConfigurationRead ConfigurationStore::read()
+{
+    ConfigurationRead result;
+    for (int i = 0; i < readTries; ++i) {
+        if (i > 0) {
+            m_native->pause();
+        }
+        platform::StoreSnapshot snapshot;
+        m_native->store.readPrefix(
+                m_native->keyPrefix,
+                [this, &result, &snapshot](std::error_code error,
+                                           const platform::StoreSnapshot &answer) {
+                    result.error = error;
+                    snapshot = answer;
+                    m_native->loop.stop();
+                });
+        m_native->loop.run();
+        if (result.error) {
+            continue;
+        }
+        result.revision = snapshot.revision;
+        for (const platform::StoreEntry &entry : snapshot.entries) {
+            schema::VersionedDocument &document = result.documents.emplace_back();
+            document.set_name(entry.key.substr(m_native->keyPrefix.size()));
+            document.set_revision(entry.revision);
+            if (!document.mutable_document()->ParseFromString(entry.value)) {
+                result.error = std::make_error_code(std::errc::bad_message);
+            }
+        }
+        return result;
+    }
+    return result;
+}
+
+ChangeReport ConfigurationStore::write(std::span<const DocumentChange> changes,
+                                       std::string_view changeId)
+{
+    ChangeReport report{.result = ChangeResult::NotSent};
+    for (int i = 0; i < writeTries; ++i) {
+        const platform::StoreWriteResult result = m_native->writeOnce(changes);
+        if (result.outcome == platform::StoreOutcome::Written) {
+            return {.result = ChangeResult::Written, .revision = result.revision};
+        }
+        if (result.outcome == platform::StoreOutcome::NotSent) {
+            m_native->pause();
+            continue;
+        }
+        report.result = ChangeResult::Unclear;
+        const ConfigurationRead seen = read();
+        if (seen.error) {
+            continue;
+        }
+        const bool wasRefused = result.outcome == platform::StoreOutcome::Conflict;
+        report = m_native->settle(changes, changeId, seen, wasRefused);
+        if (report.result != ChangeResult::Unclear) {
+            return report;
+        }
+    }
+    return report;
+}
+
+} // namespace teaseldrift::ctl
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/ctl/document_commands.cpp
@@ -0,0 +1,73 @@
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+
+#include <CLI/CLI.hpp>
+
+#include "teaseldrift/ctl/change.hpp"
+#include "teaseldrift/ctl/commands.hpp"
+#include "teaseldrift/ctl/context.hpp"
+#include "teaseldrift/ctl/document_text.hpp"
+
+namespace teaseldrift::ctl {
+
+namespace {
+
+std::string readAll(std::istream &stream)
+{
+    return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+}
+
+ExitCode applyDocument(const Context &context, const std::string &path)
+{
+    std::ifstream file;
+    if (path != "-") {
+        file.open(path);
+        if (!file) {
+            return context.fail(ExitCode::Usage, "cannot read " + path);
+        }
+    }
+    schema::Configuration wanted;
+    const std::string problem = parseDocument(readAll(path == "-" ? std::cin : file), wanted);
+    if (!problem.empty()) {
+        return context.fail(ExitCode::Usage, path + ": " + problem);
+    }
+    constexpr bool showsDiff = true;
+    return changeConfiguration(
+            context,
+            [&wanted](schema::Configuration &configuration) {
+                keepKeys(configuration, wanted);
+                configuration = wanted;
+                return std::string();
+            },
+            showsDiff);
+}
+
+ExitCode get(const Context &context)
+{
+    schema::Configuration configuration;
+    const ExitCode code = readConfiguration(context, configuration);
+    if (code == ExitCode::Ok) {
+        context.out << printDocument(configuration);
+    }
+    return code;
+}
+
+} // namespace
+
+void addDocumentCommands(CLI::App &app, Context &context)
+{
+    CLI::App &applyCommand
+            = *app.add_subcommand("apply", "replace the whole configuration by a document");
+    const std::shared_ptr<std::string> path = std::make_shared<std::string>();
+    applyCommand.add_option("-f,--file", *path, "document, - for standard input")->required();
+    applyCommand.callback([&context, path] {
+        context.command = [&context, path] { return applyDocument(context, *path); };
+    });
+    app.add_subcommand("get", "print the whole configuration as a document")->callback([&context] {
+        context.command = [&context] { return get(context); };
+    });
+}
+
+} // namespace teaseldrift::ctl
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/load/stream_check.cpp
@@ -0,0 +1,156 @@
+#include "teaseldrift/load/stream_check.hpp"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace teaseldrift::load {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data:";
+
+std::string_view valueOf(std::string_view line, std::string_view field)
+{
+    line.remove_prefix(field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
+bool contains(std::string_view text, std::string_view part)
+{
+    return text.find(part) != std::string_view::npos;
+}
+
+/// Reads a number without parsing the whole event, since most of the time goes into this.
+uint32_t numberAfter(std::string_view data, std::string_view name)
+{
+    const size_t found = data.find(name);
+    uint32_t number = 0;
+    if (found != std::string_view::npos) {
+        const char *begin = data.data() + found + name.size();
+        std::from_chars(begin, data.data() + data.size(), number);
+    }
+    return number;
+}
+
+std::string parsedText(std::string_view data)
+{
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object() || event.value("choices", json::array()).empty()) {
+        return {};
+    }
+    const json &choice = event["choices"][0];
+    return choice.contains("text") ? choice.value("text", "")
+                                   : choice.value("delta", json::object()).value("content", "");
+}
+
+/// The generated text of an event. Escapes are rare and left to the JSON parser.
+std::string textOf(std::string_view data)
+{
+    for (const std::string_view name :
+         {std::string_view(R"("content":")"), std::string_view(R"("text":")")}) {
+        const size_t found = data.find(name);
+        if (found == std::string_view::npos) {
+            continue;
+        }
+        const std::string_view rest = data.substr(found + name.size());
+        const std::string_view text = rest.substr(0, rest.find('"'));
+        if (!contains(text, "\\")) {
+            return std::string(text);
+        }
+    }
+    return parsedText(data);
+}
+
+} // namespace
+
+uint32_t StreamCheck::feed(std::string_view data)
+{
+    const uint32_t before = m_state.tokens;
+    while (!data.empty()) {
+        const size_t end = data.find('\n');
+        if (end == std::string_view::npos) {
+            m_partial += data;
+            break;
+        }
+        if (m_partial.empty()) {
+            readLine(data.substr(0, end));
+        } else {
+            m_partial += data.substr(0, end);
+            readLine(m_partial);
+            m_partial.clear();
+        }
+        data.remove_prefix(end + 1);
+    }
+    return m_state.tokens - before;
+}
+
+bool StreamCheck::isComplete(uint32_t tokens) const
+{
+    return m_state.done && !m_state.outOfOrder && !m_state.wrongText && m_state.errorCode == 0
+           && m_state.tokens == tokens && m_partial.empty();
+}
+
+void StreamCheck::readLine(std::string_view line)
+{
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    if (line.empty()) {
+        m_position = -1;
+    } else if (line.starts_with(idField)) {
+        const std::string_view value = valueOf(line, idField);
+        std::from_chars(value.data(), value.data() + value.size(), m_position);
+    } else if (line.starts_with(dataField)) {
+        readData(valueOf(line, dataField));
+    }
+}
+
+void StreamCheck::readData(std::string_view data)
+{
+    if (m_state.done) {
+        m_state.outOfOrder = true;
+        return;
+    }
+    if (data == "[DONE]") {
+        m_state.done = true;
+        return;
+    }
+    if (contains(data, R"("error")")) {
+        const json event = json::parse(data, nullptr, false);
+        const json error = event.is_object() ? event.value("error", json()) : json();
+        m_state.errorCode = error.is_object() ? error.value("code", -1) : -1;
+        return;
+    }
+    if (contains(data, R"("usage":{)")) {
+        readUsage(data);
+    }
+    if (!contains(data, R"("choices":[])")) {
+        readToken(data);
+    }
+}
+
+void StreamCheck::readToken(std::string_view data)
+{
+    if (m_position != static_cast<int64_t>(m_state.tokens)) {
+        m_state.outOfOrder = true;
+    }
+    ++m_state.tokens;
+    if (m_expected && textOf(data) != m_expected->next()) {
+        m_state.wrongText = true;
+    }
+}
+
+void StreamCheck::readUsage(std::string_view data)
+{
+    m_state.promptTokens = numberAfter(data, R"("prompt_tokens":)");
+    m_state.cachedTokens = numberAfter(data, R"("cached_tokens":)");
+}
+
+} // namespace teaseldrift::load
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/load/stream_check_test.cpp
@@ -0,0 +1,127 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "teaseldrift/load/distribution.hpp"
+#include "teaseldrift/load/entry_book.hpp"
+#include "teaseldrift/load/stream_check.hpp"
+#include "teaseldrift/load/workload.hpp"
+
+namespace teaseldrift::load {
+
+namespace {
+
+constexpr uint32_t tokens = 6;
+
+std::string event(uint32_t position, const std::string &text)
+{
+    return "id: " + std::to_string(position) + "\ndata: {\"choices\":[{\"delta\":{\"content\":\""
+           + text + "\"}}]}\n\n";
+}
+
+std::vector<std::string> events()
+{
+    StandinText source("p");
+    std::vector<std::string> all;
+    for (uint32_t i = 0; i < tokens; ++i) {
+        all.push_back(event(i, source.next()));
+    }
+    all.emplace_back("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":8,"
+                     "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n");
+    all.emplace_back("data: [DONE]\n\n");
+    return all;
+}
+
+StreamCheck checked(const std::vector<std::string> &parts)
+{
+    StreamCheck check{StandinText("p")};
+    for (const std::string &part : parts) {
+        check.feed(part);
+    }
+    return check;
+}
+
+} // namespace
+
+TEST_CASE("a whole stream is complete however it is cut into pieces", "[fuzz]")
+{
+    REQUIRE(rc::check("pieces", [] {
+        std::string text;
+        for (const std::string &part : events()) {
+            text += part;
+        }
+        const size_t first = *rc::gen::inRange<size_t>(0, text.size());
+        const size_t second = *rc::gen::inRange<size_t>(first, text.size());
+        const StreamCheck check = checked(
+                {text.substr(0, first), text.substr(first, second - first), text.substr(second)});
+        RC_ASSERT(check.isComplete(tokens));
+        RC_ASSERT(check.state().promptTokens == 8U);
+        RC_ASSERT(check.state().cachedTokens == 4U);
+    }));
+}
+
+TEST_CASE("a stream with an event missing, doubled or swapped is not complete", "[fuzz]")
+{
+    REQUIRE(rc::check("faults", [] {
+        std::vector<std::string> parts = events();
+        const size_t index = *rc::gen::inRange<size_t>(0, tokens);
+        const int fault = *rc::gen::inRange(0, 4);
+        const auto at = parts.begin() + static_cast<std::ptrdiff_t>(index);
+        if (fault == 0) {
+            parts.erase(at);
+        } else if (fault == 1) {
+            parts.insert(at, *at);
+        } else if (fault == 2) {
+            std::swap(parts[index], parts[index + 1]);
+        } else {
+            parts.pop_back();
+        }
+        RC_ASSERT(!checked(parts).isComplete(tokens));
+    }));
+}
+
+TEST_CASE("wrong text and error events are seen")
+{
+    std::vector<std::string> parts = events();
+    parts[2] = event(2, " other");
+    CHECK(checked(parts).state().wrongText);
+    parts = events();
+    parts[3] = "event: error\ndata: {\"error\":{\"code\":3006}}\n\n";
+    CHECK(checked(parts).state().errorCode == 3006);
+}
+
+TEST_CASE("percentiles are ranks of the samples")
+{
+    Distribution distribution;
+    CHECK(distribution.percentile(50) == 0);
+    for (int i = 100; i > 0; --i) {
+        distribution.add(i);
+    }
+    CHECK(distribution.percentile(50) == 50);
+    CHECK(distribution.percentile(99) == 99);
+    CHECK(distribution.percentile(100) == 100);
+}
+
+TEST_CASE("a workload repeats with its seed and shares beginnings within an owner only")
+{
+    const WorkloadOptions options{.levels = 2, .branching = 1, .levelTokens = 8};
+    Workload first(options);
+    Workload second(options);
+    const WorkloadRequest request = first.next("a");
+    CHECK(request.body == second.next("a").body);
+    const size_t shared = std::string_view("system: ").size() + 2 * 8 * 4;
+    CHECK(first.next("a").prompt.substr(0, shared) == request.prompt.substr(0, shared));
+    CHECK(first.next("b").prompt.substr(0, shared) != request.prompt.substr(0, shared));
+}
+
+TEST_CASE("entry answers are read in both forms")
+{
+    const EntryAnswer texts = parseEntry(R"({"addresses":["127.0.0.1:1"],"lifetime_ms":700})");
+    REQUIRE(texts.vms.size() == 1);
+    CHECK(texts.lifetime == 700ms);
+    const EntryAnswer objects = parseEntry(R"({"vms":[{"address":"127.0.0.1","port":2}]})");
+    REQUIRE(objects.vms.size() == 1);
+    CHECK(objects.vms[0].port == 2);
+    CHECK(parseEntry("nonsense").vms.empty());
+}
+
+} // namespace teaseldrift::load
--- /dev/null
+++ b/packages/ctl/src/teaseldrift/load/tally.cpp
@@ -0,0 +1,156 @@
+#include "teaseldrift/load/tally.hpp"
+
+#include <cstdio>
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/ctl/table.hpp"
+#include "teaseldrift/schema/result.hpp"
+
+namespace teaseldrift::load {
+
+namespace {
+
+using nlohmann::json;
+
+std::string fixed(double value, int digits = 2)
+{
+    constexpr size_t longest = 64;
+    char text[longest];
+    std::snprintf(text, sizeof(text), "%.*f", digits, value);
+    return text;
+}
+
+std::string codeName(int code)
+{
+    return schema::ResultCode_IsValid(code)
+                   ? schema::metricLabel(static_cast<schema::ResultCode>(code))
+                   : "unnumbered";
+}
+
+json percentiles(const Distribution &distribution)
+{
+    constexpr double half = 50;
+    constexpr double most = 90;
+    constexpr double nearlyAll = 95;
+    constexpr double tail = 99;
+    constexpr double all = 100;
+    return {{"p50", distribution.percentile(half)},      {"p90", distribution.percentile(most)},
+            {"p95", distribution.percentile(nearlyAll)}, {"p99", distribution.percentile(tail)},
+            {"max", distribution.percentile(all)},       {"samples", distribution.count()}};
+}
+
+json tallyJson(const Tally &tally)
+{
+    json refused = json::object();
+    for (auto it = tally.refused.begin(); it != tally.refused.end(); ++it) {
+        refused[std::to_string(it->first)] = it->second;
+    }
+    return {
+            {"name", tally.name},
+            {"sent", tally.sent},
+            {"completed", tally.completed},
+            {"incomplete", tally.incomplete},
+            {"out_of_order", tally.outOfOrder},
+            {"wrong_text", tally.wrongText},
+            {"crossed", tally.crossed},
+            {"unknown", tally.unknown},
+            {"unreachable", tally.unreachable},
+            {"moved", tally.moved},
+            {"refused_total", tally.refusedTotal()},
+            {"refused", refused},
+            {"tokens", tally.tokens},
+            {"hit_rate", tally.hitRate()},
+            {"first_token_ms", percentiles(tally.firstTokenMs)},
+            {"between_tokens_ms", percentiles(tally.betweenTokensMs)},
+            {"total_ms", percentiles(tally.totalMs)},
+    };
+}
+
+void addTimes(ctl::Table &table, const std::string &name, const Distribution &distribution)
+{
+    const json values = percentiles(distribution);
+    table.rows.push_back({name, fixed(values["p50"]), fixed(values["p90"]), fixed(values["p95"]),
+                          fixed(values["p99"]), fixed(values["max"])});
+}
+
+std::vector<std::string> countsRow(const Tally &tally)
+{
+    return {tally.name,
+            std::to_string(tally.sent),
+            std::to_string(tally.completed),
+            std::to_string(tally.refusedTotal()),
+            std::to_string(tally.incomplete),
+            std::to_string(tally.outOfOrder),
+            std::to_string(tally.wrongText + tally.crossed),
+            std::to_string(tally.unknown),
+            std::to_string(tally.unreachable),
+            std::to_string(tally.moved),
+            fixed(tally.hitRate(), 3)};
+}
+
+} // namespace
+
+uint64_t Tally::refusedTotal() const
+{
+    uint64_t total = 0;
+    for (auto it = refused.begin(); it != refused.end(); ++it) {
+        total += it->second;
+    }
+    return total;
+}
+
+double Tally::hitRate() const
+{
+    return promptTokens == 0
+                   ? 0
+                   : static_cast<double>(cachedTokens) / static_cast<double>(promptTokens);
+}
+
+bool Tally::isSound() const
+{
+    return incomplete == 0 && outOfOrder == 0 && wrongText == 0 && crossed == 0;
+}
+
+std::string toTable(const LoadResult &result)
+{
+    ctl::Table counts{.head = {"key", "sent", "complete", "refused", "incomplete", "out of order",
+                               "wrong", "unknown", "unreachable", "moved", "hit rate"}};
+    for (const Tally &tally : result.byKey) {
+        counts.rows.push_back(countsRow(tally));
+    }
+    counts.rows.push_back(countsRow(result.all));
+    ctl::Table times{.head = {"ms", "p50", "p90", "p95", "p99", "max"}};
+    addTimes(times, "first token", result.all.firstTokenMs);
+    addTimes(times, "between tokens", result.all.betweenTokensMs);
+    addTimes(times, "whole answer", result.all.totalMs);
+    std::string text = ctl::toText(counts) + "\n" + ctl::toText(times);
+    if (!result.all.refused.empty()) {
+        ctl::Table refusals{.head = {"result code", "name", "refused"}};
+        for (auto it = result.all.refused.begin(); it != result.all.refused.end(); ++it) {
+            refusals.rows.push_back(
+                    {std::to_string(it->first), codeName(it->first), std::to_string(it->second)});
+        }
+        text += "\n" + ctl::toText(refusals);
+    }
+    text += "\n" + fixed(result.seconds) + " s, "
+            + fixed(static_cast<double>(result.all.sent) / result.seconds) + " requests/s, "
+            + fixed(static_cast<double>(result.all.tokens) / result.seconds) + " tokens/s\n";
+    return text;
+}
+
+std::string toJson(const LoadResult &result)
+{
+    constexpr int indent = 2;
+    json all = tallyJson(result.all);
+    all["seconds"] = result.seconds;
+    all["requests_per_s"] = static_cast<double>(result.all.sent) / result.seconds;
+    all["tokens_per_s"] = static_cast<double>(result.all.tokens) / result.seconds;
+    all["by_key"] = json::array();
+    for (const Tally &tally : result.byKey) {
+        all["by_key"].push_back(tallyJson(tally));
+    }
+    return all.dump(indent) + "\n";
+}
+
+} // namespace teaseldrift::load
--- /dev/null
+++ b/packages/ctl/tools/main.cpp
@@ -0,0 +1,13 @@
+/// teaseldriftctl: the operators' command line.
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "teaseldrift/ctl/command_line.hpp"
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return static_cast<int>(teaseldrift::ctl::runCommandLine(words, std::cout, std::cerr));
+}
