--- /dev/null
+++ b/bench/placement/engine_model.cpp
@@ -0,0 +1,210 @@
+#include "engine_model.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift::bench {
+
+namespace {
+
+/// Fixed time of one prompt computation.
+constexpr Duration prefillOverhead = 5ms;
+/// Part of the prompt speed that is lost to decoding when all slots run.
+constexpr double decodeInterference = 0.4;
+
+} // namespace
+
+EngineModel::EngineModel(Timeline &timeline, const Site &site, uint32_t number, EngineHooks hooks)
+    : m_timeline(timeline), m_site(site), m_hooks(std::move(hooks)),
+      m_id("engine-" + std::to_string(number)),
+      m_zone("zone-" + std::to_string(number % site.zones))
+{ }
+
+void EngineModel::submit(EngineJob job)
+{
+    if (!m_up) {
+        m_hooks.onFailed(job);
+        return;
+    }
+    for (const hashing::BlockHash &block : job.request->chain) {
+        ++m_promised[block];
+    }
+    m_active.emplace(job.attempt, job);
+    m_waiting.push_back(job);
+    startNext();
+}
+
+void EngineModel::startNext()
+{
+    if (!m_up || m_computing || m_waiting.empty() || m_running >= m_site.slots) {
+        return;
+    }
+    EngineJob job = m_waiting.front();
+    m_waiting.pop_front();
+    job.cachedBlocks = matchedBlocks(job.request->chain);
+    for (uint32_t level = job.cachedBlocks; level > 0; --level) {
+        const Lru::iterator place = m_cache.at(job.request->chain[level - 1]);
+        m_order.splice(m_order.begin(), m_order, place);
+    }
+    m_hooks.onPrefill(job);
+    m_computing = true;
+    ++m_running;
+    m_timeline.after(prefillTime(job), [this, job, incarnation = m_incarnation] {
+        if (incarnation == m_incarnation) {
+            onComputed(job);
+        }
+    });
+}
+
+Duration EngineModel::prefillTime(const EngineJob &job) const
+{
+    const double tokens = job.request->promptTokens
+                          - static_cast<double>(job.cachedBlocks) * m_site.blockTokens;
+    const double busy = static_cast<double>(m_running) / m_site.slots;
+    const double seconds
+            = tokens / (m_site.prefillTokensPerSecond * (1.0 - decodeInterference * busy));
+    return prefillOverhead
+           + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+Duration EngineModel::decodeTime(const EngineJob &job) const
+{
+    const Duration token = m_site.decodeToken + m_site.decodeTokenPerRunning * m_running;
+    return token * job.request->outputTokens;
+}
+
+void EngineModel::onComputed(EngineJob job)
+{
+    m_computing = false;
+    insert(job.request->chain);
+    for (const hashing::BlockHash &block : job.request->chain) {
+        const auto promised = m_promised.find(block);
+        if (--promised->second == 0) {
+            m_promised.erase(promised);
+        }
+    }
+    m_hooks.onFirstToken(job);
+    m_timeline.after(decodeTime(job), [this, job, incarnation = m_incarnation] {
+        if (incarnation != m_incarnation) {
+            return;
+        }
+        --m_running;
+        m_active.erase(job.attempt);
+        m_hooks.onFinished(job);
+        startNext();
+    });
+    startNext();
+}
+
+void EngineModel::insert(std::span<const hashing::BlockHash> chain)
+{
+    // The deepest block goes in first, so that a parent is always younger than its children.
+    for (size_t level = chain.size(); level > 0; --level) {
+        const hashing::BlockHash &block = chain[level - 1];
+        const auto known = m_cache.find(block);
+        if (known != m_cache.end()) {
+            m_order.splice(m_order.begin(), m_order, known->second);
+            continue;
+        }
+        m_order.push_front(block);
+        m_cache.emplace(block, m_order.begin());
+        note(placement::CacheEventKind::Stored, block);
+    }
+    while (m_order.size() > m_site.cacheBlocks) {
+        note(placement::CacheEventKind::Removed, m_order.back());
+        m_cache.erase(m_order.back());
+        m_order.pop_back();
+    }
+}
+
+void EngineModel::importBlocks(std::span<const hashing::BlockHash> chain)
+{
+    insert(chain);
+}
+
+void EngineModel::note(placement::CacheEventKind kind, const hashing::BlockHash &block)
+{
+    if (m_changes.empty() || m_changes.back().kind != kind) {
+        m_changes.push_back({.kind = kind});
+    }
+    m_changes.back().blocks.push_back(block);
+}
+
+std::vector<CacheChange> EngineModel::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+uint32_t EngineModel::matchedBlocks(std::span<const hashing::BlockHash> chain) const
+{
+    uint32_t matched = 0;
+    while (matched < chain.size() && m_cache.contains(chain[matched])) {
+        ++matched;
+    }
+    return matched;
+}
+
+uint32_t EngineModel::promisedBlocks(std::span<const hashing::BlockHash> chain) const
+{
+    uint32_t matched = 0;
+    while (matched < chain.size()
+           && (m_cache.contains(chain[matched]) || m_promised.contains(chain[matched]))) {
+        ++matched;
+    }
+    return matched;
+}
+
+placement::LoadReport EngineModel::load() const
+{
+    uint64_t backlog = 0;
+    for (const EngineJob &job : m_waiting) {
+        backlog += job.request->promptTokens
+                   - uint64_t{m_site.blockTokens} * matchedBlocks(job.request->chain);
+    }
+    return {
+            .running = m_running,
+            .queued = static_cast<uint32_t>(m_waiting.size()),
+            .prefillBacklogTokens = backlog,
+            .reportedAt = m_timeline.now(),
+    };
+}
+
+void EngineModel::emptyCache()
+{
+    m_cache.clear();
+    m_order.clear();
+    m_promised.clear();
+    m_changes.clear();
+}
+
+void EngineModel::crash()
+{
+    m_up = false;
+    ++m_incarnation;
+    m_running = 0;
+    m_computing = false;
+    m_waiting.clear();
+    emptyCache();
+    std::vector<EngineJob> lost;
+    for (const auto &[attempt, job] : m_active) {
+        lost.push_back(job);
+    }
+    m_active.clear();
+    std::ranges::sort(lost, {}, &EngineJob::attempt);
+    for (const EngineJob &job : lost) {
+        m_hooks.onFailed(job);
+    }
+}
+
+void EngineModel::comeBack()
+{
+    m_up = true;
+}
+
+void EngineModel::loadWeights(std::string version)
+{
+    emptyCache();
+    ++m_incarnation;
+    m_version = std::move(version);
+}
+
+} // namespace teaseldrift::bench
--- /dev/null
+++ b/bench/placement/timeline.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::bench {
+
+/// @brief Actions in virtual time; those of the same instant run in the order they were added.
+class Timeline
+{
+public:
+    Instant now() const { return m_now; }
+
+    void at(Instant when, std::function<void()> action)
+    {
+        m_pending.push({std::max(when, m_now), m_added++, std::move(action)});
+    }
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        at(m_now + delay, std::move(action));
+    }
+
+    void runUntil(Instant end)
+    {
+        while (!m_pending.empty() && m_pending.top().when <= end) {
+            // The queue gives const access only; the entry is removed right after.
+            Entry entry = std::move(const_cast<Entry &>(m_pending.top()));
+            m_pending.pop();
+            m_now = entry.when;
+            entry.action();
+        }
+        m_now = std::max(m_now, end);
+    }
+
+private:
+    struct Entry
+    {
+        Instant when{};
+        uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Entry &other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    Instant m_now{};
+    uint64_t m_added = 0;
+    std::priority_queue<Entry> m_pending;
+};
+
+} // namespace teaseldrift::bench
