--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -136,15 +136,15 @@
     if ((*input)->size == 0) {
         return true;
     }
-    const std::string data((*input)->bytes, (*input)->size);
-    h2o_buffer_consume(input, (*input)->size);
+    const size_t size = (*input)->size;
     const std::shared_ptr<bool> stillAlive = alive;
     inCallback = true;
-    handlers.onData(data);
+    handlers.onData({(*input)->bytes, size});
     if (!*stillAlive) {
         return false;
     }
     inCallback = false;
+    h2o_buffer_consume(input, size);
     return true;
 }
 
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 
 #include "native.hpp"
 
@@ -79,6 +80,7 @@
 {
     // Writes made outside h2o_evloop_run() complete in its next run, which must not wait then.
     bool mayWait = false;
+    m_native->thread = std::this_thread::get_id();
     while (!m_native->stopped) {
         h2o_evloop_run(m_native->loop, mayWait ? waitFor(*m_native) : 0);
         const bool handledMessages = runPosted(*m_native);
@@ -86,6 +88,7 @@
         mayWait = !handledMessages && !firedTimers;
     }
     m_native->stopped = false;
+    m_native->thread = std::thread::id();
 }
 
 void EventLoop::stop()
@@ -100,7 +103,10 @@
         const std::lock_guard<std::mutex> lock(m_native->mutex);
         m_native->posted.push_back(std::move(message));
     }
-    h2o_multithread_send_message(&m_native->receiver, nullptr);
+    // The loop's own thread looks at the messages before it waits again.
+    if (std::this_thread::get_id() != m_native->thread.load()) {
+        h2o_multithread_send_message(&m_native->receiver, nullptr);
+    }
 }
 
 EventLoop::TimerId EventLoop::startTimer(Duration delay, std::function<void()> action)
--- a/packages/http/src/teaseldrift/http/native.hpp
+++ b/packages/http/src/teaseldrift/http/native.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 extern "C" {
@@ -31,6 +32,8 @@
     std::mutex mutex;
     std::vector<std::function<void()>> posted;
     std::atomic<bool> stopped = false;
+    /// Thread inside run().
+    std::atomic<std::thread::id> thread;
     std::multimap<Instant, Timer> timers;
     std::map<TimerId, std::multimap<Instant, Timer>::iterator> timersById;
     TimerId lastTimer = 0;
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -0,0 +1,297 @@
+#include "teaseldrift/router/daemon.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include "teaseldrift/configuration/settings_lookup.hpp"
+#include "teaseldrift/fleet/configuration_task.hpp"
+#include "teaseldrift/fleet/peer_network.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
+#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/platform/http_vm_list.hpp"
+#include "teaseldrift/router/allowance_task.hpp"
+#include "teaseldrift/router/claim_task.hpp"
+#include "teaseldrift/router/entry_book.hpp"
+#include "teaseldrift/router/front.hpp"
+#include "teaseldrift/router/router_metrics.hpp"
+#include "teaseldrift/router/target_poller.hpp"
+#include "teaseldrift/router/target_pool.hpp"
+#include "teaseldrift/telemetry/log.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+constexpr Duration drainPollInterval = 20ms;
+/// Time for last answers to reach callers once all requests have ended.
+constexpr Duration lingerTime = 200ms;
+
+http::Headers resultHeaders(int status)
+{
+    constexpr int badRequest = 400;
+    constexpr int bodyTooLarge = 413;
+    if (status == bodyTooLarge) {
+        return {{"x-teaseldrift-result", std::to_string(schema::BODY_TOO_LARGE)},
+                {"x-teaseldrift-ran", "no"}};
+    }
+    if (status == badRequest) {
+        return {{"x-teaseldrift-result", std::to_string(schema::HEADER_REFUSED)},
+                {"x-teaseldrift-ran", "no"}};
+    }
+    return {};
+}
+
+http::ServerOptions serverOptions(const schema::RouterSettings &settings)
+{
+    return {
+            .endpoint = {.address = settings.caller_address(),
+                         .port = static_cast<uint16_t>(settings.caller_port())},
+            .maxBodyBytes = settings.max_body_bytes(),
+            .requestTimeout = std::chrono::milliseconds(settings.caller_idle_ms()),
+            .certificateFile = settings.tls_certificate_file(),
+            .keyFile = settings.tls_key_file(),
+            .errorHeaders = resultHeaders,
+    };
+}
+
+fleet::PeerNetworkOptions peerOptions(const schema::RouterSettings &settings, uint64_t incarnation)
+{
+    return {
+            .vmId = settings.vm_id(),
+            .incarnation = incarnation,
+            .endpoint = {.address = settings.peer_address(),
+                         .port = static_cast<uint16_t>(settings.peer_port())},
+            .publicKey = settings.peer_public_key(),
+            .secretKey = settings.peer_secret_key(),
+    };
+}
+
+http::Endpoint endpointOf(const std::string &text)
+{
+    http::Endpoint endpoint;
+    http::parseEndpoint(text, endpoint);
+    return endpoint;
+}
+
+} // namespace
+
+struct Daemon::Native
+{
+    using ConfigurationTask =
+            fleet::ConfigurationTask<platform::EtcdStore, platform::HttpVmList>;
+
+    schema::RouterSettings settings;
+    DaemonIdentity identity;
+    http::EventLoop loop;
+    RouterMetrics metrics;
+    platform::EtcdStore store;
+    platform::HttpVmList vmList;
+    fleet::PeerNetwork peers;
+    TargetPool targets;
+    EntryBook entries;
+    AllowanceTask allowance;
+    ClaimTask claims;
+    Front front;
+    http::Server server;
+    std::optional<TargetPoller> poller;
+    std::optional<ConfigurationTask> configuration;
+    std::shared_ptr<const RoutingTable> table;
+    bool stopping = false;
+    bool wasCut = false;
+    Instant stopDeadline {};
+
+    Native(schema::RouterSettings daemonSettings, DaemonIdentity daemonIdentity)
+        : settings(std::move(daemonSettings)), identity(daemonIdentity),
+          store(loop, endpointOf(settings.store_address())),
+          vmList(loop, endpointOf(settings.vm_list_address())),
+          peers(peerOptions(settings, identity.incarnation),
+                [this](std::function<void()> message) { loop.post(std::move(message)); }),
+          targets(loop, metrics, settings.availability_zone(), identity.seed),
+          entries(settings.availability_zone()),
+          allowance(loop, store, peers,
+                    {.vm = settings.vm_id(), .incarnation = identity.incarnation},
+                    settings.store_prefix()),
+          claims(loop, store, settings.store_prefix()),
+          front({.loop = loop,
+                 .settings = settings,
+                 .metrics = metrics,
+                 .targets = targets,
+                 .allowance = allowance,
+                 .claims = claims,
+                 .entries = entries,
+                 .seed = identity.seed}),
+          server(loop, serverOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) {
+              front.handle(std::move(exchange));
+          })
+    {
+    }
+
+    void startConfiguration();
+    void onConfiguration(const schema::Configuration &configuration, uint64_t revision);
+    void onMembers(std::span<const FleetVm> live, std::span<const FleetVm> known);
+    [[nodiscard]] Duration entryLifetime() const;
+    void beginStop();
+    void closeListener();
+    void awaitLastRequest();
+};
+
+void Daemon::Native::startConfiguration()
+{
+    configuration.emplace(
+            loop, store, vmList, peers,
+            fleet::ConfigurationTaskOptions {
+                    .vmId = settings.vm_id(),
+                    .incarnation = identity.incarnation,
+                    .storePrefix = settings.store_prefix(),
+                    .freshnessBound = std::chrono::milliseconds(settings.freshness_bound_ms()),
+                    .seed = identity.seed,
+            },
+            fleet::ConfigurationHandlers {
+                    .onConfiguration =
+                            [this](const schema::Configuration &newest, uint64_t revision) {
+                                onConfiguration(newest, revision);
+                            },
+                    .onCurrent =
+                            [this](std::optional<Instant> currentUntil) {
+                                front.setCurrentUntil(currentUntil);
+                            },
+                    .onMembers =
+                            [this](std::span<const FleetVm> live, std::span<const FleetVm> known) {
+                                onMembers(live, known);
+                            },
+                    .onLeavingTargets =
+                            [this](const std::vector<std::string> &leaving) {
+                                targets.setLeaving(leaving);
+                            },
+            });
+}
+
+void Daemon::Native::onConfiguration(const schema::Configuration &newest, uint64_t revision)
+{
+    table = std::make_shared<const RoutingTable>(newest, revision);
+    front.configure(table);
+    allowance.configure(newest);
+    metrics.figures().setGauge({"teaseldrift_configuration_revision"},
+                               static_cast<double>(revision));
+    telemetry::log(telemetry::LogLevel::Info, "configuration in force",
+                   {{"revision", std::to_string(revision)}});
+}
+
+void Daemon::Native::onMembers(std::span<const FleetVm> live, std::span<const FleetVm> known)
+{
+    std::vector<EntryVm> entryVms;
+    for (const FleetVm &vm : live) {
+        entryVms.push_back({.view = {.id = vm.listed.id,
+                                     .availabilityZone = vm.listed.availabilityZone},
+                            .endpoint = {.address = vm.listed.address,
+                                         .port = vm.listed.callerPort}});
+    }
+    targets.setTrafficShare(1.0 / static_cast<double>(std::max<size_t>(1, entryVms.size())));
+    entries.setVms(std::move(entryVms));
+    std::vector<homes::VmView> views;
+    for (const FleetVm &vm : known) {
+        views.push_back({.id = vm.listed.id,
+                         .availabilityZone = vm.listed.availabilityZone,
+                         .leaving = vm.state != MemberState::Live});
+    }
+    allowance.setVms(views);
+}
+
+Duration Daemon::Native::entryLifetime() const
+{
+    const schema::FleetDocument none;
+    const schema::FleetDocument &fleet =
+            table == nullptr ? none : table->configuration().fleet();
+    return std::chrono::milliseconds(effective(fleet, "", "", 0).entry_lifetime_ms());
+}
+
+void Daemon::Native::beginStop()
+{
+    if (stopping) {
+        return;
+    }
+    stopping = true;
+    stopDeadline = http::EventLoop::now()
+            + std::chrono::milliseconds(settings.shutdown_deadline_ms());
+    telemetry::log(telemetry::LogLevel::Info, "stopping");
+    front.setLeaving();
+    if (configuration.has_value()) {
+        configuration->leave();
+    }
+    // Callers hold entry answers that name this VM until their lifetime is over.
+    loop.startTimer(entryLifetime(), [this] { closeListener(); });
+}
+
+void Daemon::Native::closeListener()
+{
+    server.stopAccepting();
+    awaitLastRequest();
+}
+
+void Daemon::Native::awaitLastRequest()
+{
+    if (front.openRequests() == 0 && server.openExchanges() == 0) {
+        allowance.drain();
+        loop.startTimer(lingerTime, [this] { loop.stop(); });
+        return;
+    }
+    if (!wasCut && http::EventLoop::now() >= stopDeadline) {
+        wasCut = true;
+        telemetry::log(telemetry::LogLevel::Warn, "requests cut at shutdown",
+                       {{"open", std::to_string(front.openRequests())}});
+        front.shutDown();
+        loop.startTimer(lingerTime, [this] { loop.stop(); });
+        return;
+    }
+    loop.startTimer(drainPollInterval, [this] { awaitLastRequest(); });
+}
+
+Daemon::Daemon(schema::RouterSettings settings, DaemonIdentity identity)
+    : m_native(std::make_unique<Native>(std::move(settings), identity))
+{
+}
+
+Daemon::~Daemon() = default;
+
+std::error_code Daemon::start()
+{
+    Native &native = *m_native;
+    http::Endpoint unused;
+    if (!http::parseEndpoint(native.settings.store_address(), unused)
+        || !http::parseEndpoint(native.settings.vm_list_address(), unused)) {
+        return std::make_error_code(std::errc::invalid_argument);
+    }
+    std::error_code error = native.server.listen();
+    if (!error) {
+        error = native.peers.start();
+    }
+    if (error) {
+        return error;
+    }
+    native.startConfiguration();
+    native.poller.emplace(native.loop, native.targets);
+    telemetry::log(telemetry::LogLevel::Info, "listening",
+                   {{"caller_port", std::to_string(native.server.port())},
+                    {"peer_port", std::to_string(native.peers.port())}});
+    return {};
+}
+
+DaemonEnd Daemon::run()
+{
+    m_native->loop.run();
+    return m_native->wasCut ? DaemonEnd::Cut : DaemonEnd::Graceful;
+}
+
+void Daemon::requestStop()
+{
+    Native *native = m_native.get();
+    native->loop.post([native] { native->beginStop(); });
+}
+
+uint16_t Daemon::callerPort() const
+{
+    return m_native->server.port();
+}
+
+} // namespace teaseldrift::router
--- a/packages/router/tools/main.cpp
+++ b/packages/router/tools/main.cpp
@@ -1,13 +1,15 @@
 /// teaseldriftd: the router, one process a VM.
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <random>
+#include <thread>
 
 #include <CLI/CLI.hpp>
 
-#include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/http/server.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
-#include "teaseldrift/router/front.hpp"
+#include "teaseldrift/http/message.hpp"
+#include "teaseldrift/router/daemon.hpp"
 #include "teaseldrift/settings/settings.hpp"
 #include "teaseldrift/telemetry/log.hpp"
 
@@ -15,58 +17,65 @@
 
 using namespace teaseldrift;
 
-schema::Configuration merge(const platform::StoreSnapshot &snapshot)
+/// Exit codes; docs/OPERATIONS.md lists them.
+enum ExitCode {
+    Success = 0,
+    CannotStart = 1,
+    BadSettings = 2,
+    RequestsCut = 3,
+};
+
+uint64_t randomNumber()
 {
-    schema::Configuration configuration;
-    for (const platform::StoreEntry &entry : snapshot.entries) {
-        schema::Document document;
-        if (!document.ParseFromString(entry.value)) {
-            continue;
-        }
-        if (document.has_fleet()) {
-            *configuration.mutable_fleet() = document.fleet();
-        } else if (document.has_organisation()) {
-            *configuration.add_organisations() = document.organisation();
-        } else if (document.has_target()) {
-            *configuration.add_targets() = document.target();
-        }
+    constexpr int bits = 32;
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << bits) | device();
+}
+
+bool isEndpoint(const char *flag, const std::string &value)
+{
+    http::Endpoint endpoint;
+    if (http::parseEndpoint(value, endpoint)) {
+        return true;
     }
-    return configuration;
+    std::cerr << flag << ": '" << value << "' is not allowed; allowed: IP:port\n";
+    return false;
 }
 
-int run(const schema::RouterSettings &settings)
+/// What a single setting's range cannot express.
+bool areConsistent(const schema::RouterSettings &settings)
 {
-    http::EventLoop loop;
-    http::Endpoint storeEndpoint;
-    if (!http::parseEndpoint(settings.store_address(), storeEndpoint)) {
-        std::cerr << "--store-address: '" << settings.store_address()
-                  << "' is not allowed; allowed: IP:port\n";
-        return 2;
+    bool valid = isEndpoint("--store-address", settings.store_address());
+    valid = isEndpoint("--vm-list-address", settings.vm_list_address()) && valid;
+    if (settings.tls_certificate_file().empty() != settings.tls_key_file().empty()) {
+        std::cerr << "--tls-certificate-file and --tls-key-file: give both or none\n";
+        valid = false;
     }
-    platform::EtcdStore store(loop, storeEndpoint);
-    router::Front front(loop, settings);
-    http::Server server(loop,
-                        {.endpoint = {.address = settings.caller_address(),
-                                      .port = static_cast<uint16_t>(settings.caller_port())},
-                         .maxBodyBytes = settings.max_body_bytes()},
-                        [&front](std::shared_ptr<http::Exchange> exchange) {
-                            front.handle(std::move(exchange));
-                        });
-    const std::error_code error = server.listen();
+    if (settings.peer_public_key().empty() != settings.peer_secret_key().empty()) {
+        std::cerr << "--peer-public-key and --peer-secret-key: give both or none\n";
+        valid = false;
+    }
+    return valid;
+}
+
+int serve(const schema::RouterSettings &settings, const sigset_t &signals)
+{
+    router::Daemon daemon(settings, {.incarnation = randomNumber() | 1U, .seed = randomNumber()});
+    const std::error_code error = daemon.start();
     if (error) {
-        std::cerr << "cannot listen: " << error.message() << "\n";
-        return 1;
+        std::cerr << "cannot start: " << error.message() << "\n";
+        return CannotStart;
     }
-    telemetry::log(telemetry::LogLevel::Info, "listening",
-                   {{"port", std::to_string(server.port())}});
-    store.readPrefix(settings.store_prefix() + "config/",
-                     [&front](std::error_code readError, const platform::StoreSnapshot &snapshot) {
-                         telemetry::log(telemetry::LogLevel::Info, "configuration read",
-                                        {{"error", readError ? readError.message() : "none"}});
-                         front.configure(merge(snapshot));
-                     });
-    loop.run();
-    return 0;
+    // Further signals only repeat the request, so they cut nothing.
+    std::thread([&daemon, &signals] {
+        int number = 0;
+        while (sigwait(&signals, &number) == 0) {
+            daemon.requestStop();
+        }
+    }).detach();
+    const router::DaemonEnd end = daemon.run();
+    // Ends without destroying the daemon, which the signal thread still refers to.
+    std::_Exit(end == router::DaemonEnd::Graceful ? Success : RequestsCut);
 }
 
 } // namespace
@@ -77,14 +86,22 @@
     schema::RouterSettings settings;
     settings::addOptions(app, settings);
     CLI11_PARSE(app, argc, argv);
+    if (!areConsistent(settings)) {
+        return BadSettings;
+    }
     if (settings.print_settings()) {
         std::cout << settings::print(settings);
-        return 0;
+        return Success;
     }
     if (settings.check()) {
         std::cout << "settings are valid\n";
-        return 0;
+        return Success;
     }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     telemetry::startLog(settings.log_level());
-    return run(settings);
+    return serve(settings, signals);
 }
