--- /dev/null
+++ b/testing/processes/fleet_test.cpp
@@ -0,0 +1,161 @@
+#include <csignal>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "processes/fleet_fixture.hpp"
+#include "teaseldrift/schema/result_code.pb.h"
+
+namespace teaseldrift::testing {
+
+namespace {
+
+using nlohmann::json;
+
+std::string resultOf(const Answer &answer)
+{
+    return std::string(http::findHeader(answer.headers, "x-teaseldrift-result"));
+}
+
+uint64_t served(FleetFixture &fleet, size_t engine)
+{
+    return json::parse(fleet.caller.ask(fleet.engine(engine), {.path = "/load"}).body)
+            .value("served", uint64_t {0});
+}
+
+} // namespace
+
+TEST_CASE("a graceful stop cuts none of 200 open streams")
+{
+    constexpr size_t streams = 200;
+    constexpr uint32_t tokens = 60;
+    FleetFixture fleet({.vms = 1,
+                        .engines = 2,
+                        .engineArguments = {"--token-ms", "20", "--slots", "200"}});
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (size_t i = 0; i < streams; ++i) {
+        answers.push_back(fleet.caller.begin(
+                fleet.vm(0), fleet.completion("stream " + std::to_string(i), tokens)));
+    }
+    REQUIRE(fleet.caller.waitFor([&] {
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const std::shared_ptr<Answer> &answer) {
+                               return answer->body.size() > 100;
+                           });
+    }));
+    fleet.vmProcess(0).signal(SIGTERM);
+    fleet.vmProcess(0).signal(SIGTERM);
+    REQUIRE(fleet.caller.waitFor([&] {
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const std::shared_ptr<Answer> &answer) { return answer->ended; });
+    }));
+    size_t whole = 0;
+    for (const std::shared_ptr<Answer> &answer : answers) {
+        whole += isWholeStream(*answer, tokens) ? 1 : 0;
+    }
+    CHECK(whole == streams);
+    CHECK(fleet.vmProcess(0).wait() == 0);
+}
+
+TEST_CASE("a withdrawn key stops on every VM")
+{
+    FleetFixture fleet({.vms = 3, .engines = 1});
+    for (size_t i = 0; i < 3; ++i) {
+        REQUIRE(fleet.caller.ask(fleet.vm(i), fleet.completion("before", 2)).status == 200);
+    }
+    fleet.withdrawKey();
+    for (size_t i = 0; i < 3; ++i) {
+        CHECK(fleet.caller.waitFor([&] {
+            const Answer answer = fleet.caller.ask(fleet.vm(i), fleet.completion("after", 2));
+            return resultOf(answer) == std::to_string(schema::KEY_REFUSED);
+        }));
+    }
+}
+
+TEST_CASE("traffic goes on and a VM restarts while the store is down")
+{
+    FleetFixture fleet({.vms = 3, .engines = 1});
+    fleet.storeProcess().signal(SIGSTOP);
+    CHECK(fleet.caller.ask(fleet.vm(0), fleet.completion("paddy", 4)).status == 200);
+    fleet.vmProcess(1).signal(SIGKILL);
+    fleet.vmProcess(1).wait();
+    fleet.restartVm(1);
+    CHECK(fleet.waitReady(1));
+    // Longer than the freshness bound, so that only the peers' majority can prove it current.
+    fleet.caller.waitFor([] { return false; }, 4s);
+    for (size_t i = 0; i < 3; ++i) {
+        CAPTURE(i);
+        CHECK(isWholeStream(fleet.caller.ask(fleet.vm(i), fleet.completion("maize", 4)), 4));
+    }
+    fleet.storeProcess().signal(SIGCONT);
+}
+
+TEST_CASE("a leaving target gets no new work")
+{
+    FleetFixture fleet({.vms = 1, .engines = 2});
+    fleet.publishVms({"engine-0"});
+    uint64_t before = served(fleet, 0);
+    // The list is read every few hundred milliseconds.
+    REQUIRE(fleet.caller.waitFor([&] {
+        const json status = json::parse(
+                fleet.caller
+                        .ask(fleet.vm(0), {.path = "/admin/status",
+                                           .headers = {{"authorization", "Bearer admin"}}})
+                        .body);
+        for (const json &target : status["targets"]) {
+            if (target["id"] == "engine-0") {
+                return !target["eligible"].get<bool>();
+            }
+        }
+        return false;
+    }));
+    before = served(fleet, 0);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(isWholeStream(fleet.caller.ask(fleet.vm(0),
+                                             fleet.completion("chilli " + std::to_string(i), 2)),
+                            2));
+    }
+    CHECK(served(fleet, 0) == before);
+}
+
+TEST_CASE("an organisation gets no more than its rate and burst from all VMs together")
+{
+    constexpr double rate = 50.0;
+    constexpr double burst = 400.0;
+    FleetFixture fleet({.vms = 3, .engines = 1, .rateTokensPerS = rate, .burstTokens = burst});
+    const Instant begun = http::EventLoop::now();
+    double admitted = 0.0;
+    size_t refused = 0;
+    for (int i = 0; i < 90; ++i) {
+        const Answer answer =
+                fleet.caller.ask(fleet.vm(static_cast<size_t>(i) % 3), fleet.completion("ab", 10));
+        if (answer.status == 200) {
+            admitted += 10.0;
+        } else {
+            refused += resultOf(answer) == std::to_string(schema::RATE_EXCEEDED) ? 1 : 0;
+        }
+    }
+    const double seconds = toSeconds(http::EventLoop::now() - begun);
+    CAPTURE(seconds, refused);
+    CHECK(admitted <= burst + rate * seconds);
+    CHECK(admitted >= 100.0);
+    CHECK(refused > 0);
+}
+
+TEST_CASE("entry answers name the VMs and leave out one that stops")
+{
+    FleetFixture fleet({.vms = 3, .engines = 1, .entryLifetimeMs = 5000});
+    const http::Request question {.path = "/v1/entry",
+                                  .headers = {{"authorization", "Bearer " + fleet.key()}}};
+    const json answer = json::parse(fleet.caller.ask(fleet.vm(0), question).body);
+    CHECK(answer["addresses"].size() == 3);
+    CHECK(answer["lifetime_ms"] == 5000);
+    fleet.vmProcess(2).signal(SIGTERM);
+    const std::string leaving = http::toString(fleet.vm(2));
+    CHECK(fleet.caller.waitFor([&] {
+        const std::string body = fleet.caller.ask(fleet.vm(0), question).body;
+        return body.find(leaving) == std::string::npos;
+    }));
+}
+
+} // namespace teaseldrift::testing
--- /dev/null
+++ b/testing/processes/requests_test.cpp
@@ -0,0 +1,217 @@
+#include <csignal>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "processes/fleet_fixture.hpp"
+#include "teaseldrift/schema/result_code.pb.h"
+
+namespace teaseldrift::testing {
+
+namespace {
+
+using nlohmann::json;
+
+/// Text of a stream's events put together.
+std::string textOf(const Answer &answer)
+{
+    std::string text;
+    for (const std::string &event : eventsOf(answer.body)) {
+        const size_t dataAt = event.find("data: ");
+        const json chunk = dataAt == std::string::npos
+                ? json()
+                : json::parse(event.substr(dataAt + 6), nullptr, false);
+        if (chunk.is_object() && chunk.contains("choices") && !chunk["choices"].empty()) {
+            text += chunk["choices"][0].value("text", "");
+        }
+    }
+    return text;
+}
+
+std::string resultOf(const Answer &answer)
+{
+    return std::string(http::findHeader(answer.headers, "x-teaseldrift-result"));
+}
+
+std::string ranOf(const Answer &answer)
+{
+    return std::string(http::findHeader(answer.headers, "x-teaseldrift-ran"));
+}
+
+/// Engine that runs a request now; the number of engines if none does.
+size_t busyEngine(FleetFixture &fleet, size_t engines)
+{
+    for (size_t i = 0; i < engines; ++i) {
+        const Answer load = fleet.caller.ask(fleet.engine(i), {.path = "/load"});
+        if (json::parse(load.body).value("running", 0) > 0) {
+            return i;
+        }
+    }
+    return engines;
+}
+
+uint64_t keysSeen(FleetFixture &fleet, const http::Endpoint &target)
+{
+    return json::parse(fleet.caller.ask(target, {.path = "/runs"}).body)
+            .value("keys_seen", uint64_t {0});
+}
+
+} // namespace
+
+TEST_CASE("a stream arrives whole and no target sees the key")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1});
+    const Answer answer = fleet.caller.ask(fleet.vm(0), fleet.completion("plots of Yala", 20));
+    CHECK(answer.status == 200);
+    CHECK(isWholeStream(answer, 20));
+    CHECK(fleet.caller.ask(fleet.vm(0), fleet.call("c-1")).status == 200);
+    CHECK(fleet.runsOf("c-1") == 1);
+    CHECK(keysSeen(fleet, fleet.engine(0)) == 0);
+    CHECK(keysSeen(fleet, fleet.plainService(0)) == 0);
+}
+
+TEST_CASE("bad input is refused with its result code and does not run")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1, .vmArguments = {"--max-body-bytes", "4096"}});
+    struct BadInput
+    {
+        http::Request request;
+        schema::ResultCode code;
+    };
+    const http::Headers key {{"authorization", "Bearer " + fleet.key()}};
+    const std::string path = "/v1/completions";
+    const std::vector<BadInput> inputs {
+            {{.method = "POST", .path = path, .headers = key, .body = "{"}, schema::MALFORMED_BODY},
+            {{.method = "POST", .path = path, .headers = key,
+              .body = R"({"model":"none","prompt":"p"})"},
+             schema::UNKNOWN_MODEL},
+            {{.method = "GET", .path = "/nowhere", .headers = key}, schema::UNKNOWN_ROUTE},
+            {{.method = "POST", .path = path, .body = "{}"}, schema::KEY_MISSING},
+            {{.method = "POST", .path = path, .headers = {{"authorization", "Bearer td-x-y"}},
+              .body = "{}"},
+             schema::KEY_REFUSED},
+            {{.method = "GET", .path = path, .headers = key}, schema::METHOD_NOT_ALLOWED},
+            {{.method = "POST", .path = path, .headers = key, .body = std::string(5000, 'x')},
+             schema::BODY_TOO_LARGE},
+            {{.method = "POST", .path = path,
+              .headers = {key[0], {"x-request-timeout-ms", "soon"}}, .body = "{}"},
+             schema::DEADLINE_REFUSED},
+            {{.method = "POST", .path = path, .headers = {key[0], {"x-note", "a\x01z"}},
+              .body = "{}"},
+             schema::HEADER_REFUSED},
+    };
+    for (const BadInput &input : inputs) {
+        const Answer answer = fleet.caller.ask(fleet.vm(0), input.request);
+        CAPTURE(schema::ResultCode_Name(input.code), answer.body, answer.status);
+        CHECK(resultOf(answer) == std::to_string(input.code));
+        CHECK(ranOf(answer) == "no");
+    }
+    CHECK(fleet.caller.ask(fleet.vm(0), {.path = "/public/notice"}).status == 200);
+}
+
+TEST_CASE("a stream goes on at another target when its engine crashes")
+{
+    FleetFixture fleet({.vms = 1, .engines = 2, .engineArguments = {"--token-ms", "20"}});
+    const http::Request request = fleet.completion("weekly bill", 60);
+    const std::shared_ptr<Answer> answer = fleet.caller.begin(fleet.vm(0), request);
+    REQUIRE(fleet.caller.waitFor([&] { return eventsOf(answer->body).size() >= 5; }));
+    const size_t busy = busyEngine(fleet, 2);
+    REQUIRE(busy < 2);
+    fleet.engineProcess(busy).signal(SIGKILL);
+    REQUIRE(fleet.caller.waitFor([&] { return answer->ended; }));
+    CHECK(isWholeStream(*answer, 60));
+    const Answer undisturbed = fleet.caller.ask(fleet.engine(1 - busy), request);
+    CHECK(textOf(*answer) == textOf(undisturbed));
+}
+
+TEST_CASE("a cut stream goes on where it stopped")
+{
+    FleetFixture fleet({.vms = 1, .engines = 2});
+    fleet.setFault(fleet.engine(0), "cut_after:7");
+    fleet.setFault(fleet.engine(1), "cut_after:7");
+    const http::Request request = fleet.completion("round sheet", 20);
+    const Answer answer = fleet.caller.ask(fleet.vm(0), request);
+    fleet.setFault(fleet.engine(0), "none");
+    const Answer undisturbed = fleet.caller.ask(fleet.engine(0), request);
+    if (answer.isComplete()) {
+        CHECK(isWholeStream(answer, 20));
+        CHECK(textOf(answer) == textOf(undisturbed));
+    } else {
+        // Every attempt was cut: the caller must see that, never a clean end.
+        CHECK(answer.body.find("[DONE]") == std::string::npos);
+        CHECK(answer.body.find("event: error") != std::string::npos);
+    }
+}
+
+TEST_CASE("a silent engine is replaced")
+{
+    FleetFixture fleet({.vms = 1, .engines = 2, .engineArguments = {"--token-ms", "20"}});
+    const std::shared_ptr<Answer> answer =
+            fleet.caller.begin(fleet.vm(0), fleet.completion("holiday holds", 40));
+    REQUIRE(fleet.caller.waitFor([&] { return eventsOf(answer->body).size() >= 3; }));
+    const size_t busy = busyEngine(fleet, 2);
+    REQUIRE(busy < 2);
+    fleet.engineProcess(busy).signal(SIGSTOP);
+    CHECK(fleet.caller.waitFor([&] { return answer->ended; }));
+    CHECK(isWholeStream(*answer, 40));
+}
+
+TEST_CASE("a non-idempotent call whose answer is lost is not repeated")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1, .plainServices = 2});
+    fleet.setFault(fleet.plainService(0), "die");
+    fleet.setFault(fleet.plainService(1), "die");
+    const Answer answer = fleet.caller.ask(fleet.vm(0), fleet.call("bill-9"));
+    CHECK(resultOf(answer) == std::to_string(schema::OUTCOME_UNKNOWN));
+    CHECK(ranOf(answer) == "unknown");
+}
+
+TEST_CASE("a non-idempotent call that no target got says so truly")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1, .plainServices = 1});
+    // The connection is refused from now on.
+    fleet.setFault(fleet.plainService(0), "die");
+    fleet.caller.ask(fleet.vm(0), fleet.call("first"));
+    const Answer answer = fleet.caller.ask(fleet.vm(0), fleet.call("second"));
+    CAPTURE(answer.body);
+    CHECK(answer.status >= 500);
+    CHECK(ranOf(answer) == "no");
+}
+
+TEST_CASE("an Idempotency-Key gives one run over all VMs and replays the answer")
+{
+    FleetFixture fleet({.vms = 2, .engines = 1});
+    http::Request request = fleet.call("return-3");
+    request.headers.push_back({"idempotency-key", "k-3"});
+    const Answer first = fleet.caller.ask(fleet.vm(0), request);
+    const Answer again = fleet.caller.ask(fleet.vm(1), request);
+    CHECK(first.status == 200);
+    CHECK(again.status == 200);
+    CHECK(again.body == first.body);
+    CHECK(fleet.runsOf("return-3") == 1);
+    request.body = "{\"plot\":8}";
+    CHECK(resultOf(fleet.caller.ask(fleet.vm(1), request))
+          == std::to_string(schema::IDEMPOTENCY_KEY_REUSED));
+    CHECK(fleet.runsOf("return-3") == 1);
+}
+
+TEST_CASE("a caller that vanishes cancels its stream at the engine")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1, .engineArguments = {"--token-ms", "20"}});
+    const std::shared_ptr<Answer> answer =
+            fleet.caller.begin(fleet.vm(0), fleet.completion("long draft", 5000));
+    REQUIRE(fleet.caller.waitFor([&] { return eventsOf(answer->body).size() >= 3; }));
+    fleet.caller.drop(answer);
+    CHECK(fleet.caller.waitFor([&] { return busyEngine(fleet, 1) == 1; }));
+}
+
+TEST_CASE("a slow caller slows its engine down and gets the whole stream")
+{
+    constexpr uint32_t tokens = 20000;
+    FleetFixture fleet({.vms = 1, .engines = 1, .engineArguments = {"--token-ms", "0"}});
+    const Answer answer =
+            fleet.caller.ask(fleet.vm(0), fleet.completion("all divisions", tokens), 60s);
+    CHECK(isWholeStream(answer, tokens));
+}
+
+} // namespace teaseldrift::testing
