--- a/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
+++ b/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
@@ -23,6 +23,9 @@
     [[nodiscard]] std::span<const homes::VmView> vms() const { return m_vms; }
     [[nodiscard]] bool isListed(std::string_view vm) const;
 
+    /// @brief Zone of a listed VM, empty if it is not listed.
+    [[nodiscard]] std::string_view zoneOf(std::string_view vm) const;
+
     /// @brief Whether a VM has provably left the list, and so can no longer spend.
     ///
     /// Absence alone is no proof: the view may be older than the VM. It is one after an earlier
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/allowance_world_test.cpp
@@ -0,0 +1,430 @@
+#include "allowance_world_test.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift::allowance::world {
+
+namespace {
+
+constexpr size_t zones = 3;
+constexpr Duration step = 10ms;
+
+std::string costKey(std::string_view vm, uint64_t incarnation, uint64_t requestId)
+{
+    return std::string(vm) + "/" + std::to_string(incarnation) + "/" + std::to_string(requestId);
+}
+
+} // namespace
+
+World::World(size_t vms, bool clocksStop) : m_clocksStop(clocksStop)
+{
+    for (size_t i = 0; i < vms; ++i) {
+        const std::string vm = "vm-" + std::to_string(m_created++);
+        m_listed[vm] = "zone-" + std::to_string(i % zones);
+    }
+    publish();
+    for (const auto &[vm, zone] : m_listed) {
+        start(vm, zone);
+    }
+}
+
+void World::start(const std::string &vm, const std::string &zone)
+{
+    Process process{.book
+                    = AllowanceBook({.vm = vm, .incarnation = ++m_created}, {.listLag = listLag}),
+                    .incarnation = m_created,
+                    .zone = zone};
+    // A clock of its own: VMs do not agree on the time.
+    process.clockLag = -Duration(static_cast<int64_t>(m_created) * 1'000'000'000);
+    m_processes.erase(vm);
+    m_processes.emplace(vm, std::move(process));
+    refresh(vm, m_views.size() - 1);
+    Process &started = m_processes.at(vm);
+    started.book.configure(organisation, limits, localTime(started));
+}
+
+void World::publish()
+{
+    View view{.at = m_now};
+    for (const auto &[vm, zone] : m_listed) {
+        const bool leaving = std::find(m_leaving.begin(), m_leaving.end(), vm) != m_leaving.end();
+        view.vms.push_back({.id = vm, .availabilityZone = zone, .leaving = leaving});
+    }
+    m_views.push_back(std::move(view));
+}
+
+Instant World::localTime(const Process &process) const
+{
+    return m_now - process.clockLag;
+}
+
+Process *World::pick(size_t number, std::string &vm)
+{
+    if (m_processes.empty()) {
+        return nullptr;
+    }
+    const auto found = std::next(m_processes.begin(),
+                                 static_cast<std::ptrdiff_t>(number % m_processes.size()));
+    vm = found->first;
+    return &found->second;
+}
+
+void World::admitCount(Instant at, MicroTokens cost)
+{
+    m_admissions.push_back({at, cost});
+}
+
+void World::note(const std::string &vm, const Process &process, const Decision &decision)
+{
+    m_wronglyTooLarge = m_wronglyTooLarge || decision.code == schema::LARGER_THAN_BURST;
+    if (decision.verdict != Verdict::Admitted) {
+        return;
+    }
+    const Ticket &ticket = decision.ticket;
+    size_t admission = m_admissions.size();
+    if (ticket.vm.empty()) {
+        admitCount(m_now, ticket.cost);
+    } else {
+        admission = m_answers.at(costKey(vm, ticket.vmIncarnation, ticket.requestId));
+    }
+    m_tickets.push_back({vm, process.incarnation, decision.ticket, admission});
+}
+
+/// Takes what a book wants done. A member's decision for a guest counts when it is made.
+void World::collect(const std::string &vm)
+{
+    Process &process = m_processes.at(vm);
+    Actions actions = process.book.takeActions();
+    for (const PendingDecision &pending : actions.decisions) {
+        note(vm, process, pending.decision);
+    }
+    for (Outgoing &outgoing : actions.messages) {
+        const schema::AllowanceMessage &message = outgoing.message;
+        if (message.has_admit_request()) {
+            m_costs[costKey(vm, message.sender_incarnation(), message.admit_request().request_id())]
+                    = message.admit_request().cost();
+        }
+        if (message.has_admit_answer() && !message.admit_answer().not_member()
+            && message.admit_answer().code() == schema::OK) {
+            m_answers.emplace(costKey(outgoing.vm, message.sender_incarnation(),
+                                      message.admit_answer().request_id()),
+                              m_admissions.size());
+            admitCount(m_now, m_costs[costKey(outgoing.vm, message.receiver_incarnation(),
+                                              message.admit_answer().request_id())]);
+        }
+        m_mail.push_back({vm, outgoing.vm, std::move(outgoing.message)});
+    }
+    for (size_t i = 0; i < actions.reads.size(); ++i) {
+        m_calls.push_back({vm, process.incarnation, std::nullopt, m_record, m_revision});
+    }
+    for (RecordWrite &write : actions.writes) {
+        m_calls.push_back({vm, process.incarnation, std::move(write)});
+    }
+}
+
+void World::hand(const Letter &letter)
+{
+    const auto found = m_processes.find(letter.to);
+    if (found == m_processes.end() || found->second.paused) {
+        return;
+    }
+    found->second.book.onMessage(letter.from, letter.message, localTime(found->second));
+    collect(letter.to);
+}
+
+void World::deliver(size_t number)
+{
+    if (m_mail.empty()) {
+        return;
+    }
+    const auto chosen = m_mail.begin() + static_cast<std::ptrdiff_t>(number % m_mail.size());
+    const Letter letter = *chosen;
+    m_mail.erase(chosen);
+    hand(letter);
+}
+
+void World::drop(size_t number)
+{
+    if (!m_mail.empty()) {
+        m_mail.erase(m_mail.begin() + static_cast<std::ptrdiff_t>(number % m_mail.size()));
+    }
+}
+
+void World::duplicate(size_t number)
+{
+    if (!m_mail.empty()) {
+        m_mail.push_back(m_mail[number % m_mail.size()]);
+    }
+}
+
+void World::tickAll()
+{
+    for (auto &[vm, process] : m_processes) {
+        if (!process.paused) {
+            process.book.tick(localTime(process));
+            collect(vm);
+        }
+    }
+}
+
+/// Time passes, and everything that was sent arrives in order.
+void World::run(Duration time)
+{
+    for (const Instant end = m_now + time; m_now < end; m_now += step) {
+        tickAll();
+        for (size_t rounds = 0; rounds < 50 && !m_mail.empty(); ++rounds) {
+            for (size_t count = m_mail.size(); count > 0; --count) {
+                deliver(0);
+            }
+            for (size_t count = m_calls.size(); count > 0; --count) {
+                answerStore(0, 0);
+            }
+        }
+        for (size_t count = m_calls.size(); count > 0; --count) {
+            answerStore(0, 0);
+        }
+    }
+}
+
+void World::admit(size_t vm, MicroTokens cost)
+{
+    std::string name;
+    Process *process = pick(vm, name);
+    if (process == nullptr || process->paused) {
+        return;
+    }
+    const Decision decision = process->book.admit(organisation, cost, localTime(*process));
+    if (cost > limits.burst) {
+        return;
+    }
+    note(name, *process, decision);
+    collect(name);
+}
+
+void World::giveBack(size_t number, MicroTokens unused)
+{
+    if (m_tickets.empty()) {
+        return;
+    }
+    const auto chosen = m_tickets.begin() + static_cast<std::ptrdiff_t>(number % m_tickets.size());
+    const OpenTicket open = *chosen;
+    m_tickets.erase(chosen);
+    const auto found = m_processes.find(open.vm);
+    if (found == m_processes.end() || found->second.incarnation != open.incarnation
+        || found->second.paused) {
+        return;
+    }
+    const MicroTokens returned = std::min(unused, open.ticket.cost);
+    found->second.book.giveBack(organisation, open.ticket, returned, localTime(found->second));
+    m_admissions[open.admission].net -= returned;
+    collect(open.vm);
+}
+
+void World::pause(size_t vm)
+{
+    std::string name;
+    Process *process = pick(vm, name);
+    if (process == nullptr || process->paused) {
+        return;
+    }
+    process->paused = true;
+    if (m_clocksStop) {
+        process->clockLag = process->clockLag - (m_now - Instant{});
+    }
+}
+
+void World::resume(size_t vm)
+{
+    std::string name;
+    Process *process = pick(vm, name);
+    if (process == nullptr || !process->paused) {
+        return;
+    }
+    process->paused = false;
+    if (m_clocksStop) {
+        process->clockLag = process->clockLag + (m_now - Instant{});
+    }
+}
+
+void World::stop(const std::string &vm)
+{
+    m_processes.erase(vm);
+}
+
+void World::kill(size_t vm)
+{
+    std::string name;
+    if (pick(vm, name) != nullptr && m_processes.size() > 1) {
+        stop(name);
+    }
+}
+
+void World::replace(size_t vm)
+{
+    const auto found
+            = std::next(m_listed.begin(), static_cast<std::ptrdiff_t>(vm % m_listed.size()));
+    start(found->first, found->second);
+}
+
+void World::replaceElsewhere(size_t vm)
+{
+    const auto found
+            = std::next(m_listed.begin(), static_cast<std::ptrdiff_t>(vm % m_listed.size()));
+    const std::string zone = found->second;
+    stop(found->first);
+    m_listed.erase(found);
+    const std::string name = "vm-" + std::to_string(m_created++);
+    m_listed[name] = zone;
+    publish();
+    start(name, zone);
+}
+
+void World::drain(size_t vm)
+{
+    std::string name;
+    Process *process = pick(vm, name);
+    if (process == nullptr || process->paused || m_leaving.size() + 2 > m_listed.size()) {
+        return;
+    }
+    m_leaving.push_back(name);
+    publish();
+    process->book.drain(localTime(*process));
+    collect(name);
+}
+
+/// Shows a VM a view that is at most the lag old and no older than its last one.
+void World::refreshList(size_t vm, size_t lag)
+{
+    std::string name;
+    Process *process = pick(vm, name);
+    if (process == nullptr || process->paused) {
+        return;
+    }
+    size_t oldest = process->viewIndex;
+    while (oldest + 1 < m_views.size() && m_views[oldest + 1].at + listLag <= m_now) {
+        ++oldest;
+    }
+    refresh(name, m_views.size() - 1 - lag % (m_views.size() - oldest));
+}
+
+void World::refresh(const std::string &vm, size_t viewIndex)
+{
+    Process &process = m_processes.at(vm);
+    process.viewIndex = viewIndex;
+    process.book.setVms(m_views[viewIndex].vms, localTime(process));
+    collect(vm);
+}
+
+bool World::apply(const RecordWrite &write)
+{
+    if (write.expectedRevision != m_revision) {
+        return false;
+    }
+    m_record = write.record;
+    ++m_revision;
+    return true;
+}
+
+/// 0 answers truly, 1 loses the answer after the effect, 2 loses the call, 3 reports an unknown
+/// outcome while the call is still under way, 4 answers a read with what it saw when it was sent.
+void World::answerStore(size_t number, size_t how)
+{
+    if (m_calls.empty()) {
+        return;
+    }
+    const auto chosen = m_calls.begin() + static_cast<std::ptrdiff_t>(number % m_calls.size());
+    const StoreCall call = *chosen;
+    m_calls.erase(chosen);
+    how = m_storeDown ? 2 : how % 5;
+    RecordWriteOutcome outcome = RecordWriteOutcome::Unknown;
+    if (call.write.has_value() && (how < 2 || how == 4)) {
+        const bool written = apply(*call.write);
+        outcome = written ? RecordWriteOutcome::Written : RecordWriteOutcome::Conflict;
+    }
+    if (call.write.has_value() && how == 3) {
+        m_calls.push_back({.write = call.write});
+    }
+    const auto found = m_processes.find(call.vm);
+    if (found == m_processes.end() || found->second.incarnation != call.incarnation
+        || found->second.paused) {
+        return;
+    }
+    Process &process = found->second;
+    const Instant now = localTime(process);
+    if (call.write.has_value()) {
+        const bool isLost = how == 1 || how == 2 || how == 3;
+        process.book.onWrite(organisation, isLost ? RecordWriteOutcome::Unknown : outcome, now);
+    } else if (how == 4) {
+        process.book.onRead(organisation, {.record = call.seen, .revision = call.seenRevision},
+                            now);
+    } else {
+        process.book.onRead(organisation,
+                            {.failed = how != 0, .record = m_record, .revision = m_revision}, now);
+    }
+    collect(call.vm);
+}
+
+void World::heal()
+{
+    m_storeDown = false;
+    for (const auto &[vm, zone] : m_listed) {
+        if (m_processes.find(vm) == m_processes.end()) {
+            start(vm, zone);
+        }
+    }
+    for (size_t vm = 0; vm < m_processes.size(); ++vm) {
+        resume(vm);
+    }
+    // The list is published again and again, so views grow younger than the lag.
+    constexpr size_t rounds = 8;
+    for (size_t round = 0; round < rounds; ++round) {
+        for (size_t vm = 0; vm < m_processes.size(); ++vm) {
+            refreshList(vm, 0);
+        }
+        run(3s);
+    }
+}
+
+bool World::canAdmitBurst()
+{
+    const size_t before = m_admissions.size();
+    for (size_t vm = 0; vm < m_processes.size(); ++vm) {
+        admit(vm, limits.burst);
+        run(1s);
+        if (m_admissions.size() > before) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string World::violation() const
+{
+    // Tokens that the whole bucket lacks after each admission: never more than the burst.
+    MicroTokens debt = 0;
+    Instant last{};
+    for (const Admission &admission : m_admissions) {
+        const MicroTokens growth = limits.rate / 1'000'000 * (admission.at - last).count();
+        debt = std::max<MicroTokens>(0, debt - growth) + admission.net;
+        last = admission.at;
+        if (debt > limits.burst) {
+            return "tokens over the rate: " + std::to_string(debt - limits.burst);
+        }
+    }
+    // A transfer applied twice, or a share used by two, shows in the sums.
+    int64_t share = 0;
+    MicroTokens level = 0;
+    for (const auto &[vm, process] : m_processes) {
+        share += process.book.share(organisation);
+        level += process.book.level(organisation, localTime(process));
+    }
+    if (share > wholeShare) {
+        return "shares sum to more than one";
+    }
+    if (level > limits.burst) {
+        return "levels sum to more than the burst";
+    }
+    return m_wronglyTooLarge ? "called larger than the burst without being so" : "";
+}
+
+} // namespace teaseldrift::allowance::world
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/allowance_world_test.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "teaseldrift/allowance/allowance_book.hpp"
+
+namespace teaseldrift::allowance::world {
+
+constexpr std::string_view organisation = "kinloch-baird";
+
+/// @brief One admission as the oracle sees it, at the moment when a member decided it.
+struct Admission
+{
+    Instant at{};
+    MicroTokens net = 0;
+};
+
+/// @brief One process on one VM. Its clock may stop while it is paused.
+struct Process
+{
+    AllowanceBook book;
+    uint64_t incarnation = 0;
+    std::string zone;
+    bool paused = false;
+    Duration clockLag{0};
+    size_t viewIndex = 0;
+};
+
+struct Letter
+{
+    std::string from;
+    std::string to;
+    schema::AllowanceMessage message;
+};
+
+struct View
+{
+    Instant at{};
+    std::vector<homes::VmView> vms;
+};
+
+struct StoreCall
+{
+    std::string vm;
+    uint64_t incarnation = 0;
+    std::optional<RecordWrite> write;
+    /// What a read saw that was executed at once and answered late.
+    std::optional<schema::DivisionRecord> seen;
+    uint64_t seenRevision = 0;
+};
+
+struct OpenTicket
+{
+    std::string vm;
+    uint64_t incarnation = 0;
+    Ticket ticket;
+    size_t admission = 0;
+};
+
+/// @brief Several books, a mailbox, a store and a list under an adversary's control.
+class World
+{
+public:
+    World(size_t vms, bool clocksStop);
+
+    // The adversary's moves. Numbers are taken modulo what there is.
+    void run(Duration time);
+    void skip(Duration time) { m_now += time; }
+    void deliver(size_t number);
+    void drop(size_t number);
+    void duplicate(size_t number);
+    void admit(size_t vm, MicroTokens cost);
+    void giveBack(size_t number, MicroTokens unused);
+    void pause(size_t vm);
+    void resume(size_t vm);
+    void kill(size_t vm);
+    void replace(size_t vm);
+    void replaceElsewhere(size_t vm);
+    void drain(size_t vm);
+    void refreshList(size_t vm, size_t lag);
+    void setStoreDown(bool down) { m_storeDown = down; }
+    void answerStore(size_t number, size_t how);
+    void heal();
+
+    /// @brief Checks every promise; the text names the one that is broken.
+    [[nodiscard]] std::string violation() const;
+    /// @brief Whether some VM admits a request of the whole burst within a second.
+    bool canAdmitBurst();
+    [[nodiscard]] size_t admissions() const { return m_admissions.size(); }
+
+    static constexpr Duration listLag = 5s;
+    Limits limits = limitsFromTokens(1000, 4000);
+
+private:
+    Instant m_now{};
+    bool m_clocksStop;
+    bool m_storeDown = false;
+    size_t m_created = 0;
+    std::map<std::string, Process> m_processes;
+    std::map<std::string, std::string> m_listed;
+    std::vector<std::string> m_leaving;
+    std::vector<View> m_views;
+    std::deque<Letter> m_mail;
+    std::deque<StoreCall> m_calls;
+    std::optional<schema::DivisionRecord> m_record;
+    uint64_t m_revision = 0;
+    std::vector<Admission> m_admissions;
+    std::vector<OpenTicket> m_tickets;
+    std::map<std::string, MicroTokens> m_costs;
+    /// Admissions that members made for guests.
+    std::map<std::string, size_t> m_answers;
+    bool m_wronglyTooLarge = false;
+
+    void start(const std::string &vm, const std::string &zone);
+    void publish();
+    Process *pick(size_t number, std::string &vm);
+    [[nodiscard]] Instant localTime(const Process &process) const;
+    void collect(const std::string &vm);
+    void note(const std::string &vm, const Process &process, const Decision &decision);
+    void admitCount(Instant at, MicroTokens cost);
+    void stop(const std::string &vm);
+    void refresh(const std::string &vm, size_t viewIndex);
+    bool apply(const RecordWrite &write);
+    void hand(const Letter &letter);
+    void tickAll();
+};
+
+} // namespace teaseldrift::allowance::world
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -0,0 +1,304 @@
+#include <algorithm>
+
+#include "organisation_allowance.hpp"
+
+namespace teaseldrift::allowance {
+
+namespace {
+
+constexpr Duration fenceTimeout = 2s;
+constexpr Duration storeTimeout = 5s;
+
+schema::DivisionMember *findMember(schema::DivisionRecord &record, std::string_view vm)
+{
+    for (schema::DivisionMember &member : *record.mutable_members()) {
+        if (member.vm_id() == vm) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+schema::DivisionMember &memberOf(schema::DivisionRecord &record, std::string_view vm)
+{
+    schema::DivisionMember *found = findMember(record, vm);
+    if (found != nullptr) {
+        return *found;
+    }
+    schema::DivisionMember &added = *record.add_members();
+    added.set_vm_id(std::string(vm));
+    return added;
+}
+
+/// Gives free units to the homes that have least, up to equal parts; the rest to the first.
+void distribute(schema::DivisionRecord &record, std::span<const std::string> homes, ShareUnits free)
+{
+    const ShareUnits target = wholeShare / static_cast<ShareUnits>(homes.size());
+    for (const std::string &home : homes) {
+        schema::DivisionMember &member = memberOf(record, home);
+        const ShareUnits missing = target - std::min(target, member.base_units());
+        const ShareUnits added = std::min(missing, free);
+        member.set_base_units(member.base_units() + added);
+        free -= added;
+    }
+    schema::DivisionMember &first = memberOf(record, homes.front());
+    first.set_base_units(first.base_units() + free);
+}
+
+bool contains(std::span<const std::string> names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+std::optional<size_t> OrganisationAllowance::homeRank() const
+{
+    const auto found = std::find(m_homes.begin(), m_homes.end(), m_environment.self.vm);
+    if (found == m_homes.end()) {
+        return std::nullopt;
+    }
+    return static_cast<size_t>(found - m_homes.begin());
+}
+
+bool OrganisationAllowance::isChangeNeeded() const
+{
+    if (!m_recordConfirmed) {
+        return true;
+    }
+    const bool lacksHome = std::any_of(m_homes.begin(), m_homes.end(),
+                                       [this](const std::string &home) { return !isMember(home); });
+    const bool hasGone = std::any_of(m_peers.begin(), m_peers.end(),
+                                     [](const Peer &peer) { return peer.gone; });
+    return lacksHome || hasGone;
+}
+
+void OrganisationAllowance::maintainDivision(Instant now)
+{
+    const std::optional<size_t> rank = homeRank();
+    const bool mayRead = rank.has_value() || isMember(m_environment.self.vm);
+    if (!mayRead || !isChangeNeeded()) {
+        m_change.neededSince.reset();
+        if (m_change.step == ChangeStep::Fencing) {
+            m_change.step = ChangeStep::Idle;
+        }
+        return;
+    }
+    if (!m_change.neededSince.has_value()) {
+        m_change.neededSince = now;
+    }
+    switch (m_change.step) {
+    case ChangeStep::Idle: {
+        // Members are asked before the store; only a home changes the division.
+        const Duration turn = m_recordConfirmed
+                                      ? options().rankDelay * static_cast<int64_t>(rank.value_or(0))
+                                      : options().retryInterval;
+        const bool mayAct = rank.has_value() || !m_recordConfirmed;
+        if (mayAct && now >= *m_change.neededSince + turn && now >= m_change.retryAt) {
+            startRead(now);
+        }
+        return;
+    }
+    case ChangeStep::Fencing:
+        if (now >= m_change.startedAt + fenceTimeout) {
+            return failChange(options().storeRetryInterval, now);
+        }
+        return sendFences();
+    case ChangeStep::Reading:
+    case ChangeStep::Writing:
+        if (now >= m_change.startedAt + storeTimeout) {
+            failChange(options().storeRetryInterval, now);
+        }
+        return;
+    }
+}
+
+void OrganisationAllowance::startRead(Instant now)
+{
+    m_change.step = ChangeStep::Reading;
+    m_change.startedAt = now;
+    m_environment.actions.reads.push_back({m_name});
+}
+
+void OrganisationAllowance::failChange(Duration pause, Instant now)
+{
+    m_change.step = ChangeStep::Idle;
+    m_change.retryAt = now + pause;
+}
+
+void OrganisationAllowance::onRead(const RecordState &state, Instant now)
+{
+    if (m_change.step != ChangeStep::Reading) {
+        return;
+    }
+    if (state.failed) {
+        return failChange(options().storeRetryInterval, now);
+    }
+    m_change.revision = state.revision;
+    if (state.record.has_value()) {
+        install(*state.record, true, now);
+        if (state.record->epoch() < m_record.epoch()) {
+            return failChange(options().storeRetryInterval, now);
+        }
+    }
+    const std::optional<size_t> rank = homeRank();
+    const bool isMyTurn = rank.has_value()
+                          && now >= m_change.neededSince.value_or(now)
+                                             + options().rankDelay * static_cast<int64_t>(*rank);
+    const bool isAbsent = !state.record.has_value();
+    // A record that vanished is not made anew: its shares may still be in use.
+    const bool mayCreate = isAbsent && m_record.epoch() == 0;
+    if (!isMyTurn || (isAbsent && !mayCreate) || (!isAbsent && !isChangeNeeded())) {
+        return failChange(options().retryInterval, now);
+    }
+    startFence(now);
+}
+
+void OrganisationAllowance::startFence(Instant now)
+{
+    m_change.step = ChangeStep::Fencing;
+    m_change.startedAt = now;
+    m_change.nonce = nextNumber();
+    m_change.gone.clear();
+    m_change.consented.clear();
+    m_change.held.clear();
+    for (const Peer &peer : m_peers) {
+        if (peer.gone && isMember(peer.vm)) {
+            m_change.gone.push_back(peer.vm);
+            schema::DivisionMember held;
+            held.set_vm_id(m_environment.self.vm);
+            held.set_base_units(peer.account.held());
+            m_change.held.push_back(std::move(held));
+        }
+    }
+    sendFences();
+    if (m_change.gone.empty()) {
+        propose(now);
+    } else {
+        proposeIfConsented(now);
+    }
+}
+
+void OrganisationAllowance::sendFences()
+{
+    if (m_change.gone.empty()) {
+        return;
+    }
+    for (const Peer &peer : m_peers) {
+        if (peer.gone || contains(m_change.consented, peer.vm)) {
+            continue;
+        }
+        schema::AllowanceMessage message;
+        schema::AllowanceFence &fence = *message.mutable_fence();
+        fence.set_nonce(m_change.nonce);
+        *fence.mutable_record() = m_record;
+        for (const std::string &vm : m_change.gone) {
+            fence.add_gone_vm_ids(vm);
+        }
+        send(peer.vm, 0, std::move(message));
+    }
+}
+
+void OrganisationAllowance::onFence(std::string_view from, const schema::AllowanceMessage &message,
+                                    Instant now)
+{
+    const schema::AllowanceFence &fence = message.fence();
+    install(fence.record(), true, now);
+    if (m_record.epoch() != fence.record().epoch()) {
+        return sendNotice(from);
+    }
+    schema::AllowanceMessage answer;
+    schema::AllowanceFenceAck &ack = *answer.mutable_fence_ack();
+    ack.set_nonce(fence.nonce());
+    for (const std::string &vm : fence.gone_vm_ids()) {
+        Peer *peer = findPeer(vm);
+        if (peer == nullptr) {
+            continue;
+        }
+        dropPeer(*peer, now);
+        schema::HeldShare &held = *ack.add_held();
+        held.set_vm_id(vm);
+        held.set_units(peer->account.held());
+    }
+    send(from, message.sender_incarnation(), std::move(answer));
+}
+
+void OrganisationAllowance::onFenceAck(std::string_view from, const schema::AllowanceFenceAck &ack,
+                                       Instant now)
+{
+    if (m_change.step != ChangeStep::Fencing || ack.nonce() != m_change.nonce
+        || contains(m_change.consented, from)) {
+        return;
+    }
+    m_change.consented.emplace_back(from);
+    for (const schema::HeldShare &share : ack.held()) {
+        schema::DivisionMember held;
+        held.set_vm_id(std::string(from));
+        held.set_base_units(share.units());
+        m_change.held.push_back(std::move(held));
+    }
+    proposeIfConsented(now);
+}
+
+void OrganisationAllowance::proposeIfConsented(Instant now)
+{
+    const bool isComplete = std::all_of(m_peers.begin(), m_peers.end(), [this](const Peer &peer) {
+        return peer.gone || contains(m_change.consented, peer.vm);
+    });
+    if (isComplete) {
+        propose(now);
+    }
+}
+
+/// Writes the next division: what members hold of gone VMs becomes theirs, the rest of the gone
+/// base shares goes to the homes.
+void OrganisationAllowance::propose(Instant now)
+{
+    if (m_homes.empty()) {
+        return failChange(options().storeRetryInterval, now);
+    }
+    schema::DivisionRecord next;
+    next.set_epoch(m_record.epoch() + 1);
+    ShareUnits free = m_record.epoch() == 0 ? wholeShare : 0;
+    for (const schema::DivisionMember &member : m_record.members()) {
+        if (contains(m_change.gone, member.vm_id())) {
+            free += member.base_units();
+        } else {
+            *next.add_members() = member;
+        }
+    }
+    for (const schema::DivisionMember &held : m_change.held) {
+        schema::DivisionMember *holder = findMember(next, held.vm_id());
+        if (holder != nullptr) {
+            holder->set_base_units(holder->base_units() + held.base_units());
+            free -= held.base_units();
+        }
+    }
+    distribute(next, m_homes, free);
+    m_change.proposed = next;
+    m_change.step = ChangeStep::Writing;
+    m_change.startedAt = now;
+    m_environment.actions.writes.push_back({.organisation = m_name,
+                                            .record = std::move(next),
+                                            .expectedRevision = m_change.revision});
+}
+
+void OrganisationAllowance::onWrite(RecordWriteOutcome outcome, Instant now)
+{
+    if (m_change.step != ChangeStep::Writing) {
+        return;
+    }
+    m_change.step = ChangeStep::Idle;
+    if (outcome != RecordWriteOutcome::Written) {
+        // After a lost answer only a read tells what holds.
+        const bool isQuick = outcome == RecordWriteOutcome::Conflict;
+        m_change.retryAt = now + (isQuick ? options().retryInterval : options().storeRetryInterval);
+        return;
+    }
+    install(m_change.proposed, true, now);
+    for (const Peer &peer : m_peers) {
+        sendNotice(peer.vm);
+    }
+}
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/gather.cpp
@@ -0,0 +1,270 @@
+#include <algorithm>
+
+#include "organisation_allowance.hpp"
+
+namespace teaseldrift::allowance {
+
+namespace {
+
+constexpr size_t maximumRounds = 2;
+
+} // namespace
+
+Decision OrganisationAllowance::admit(MicroTokens cost, Instant now)
+{
+    if (cost > m_slice.limits().burst) {
+        return {.verdict = Verdict::Refused, .code = schema::LARGER_THAN_BURST};
+    }
+    m_demand.add(cost, now, options().demandWindow);
+    if (!m_standing) {
+        return askMember(cost, now);
+    }
+    return ask({.requestId = nextNumber(), .cost = cost}, now);
+}
+
+Decision OrganisationAllowance::ask(Question question, Instant now)
+{
+    if (m_pending.empty() && m_slice.spend(question.cost, now)) {
+        return admitted(question);
+    }
+    const std::optional<MicroTokens> reachable = reachableTokens(now);
+    if (reachable.has_value() && *reachable < question.cost + pendingTokens()) {
+        return refused(question, now);
+    }
+    if (m_pending.size() >= options().maximumPending) {
+        return refused(question, now);
+    }
+    question.deadline = now + options().gatherTimeout;
+    const uint64_t requestId = question.requestId;
+    m_pending.push_back(std::move(question));
+    if (!m_gathering) {
+        startGather(now);
+    }
+    return {.requestId = requestId, .verdict = Verdict::Pending};
+}
+
+Decision OrganisationAllowance::admitted(const Question &question)
+{
+    return {.requestId = question.requestId,
+            .verdict = Verdict::Admitted,
+            .ticket = {.cost = question.cost, .sequence = m_slice.ticket()}};
+}
+
+Decision OrganisationAllowance::refused(const Question &question, Instant now) const
+{
+    const MicroTokens known = reachableTokens(now).value_or(m_slice.level(now));
+    const Limits &limits = m_slice.limits();
+    const Duration wait = timeToEarn(limits, wholeShare, question.cost - known);
+    return {.requestId = question.requestId,
+            .verdict = Verdict::Refused,
+            .code = hasSilentPeer(now) ? schema::ALLOWANCE_UNCONFIRMED : schema::RATE_EXCEEDED,
+            .retryAfter = std::max<Duration>(wait, 1ms)};
+}
+
+void OrganisationAllowance::answerQuestion(const Question &question, const Decision &decision)
+{
+    if (question.guest.empty()) {
+        m_environment.actions.decisions.push_back({m_name, decision});
+        return;
+    }
+    sendAdmitAnswer(question, decision);
+}
+
+void OrganisationAllowance::cancel(uint64_t requestId)
+{
+    std::erase_if(m_pending, [requestId](const Question &question) {
+        return question.guest.empty() && question.requestId == requestId;
+    });
+    std::erase_if(m_guestQuestions, [requestId](const GuestQuestion &question) {
+        return question.requestId == requestId;
+    });
+}
+
+void OrganisationAllowance::refuseAll(Instant now)
+{
+    for (const Question &question : m_pending) {
+        answerQuestion(question, refused(question, now));
+    }
+    m_pending.clear();
+    for (const GuestQuestion &question : m_guestQuestions) {
+        m_environment.actions.decisions.push_back(
+                {m_name, {.requestId = question.requestId, .code = schema::ALLOWANCE_UNCONFIRMED}});
+    }
+    m_guestQuestions.clear();
+}
+
+MicroTokens OrganisationAllowance::pendingTokens() const
+{
+    MicroTokens sum = 0;
+    for (const Question &question : m_pending) {
+        sum += question.cost;
+    }
+    return sum;
+}
+
+bool OrganisationAllowance::hasSilentPeer(Instant now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [now](const Peer &peer) {
+        return !peer.gone && (peer.account.incarnation == 0 || now < peer.silentUntil);
+    });
+}
+
+/// What all members together can have now, if what they said is recent enough to tell.
+std::optional<MicroTokens> OrganisationAllowance::reachableTokens(Instant now) const
+{
+    MicroTokens sum = m_slice.level(now);
+    for (const Peer &peer : m_peers) {
+        if (peer.gone || peer.account.incarnation == 0 || now < peer.silentUntil) {
+            continue;
+        }
+        if (!peer.hint.known || now - peer.hint.at > options().hintLifetime) {
+            return std::nullopt;
+        }
+        const MicroTokens grown
+                = peer.hint.level + earned(m_slice.limits(), peer.hint.share, now - peer.hint.at);
+        sum += std::min(grown, capacityOf(m_slice.limits(), peer.hint.share));
+    }
+    return sum;
+}
+
+void OrganisationAllowance::startGather(Instant now)
+{
+    const MicroTokens missing = pendingTokens() - m_slice.level(now);
+    const uint64_t requestId = nextNumber();
+    const double demand = m_demand.rate(now, options().demandWindow);
+    m_gathering = true;
+    m_recalled = false;
+    m_gatherDeadline = now + options().gatherTimeout;
+    for (Question &question : m_pending) {
+        ++question.rounds;
+    }
+    for (Peer &peer : m_peers) {
+        peer.awaitedRequest = 0;
+        if (peer.gone || peer.account.incarnation == 0) {
+            continue;
+        }
+        schema::AllowanceMessage message;
+        message.mutable_need()->set_request_id(requestId);
+        message.mutable_need()->set_tokens(missing);
+        message.mutable_need()->set_demand(demand);
+        send(peer.vm, peer.account.incarnation, std::move(message));
+        if (now >= peer.silentUntil) {
+            peer.awaitedRequest = requestId;
+        }
+    }
+    if (isGatherAnswered()) {
+        endGather(now);
+        settle(now);
+    }
+}
+
+bool OrganisationAllowance::isGatherAnswered() const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(),
+                       [](const Peer &peer) { return peer.awaitedRequest == 0; });
+}
+
+void OrganisationAllowance::endGather(Instant now)
+{
+    m_gathering = false;
+    for (Peer &peer : m_peers) {
+        if (peer.awaitedRequest != 0) {
+            peer.awaitedRequest = 0;
+            peer.silentUntil = now + options().silence;
+        }
+    }
+}
+
+/// Decides what can be decided, in order of arrival.
+void OrganisationAllowance::settle(Instant now)
+{
+    while (!m_pending.empty()) {
+        Question &first = m_pending.front();
+        if (m_slice.spend(first.cost, now)) {
+            answerQuestion(first, admitted(first));
+            m_pending.pop_front();
+            continue;
+        }
+        if (m_gathering) {
+            return;
+        }
+        const MicroTokens missing = first.cost - m_slice.level(now);
+        const Duration wait = timeToEarn(m_slice.limits(), m_slice.share(), missing);
+        if (now < first.deadline && wait <= first.deadline - now) {
+            return;
+        }
+        const std::optional<MicroTokens> reachable = reachableTokens(now);
+        const bool isWorthwhile = !reachable.has_value() || *reachable >= first.cost;
+        if (now < first.deadline && first.rounds < maximumRounds && isWorthwhile) {
+            return startGather(now);
+        }
+        answerQuestion(first, refused(first, now));
+        m_pending.pop_front();
+    }
+}
+
+void OrganisationAllowance::onNeed(Peer &peer, const schema::AllowanceNeed &need, Instant now)
+{
+    peer.need = {.requestId = need.request_id(),
+                 .tokens = need.tokens(),
+                 .until = now + options().gatherTimeout};
+    peer.hint.demand = need.demand();
+    serveNeed(peer, now);
+    const MicroTokens recalled = recall(peer, peer.need.tokens, now);
+    sendGive(peer, need.request_id(), recalled > 0, now);
+}
+
+/// What a peer still needs may be here on loan from others: it goes home, where its owner can
+/// give it.
+/// @return tokens returned to owners
+MicroTokens OrganisationAllowance::recall(const Peer &needy, MicroTokens tokens, Instant now)
+{
+    MicroTokens returned = 0;
+    for (Peer &owner : m_peers) {
+        const ShareUnits held = owner.account.held();
+        if (&owner == &needy || owner.gone || owner.account.incarnation == 0 || held == 0) {
+            continue;
+        }
+        const Limits &limits = m_slice.limits();
+        const MicroTokens part
+                = std::min({tokens - returned, spareFor(needy, now), capacityOf(limits, held)});
+        if (part <= 0) {
+            continue;
+        }
+        give(owner, std::min(shareHolding(limits, part), held), part, now);
+        sendGive(owner, 0, false, now);
+        returned += part;
+    }
+    return returned;
+}
+
+/// Of two members that need at once, the one with the lesser name is served first, so that they
+/// do not strip each other.
+MicroTokens OrganisationAllowance::spareFor(const Peer &peer, Instant now) const
+{
+    const bool keepsOwn = !m_pending.empty() && m_environment.self.vm < peer.vm;
+    const MicroTokens kept = keepsOwn ? pendingTokens() : 0;
+    return std::max<MicroTokens>(m_slice.level(now) - kept, 0);
+}
+
+/// Gives a peer what it still needs, as far as it is here and may be given to it.
+/// @return whether anything was given
+bool OrganisationAllowance::serveNeed(Peer &peer, Instant now)
+{
+    if (peer.need.tokens <= 0 || now > peer.need.until || peer.gone) {
+        peer.need = {};
+        return false;
+    }
+    const Limits &limits = m_slice.limits();
+    const ShareUnits possible = std::min(giveable(peer), m_slice.share());
+    const MicroTokens tokens
+            = std::min({peer.need.tokens, spareFor(peer, now), capacityOf(limits, possible)});
+    if (tokens <= 0) {
+        return false;
+    }
+    give(peer, std::min(shareHolding(limits, tokens), possible), tokens, now);
+    peer.need.tokens -= tokens;
+    return true;
+}
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/loans.cpp
@@ -0,0 +1,200 @@
+#include <algorithm>
+#include <cmath>
+
+#include "organisation_allowance.hpp"
+
+namespace teaseldrift::allowance {
+
+/// Only the own base share is lent, so that its owner's peers know where all of it is.
+ShareUnits OrganisationAllowance::lendable() const
+{
+    int64_t units = baseUnits();
+    for (const Peer &peer : m_peers) {
+        units -= peer.account.lent();
+    }
+    return static_cast<ShareUnits>(std::max<int64_t>(units, 0));
+}
+
+ShareUnits OrganisationAllowance::giveable(const Peer &peer) const
+{
+    return lendable() + peer.account.held();
+}
+
+void OrganisationAllowance::give(Peer &peer, ShareUnits units, MicroTokens tokens, Instant now)
+{
+    if (units == 0 || units > giveable(peer) || !m_slice.spend(tokens, now)) {
+        return;
+    }
+    peer.account.givenUnits += units;
+    peer.account.givenTokens += tokens;
+    updateShare(now);
+}
+
+void OrganisationAllowance::sendGive(Peer &peer, uint64_t requestId, bool recalled, Instant now)
+{
+    schema::AllowanceMessage message;
+    schema::AllowanceGive &give = *message.mutable_give();
+    give.set_request_id(requestId);
+    give.set_given_units(peer.account.givenUnits);
+    give.set_given_tokens(peer.account.givenTokens);
+    give.set_applied_units(peer.account.appliedUnits);
+    give.set_applied_tokens(peer.account.appliedTokens);
+    give.set_level(m_slice.level(now));
+    give.set_share_units(m_slice.share());
+    give.set_demand(m_demand.rate(now, options().demandWindow));
+    give.set_recalled(recalled);
+    give.set_epoch(m_record.epoch());
+    peer.reportedAt = now;
+    peer.reportedDemand = give.demand();
+    send(peer.vm, peer.account.incarnation, std::move(message));
+}
+
+void OrganisationAllowance::onGive(Peer &peer, const schema::AllowanceGive &message, Instant now)
+{
+    PeerAccount &account = peer.account;
+    account.ackedUnits = std::max(account.ackedUnits, message.applied_units());
+    account.ackedTokens = std::max(account.ackedTokens, message.applied_tokens());
+    if (message.given_units() > account.appliedUnits
+        || message.given_tokens() > account.appliedTokens) {
+        // The totals are a snapshot, so the tokens fit into the units that came with them.
+        const MicroTokens tokens = message.given_tokens() - account.appliedTokens;
+        account.appliedUnits = message.given_units();
+        account.appliedTokens = message.given_tokens();
+        updateShare(now);
+        m_slice.deposit(tokens, now);
+    }
+    peer.hint = {.known = true,
+                 .at = now,
+                 .level = message.level(),
+                 .share = message.share_units(),
+                 .demand = message.demand()};
+    peer.silentUntil = now;
+    if (message.epoch() < m_record.epoch()) {
+        sendNotice(peer.vm);
+    }
+    if (message.request_id() != 0 && message.request_id() == peer.awaitedRequest) {
+        peer.awaitedRequest = 0;
+        m_recalled = m_recalled || message.recalled();
+    }
+    for (Peer &other : m_peers) {
+        if (&other != &peer && serveNeed(other, now)) {
+            sendGive(other, 0, false, now);
+        }
+    }
+    if (m_gathering && isGatherAnswered() && !m_recalled) {
+        endGather(now);
+    }
+    settle(now);
+}
+
+bool OrganisationAllowance::giveSurplus(Peer &peer, ShareUnits units, Instant now)
+{
+    const ShareUnits given = std::min({units, giveable(peer), m_slice.share()});
+    if (given == 0) {
+        return false;
+    }
+    const double part = static_cast<double>(given) / m_slice.share();
+    const MicroTokens level = m_slice.level(now);
+    const MicroTokens tokens
+            = std::min({level, capacityOf(m_slice.limits(), given),
+                        static_cast<MicroTokens>(part * static_cast<double>(level))});
+    give(peer, given, tokens, now);
+    sendGive(peer, 0, false, now);
+    return true;
+}
+
+/// Moves share and tokens towards the members whose part of the demand exceeds their part of the
+/// share.
+void OrganisationAllowance::balance(Instant now)
+{
+    if (m_gathering || m_draining) {
+        return;
+    }
+    const double idle = options().idleDemand * static_cast<double>(m_slice.limits().rate)
+                        / microTokensPerToken;
+    const double own = m_demand.rate(now, options().demandWindow) + idle;
+    double demand = own;
+    double share = m_slice.share();
+    const Duration fresh = 3 * options().reportInterval;
+    const auto isUsable = [&](const Peer &peer) {
+        return !peer.gone && peer.account.incarnation != 0 && peer.hint.known
+               && now - peer.hint.at < fresh;
+    };
+    for (const Peer &peer : m_peers) {
+        if (isUsable(peer)) {
+            demand += peer.hint.demand + idle;
+            share += peer.hint.share;
+        }
+    }
+    const double tolerance = options().balanceTolerance * wholeShare;
+    double surplus = m_slice.share() - share * own / demand;
+    if (surplus < tolerance || demand <= 0.0) {
+        return;
+    }
+    for (Peer &peer : m_peers) {
+        if (!isUsable(peer)) {
+            continue;
+        }
+        const double target = share * (peer.hint.demand + idle) / demand;
+        const double deficit = std::min(surplus, target - peer.hint.share);
+        if (deficit < tolerance / 2 || deficit < 1.0) {
+            continue;
+        }
+        if (giveSurplus(peer, static_cast<ShareUnits>(deficit), now)) {
+            peer.hint.share += static_cast<ShareUnits>(deficit);
+            surplus -= deficit;
+        }
+    }
+    if (surplus >= tolerance) {
+        returnSurplus(static_cast<ShareUnits>(surplus), now);
+    }
+}
+
+/// What cannot be given where it is needed goes back to its owners, who can.
+void OrganisationAllowance::returnSurplus(ShareUnits surplus, Instant now)
+{
+    for (Peer &peer : m_peers) {
+        const ShareUnits held = peer.account.held();
+        if (held == 0 || surplus == 0 || peer.gone || peer.account.incarnation == 0) {
+            continue;
+        }
+        const ShareUnits returned = std::min(held, surplus);
+        giveSurplus(peer, returned, now);
+        surplus -= returned;
+    }
+}
+
+/// Tells peers what they need for their decisions, and repeats gifts that may have been lost.
+void OrganisationAllowance::report(Instant now)
+{
+    const double demand = m_demand.rate(now, options().demandWindow);
+    const double notable = 0.1 * static_cast<double>(m_slice.limits().rate) / microTokensPerToken;
+    for (Peer &peer : m_peers) {
+        if (peer.gone || peer.account.incarnation == 0) {
+            continue;
+        }
+        const bool isDue = now >= peer.reportedAt + options().reportInterval;
+        const bool hasNews = std::abs(demand - peer.reportedDemand) > notable || demand > notable;
+        if ((isDue && hasNews) || (!peer.account.isAcknowledged() && isDue)) {
+            sendGive(peer, 0, false, now);
+        }
+    }
+}
+
+void OrganisationAllowance::drain(Instant now)
+{
+    m_draining = true;
+    returnSurplus(m_slice.share(), now);
+    std::vector<Peer *> heirs;
+    for (Peer &peer : m_peers) {
+        if (!peer.gone && peer.account.incarnation != 0) {
+            heirs.push_back(&peer);
+        }
+    }
+    for (size_t i = 0; i < heirs.size(); ++i) {
+        const size_t remaining = heirs.size() - i;
+        giveSurplus(*heirs[i], m_slice.share() / static_cast<ShareUnits>(remaining), now);
+    }
+}
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
@@ -0,0 +1,185 @@
+#include "organisation_allowance.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift::allowance {
+
+namespace {
+
+/// An organisation that is removed and configured again must not pass for the former object.
+uint64_t newIncarnation(Environment &environment)
+{
+    return rendezvousKey(std::to_string(environment.self.incarnation) + "/"
+                         + std::to_string(++environment.counter));
+}
+
+} // namespace
+
+void DemandMeter::add(MicroTokens tokens, Instant now, Duration window)
+{
+    m_sum = rate(now, window) * toSeconds(window)
+            + static_cast<double>(tokens) / microTokensPerToken;
+    m_at = now;
+}
+
+double DemandMeter::rate(Instant now, Duration window) const
+{
+    const double age = toSeconds(now - m_at) / toSeconds(window);
+    return m_sum * std::exp(-std::max(age, 0.0)) / toSeconds(window);
+}
+
+OrganisationAllowance::OrganisationAllowance(Environment &environment, std::string_view name)
+    : m_environment(environment), m_name(name), m_incarnation(newIncarnation(environment))
+{ }
+
+void OrganisationAllowance::configure(const Limits &limits, Instant now)
+{
+    m_slice.setLimits(limits, now);
+    onVms(now);
+}
+
+void OrganisationAllowance::onVms(Instant now)
+{
+    const std::span<const homes::VmView> vms = m_environment.registry.vms();
+    m_homes.clear();
+    for (const size_t index : homes::homeSet(m_name, vms, options().homeSet)) {
+        m_homes.push_back(vms[index].id);
+    }
+    syncPeers(now);
+    dropGonePeers(now);
+}
+
+void OrganisationAllowance::onMessage(std::string_view from,
+                                      const schema::AllowanceMessage &message, Instant now)
+{
+    const uint64_t receiver = message.receiver_incarnation();
+    if (receiver != 0 && receiver != m_incarnation) {
+        // The sender takes us for our predecessor, so we are a member that it can tell about.
+        if (!m_standing && m_record.epoch() == 0 && findPeer(from) == nullptr) {
+            m_peers.push_back({.vm = std::string(from), .knownSince = now});
+        }
+        return;
+    }
+    switch (message.body_case()) {
+    case schema::AllowanceMessage::kHello:
+        return onHello(from, message, now);
+    case schema::AllowanceMessage::kFence:
+        return onFence(from, message, now);
+    case schema::AllowanceMessage::kFenceAck:
+        return onFenceAck(from, message.fence_ack(), now);
+    case schema::AllowanceMessage::kAdmitRequest:
+        return onAdmitRequest(from, message, now);
+    case schema::AllowanceMessage::kAdmitAnswer:
+        return onAdmitAnswer(from, message, now);
+    case schema::AllowanceMessage::kGiveBack:
+        return onGiveBack(from, message, now);
+    case schema::AllowanceMessage::kNotice:
+        return install(message.notice().record(), false, now);
+    default:
+        break;
+    }
+    Peer *peer = findPeer(from);
+    if (peer == nullptr || peer->gone) {
+        return;
+    }
+    switch (message.body_case()) {
+    case schema::AllowanceMessage::kChallenge:
+        return onChallenge(*peer, message, now);
+    case schema::AllowanceMessage::kConfirm:
+        return onConfirm(*peer, message, now);
+    case schema::AllowanceMessage::kWelcome:
+        return onWelcome(*peer, message, now);
+    case schema::AllowanceMessage::kNeed:
+        if (isInSession(*peer, message)) {
+            onNeed(*peer, message.need(), now);
+        }
+        return;
+    case schema::AllowanceMessage::kGive:
+        if (isInSession(*peer, message)) {
+            onGive(*peer, message.give(), now);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void OrganisationAllowance::tick(Instant now)
+{
+    expireGuestQuestions(now);
+    if (!m_pending.empty()) {
+        if (m_gathering && now >= m_gatherDeadline) {
+            endGather(now);
+        }
+        settle(now);
+    }
+    if (now < m_maintainedAt + options().retryInterval) {
+        return;
+    }
+    m_maintainedAt = now;
+    dropGonePeers(now);
+    greet(now);
+    maintainDivision(now);
+    if (m_standing && now >= m_balancedAt + options().balanceInterval) {
+        m_balancedAt = now;
+        balance(now);
+        report(now);
+    }
+}
+
+Peer *OrganisationAllowance::findPeer(std::string_view vm)
+{
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(),
+                                    [vm](const Peer &peer) { return peer.vm == vm; });
+    return found == m_peers.end() ? nullptr : &*found;
+}
+
+bool OrganisationAllowance::isMember(std::string_view vm) const
+{
+    return std::any_of(m_record.members().begin(), m_record.members().end(),
+                       [vm](const schema::DivisionMember &member) { return member.vm_id() == vm; });
+}
+
+ShareUnits OrganisationAllowance::baseUnits() const
+{
+    for (const schema::DivisionMember &member : m_record.members()) {
+        if (member.vm_id() == m_environment.self.vm) {
+            return member.base_units();
+        }
+    }
+    return 0;
+}
+
+void OrganisationAllowance::send(std::string_view vm, uint64_t incarnation,
+                                 schema::AllowanceMessage message)
+{
+    message.set_organisation(m_name);
+    message.set_sender_incarnation(m_incarnation);
+    message.set_receiver_incarnation(incarnation);
+    m_environment.actions.messages.push_back({std::string(vm), std::move(message)});
+}
+
+void OrganisationAllowance::updateShare(Instant now)
+{
+    int64_t share = 0;
+    if (m_standing) {
+        share = baseUnits();
+        for (const Peer &peer : m_peers) {
+            share += peer.account.held();
+            share -= peer.account.lent();
+        }
+    }
+    m_slice.setShare(static_cast<ShareUnits>(std::max<int64_t>(share, 0)), now);
+}
+
+bool OrganisationAllowance::isInSession(const Peer &peer,
+                                        const schema::AllowanceMessage &message) const
+{
+    return m_standing && peer.account.incarnation == message.sender_incarnation()
+           && peer.account.incarnation != 0 && message.receiver_incarnation() == m_incarnation;
+}
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -0,0 +1,230 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/allowance/options.hpp"
+#include "teaseldrift/allowance/peer.hpp"
+#include "teaseldrift/allowance/token_slice.hpp"
+#include "teaseldrift/allowance/types.hpp"
+#include "teaseldrift/allowance/vm_registry.hpp"
+
+namespace teaseldrift::allowance {
+
+/// @brief What all organisations of one VM share. It must outlive them.
+struct Environment
+{
+    SelfView self;
+    Options options;
+    VmRegistry registry;
+    Actions actions;
+    /// Source of request ids and nonces.
+    uint64_t counter = 0;
+};
+
+/// @brief Average of tokens asked per second, with exponential decay.
+class DemandMeter
+{
+public:
+    void add(MicroTokens tokens, Instant now, Duration window);
+    /// @brief Tokens per second.
+    [[nodiscard]] double rate(Instant now, Duration window) const;
+
+private:
+    double m_sum = 0.0;
+    Instant m_at{};
+};
+
+/// @brief One organisation's allowance on one VM: a state machine without I/O.
+///
+/// A VM is a *guest* until it stands: it belongs to the division record, and every other member
+/// has told what it holds of the VM's base share. A guest asks a member to admit its requests.
+class OrganisationAllowance
+{
+public:
+    OrganisationAllowance(Environment &environment, std::string_view name);
+
+    void configure(const Limits &limits, Instant now);
+    void onVms(Instant now);
+    Decision admit(MicroTokens cost, Instant now);
+    void giveBack(const Ticket &ticket, MicroTokens unused, Instant now);
+    void cancel(uint64_t requestId);
+    void refuseAll(Instant now);
+    void onMessage(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    void onRead(const RecordState &state, Instant now);
+    void onWrite(RecordWriteOutcome outcome, Instant now);
+    void tick(Instant now);
+    void drain(Instant now);
+
+    [[nodiscard]] ShareUnits share() const { return m_slice.share(); }
+    [[nodiscard]] MicroTokens level(Instant now) const { return m_slice.level(now); }
+    [[nodiscard]] const schema::DivisionRecord &record() const { return m_record; }
+
+private:
+    /// A request that waits for tokens, from here or from a guest.
+    struct Question
+    {
+        uint64_t requestId = 0;
+        MicroTokens cost = 0;
+        Instant deadline{};
+        /// Gathers made for it.
+        size_t rounds = 0;
+        /// Set if another VM asked.
+        std::string guest;
+        uint64_t guestIncarnation = 0;
+        uint64_t guestRequestId = 0;
+    };
+
+    /// A request that waits for another member's decision.
+    struct GuestQuestion
+    {
+        uint64_t requestId = 0;
+        MicroTokens cost = 0;
+        std::vector<std::string> asked;
+        Instant deadline{};
+    };
+
+    /// An admission made for a guest, whose unused tokens may come back once.
+    struct GuestTicket
+    {
+        std::string vm;
+        uint64_t incarnation = 0;
+        uint64_t requestId = 0;
+        MicroTokens cost = 0;
+        uint64_t sequence = 0;
+    };
+
+    /// A refusal that holds for later requests of a guest for a moment.
+    struct GuestRefusal
+    {
+        schema::ResultCode code = schema::OK;
+        MicroTokens cost = 0;
+        Instant until{};
+        Instant retryAt{};
+    };
+
+    enum class ChangeStep { Idle, Reading, Fencing, Writing };
+
+    /// A change of the division record that this VM makes.
+    struct Change
+    {
+        ChangeStep step = ChangeStep::Idle;
+        std::optional<Instant> neededSince;
+        Instant retryAt{};
+        Instant startedAt{};
+        uint64_t revision = 0;
+        uint64_t nonce = 0;
+        std::vector<std::string> gone;
+        std::vector<std::string> consented;
+        /// Units of gone VMs by the member that holds them.
+        std::vector<schema::DivisionMember> held;
+        schema::DivisionRecord proposed;
+    };
+
+    Environment &m_environment;
+    std::string m_name;
+    /// Identity of this object among all that ever existed for the organisation on this VM.
+    uint64_t m_incarnation;
+    TokenSlice m_slice;
+    DemandMeter m_demand;
+    schema::DivisionRecord m_record;
+    /// The record comes from the store or from a member that had it from there.
+    bool m_recordConfirmed = false;
+    bool m_standing = false;
+    bool m_draining = false;
+    std::vector<Peer> m_peers;
+    std::vector<std::string> m_homes;
+    std::deque<Question> m_pending;
+    Instant m_gatherDeadline{};
+    bool m_gathering = false;
+    bool m_recalled = false;
+    std::vector<GuestQuestion> m_guestQuestions;
+    std::deque<GuestTicket> m_guestTickets;
+    /// Member that answered last.
+    std::string m_guestOf;
+    GuestRefusal m_guestRefusal;
+    Instant m_balancedAt{};
+    Instant m_maintainedAt{};
+    Change m_change;
+
+    // Common (organisation_allowance.cpp)
+    [[nodiscard]] const Options &options() const { return m_environment.options; }
+    uint64_t nextNumber() { return ++m_environment.counter; }
+    Peer *findPeer(std::string_view vm);
+    [[nodiscard]] bool isMember(std::string_view vm) const;
+    [[nodiscard]] ShareUnits baseUnits() const;
+    void send(std::string_view vm, uint64_t incarnation, schema::AllowanceMessage message);
+    void updateShare(Instant now);
+    [[nodiscard]] bool isInSession(const Peer &peer, const schema::AllowanceMessage &message) const;
+
+    // Admission and gathering (gather.cpp)
+    Decision ask(Question question, Instant now);
+    Decision admitted(const Question &question);
+    Decision refused(const Question &question, Instant now) const;
+    void answerQuestion(const Question &question, const Decision &decision);
+    [[nodiscard]] MicroTokens pendingTokens() const;
+    [[nodiscard]] bool hasSilentPeer(Instant now) const;
+    [[nodiscard]] std::optional<MicroTokens> reachableTokens(Instant now) const;
+    void startGather(Instant now);
+    [[nodiscard]] bool isGatherAnswered() const;
+    void endGather(Instant now);
+    void settle(Instant now);
+    bool serveNeed(Peer &peer, Instant now);
+    MicroTokens recall(const Peer &needy, MicroTokens tokens, Instant now);
+    [[nodiscard]] MicroTokens spareFor(const Peer &peer, Instant now) const;
+    void onNeed(Peer &peer, const schema::AllowanceNeed &need, Instant now);
+
+    // Loans (loans.cpp)
+    [[nodiscard]] ShareUnits lendable() const;
+    [[nodiscard]] ShareUnits giveable(const Peer &peer) const;
+    void give(Peer &peer, ShareUnits units, MicroTokens tokens, Instant now);
+    void sendGive(Peer &peer, uint64_t requestId, bool recalled, Instant now);
+    void onGive(Peer &peer, const schema::AllowanceGive &message, Instant now);
+    void balance(Instant now);
+    void report(Instant now);
+    bool giveSurplus(Peer &peer, ShareUnits units, Instant now);
+    void returnSurplus(ShareUnits surplus, Instant now);
+
+    // Sessions (sessions.cpp)
+    void syncPeers(Instant now);
+    void greet(Instant now);
+    void tryStand(Instant now);
+    void dropPeer(Peer &peer, Instant now);
+    void dropGonePeers(Instant now);
+    void install(const schema::DivisionRecord &record, bool confirmed, Instant now);
+    void startSession(Peer &peer, uint64_t incarnation, Instant now);
+    void onHello(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    void onChallenge(Peer &peer, const schema::AllowanceMessage &message, Instant now);
+    void onConfirm(Peer &peer, const schema::AllowanceMessage &message, Instant now);
+    void onWelcome(Peer &peer, const schema::AllowanceMessage &message, Instant now);
+    void sendNotice(std::string_view vm);
+
+    // Guests (guests.cpp)
+    Decision askMember(MicroTokens cost, Instant now);
+    bool askNextMember(GuestQuestion &question, Instant now);
+    void expireGuestQuestions(Instant now);
+    void onAdmitRequest(std::string_view from, const schema::AllowanceMessage &message,
+                        Instant now);
+    void onAdmitAnswer(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    void onGiveBack(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    void sendAdmitAnswer(const Question &question, const Decision &decision);
+
+    // Division (division.cpp)
+    [[nodiscard]] std::optional<size_t> homeRank() const;
+    [[nodiscard]] bool isChangeNeeded() const;
+    void maintainDivision(Instant now);
+    void startRead(Instant now);
+    void startFence(Instant now);
+    void sendFences();
+    void proposeIfConsented(Instant now);
+    void propose(Instant now);
+    void failChange(Duration pause, Instant now);
+    void onFence(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    void onFenceAck(std::string_view from, const schema::AllowanceFenceAck &ack, Instant now);
+};
+
+} // namespace teaseldrift::allowance
--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -0,0 +1,234 @@
+#include <algorithm>
+
+#include "organisation_allowance.hpp"
+
+namespace teaseldrift::allowance {
+
+/// Keeps one peer for each other member, or for each other home while there is no record.
+void OrganisationAllowance::syncPeers(Instant now)
+{
+    std::vector<std::string> wanted = m_homes;
+    if (m_record.epoch() != 0) {
+        wanted.clear();
+        for (const schema::DivisionMember &member : m_record.members()) {
+            wanted.push_back(member.vm_id());
+        }
+        std::erase_if(m_peers, [&wanted](const Peer &peer) {
+            return std::find(wanted.begin(), wanted.end(), peer.vm) == wanted.end();
+        });
+    }
+    for (const std::string &vm : wanted) {
+        if (vm != m_environment.self.vm && findPeer(vm) == nullptr) {
+            m_peers.push_back({.vm = vm, .knownSince = now});
+        }
+    }
+}
+
+/// Takes a record if it is newer. Records come from the store only, so any copy is true.
+void OrganisationAllowance::install(const schema::DivisionRecord &record, bool confirmed,
+                                    Instant now)
+{
+    if (record.epoch() == 0) {
+        return;
+    }
+    m_recordConfirmed = m_recordConfirmed || confirmed;
+    if (record.epoch() > m_record.epoch()) {
+        m_record = record;
+        syncPeers(now);
+        m_standing = m_standing && isMember(m_environment.self.vm);
+        updateShare(now);
+        greet(now);
+    }
+    tryStand(now);
+}
+
+/// Opens sessions with the members that have not told what they hold of our base share.
+void OrganisationAllowance::greet(Instant now)
+{
+    const bool isCandidate = m_record.epoch() == 0 || isMember(m_environment.self.vm);
+    if (m_standing || !isCandidate) {
+        return;
+    }
+    for (Peer &peer : m_peers) {
+        const bool isRecent = peer.handshake.helloNonce != 0
+                              && now < peer.handshake.helloAt + options().retryInterval;
+        if (peer.gone || peer.handshake.welcomed || isRecent) {
+            continue;
+        }
+        if (peer.handshake.helloNonce == 0) {
+            peer.handshake.helloNonce = nextNumber();
+        }
+        peer.handshake.helloAt = now;
+        schema::AllowanceMessage message;
+        schema::AllowanceHello &hello = *message.mutable_hello();
+        hello.set_nonce(peer.handshake.helloNonce);
+        *hello.mutable_record() = m_record;
+        hello.set_record_confirmed(m_recordConfirmed);
+        send(peer.vm, 0, std::move(message));
+    }
+    tryStand(now);
+}
+
+/// Starts to use the base share once it is known how much of it others hold.
+void OrganisationAllowance::tryStand(Instant now)
+{
+    if (m_standing || !m_recordConfirmed || !isMember(m_environment.self.vm)) {
+        return;
+    }
+    bool isComplete = true;
+    for (Peer &peer : m_peers) {
+        if (peer.gone) {
+            continue;
+        }
+        isComplete = isComplete && peer.handshake.welcomed;
+        for (const schema::KnownIncarnation &known : peer.handshake.reported) {
+            Peer *other = findPeer(known.vm_id());
+            if (other == nullptr || other->gone || !other->handshake.welcomed
+                || known.incarnation() == other->account.incarnation) {
+                continue;
+            }
+            // One of the two has been replaced, or the reporter has not noticed yet.
+            peer.handshake = PeerHandshake{};
+            other->handshake = PeerHandshake{};
+            isComplete = false;
+            break;
+        }
+    }
+    if (!isComplete) {
+        return;
+    }
+    m_standing = true;
+    updateShare(now);
+    for (Peer &peer : m_peers) {
+        if (!peer.gone) {
+            sendGive(peer, 0, false, now);
+        }
+    }
+}
+
+void OrganisationAllowance::startSession(Peer &peer, uint64_t incarnation, Instant now)
+{
+    if (peer.account.incarnation == incarnation) {
+        return;
+    }
+    peer.account.restart(incarnation);
+    peer.handshake = PeerHandshake{};
+    peer.hint = PeerHint{};
+    peer.need = OpenNeed{};
+    peer.awaitedRequest = 0;
+    peer.silentUntil = now;
+    updateShare(now);
+}
+
+/// A VM that left the list holds nothing any more, and nothing new is taken from it.
+void OrganisationAllowance::dropPeer(Peer &peer, Instant now)
+{
+    if (peer.gone) {
+        return;
+    }
+    startSession(peer, 0, now);
+    peer.account.restart(0);
+    peer.gone = true;
+    updateShare(now);
+    tryStand(now);
+}
+
+void OrganisationAllowance::dropGonePeers(Instant now)
+{
+    for (Peer &peer : m_peers) {
+        if (!peer.gone && m_environment.registry.isGone(peer.vm, peer.knownSince)) {
+            dropPeer(peer, now);
+        }
+    }
+}
+
+void OrganisationAllowance::onHello(std::string_view from, const schema::AllowanceMessage &message,
+                                    Instant now)
+{
+    const schema::AllowanceHello &hello = message.hello();
+    install(hello.record(), hello.record_confirmed(), now);
+    Peer *peer = findPeer(from);
+    if (m_record.epoch() == 0 || peer == nullptr || peer->gone || !isMember(from)) {
+        if (m_record.epoch() > hello.record().epoch()) {
+            sendNotice(from);
+        }
+        return;
+    }
+    PeerHandshake &handshake = peer->handshake;
+    if (handshake.challengedIncarnation != message.sender_incarnation()) {
+        handshake.challengedIncarnation = message.sender_incarnation();
+        handshake.challengeNonce = nextNumber();
+    }
+    schema::AllowanceMessage answer;
+    answer.mutable_challenge()->set_hello_nonce(hello.nonce());
+    answer.mutable_challenge()->set_nonce(handshake.challengeNonce);
+    *answer.mutable_challenge()->mutable_record() = m_record;
+    send(from, message.sender_incarnation(), std::move(answer));
+}
+
+void OrganisationAllowance::onChallenge(Peer &peer, const schema::AllowanceMessage &message,
+                                        Instant now)
+{
+    const schema::AllowanceChallenge &challenge = message.challenge();
+    if (peer.handshake.helloNonce == 0 || challenge.hello_nonce() != peer.handshake.helloNonce) {
+        return;
+    }
+    const std::string vm = peer.vm;
+    schema::AllowanceMessage answer;
+    answer.mutable_confirm()->set_hello_nonce(challenge.hello_nonce());
+    answer.mutable_confirm()->set_challenge_nonce(challenge.nonce());
+    send(vm, message.sender_incarnation(), std::move(answer));
+    install(challenge.record(), false, now);
+}
+
+void OrganisationAllowance::onConfirm(Peer &peer, const schema::AllowanceMessage &message,
+                                      Instant now)
+{
+    const schema::AllowanceConfirm &confirm = message.confirm();
+    const uint64_t incarnation = message.sender_incarnation();
+    if (peer.handshake.challengeNonce == 0 || peer.handshake.challengedIncarnation != incarnation
+        || peer.handshake.challengeNonce != confirm.challenge_nonce()) {
+        return;
+    }
+    startSession(peer, incarnation, now);
+    schema::AllowanceMessage answer;
+    schema::AllowanceWelcome &welcome = *answer.mutable_welcome();
+    welcome.set_hello_nonce(confirm.hello_nonce());
+    welcome.set_held_units(peer.account.carriedHeld);
+    *welcome.mutable_record() = m_record;
+    welcome.set_record_confirmed(m_recordConfirmed);
+    for (const Peer &other : m_peers) {
+        if (!other.gone && other.account.incarnation != 0) {
+            schema::KnownIncarnation &known = *welcome.add_incarnations();
+            known.set_vm_id(other.vm);
+            known.set_incarnation(other.account.incarnation);
+        }
+    }
+    send(peer.vm, incarnation, std::move(answer));
+    greet(now);
+}
+
+void OrganisationAllowance::onWelcome(Peer &peer, const schema::AllowanceMessage &message,
+                                      Instant now)
+{
+    const schema::AllowanceWelcome &welcome = message.welcome();
+    if (m_standing || peer.handshake.helloNonce == 0
+        || welcome.hello_nonce() != peer.handshake.helloNonce) {
+        return;
+    }
+    startSession(peer, message.sender_incarnation(), now);
+    peer.account.carriedLent = welcome.held_units();
+    peer.handshake.helloNonce = 0;
+    peer.handshake.welcomed = true;
+    peer.handshake.reported.assign(welcome.incarnations().begin(), welcome.incarnations().end());
+    install(welcome.record(), welcome.record_confirmed(), now);
+}
+
+void OrganisationAllowance::sendNotice(std::string_view vm)
+{
+    schema::AllowanceMessage message;
+    *message.mutable_notice()->mutable_record() = m_record;
+    send(vm, 0, std::move(message));
+}
+
+} // namespace teaseldrift::allowance
--- a/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
+++ b/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
@@ -37,6 +37,13 @@
     return contains(m_vms, vm);
 }
 
+std::string_view VmRegistry::zoneOf(std::string_view vm) const
+{
+    const auto found = std::find_if(m_vms.begin(), m_vms.end(),
+                                    [vm](const homes::VmView &view) { return view.id == vm; });
+    return found == m_vms.end() ? std::string_view() : found->availabilityZone;
+}
+
 bool VmRegistry::isGone(std::string_view vm, Instant knownSince) const
 {
     if (isListed(vm)) {
