Decide attempts and streams of one request

Cause: a request must run at most once where it may not be repeated, and a stream must be whole. Conclusion: the router can wire them.

--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -124,6 +124,11 @@
     /// @brief Events of a stream arrived. Only if nothing is returned may they go to the caller.
     RequestActions data(AttemptId id, PositionRange range, Instant now);
 
+    /// @brief All text of a stream is delivered, though its end marker has yet to come.
+    ///
+    /// If the rest cannot be had from the same target any more, the caller's stream ends properly.
+    void textComplete(AttemptId id);
+
     /// @brief The end marker of a stream arrived.
     RequestActions endMarker(AttemptId id, Instant now);
 
@@ -163,16 +168,20 @@
     enum class Failure { ConnectFailed, Refused, Broken, Silent };
 
     RequestActions fail(Failure failure, Instant now);
-    RequestActions retry(Failure failure, Instant now);
-    RequestActions nextAttempt(Instant now);
+    RequestActions startNext(Instant now);
     RequestActions giveUp(schema::ResultCode whenNotRun);
     RequestActions finish();
-    void chooseKind(Failure failure);
-    void noteRun();
-    [[nodiscard]] bool mayRetry(Failure failure, Instant now) const;
-    [[nodiscard]] bool isDeadlineOver(Instant now) const;
-    [[nodiscard]] Instant silenceDeadline() const;
-    [[nodiscard]] StartAttempt startAttempt() const;
+    RequestActions waitOrGiveUp(Instant now);
+    RequestActions silent(Instant now);
+    void note(Failure failure);
+    void chooseNext(Failure failure);
+    bool takeRetry(Instant now);
+    [[nodiscard]] bool mayRetry(Instant now) const;
+    [[nodiscard]] bool isStreamed() const;
+    [[nodiscard]] bool isBoundByDeadline() const { return !m_callerHasPart; }
+    [[nodiscard]] std::optional<Instant> silenceDeadline() const;
+    [[nodiscard]] StartAttempt startAction() const;
+    [[nodiscard]] schema::Ran ran() const;
 
     RequestOptions m_options;
     RetryBudget &m_budget;
@@ -182,16 +191,27 @@
     AttemptKind m_kind = AttemptKind::Whole;
     schema::RetryReason m_reason = schema::RETRY_NONE;
     std::string m_target;
+    /// Target that a Resume goes to.
+    std::string m_resumeTarget;
     std::vector<std::string> m_excluded;
     Instant m_deadline;
     Instant m_lastProgress;
     Instant m_retryAt;
     uint64_t m_delivered = 0;
+    /// Failures since the last newly delivered position.
+    uint32_t m_failures = 0;
+    uint32_t m_waits = 0;
     Duration m_retryAfter{0};
     schema::ResultCode m_lastCause = schema::NO_TARGET;
+    /// Cause of the last failure after which a target may have run the request.
+    schema::ResultCode m_lastRunCause = schema::TARGET_FAILED;
+    /// An attempt given up may have run.
     bool m_mayHaveRun = false;
     bool m_callerHasPart = false;
     bool m_canContinue = true;
+    bool m_textComplete = false;
+    bool m_headIsSuccess = false;
+    /// The caller is served; the transport of the last attempt has yet to end.
     bool m_lingering = false;
 };
 
--- a/packages/policy/include/teaseldrift/streams/chunk_scan.hpp
+++ b/packages/policy/include/teaseldrift/streams/chunk_scan.hpp
@@ -20,16 +20,13 @@
     /// The chunk holds something that a continuation by text cannot reproduce: tool calls, log
     /// probabilities, or a second choice.
     bool isOpaque = false;
-    /// Value of the top-level `id`, still escaped as in the chunk.
-    std::string_view id;
     uint64_t promptTokens = 0;
     uint64_t completionTokens = 0;
     uint64_t cachedTokens = 0;
 };
 
-/// @brief Reads a chunk and appends its text, unescaped, to `text`.
-///
-/// One pass without building a document.
+/// @brief Reads a chunk without building a document.
+/// @param text receives the text of the chunk
 ChunkContent scanChunk(std::string_view json, std::string &text);
 
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/streams/sse_parser.hpp
+++ b/packages/policy/include/teaseldrift/streams/sse_parser.hpp
@@ -51,7 +51,9 @@
     void reset();
 
 private:
-    void parseLine(std::string_view line, SseEvent &event);
+    void readEvent(std::string_view lines, SseEvent &event);
+    void addData(std::string_view value, SseEvent &event);
+    void compact();
 
     size_t m_maxEventBytes;
     std::string m_buffer;
--- a/packages/policy/include/teaseldrift/streams/stream_relay.hpp
+++ b/packages/policy/include/teaseldrift/streams/stream_relay.hpp
@@ -25,28 +25,41 @@
     /// First new position and how many.
     uint64_t first = 0;
     uint64_t count = 0;
+    /// All text is passed on: report RequestMachine::textComplete().
+    bool isTextComplete = false;
     /// The end marker arrived.
     bool isEnded = false;
     /// Not a valid stream, a gap, or an error event: treat the attempt as broken.
     bool isBroken = false;
 };
 
+/// @brief What is known of a stream from its request.
+struct StreamOptions
+{
+    size_t maxEventBytes = 1U << 20U;
+    /// Most positions that the request allows; 0 if it sets no bound.
+    uint64_t maxPositions = 0;
+};
+
+/// @brief Reads from a request's body what a StreamRelay has to know.
+StreamOptions streamOptionsOf(std::string_view requestBody);
+
 /// @brief The caller's view of one stream over all attempts that feed it.
 ///
 /// Whole events only are passed on, so a broken connection never leaves half an event. Positions
 /// count events with text; events of an attempt that the caller already has are dropped. The end
-/// marker is not passed on by feed(): write endMarker() when RequestMachine says FinishCaller.
+/// marker is not passed on by feed(): write closing() when RequestMachine says FinishCaller.
 ///
 /// ```cpp
-/// StreamRelay relay;
+/// StreamRelay relay(streamOptionsOf(body));
 /// relay.beginAttempt(AttemptKind::Whole);
 /// StreamProgress progress = relay.feed(bytes, out);
-/// std::optional<std::string> body = relay.continuationBody(originalBody);
+/// std::optional<std::string> rest = relay.continuationBody(body);
 /// ```
 class StreamRelay
 {
 public:
-    explicit StreamRelay(size_t maxEventBytes = 1U << 20U);
+    explicit StreamRelay(StreamOptions options = {});
 
     /// @brief What follows comes from a new attempt.
     void beginAttempt(AttemptKind kind);
@@ -74,8 +87,9 @@
     /// @brief Token counts, once a finished answer has reported them.
     [[nodiscard]] const std::optional<StreamUsage> &usage() const { return m_usage; }
 
-    /// @brief The event that ends a stream properly.
-    static std::string_view endMarker();
+    /// @brief What ends the stream properly: the end marker, and before it the finish reason if
+    /// the target was lost between the last text and that.
+    [[nodiscard]] std::string closing() const;
 
     /// @brief An event that ends a stream with an error.
     static std::string errorEvent(schema::ResultCode code);
@@ -83,25 +97,40 @@
 private:
     enum class Verdict { Pass, Drop, Broken };
 
-    Verdict judge(const SseEvent &event, const ChunkContent &chunk, uint64_t &number) const;
+    void readEvent(const SseEvent &event, StreamProgress &progress, std::string &out);
+    Verdict judge(const SseEvent &event, const ChunkContent &chunk);
+    Verdict judgeNumber(uint64_t number, const ChunkContent &chunk);
+    Verdict judgeRepeat(uint64_t number, const ChunkContent &chunk);
     void take(const SseEvent &event, const ChunkContent &chunk, std::string &out);
-    void writeEvent(const SseEvent &event, std::string_view data, std::string &out) const;
-    std::string rewritten(std::string_view data, const ChunkContent &chunk) const;
+    void takeUsage(const ChunkContent &chunk);
+    void writeEvent(const SseEvent &event, std::string &out);
+    [[nodiscard]] bool isTextComplete() const;
 
+    StreamOptions m_options;
     SseParser m_parser;
     AttemptKind m_kind = AttemptKind::Whole;
+    bool m_isFirstAttempt = true;
     uint64_t m_position = 0;
-    /// Position at which the current attempt began.
+    /// Position at which the current attempt's own request begins.
     uint64_t m_base = 0;
+    size_t m_baseBytes = 0;
     std::string m_text;
     std::string m_chunkText;
+    /// A chunk as the caller got it, the pattern for rewritten ones.
+    std::string m_firstChunk;
     std::string m_lastEventId;
-    std::string m_chunkId;
+    /// Numbers in the current target's own counting.
+    std::optional<uint64_t> m_firstNumber;
     std::optional<uint64_t> m_lastNumber;
+    bool m_isNumberedInOrder = true;
+    /// Where a target that begins anew stands in the text already passed on.
+    std::optional<size_t> m_repeatedBytes;
+    /// Last number that the caller got.
+    std::optional<uint64_t> m_callerNumber;
     std::optional<StreamUsage> m_usage;
     bool m_canContinue = true;
     bool m_finishPassed = false;
-    bool m_usagePassed = false;
+    bool m_ended = false;
 };
 
 } // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/attempts/request_machine_test.cpp
@@ -0,0 +1,217 @@
+#include "teaseldrift/attempts/request_machine.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace teaseldrift {
+
+namespace {
+
+template <typename Action>
+const Action *find(const RequestActions &actions)
+{
+    for (const RequestAction &action : actions) {
+        if (std::holds_alternative<Action>(action)) {
+            return &std::get<Action>(action);
+        }
+    }
+    return nullptr;
+}
+
+/// A machine whose first attempt is with target "a".
+struct Fixture
+{
+    RetryBudget budget;
+    RequestMachine machine;
+    Instant now{};
+
+    explicit Fixture(RequestOptions options) : machine(options, budget)
+    {
+        machine.start(now);
+        machine.targetChosen(1, "a", now);
+    }
+
+    void answer()
+    {
+        machine.sent(1, now);
+        machine.headReceived(1, {.status = 200}, now);
+    }
+};
+
+constexpr RequestOptions streamOptions{.routeClass = schema::GENERATION,
+                                       .answerMode = AnswerMode::Streamed};
+
+} // namespace
+
+TEST_CASE("a failed connection is tried elsewhere, and reported as not run at the end")
+{
+    Fixture fixture({.routeClass = schema::NON_IDEMPOTENT, .maxAttempts = 2});
+    const RequestActions actions = fixture.machine.connectFailed(1, fixture.now);
+    const StartAttempt *next = find<StartAttempt>(actions);
+    REQUIRE(next != nullptr);
+    CHECK(next->excludedTargets == std::vector<std::string>{"a"});
+    CHECK(next->reason == schema::RETRY_CONNECT_FAILED);
+    fixture.machine.targetChosen(2, "b", fixture.now);
+    const RequestActions last = fixture.machine.connectFailed(2, fixture.now);
+    REQUIRE(find<RefuseCaller>(last) != nullptr);
+    CHECK(find<RefuseCaller>(last)->code == schema::CONNECT_FAILED);
+    CHECK(find<RefuseCaller>(last)->ran == schema::RAN_NO);
+    CHECK(find<RefuseCaller>(last)->retryAfter > Duration(0));
+}
+
+TEST_CASE("a non-idempotent call that broke after it was sent has an unknown outcome")
+{
+    Fixture fixture({.routeClass = schema::NON_IDEMPOTENT});
+    fixture.machine.sent(1, fixture.now);
+    const RequestActions actions = fixture.machine.broken(1, fixture.now);
+    CHECK(find<StartAttempt>(actions) == nullptr);
+    REQUIRE(find<RefuseCaller>(actions) != nullptr);
+    CHECK(find<RefuseCaller>(actions)->code == schema::OUTCOME_UNKNOWN);
+}
+
+TEST_CASE("a non-idempotent call goes on after its caller has gone")
+{
+    Fixture fixture({.routeClass = schema::NON_IDEMPOTENT});
+    fixture.answer();
+    CHECK(fixture.machine.callerGone(fixture.now).empty());
+    CHECK(find<FinishCaller>(fixture.machine.answerComplete(1, fixture.now)) != nullptr);
+}
+
+TEST_CASE("a 503 to a non-idempotent call is its answer unless the target says that it did not run")
+{
+    const AnswerHead head{.status = 503, .retryAfter = 1s};
+    CHECK(meaningOf(head, schema::NON_IDEMPOTENT) == HeadMeaning::Answer);
+    CHECK(meaningOf(head, schema::IDEMPOTENT) == HeadMeaning::NotRun);
+    const AnswerHead explicitHead{.status = 503, .saysNotRun = true};
+    CHECK(meaningOf(explicitHead, schema::NON_IDEMPOTENT) == HeadMeaning::NotRun);
+}
+
+TEST_CASE("a request that is given up is answered at once")
+{
+    Fixture fixture({.maxAttempts = 1});
+    const RequestActions actions = fixture.machine.connectFailed(1, fixture.now);
+    CHECK(find<RefuseCaller>(actions) != nullptr);
+    CHECK_FALSE(fixture.machine.nextDeadline().has_value());
+}
+
+TEST_CASE("a spent budget ends a request instead of another attempt")
+{
+    Fixture fixture({});
+    while (fixture.budget.tryTake(fixture.now, RetryUrgency::Normal)) { }
+    const RequestActions actions = fixture.machine.connectFailed(1, fixture.now);
+    REQUIRE(find<RefuseCaller>(actions) != nullptr);
+    CHECK(find<RefuseCaller>(actions)->code == schema::RETRY_BUDGET_SPENT);
+}
+
+TEST_CASE("a started stream uses the reserve of a spent budget")
+{
+    Fixture fixture(streamOptions);
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 1}, fixture.now);
+    while (fixture.budget.tryTake(fixture.now, RetryUrgency::Normal)) { }
+    const RequestActions actions = fixture.machine.broken(1, fixture.now);
+    REQUIRE(find<StartAttempt>(actions) != nullptr);
+    CHECK(find<StartAttempt>(actions)->kind == AttemptKind::Resume);
+    CHECK(find<StartAttempt>(actions)->target == "a");
+}
+
+TEST_CASE("a stream that cannot be resumed is continued on another target")
+{
+    Fixture fixture(streamOptions);
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 3}, fixture.now);
+    fixture.machine.broken(1, fixture.now);
+    fixture.machine.targetChosen(2, "a", fixture.now);
+    const RequestActions actions = fixture.machine.connectFailed(2, fixture.now);
+    const StartAttempt *next = find<StartAttempt>(actions);
+    REQUIRE(next != nullptr);
+    CHECK(next->kind == AttemptKind::Continuation);
+    CHECK(next->position == 3);
+    CHECK(next->excludedTargets == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a stream that nothing can complete ends with an error")
+{
+    Fixture fixture({.routeClass = schema::GENERATION,
+                     .answerMode = AnswerMode::Streamed,
+                     .targetsResume = false});
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 3}, fixture.now);
+    fixture.machine.forbidContinuation();
+    const RequestActions actions = fixture.machine.broken(1, fixture.now);
+    CHECK(find<EndStreamWithError>(actions) != nullptr);
+}
+
+TEST_CASE("a stream closed without its end marker is not complete")
+{
+    Fixture fixture(streamOptions);
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 3}, fixture.now);
+    const RequestActions actions = fixture.machine.answerComplete(1, fixture.now);
+    CHECK(find<FinishCaller>(actions) == nullptr);
+    CHECK(find<StartAttempt>(actions) != nullptr);
+}
+
+TEST_CASE("a silent target is replaced after the progress bound")
+{
+    Fixture fixture(streamOptions);
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 1}, fixture.now);
+    const Instant due = *fixture.machine.nextDeadline();
+    CHECK(due == fixture.now + streamOptions.progressTimeout);
+    CHECK(fixture.machine.timer(due - 1us).empty());
+    const RequestActions actions = fixture.machine.timer(due);
+    CHECK(find<CancelAttempt>(actions) != nullptr);
+    CHECK(find<StartAttempt>(actions) != nullptr);
+}
+
+TEST_CASE("a pause of this VM is not taken for a silent target")
+{
+    Fixture fixture(streamOptions);
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 1}, fixture.now);
+    const Instant late = *fixture.machine.nextDeadline() + 10s;
+    CHECK(fixture.machine.timer(late).empty());
+    CHECK(*fixture.machine.nextDeadline() == late + streamOptions.progressTimeout);
+}
+
+TEST_CASE("what comes from an attempt that was given up is ignored")
+{
+    Fixture fixture(streamOptions);
+    fixture.machine.connectFailed(1, fixture.now);
+    CHECK_FALSE(fixture.machine.isCurrent(1));
+    CHECK(find<CancelAttempt>(fixture.machine.data(1, {.first = 0, .count = 1}, fixture.now)));
+    CHECK(fixture.machine.endMarker(1, fixture.now).empty());
+    CHECK(fixture.machine.broken(1, fixture.now).empty());
+    CHECK(fixture.machine.delivered() == 0);
+}
+
+TEST_CASE("when all targets have failed they are tried again after a pause")
+{
+    Fixture fixture({});
+    fixture.machine.connectFailed(1, fixture.now);
+    CHECK(fixture.machine.noTarget(2, fixture.now).empty());
+    CHECK(fixture.machine.phase() == RequestPhase::Waiting);
+    const RequestActions actions = fixture.machine.timer(*fixture.machine.nextDeadline());
+    REQUIRE(find<StartAttempt>(actions) != nullptr);
+    CHECK(find<StartAttempt>(actions)->excludedTargets.empty());
+}
+
+TEST_CASE("the retry budget follows the number of requests and keeps a floor")
+{
+    RetryBudget budget({.ratio = 0.1, .floor = 2, .capacity = 5, .floorPerSecond = 1});
+    Instant now{};
+    CHECK(budget.tryTake(now, RetryUrgency::Normal));
+    CHECK(budget.tryTake(now, RetryUrgency::Normal));
+    CHECK_FALSE(budget.tryTake(now, RetryUrgency::Normal));
+    for (int i = 0; i < 11; ++i) {
+        budget.countRequest();
+    }
+    CHECK(budget.tryTake(now, RetryUrgency::Normal));
+    CHECK_FALSE(budget.tryTake(now, RetryUrgency::Normal));
+    now += 60s;
+    CHECK(budget.tryTake(now, RetryUrgency::Normal));
+    CHECK(budget.tryTake(now, RetryUrgency::Normal));
+    CHECK_FALSE(budget.tryTake(now, RetryUrgency::Normal));
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -0,0 +1,35 @@
+#include "teaseldrift/attempts/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options) : m_options(options), m_tokens(options.floor)
+{ }
+
+void RetryBudget::countRequest()
+{
+    m_tokens = std::min(m_options.capacity, m_tokens + m_options.ratio);
+}
+
+bool RetryBudget::tryTake(Instant now, RetryUrgency urgency)
+{
+    refill(now);
+    const double reserve = urgency == RetryUrgency::StartedStream ? m_options.streamReserve : 0.0;
+    if (m_tokens + reserve < 1.0) {
+        return false;
+    }
+    m_tokens -= 1.0;
+    return true;
+}
+
+void RetryBudget::refill(Instant now)
+{
+    if (m_tokens < m_options.floor && now > m_refilled) {
+        const double gained = toSeconds(now - m_refilled) * m_options.floorPerSecond;
+        m_tokens = std::min(m_options.floor, m_tokens + gained);
+    }
+    m_refilled = std::max(m_refilled, now);
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/streams/stream_body.cpp
@@ -0,0 +1,141 @@
+#include "teaseldrift/streams/stream_relay.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+#include "teaseldrift/schema/result.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr std::array<const char *, 2> maxTokenFields{"max_tokens", "max_completion_tokens"};
+
+std::optional<uint64_t> unsignedField(const ordered_json &body, const char *field)
+{
+    const ordered_json::const_iterator value = body.find(field);
+    if (value == body.end() || !value->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return value->get<uint64_t>();
+}
+
+/// Whether the answer to a body is one text that can be taken up again.
+bool isContinuable(const ordered_json &body)
+{
+    const bool isSingle = unsignedField(body, "n").value_or(1) == 1;
+    const ordered_json::const_iterator messages = body.find("messages");
+    const ordered_json::const_iterator prompt = body.find("prompt");
+    const bool isChat = messages != body.end() && messages->is_array();
+    const bool isCompletion = prompt != body.end() && prompt->is_string();
+    return isSingle && (isChat || isCompletion);
+}
+
+/// Lets the answer begin with the text delivered so far.
+void addText(ordered_json &body, std::string_view text)
+{
+    if (body.contains("messages")) {
+        body["messages"].push_back({{"role", "assistant"}, {"content", std::string(text)}});
+        body["continue_final_message"] = true;
+        body["add_generation_prompt"] = false;
+        return;
+    }
+    body["prompt"] = body["prompt"].get<std::string>() + std::string(text);
+}
+
+/// @return false if nothing is left to be generated
+bool reduceTokens(ordered_json &body, uint64_t delivered)
+{
+    for (const char *field : maxTokenFields) {
+        const std::optional<uint64_t> allowed = unsignedField(body, field);
+        if (allowed && *allowed <= delivered) {
+            return false;
+        }
+        if (allowed) {
+            body[field] = *allowed - delivered;
+        }
+    }
+    const std::optional<uint64_t> least = unsignedField(body, "min_tokens");
+    if (least) {
+        body["min_tokens"] = *least - std::min(*least, delivered);
+    }
+    return true;
+}
+
+/// The chunk with which a target says that the token limit was reached.
+std::string limitChunk(std::string_view pattern)
+{
+    ordered_json chunk = ordered_json::parse(pattern, nullptr, false);
+    if (!chunk.is_object()) {
+        return {};
+    }
+    const bool isChat = chunk.contains("choices") && chunk["choices"].is_array()
+                        && !chunk["choices"].empty() && chunk["choices"][0].contains("delta");
+    ordered_json choice = {{"index", 0}};
+    if (isChat) {
+        choice["delta"] = ordered_json::object();
+    } else {
+        choice["text"] = "";
+    }
+    choice["finish_reason"] = "length";
+    chunk["choices"] = ordered_json::array({choice});
+    chunk.erase("usage");
+    return "data: " + chunk.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n\n";
+}
+
+} // namespace
+
+StreamOptions streamOptionsOf(std::string_view requestBody)
+{
+    StreamOptions options;
+    const ordered_json body = ordered_json::parse(requestBody, nullptr, false);
+    if (!body.is_object()) {
+        return options;
+    }
+    for (const char *field : maxTokenFields) {
+        options.maxPositions
+                = std::max(options.maxPositions, unsignedField(body, field).value_or(0));
+    }
+    return options;
+}
+
+std::optional<std::string> StreamRelay::continuationBody(std::string_view originalBody) const
+{
+    ordered_json body = ordered_json::parse(originalBody, nullptr, false);
+    if (!m_canContinue || !body.is_object() || !isContinuable(body)) {
+        return std::nullopt;
+    }
+    if (!reduceTokens(body, m_position)) {
+        return std::nullopt;
+    }
+    addText(body, m_text);
+    return body.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+std::string StreamRelay::closing() const
+{
+    std::string closing;
+    if (!m_ended && !m_finishPassed) {
+        closing = limitChunk(m_firstChunk);
+    }
+    closing += "data: [DONE]\n\n";
+    return closing;
+}
+
+std::string StreamRelay::errorEvent(schema::ResultCode code)
+{
+    const schema::ResultInfo &info = schema::describe(code);
+    const ordered_json error = {
+            {"error",
+             {{"code", static_cast<int>(code)},
+              {"type", schema::metricLabel(code)},
+              {"message", info.message()}}},
+    };
+    return "event: error\ndata: " + error.dump() + "\n\n";
+}
+
+} // namespace teaseldrift
