Claim idempotency keys in the store

Cause: a repeated call may reach another VM, or come after the first VM was lost. Change: ClaimTable claims by compare-and-swap before anything is sent, reads back by claim id after a lost answer, keeps the answer for replay, and removes a claim that was refused while its write was under way. Fuzzed with two VMs, delayed writes, lost answers and replaced VMs.

--- a/packages/policy/include/teaseldrift/idempotency/claim_table.hpp
+++ b/packages/policy/include/teaseldrift/idempotency/claim_table.hpp
@@ -31,7 +31,9 @@
 ///
 /// A key is claimed by creating its record in the store before the request is sent anywhere, so
 /// the claim is seen from every VM and survives the VM that made it. One table serves a VM. Each
-/// step holds at most one operation on the store; its result is reported with the claim's id.
+/// step holds at most one operation on the store; its result must always be reported, with the
+/// claim's id, even long after a verdict. A claim that was refused while a write was under way is
+/// released as soon as the store tells what became of it.
 ///
 /// ```cpp
 /// ClaimStep step = table.begin(request, now);          // step.write
@@ -82,14 +84,21 @@
         Instant begun;
         uint64_t revision = 0;
         uint32_t tries = 0;
+        /// The record may exist, or come to exist.
+        bool mayExist = false;
+        /// Refused already; what may exist of it is to be removed.
+        bool isAbandoned = false;
     };
 
     using Claims = std::map<std::string, Claim, std::less<>>;
 
-    ClaimStep create(Claim &claim);
-    ClaimStep readBack(Claim &claim);
-    ClaimStep grant(Claim &claim, uint64_t revision, Instant now);
+    static ClaimStep create(Claim &claim);
+    static ClaimStep readBack(Claim &claim);
+    static ClaimStep release(Claim &claim);
+    static ClaimStep record(Claim &claim);
+    ClaimStep grant(Claim &claim, uint64_t revision, Instant now) const;
     ClaimStep refuse(Claims::iterator claim, schema::ResultCode code);
+    ClaimStep giveUp(Claims::iterator claim);
     ClaimStep judgeOther(Claims::iterator claim, const schema::ClaimRecord &other,
                          int64_t nowUnixMs);
     ClaimStep createdDone(Claims::iterator claim, ClaimWriteOutcome outcome, uint64_t revision,
--- a/packages/policy/src/teaseldrift/attempts/request_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_fuzz_test.cpp
@@ -399,7 +399,7 @@
         case Op::Head:
             return world.head(attempt, choice);
         case Op::Data:
-            return world.data(attempt, choice * 3U);
+            return world.data(attempt, size_t{3} * choice);
         case Op::Break:
             return attempt.isSent
                            ? world.perform(world.machine.broken(attempt.action.id, world.now))
--- /dev/null
+++ b/packages/policy/src/teaseldrift/idempotency/claim_fuzz_test.cpp
@@ -0,0 +1,321 @@
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "teaseldrift/idempotency/claim_table.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+constexpr size_t vmCount = 2;
+constexpr int64_t requestLifeMs = 10000;
+
+/// An operation on its way to the store. It may take effect long after its answer was given up.
+struct Operation
+{
+    size_t vm;
+    uint32_t incarnation;
+    std::string claimId;
+    ClaimStep step;
+    bool isAnswered = false;
+    bool isApplied = false;
+};
+
+/// A request with the one key, as its caller and its target see it.
+struct Call
+{
+    size_t vm;
+    uint32_t incarnation;
+    std::string id;
+    std::string hash;
+    std::optional<ClaimVerdict> verdict;
+    bool hasRun = false;
+    bool hasEnded = false;
+};
+
+/// Two VMs, one store and repeated calls with one key.
+struct World
+{
+    std::vector<ClaimTable> tables = std::vector<ClaimTable>(vmCount);
+    std::vector<uint32_t> incarnations = std::vector<uint32_t>(vmCount);
+    std::optional<schema::ClaimRecord> stored;
+    uint64_t storedRevision = 0;
+    uint64_t revision = 0;
+    std::vector<Operation> operations;
+    std::vector<Call> calls;
+    std::map<std::string, std::string> answers;
+    uint32_t runs = 0;
+    Instant now{};
+
+    [[nodiscard]] int64_t nowUnixMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch())
+                .count();
+    }
+
+    void call(size_t vm, uint32_t choice)
+    {
+        Call call{.vm = vm, .incarnation = incarnations[vm]};
+        call.id = "claim-" + std::to_string(calls.size());
+        call.hash = choice % 8 == 0 ? "other" : "same";
+        calls.push_back(call);
+        take(calls.back(), tables[vm].begin({.organisation = "o",
+                                             .route = "/bills",
+                                             .idempotencyKey = "k",
+                                             .requestHash = call.hash,
+                                             .claimId = call.id,
+                                             .endsUnixMs = nowUnixMs() + requestLifeMs},
+                                            now));
+    }
+
+    void take(Call &call, const ClaimStep &step)
+    {
+        if (step.read || step.write || step.erase) {
+            operations.push_back({.vm = call.vm,
+                                  .incarnation = call.incarnation,
+                                  .claimId = call.id,
+                                  .step = step});
+        }
+        if (!step.verdict) {
+            return;
+        }
+        RC_ASSERT(!call.verdict.has_value());
+        call.verdict = step.verdict;
+        if (step.verdict == ClaimVerdict::Replay) {
+            RC_ASSERT(answers.contains(step.answer.body()));
+            RC_ASSERT(answers[step.answer.body()] == call.hash);
+        }
+    }
+
+    /// The operation takes effect in the store.
+    ClaimWriteOutcome apply(Operation &operation)
+    {
+        operation.isApplied = true;
+        const std::optional<WriteClaim> &write = operation.step.write;
+        const uint64_t current = stored ? storedRevision : 0;
+        const uint64_t expected
+                = write ? write->expectedRevision : operation.step.erase->expectedRevision;
+        if (current != expected) {
+            return ClaimWriteOutcome::Conflict;
+        }
+        storedRevision = ++revision;
+        stored = write ? std::optional(write->record) : std::nullopt;
+        return ClaimWriteOutcome::Written;
+    }
+
+    void answer(Operation &operation, uint32_t choice)
+    {
+        const bool isHere = operation.incarnation == incarnations[operation.vm];
+        if (operation.isAnswered) {
+            if (!operation.isApplied && !operation.step.read) {
+                apply(operation); // Delayed on its way, and in effect only now.
+            }
+            return;
+        }
+        operation.isAnswered = true;
+        const std::string id = operation.claimId;
+        ClaimTable &table = tables[operation.vm];
+        ClaimStep next;
+        if (operation.step.read) {
+            ClaimReadResult result{.isAnswered = choice % 4 != 0};
+            if (result.isAnswered) {
+                result.record = stored;
+                result.revision = storedRevision;
+            }
+            next = isHere ? table.readDone(id, result, now, nowUnixMs()) : ClaimStep();
+        } else {
+            const ClaimWriteOutcome outcome = outcomeOf(operation, choice);
+            next = isHere ? table.writeDone(id, outcome, revision, now) : ClaimStep();
+        }
+        take(callOf(id), next);
+    }
+
+    ClaimWriteOutcome outcomeOf(Operation &operation, uint32_t choice)
+    {
+        switch (choice % 6) {
+        case 0:
+            operation.isApplied = true;
+            return ClaimWriteOutcome::NotSent;
+        case 1:
+            return ClaimWriteOutcome::Unknown;
+        case 2:
+            apply(operation);
+            return ClaimWriteOutcome::Unknown;
+        default:
+            return apply(operation);
+        }
+    }
+
+    Call &callOf(const std::string &id)
+    {
+        return *std::find_if(calls.begin(), calls.end(),
+                             [&id](const Call &call) { return call.id == id; });
+    }
+
+    /// The VM hands a granted request to a target, which runs it, if the VM still exists.
+    void run(Call &call)
+    {
+        const bool isHere = call.incarnation == incarnations[call.vm];
+        if (call.verdict == ClaimVerdict::Granted && !call.hasRun && !call.hasEnded && isHere) {
+            call.hasRun = true;
+            ++runs;
+            RC_ASSERT(runs <= 1U);
+        }
+    }
+
+    void end(Call &call, uint32_t choice)
+    {
+        const bool isHere = call.incarnation == incarnations[call.vm];
+        if (call.verdict != ClaimVerdict::Granted || call.hasEnded || !isHere) {
+            return;
+        }
+        call.hasEnded = true;
+        schema::KeptAnswer answer;
+        answer.set_body("answer of " + call.id);
+        ClaimEnd how = ClaimEnd::NotRun;
+        if (call.hasRun) {
+            how = choice % 3 == 0 ? ClaimEnd::Unknown : ClaimEnd::Answered;
+            answers[answer.body()] = call.hash;
+        }
+        take(call, tables[call.vm].end(call.id, how, answer, now));
+    }
+
+    void replace(size_t vm)
+    {
+        ++incarnations[vm];
+        tables[vm] = ClaimTable();
+    }
+
+    void pass(uint32_t choice)
+    {
+        now += std::chrono::milliseconds(choice * 20);
+        for (ClaimTable &table : tables) {
+            for (const std::string &id : table.expire(now)) {
+                RC_ASSERT(!callOf(id).verdict.has_value());
+                callOf(id).verdict = ClaimVerdict::Refused;
+            }
+        }
+    }
+};
+
+struct Model
+{ };
+
+enum class Op { Call, Answer, Run, End, Replace, Pass };
+
+struct Step : rc::state::Command<Model, World>
+{
+    Op op = *rc::gen::weightedElement<Op>({{3, Op::Call},
+                                           {10, Op::Answer},
+                                           {4, Op::Run},
+                                           {3, Op::End},
+                                           {1, Op::Replace},
+                                           {1, Op::Pass}});
+    uint32_t choice = *rc::gen::arbitrary<uint8_t>();
+    uint32_t age = *rc::gen::weightedElement<uint32_t>({{6, 0}, {2, 1}, {1, 2}, {1, 3}});
+
+    void run(const Model & /*model*/, World &world) const override
+    {
+        if (op == Op::Call) {
+            return world.call(choice % vmCount, choice / vmCount);
+        }
+        if (op == Op::Replace) {
+            return world.replace(choice % vmCount);
+        }
+        if (op == Op::Pass) {
+            return world.pass(choice);
+        }
+        if (op == Op::Answer && !world.operations.empty()) {
+            const size_t newest = world.operations.size() - 1;
+            // Kept apart: the answer may add an operation.
+            Operation operation = world.operations[newest - std::min<size_t>(age, newest)];
+            world.answer(operation, choice);
+            world.operations[newest - std::min<size_t>(age, newest)] = operation;
+        } else if (op != Op::Answer && !world.calls.empty()) {
+            const size_t newest = world.calls.size() - 1;
+            Call &call = world.calls[newest - std::min<size_t>(age, newest)];
+            op == Op::Run ? world.run(call) : world.end(call, choice);
+        }
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << "Step(" << static_cast<int>(op) << ", " << choice << ", " << age << ")";
+    }
+};
+
+} // namespace
+
+TEST_CASE("calls with one key run once over two VMs, lost answers and replacement", "[fuzz]")
+{
+    REQUIRE(rc::check([] {
+        World world;
+        rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Step>());
+        RC_CLASSIFY(world.runs == 1U, "ran");
+        RC_CLASSIFY(
+                std::any_of(world.calls.begin(), world.calls.end(),
+                            [](const Call &call) { return call.verdict == ClaimVerdict::Replay; }),
+                "replayed");
+    }));
+}
+
+TEST_CASE("a claim whose answer was lost is found again by its id")
+{
+    ClaimTable table;
+    const Instant now{};
+    const ClaimStep first = table.begin({.idempotencyKey = "k", .claimId = "c"}, now);
+    REQUIRE(first.write.has_value());
+    CHECK(table.writeDone("c", ClaimWriteOutcome::Unknown, 0, now).read.has_value());
+    const ClaimReadResult result{.isAnswered = true, .record = first.write->record, .revision = 5};
+    CHECK(table.readDone("c", result, now, 0).verdict == ClaimVerdict::Granted);
+}
+
+TEST_CASE("a claim that the store does not answer is refused, and released once it does")
+{
+    ClaimTable table;
+    const Instant now{};
+    const ClaimStep first = table.begin({.idempotencyKey = "k", .claimId = "c"}, now);
+    CHECK(table.expire(now + 10s) == std::vector<std::string>{"c"});
+    const ClaimStep late = table.writeDone("c", ClaimWriteOutcome::Written, 7, now + 11s);
+    CHECK_FALSE(late.verdict.has_value());
+    REQUIRE(late.erase.has_value());
+    CHECK(late.erase->expectedRevision == 7);
+    table.writeDone("c", ClaimWriteOutcome::Written, 8, now + 11s);
+    CHECK(table.size() == 0);
+}
+
+TEST_CASE("keys of different organisations and routes never meet")
+{
+    CHECK(ClaimTable::storeKey("a", "b", "c") != ClaimTable::storeKey("ab", "", "c"));
+    CHECK(ClaimTable::storeKey("a", "b", "c") != ClaimTable::storeKey("a", "bc", ""));
+    CHECK(ClaimTable::storeKey("a", "b", "c") == ClaimTable::storeKey("a", "b", "c"));
+}
+
+TEST_CASE("a VM holds a bounded number of claims")
+{
+    ClaimTable table({.maxClaims = 1});
+    table.begin({.idempotencyKey = "k", .claimId = "c"}, Instant());
+    const ClaimStep step = table.begin({.idempotencyKey = "l", .claimId = "d"}, Instant());
+    CHECK(step.code == schema::IDEMPOTENCY_CLAIM_FAILED);
+}
+
+TEST_CASE("an answer larger than allowed is not kept")
+{
+    ClaimTable table({.maxAnswerBytes = 8});
+    table.begin({.idempotencyKey = "k", .claimId = "c"}, Instant());
+    table.writeDone("c", ClaimWriteOutcome::Written, 1, Instant());
+    schema::KeptAnswer answer;
+    answer.set_body("0123456789");
+    const ClaimStep step = table.end("c", ClaimEnd::Answered, answer, Instant());
+    REQUIRE(step.write.has_value());
+    CHECK(step.write->record.state() == schema::COMPLETED);
+    CHECK_FALSE(step.write->record.has_answer());
+}
+
+} // namespace teaseldrift
