--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -117,6 +117,9 @@
         return nullptr;
     }
     call.sent = true;
+    if (call.handlers.onSent) {
+        call.handlers.onSent();
+    }
     call.wireVector = toIovec(call.wire);
     *buffers = &call.wireVector;
     *bufferCount = 1;
@@ -133,15 +136,15 @@
     if ((*input)->size == 0) {
         return true;
     }
-    const std::string data((*input)->bytes, (*input)->size);
-    h2o_buffer_consume(input, (*input)->size);
+    const size_t size = (*input)->size;
     const std::shared_ptr<bool> stillAlive = alive;
     inCallback = true;
-    handlers.onData(data);
+    handlers.onData({(*input)->bytes, size});
     if (!*stillAlive) {
         return false;
     }
     inCallback = false;
+    h2o_buffer_consume(input, size);
     return true;
 }
 
