Measure the cost of configuration and membership

Cause: the store's calls and the VMs' control budget are promises too. The fixture takes neighbours from MembershipView and writes documents of ordinary size.

--- /dev/null
+++ b/bench/control/measure_control.cpp
@@ -0,0 +1,148 @@
+/// Calls of the store, messages and bytes between VMs, and times to acceptance, by size of fleet.
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "sync_fixture.hpp"
+
+namespace {
+
+using namespace teaseldrift;
+using teaseldrift::testing::SyncFixture;
+using teaseldrift::testing::SyncVm;
+using teaseldrift::testing::Traffic;
+
+constexpr Duration settling = 5s;
+constexpr Duration measured = 60s;
+constexpr Duration step = 50ms;
+
+struct Policy
+{
+    std::string name;
+    SyncOptions options;
+};
+
+/// What one run gave.
+struct Run
+{
+    Traffic traffic;
+    Duration length{};
+    /// Time that VMs were not current, over all VMs.
+    Duration notCurrent{};
+    std::vector<Duration> acceptTimes;
+};
+
+void print(const std::string &scenario, const Policy &policy, const char *metric, double value,
+           const char *unit)
+{
+    std::cout << scenario << "," << policy.name << "," << metric << "," << value << "," << unit
+              << "\n";
+}
+
+void report(const std::string &scenario, const Policy &policy, size_t vms, Run run)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    const double seconds = toSeconds(run.length);
+    const double vmSeconds = seconds * static_cast<double>(vms);
+    const Traffic &traffic = run.traffic;
+    print(scenario, policy, "store_calls", static_cast<double>(traffic.storeCalls) / seconds,
+          "1/s");
+    print(scenario, policy, "messages_per_vm", static_cast<double>(traffic.messages) / vmSeconds,
+          "1/s");
+    print(scenario, policy, "bytes_per_vm", static_cast<double>(traffic.bytes) / vmSeconds, "B/s");
+    print(scenario, policy, "not_current_share", toSeconds(run.notCurrent) / vmSeconds, "1");
+    if (!run.acceptTimes.empty()) {
+        std::sort(run.acceptTimes.begin(), run.acceptTimes.end());
+        const Duration median = run.acceptTimes[run.acceptTimes.size() / 2];
+        print(scenario, policy, "accept_p50", toSeconds(median) * millisecondsPerSecond, "ms");
+        print(scenario, policy, "accept_max",
+              toSeconds(run.acceptTimes.back()) * millisecondsPerSecond, "ms");
+    }
+}
+
+/// Runs for `length` and calls `each` before every step.
+template <typename Each>
+Run measure(SyncFixture &fleet, Duration length, Each each)
+{
+    fleet.traffic = {};
+    Run run{.length = length};
+    for (Duration passed{}; passed < length; passed += step) {
+        each(passed);
+        fleet.run(step);
+        for (const SyncVm &vm : fleet.vms) {
+            run.notCurrent += vm.sync->isCurrent(fleet.now()) ? Duration::zero() : step;
+        }
+    }
+    run.traffic = fleet.traffic;
+    for (const testing::PendingChange &change : fleet.changes) {
+        if (change.acceptedAt.has_value()) {
+            run.acceptTimes.push_back(*change.acceptedAt - change.writtenAt);
+        }
+    }
+    return run;
+}
+
+bool isFullSecond(Duration passed)
+{
+    return passed % 1s == Duration::zero();
+}
+
+void measureSize(const Policy &policy, size_t vms)
+{
+    constexpr uint64_t seed = 20261203;
+    const std::string suffix = "-" + std::to_string(vms) + "vms";
+    const auto start = [&policy, vms] {
+        std::unique_ptr<SyncFixture> fleet
+                = std::make_unique<SyncFixture>(vms, seed, policy.options);
+        fleet->run(settling);
+        return fleet;
+    };
+    const std::unique_ptr<SyncFixture> resting = start();
+    report("control-rest" + suffix, policy, vms, measure(*resting, measured, [](Duration) {}));
+
+    const std::unique_ptr<SyncFixture> changing = start();
+    report("control-change-each-second" + suffix, policy, vms,
+           measure(*changing, measured, [&changing](Duration passed) {
+               if (isFullSecond(passed) && passed + 1s < measured) {
+                   changing->change("organisation/a", false);
+               }
+           }));
+
+    const std::unique_ptr<SyncFixture> restarting = start();
+    report("control-all-restart" + suffix, policy, vms,
+           measure(*restarting, settling, [&restarting, vms](Duration passed) {
+               for (size_t i = 0; passed == Duration::zero() && i < vms; ++i) {
+                   restarting->restart(i);
+               }
+           }));
+
+    const std::unique_ptr<SyncFixture> storeless = start();
+    storeless->storeDown = true;
+    report("control-store-down" + suffix, policy, vms,
+           measure(*storeless, measured, [](Duration) {}));
+
+    const std::unique_ptr<SyncFixture> cut = start();
+    report("control-one-vm-cut-off" + suffix, policy, vms,
+           measure(*cut, settling + settling, [&cut](Duration passed) {
+               cut->vms.back().cutOff = true;
+               if (passed == 1s) {
+                   cut->change("organisation/a", false);
+               }
+           }));
+}
+
+} // namespace
+
+int main()
+{
+    constexpr std::array<size_t, 5> sizes{6, 7, 12, 24, 133};
+    for (const size_t vms : sizes) {
+        measureSize({.name = "teaseldrift"}, vms);
+        // Every VM watches the store and confirms with it.
+        measureSize({.name = "all-read-store", .options = {.readers = vms}}, vms);
+    }
+    return 0;
+}
--- a/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
+++ b/packages/policy/src/teaseldrift/configuration/sync_fixture.hpp
@@ -11,6 +11,7 @@
 
 #include "teaseldrift/configuration/acceptance.hpp"
 #include "teaseldrift/configuration/configuration_sync.hpp"
+#include "teaseldrift/membership/membership_view.hpp"
 
 namespace teaseldrift::testing {
 
@@ -178,19 +179,15 @@
 inline void SyncFixture::refreshList(size_t index)
 {
     SyncMembers members{.listed = true};
+    std::vector<ListedVm> listed;
     for (const SyncVm &vm : vms) {
         members.live.push_back(vm.id);
         members.known.push_back(vm.id);
-        if (&vm != &vms[index]) {
-            members.neighbours.push_back(vm.id);
-        }
+        listed.push_back({.id = vm.id});
     }
-    constexpr size_t maxNeighbours = 8;
-    std::rotate(members.neighbours.begin(),
-                members.neighbours.begin()
-                        + static_cast<std::ptrdiff_t>(std::min(index, members.neighbours.size())),
-                members.neighbours.end());
-    members.neighbours.resize(std::min(members.neighbours.size(), maxNeighbours));
+    MembershipView view(vms[index].id);
+    view.onList(listed, m_now);
+    members.neighbours = view.neighbours(m_now);
     vms[index].sync->setMembers(std::move(members));
 }
 
@@ -403,7 +400,15 @@
     if (deletes) {
         m_documents.erase(name);
     } else {
-        document.mutable_document()->mutable_organisation()->set_name(name);
+        schema::Organisation &organisation = *document.mutable_document()->mutable_organisation();
+        organisation.set_name(name);
+        organisation.set_rate_tokens_per_s(static_cast<double>(m_storeRevision));
+        for (const char *id : {"0123456789abcdef", "fedcba9876543210"}) {
+            schema::KeyRecord &key = *organisation.add_keys();
+            key.set_id(id);
+            key.set_salt(id);
+            key.set_hash(std::string(id) + id);
+        }
         m_documents[name] = document;
     }
     m_history.push_back(document);
