Adapt the router to the finished interfaces; finish writes outside h2o's own turn

Cause: writes made by timers and messages stayed pending in h2o, which asserted when more than 256 sockets were ready at once (seen by the load tool at 900 streams). Change: run h2o's pending work after timers, as its timeout code does.

--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -85,6 +85,9 @@
         h2o_evloop_run(m_native->loop, mayWait ? waitFor(*m_native) : 0);
         const bool handledMessages = runPosted(*m_native);
         const bool firedTimers = fireTimers(*m_native);
+        // Finishes writes that went out at once. Otherwise h2o polls their sockets for writing, and
+        // asserts if more than 256 of them are ready at the same time.
+        h2o_timeout__do_post_callback(m_native->loop);
         mayWait = !handledMessages && !firedTimers;
     }
     m_native->stopped = false;
--- a/packages/policy/include/teaseldrift/homes/home_set.hpp
+++ b/packages/policy/include/teaseldrift/homes/home_set.hpp
@@ -18,6 +18,8 @@
     double weight = 1.0;
     /// Will go away soon; it gets no new callers.
     bool leaving = false;
+
+    friend bool operator==(const VmView &, const VmView &) = default;
 };
 
 /// @brief How many homes an organisation has.
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr Duration drainPollInterval = 20ms;
+constexpr Duration memberPollInterval = 250ms;
 /// Time for last answers to reach callers once all requests have ended.
 constexpr Duration lingerTime = 200ms;
 
@@ -97,6 +98,7 @@
     std::optional<TargetPoller> poller;
     std::optional<ConfigurationTask> configuration;
     std::shared_ptr<const RoutingTable> table;
+    std::vector<homes::VmView> allowanceVms;
     bool stopping = false;
     bool wasCut = false;
     Instant stopDeadline {};
@@ -129,7 +131,8 @@
 
     void startConfiguration();
     void onConfiguration(const schema::Configuration &configuration, uint64_t revision);
-    void onMembers(std::span<const FleetVm> live, std::span<const FleetVm> known);
+    void onLiveVms(const std::vector<FleetVm> &live);
+    void updateAllowanceVms();
     [[nodiscard]] Duration entryLifetime() const;
     void beginStop();
     void closeListener();
@@ -138,28 +141,24 @@
 
 void Daemon::Native::startConfiguration()
 {
+    fleet::ConfigurationTaskOptions options {
+            .vmId = settings.vm_id(),
+            .incarnation = identity.incarnation,
+            .randomSeed = identity.seed,
+            .storePrefix = settings.store_prefix(),
+    };
+    options.sync.freshnessBound = std::chrono::milliseconds(settings.freshness_bound_ms());
     configuration.emplace(
-            loop, store, vmList, peers,
-            fleet::ConfigurationTaskOptions {
-                    .vmId = settings.vm_id(),
-                    .incarnation = identity.incarnation,
-                    .storePrefix = settings.store_prefix(),
-                    .freshnessBound = std::chrono::milliseconds(settings.freshness_bound_ms()),
-                    .seed = identity.seed,
-            },
+            loop, store, vmList, peers, std::move(options),
             fleet::ConfigurationHandlers {
                     .onConfiguration =
                             [this](const schema::Configuration &newest, uint64_t revision) {
                                 onConfiguration(newest, revision);
                             },
-                    .onCurrent =
-                            [this](std::optional<Instant> currentUntil) {
-                                front.setCurrentUntil(currentUntil);
-                            },
-                    .onMembers =
-                            [this](std::span<const FleetVm> live, std::span<const FleetVm> known) {
-                                onMembers(live, known);
-                            },
+                    .onCurrentUntil =
+                            [this](Instant currentUntil) { front.setCurrentUntil(currentUntil); },
+                    .onLiveVms =
+                            [this](const std::vector<FleetVm> &live) { onLiveVms(live); },
                     .onLeavingTargets =
                             [this](const std::vector<std::string> &leaving) {
                                 targets.setLeaving(leaving);
@@ -178,7 +177,7 @@
                    {{"revision", std::to_string(revision)}});
 }
 
-void Daemon::Native::onMembers(std::span<const FleetVm> live, std::span<const FleetVm> known)
+void Daemon::Native::onLiveVms(const std::vector<FleetVm> &live)
 {
     std::vector<EntryVm> entryVms;
     for (const FleetVm &vm : live) {
@@ -189,13 +188,22 @@
     }
     targets.setTrafficShare(1.0 / static_cast<double>(std::max<size_t>(1, entryVms.size())));
     entries.setVms(std::move(entryVms));
+}
+
+/// VMs that may hold allowances: all that the list shows, silent and leaving ones too.
+void Daemon::Native::updateAllowanceVms()
+{
     std::vector<homes::VmView> views;
-    for (const FleetVm &vm : known) {
+    for (const FleetVm &vm : configuration->members().knownVms(http::EventLoop::now())) {
         views.push_back({.id = vm.listed.id,
                          .availabilityZone = vm.listed.availabilityZone,
                          .leaving = vm.state != MemberState::Live});
     }
-    allowance.setVms(views);
+    if (views != allowanceVms) {
+        allowanceVms = std::move(views);
+        allowance.setVms(allowanceVms);
+    }
+    loop.startTimer(memberPollInterval, [this] { updateAllowanceVms(); });
 }
 
 Duration Daemon::Native::entryLifetime() const
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -132,7 +132,7 @@
            std::function<void(const RequestOutcome &)> doneHandler)
         : services(requestServices), exchange(std::move(callerExchange)),
           spec(std::move(requestSpec)), onDone(std::move(doneHandler)),
-          machine(machineOptions(spec), budget)
+          machine(machineOptions(spec), budget), relay(streamOptionsOf(spec.body))
     {
     }
 
@@ -334,6 +334,9 @@
     if (!relay.canContinue()) {
         machine.forbidContinuation();
     }
+    if (progress.isTextComplete) {
+        machine.textComplete(id);
+    }
     if (progress.isBroken) {
         cancelEvidence = HealthEvidence::Broken;
         perform(machine.broken(id, now));
@@ -431,7 +434,7 @@
 {
     releaseTarget(HealthEvidence::Answered);
     if (streamStarted) {
-        exchange->write(StreamRelay::endMarker());
+        exchange->write(relay.closing());
         exchange->finish();
     } else {
         http::Response response = answer;
@@ -440,7 +443,7 @@
             response.headers.push_back({"x-teaseldrift-choice", explanation});
         }
         if (answersAsStream) {
-            response.body = std::string(StreamRelay::endMarker());
+            response.body = relay.closing();
         }
         exchange->respond(response);
     }
--- a/testing/processes/process.hpp
+++ b/testing/processes/process.hpp
@@ -11,6 +11,9 @@
 class Process
 {
 public:
+    /// @brief No process.
+    Process() = default;
+
     /// @param program path of the program
     /// @param errorFile gets its standard error; empty discards it
     Process(const std::string &program, const std::vector<std::string> &arguments,
