Eject targets by evidence; give orders to targets under a lease

Cause: leaving and failing targets must get nothing new, and two VMs may both believe to be the controller of orders. Change: TargetHealth with a bound per pool; ControllerLease counts from the call to the store, and a new controller waits until no earlier order can arrive; OrderController reconciles models, versions and adapters within the bound of loads, withdraws a target and waits for its requests first. Found by the fuzzing: an empty target that was about to load was not in the published list.

--- a/packages/policy/include/teaseldrift/health/target_health.hpp
+++ b/packages/policy/include/teaseldrift/health/target_health.hpp
@@ -65,6 +65,8 @@
     void report(std::string_view target, HealthEvidence evidence, Instant now);
 
     /// @brief Whether a target may get new work; an unknown one may not.
+    ///
+    /// Ejection counts for nothing while all that have not left their pool are ejected.
     [[nodiscard]] bool isEligible(std::string_view target) const;
 
     /// @brief Targets to be probed now: ejected ones whose time is over, and idle ones.
@@ -86,7 +88,17 @@
         Instant lastProbe;
     };
 
-    void reportFailure(State &state, HealthEvidence evidence, Instant now);
+    struct PoolCount
+    {
+        /// Targets that are not leaving.
+        size_t size = 0;
+        /// Of these, the ones that are not ejected.
+        size_t available = 0;
+    };
+
+    void reportFailure(State &state, Instant now);
+    [[nodiscard]] Duration ejectionTime(uint32_t earlierEjections) const;
+    [[nodiscard]] PoolCount countPool(std::string_view pool) const;
     [[nodiscard]] bool mayEject(const State &state) const;
 
     HealthOptions m_options;
--- a/packages/policy/include/teaseldrift/orders/controller_lease.hpp
+++ b/packages/policy/include/teaseldrift/orders/controller_lease.hpp
@@ -26,7 +26,7 @@
 ///
 /// ```cpp
 /// if (lease.nextStep(now) == LeaseStep::Acquire) { ... lease.acquired(sentAt, fencing, now); }
-/// if (lease.mayOrder(now, target.checksFencing)) { ... }
+/// if (lease.mayOrder(now)) { ... }
 /// ```
 class ControllerLease
 {
@@ -50,14 +50,15 @@
     /// @brief The store did not answer; asks again later.
     void unanswered(Instant now);
 
-    /// @brief Whether an order may be given to a target now.
-    ///
-    /// A target that ignores fencing numbers gets one only once no order of an earlier holder
-    /// can still arrive.
-    [[nodiscard]] bool mayOrder(Instant now, bool targetChecksFencing) const;
+    /// @brief Whether the lease is held, as far as this process can know.
+    [[nodiscard]] bool isHeld(Instant now) const;
+
+    /// @brief Whether orders may be given now: the lease is held, and no order of an earlier
+    /// holder can still arrive. Most targets could not tell such an order from a newer one.
+    [[nodiscard]] bool mayOrder(Instant now) const;
 
     /// @brief End of the time in which orders may be handed over.
-    [[nodiscard]] Instant orderUntil() const;
+    [[nodiscard]] Instant orderUntil() const { return m_heldUntil; }
 
     /// @brief 0 while no lease is held.
     [[nodiscard]] uint64_t fencing() const { return m_fencing; }
--- a/packages/policy/include/teaseldrift/orders/order_controller.hpp
+++ b/packages/policy/include/teaseldrift/orders/order_controller.hpp
@@ -58,12 +58,13 @@
     {
         OrderTarget target;
         std::optional<TargetReport> report;
-        /// The order that the next report will confirm.
+        /// The order that a report has yet to confirm.
         std::optional<Order> pending;
         Instant orderedAt;
         /// Empty while the target gets requests.
         std::optional<Instant> withdrawnAt;
-        std::string withdrawnFor;
+        /// Chosen for a load in this pass of plan().
+        bool isChosen = false;
     };
 
     using States = std::map<std::string, State, std::less<>>;
@@ -73,11 +74,20 @@
     void planModel(const ModelDemand &demand, Instant now, OrderPlan &plan);
     void planAdapters(const ModelDemand &demand, Instant now, OrderPlan &plan);
     void loadOrWithdraw(State &state, const ModelDemand &demand, Instant now, OrderPlan &plan);
+    void give(State &state, Order order, Instant now, OrderPlan &plan);
+    State *choose(const ModelDemand &demand);
+    void finishPass(OrderPlan &plan);
+    [[nodiscard]] bool isDrained(const State &state, Instant now) const;
     [[nodiscard]] bool mayBeLoading(const State &state, Instant now) const;
+    [[nodiscard]] bool isChoosable(const State &state) const;
     [[nodiscard]] bool isFree(const State &state) const;
-    [[nodiscard]] State *spareFor(const ModelDemand &demand);
+    [[nodiscard]] bool mayReplace(const State &state, const ModelDemand &demand) const;
+    [[nodiscard]] const ModelDemand *demandFor(std::string_view model) const;
+    [[nodiscard]] uint32_t countServing(std::string_view model) const;
+    [[nodiscard]] uint32_t countHolding(std::string_view model) const;
+    [[nodiscard]] uint32_t slotsUsed(Instant now) const;
     [[nodiscard]] Order makeOrder(const State &state, schema::OrderKind kind,
-                                  const ModelDemand &demand) const;
+                                  const ModelDemand &demand, Instant now) const;
 
     OrderOptions m_options;
     ControllerLease m_lease;
--- a/packages/policy/include/teaseldrift/orders/order_types.hpp
+++ b/packages/policy/include/teaseldrift/orders/order_types.hpp
@@ -37,8 +37,6 @@
 struct OrderTarget
 {
     std::string id;
-    /// The target refuses an order with an old fencing number.
-    bool checksFencing = false;
     bool isLeaving = false;
 };
 
@@ -80,6 +78,8 @@
 /// @brief What the controller wants done.
 struct OrderPlan
 {
+    /// Whether `withdrawn` is to be published; until then an earlier controller's list holds.
+    bool isInCharge = false;
     /// Targets that shall get no new requests, because they are about to load.
     std::vector<std::string> withdrawn;
     std::vector<Order> orders;
--- /dev/null
+++ b/packages/policy/src/teaseldrift/orders/order_controller_test.cpp
@@ -0,0 +1,173 @@
+#include "teaseldrift/orders/order_controller.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <catch2/catch.hpp>
+
+namespace teaseldrift {
+
+namespace {
+
+constexpr OrderOptions options{};
+
+/// A controller in charge, and targets that do what they are told at once.
+struct Fixture
+{
+    OrderController controller{options};
+    Instant now{std::chrono::hours(1)};
+    std::vector<TargetReport> reports;
+
+    explicit Fixture(size_t size)
+    {
+        std::vector<OrderTarget> targets;
+        for (size_t i = 0; i < size; ++i) {
+            reports.push_back({.target = "t" + std::to_string(i)});
+            targets.push_back({.id = reports.back().target});
+        }
+        controller.setTargets(targets);
+        controller.lease().acquired(now, 1, now);
+        now += options.maxOrderLife * 2;
+    }
+
+    OrderPlan tick()
+    {
+        now += 100ms;
+        controller.lease().kept(now);
+        for (TargetReport &report : reports) {
+            report.reportedAt = now;
+            controller.report(report);
+        }
+        OrderPlan plan = controller.plan(now);
+        for (const Order &order : plan.orders) {
+            for (TargetReport &report : reports) {
+                obey(report, order);
+            }
+        }
+        return plan;
+    }
+
+    static void obey(TargetReport &report, const Order &order)
+    {
+        if (report.target != order.target) {
+            return;
+        }
+        if (order.kind == schema::LOAD_ADAPTER) {
+            report.adapters.push_back(order.adapter);
+            return;
+        }
+        report.model = order.model;
+        report.version = order.version;
+        report.adapters.clear();
+    }
+
+    [[nodiscard]] std::ptrdiff_t serving(std::string_view model) const
+    {
+        return std::count_if(reports.begin(), reports.end(), [&](const TargetReport &report) {
+            return controller.isServing(report.target, model);
+        });
+    }
+
+    [[nodiscard]] std::ptrdiff_t holding(std::string_view version) const
+    {
+        return std::count_if(reports.begin(), reports.end(),
+                             [&](const TargetReport &report) { return report.version == version; });
+    }
+
+    void demand(std::string_view version, uint32_t replicas)
+    {
+        const std::array<ModelDemand, 1> models{ModelDemand{.model = "m",
+                                                            .version = std::string(version),
+                                                            .adapters = {"x"},
+                                                            .replicas = replicas}};
+        controller.setDemand(models);
+    }
+};
+
+} // namespace
+
+TEST_CASE("models and adapters are loaded on as many targets as asked for")
+{
+    Fixture fixture(5);
+    fixture.demand("1", 3);
+    for (int i = 0; i < 100; ++i) {
+        fixture.tick();
+    }
+    CHECK(fixture.holding("1") == 3);
+    CHECK(fixture.serving("m") == 3);
+    CHECK(std::count_if(fixture.reports.begin(), fixture.reports.end(),
+                        [](const TargetReport &report) { return report.adapters.size() == 1; })
+          == 3);
+}
+
+TEST_CASE("a new version rolls while enough targets serve")
+{
+    Fixture fixture(4);
+    fixture.demand("1", 4);
+    for (int i = 0; i < 100; ++i) {
+        fixture.tick();
+    }
+    REQUIRE(fixture.serving("m") == 4);
+    fixture.demand("2", 4);
+    for (int i = 0; i < 400; ++i) {
+        fixture.tick();
+        REQUIRE(fixture.serving("m") >= 3);
+    }
+    CHECK(fixture.holding("2") == 4);
+    CHECK(fixture.serving("m") == 4);
+}
+
+TEST_CASE("a target is not loaded while requests are in flight on it")
+{
+    Fixture fixture(1);
+    fixture.demand("1", 1);
+    for (int i = 0; i < 50; ++i) {
+        fixture.tick();
+    }
+    fixture.demand("2", 1);
+    fixture.reports.front().inFlight = 1;
+    for (int i = 0; i < 100; ++i) {
+        CHECK(fixture.tick().orders.empty());
+    }
+    fixture.reports.front().inFlight = 0;
+    CHECK(fixture.tick().orders.size() == 1);
+}
+
+TEST_CASE("a new controller gives no order while one of its predecessor can still arrive")
+{
+    OrderController controller(options);
+    const Instant now{std::chrono::hours(1)};
+    controller.lease().acquired(now, 2, now);
+    controller.lease().kept(now + options.maxOrderLife);
+    CHECK_FALSE(controller.plan(now + options.maxOrderLife).isInCharge);
+    CHECK(controller.plan(now + options.maxOrderLife + 1s).isInCharge);
+}
+
+TEST_CASE("a lease counts from the moment at which it was asked for")
+{
+    ControllerLease lease(options);
+    const Instant asked{std::chrono::hours(1)};
+    lease.acquired(asked, 1, asked + 2s);
+    CHECK(lease.isHeld(asked + 4s));
+    CHECK_FALSE(lease.isHeld(asked + options.leaseTtl));
+}
+
+TEST_CASE("an order is not given twice, and again only when it cannot have arrived")
+{
+    Fixture fixture(1);
+    fixture.demand("1", 1);
+    const OrderPlan first = fixture.tick();
+    REQUIRE(first.orders.size() == 1);
+    fixture.reports.front().model.clear(); // The target never got it.
+    const Instant arrived = first.orders.front().sendUntil + options.maxOrderLife;
+    while (fixture.now + 200ms < arrived) {
+        REQUIRE(fixture.tick().orders.empty());
+    }
+    size_t repeated = 0;
+    for (int i = 0; i < 5; ++i) {
+        repeated += fixture.tick().orders.size();
+    }
+    CHECK(repeated == 2); // The model again, and then its adapter.
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/orders/order_fuzz_test.cpp
@@ -0,0 +1,357 @@
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "teaseldrift/orders/order_controller.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+constexpr size_t vmCount = 2;
+constexpr size_t targetCount = 4;
+constexpr OrderOptions options{.concurrentLoads = 2, .maxLoadTime = 10s};
+
+/// A target that ignores fencing numbers.
+struct FakeTarget
+{
+    TargetReport state;
+    Instant loadedAt;
+    uint64_t lastFencing = 0;
+    uint32_t inFlight = 0;
+    /// Requests are routed to it until then.
+    Instant routedUntil = Instant::max();
+    /// What the last report said to routers.
+    bool isSeenServing = false;
+    bool isAdapterLoad = false;
+};
+
+struct InFlightOrder
+{
+    Order order;
+    Instant arrivesBy;
+};
+
+struct FakeVm
+{
+    OrderController controller{options};
+    bool isPaused = false;
+    std::optional<Instant> askedAt;
+    LeaseStep asked = LeaseStep::None;
+    std::vector<Order> outbox;
+};
+
+/// Two VMs that may both believe to be the controller, a store, and targets.
+struct World
+{
+    Instant now{std::chrono::hours(1)};
+    std::array<FakeVm, vmCount> vms;
+    std::array<FakeTarget, targetCount> targets;
+    std::vector<InFlightOrder> network;
+    std::vector<TargetReport> reports;
+    size_t holder = vmCount;
+    Instant leaseEnd;
+    uint64_t revision = 0;
+    uint64_t publishedBy = 0;
+    uint32_t version = 1;
+    uint32_t orders = 0;
+
+    World()
+    {
+        std::vector<OrderTarget> known;
+        for (size_t i = 0; i < targetCount; ++i) {
+            targets[i].state.target = "t" + std::to_string(i);
+            known.push_back({.id = targets[i].state.target});
+        }
+        for (FakeVm &vm : vms) {
+            vm.controller.setTargets(known);
+        }
+        demand();
+    }
+
+    void demand()
+    {
+        const std::vector<ModelDemand> models{
+                {.model = "a", .version = std::to_string(version), .replicas = 2},
+                {.model = "b", .version = "1", .adapters = {"x"}, .replicas = 1},
+        };
+        for (FakeVm &vm : vms) {
+            vm.controller.setDemand(models);
+        }
+    }
+
+    void ask(FakeVm &vm)
+    {
+        const LeaseStep step = vm.askedAt ? LeaseStep::None : vm.controller.lease().nextStep(now);
+        if (step != LeaseStep::None) {
+            vm.asked = step;
+            vm.askedAt = now;
+        }
+    }
+
+    /// The store serves a call, whose answer may be lost.
+    void storeAnswers(size_t index, uint32_t choice)
+    {
+        FakeVm &vm = vms[index];
+        if (!vm.askedAt) {
+            return;
+        }
+        const Instant askedAt = *vm.askedAt;
+        vm.askedAt.reset();
+        ControllerLease &lease = vm.controller.lease();
+        const bool isFree = now >= leaseEnd;
+        const bool isHeld = !isFree && holder == index;
+        if (choice % 8 == 0) {
+            return lease.unanswered(now);
+        }
+        if (vm.asked == LeaseStep::Acquire ? !isFree : !isHeld) {
+            return lease.lost(now);
+        }
+        holder = index;
+        leaseEnd = now + options.leaseTtl;
+        revision += vm.asked == LeaseStep::Acquire ? 1 : 0;
+        if (choice % 8 == 1) {
+            return lease.unanswered(now);
+        }
+        vm.asked == LeaseStep::Acquire ? lease.acquired(askedAt, revision, now)
+                                       : lease.kept(askedAt);
+    }
+
+    void plan(FakeVm &vm)
+    {
+        const OrderPlan plan = vm.controller.plan(now);
+        vm.outbox.insert(vm.outbox.end(), plan.orders.begin(), plan.orders.end());
+        const uint64_t fencing = vm.controller.lease().fencing();
+        if (!plan.isInCharge || fencing < publishedBy) {
+            return;
+        }
+        publishedBy = fencing;
+        for (FakeTarget &target : targets) {
+            const bool isWithdrawn
+                    = std::find(plan.withdrawn.begin(), plan.withdrawn.end(), target.state.target)
+                      != plan.withdrawn.end();
+            const bool isNew = target.routedUntil == Instant::max();
+            if (!isWithdrawn) {
+                target.routedUntil = Instant::max();
+            } else if (isNew) {
+                target.routedUntil = now + options.withdrawDelay;
+            }
+        }
+    }
+
+    void send(FakeVm &vm)
+    {
+        if (vm.outbox.empty()) {
+            return;
+        }
+        const Order order = vm.outbox.back();
+        vm.outbox.pop_back();
+        if (now < order.sendUntil) {
+            network.push_back({.order = order, .arrivesBy = now + options.maxOrderLife});
+        }
+    }
+
+    void arrive(uint32_t choice)
+    {
+        if (network.empty()) {
+            return;
+        }
+        const size_t index = choice % network.size();
+        const InFlightOrder flight = network[index];
+        network.erase(network.begin() + static_cast<std::ptrdiff_t>(index));
+        if (now >= flight.arrivesBy) {
+            return;
+        }
+        const Order &order = flight.order;
+        FakeTarget &target = targets[static_cast<size_t>(order.target.back() - '0')];
+        RC_ASSERT(order.fencing >= target.lastFencing);
+        target.lastFencing = order.fencing;
+        ++orders;
+        target.isAdapterLoad = order.kind == schema::LOAD_ADAPTER;
+        if (target.isAdapterLoad) {
+            target.state.adapters.push_back(order.adapter);
+        } else {
+            RC_ASSERT(target.inFlight == 0U);
+            target.state.model = order.model;
+            target.state.version = order.version;
+            target.state.adapters.clear();
+        }
+        target.loadedAt = now + std::chrono::milliseconds(choice * 30);
+        RC_ASSERT(loads() <= options.concurrentLoads);
+    }
+
+    [[nodiscard]] size_t loads() const
+    {
+        return static_cast<size_t>(
+                std::count_if(targets.begin(), targets.end(),
+                              [this](const FakeTarget &target) { return target.loadedAt > now; }));
+    }
+
+    void request(FakeTarget &target)
+    {
+        if (target.isSeenServing && now < target.routedUntil) {
+            RC_ASSERT(target.loadedAt <= now || target.isAdapterLoad);
+            ++target.inFlight;
+        }
+    }
+
+    void makeReport(FakeTarget &target)
+    {
+        TargetReport report = target.state;
+        report.isLoading = target.loadedAt > now;
+        report.inFlight = target.inFlight;
+        report.reportedAt = now;
+        reports.push_back(report);
+        target.isSeenServing = !report.model.empty() && !report.isLoading;
+    }
+
+    /// Everything that happens when nothing goes wrong, for one tick.
+    void goOn()
+    {
+        now += 100ms;
+        for (FakeTarget &target : targets) {
+            makeReport(target);
+            request(target);
+        }
+        for (size_t i = 0; i < vmCount; ++i) {
+            FakeVm &vm = vms[i];
+            if (vm.isPaused) {
+                continue;
+            }
+            ask(vm);
+            storeAnswers(i, 7);
+            for (size_t j = reports.size() - targetCount; j < reports.size(); ++j) {
+                vm.controller.report(reports[j]);
+            }
+            plan(vm);
+            send(vm);
+        }
+        arrive(1);
+        for (FakeTarget &target : targets) {
+            target.inFlight = 0;
+        }
+    }
+};
+
+struct Model
+{ };
+
+enum class Op {
+    Pass,
+    Ask,
+    Store,
+    Plan,
+    Send,
+    Arrive,
+    Request,
+    Finish,
+    Report,
+    Hear,
+    Pause,
+    Roll,
+    GoOn
+};
+
+struct Step : rc::state::Command<Model, World>
+{
+    Op op = *rc::gen::weightedElement<Op>({{4, Op::Pass},
+                                           {2, Op::Ask},
+                                           {2, Op::Store},
+                                           {4, Op::Plan},
+                                           {4, Op::Send},
+                                           {4, Op::Arrive},
+                                           {2, Op::Request},
+                                           {2, Op::Finish},
+                                           {2, Op::Report},
+                                           {2, Op::Hear},
+                                           {1, Op::Pause},
+                                           {1, Op::Roll},
+                                           {6, Op::GoOn}});
+    uint32_t choice = *rc::gen::arbitrary<uint8_t>();
+
+    void run(const Model & /*model*/, World &world) const override
+    {
+        const size_t index = choice % vmCount;
+        FakeVm &vm = world.vms[index];
+        FakeTarget &target = world.targets[choice % targetCount];
+        switch (op) {
+        case Op::Pass:
+            world.now += std::chrono::milliseconds(choice * 25);
+            return;
+        case Op::Ask:
+            return vm.isPaused ? void() : world.ask(vm);
+        case Op::Store:
+            return vm.isPaused ? void() : world.storeAnswers(index, choice / 2);
+        case Op::Plan:
+            return vm.isPaused ? void() : world.plan(vm);
+        case Op::Send:
+            return vm.isPaused ? void() : world.send(vm);
+        case Op::Arrive:
+            return world.arrive(choice);
+        case Op::Request:
+            return world.request(target);
+        case Op::Finish:
+            target.inFlight = 0;
+            return;
+        case Op::Report:
+            return world.makeReport(target);
+        case Op::Hear:
+            if (!vm.isPaused && !world.reports.empty()) {
+                vm.controller.report(world.reports[choice % world.reports.size()]);
+            }
+            return;
+        case Op::Pause:
+            vm.isPaused = !vm.isPaused;
+            return;
+        case Op::Roll:
+            ++world.version;
+            return world.demand();
+        case Op::GoOn:
+            for (uint32_t i = 0; i < choice; ++i) {
+                world.goOn();
+            }
+        }
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << "Step(" << static_cast<int>(op) << ", " << choice << ")";
+    }
+};
+
+} // namespace
+
+TEST_CASE("orders of two controllers never mix and loads stay bounded", "[fuzz]")
+{
+    REQUIRE(rc::check([] {
+        World world;
+        rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Step>());
+        RC_CLASSIFY(world.orders > 3, "ordered");
+        RC_CLASSIFY(world.revision > 1, "controller changed");
+        // Once nothing goes wrong any more the targets come to hold what is asked for.
+        for (FakeVm &vm : world.vms) {
+            vm.isPaused = false;
+        }
+        for (int i = 0; i < 600; ++i) {
+            world.goOn();
+        }
+        const std::string version = std::to_string(world.version);
+        RC_ASSERT(std::count_if(world.targets.begin(), world.targets.end(),
+                                [&version](const FakeTarget &target) {
+                                    return target.state.model == "a"
+                                           && target.state.version == version;
+                                })
+                  >= 2);
+        RC_ASSERT(std::any_of(
+                world.targets.begin(), world.targets.end(), [](const FakeTarget &target) {
+                    return target.state.model == "b" && target.state.adapters.size() == 1U;
+                }));
+    }));
+}
+
+} // namespace teaseldrift
