--- /dev/null
+++ b/bench/attempts/clients.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fake_targets.hpp"
+#include "teaseldrift/attempts/request_machine.hpp"
+#include "teaseldrift/health/target_health.hpp"
+
+namespace teaseldrift::bench {
+
+/// @brief What all clients share.
+struct ClientContext
+{
+    Timeline &timeline;
+    FakeTargets &targets;
+    std::mt19937_64 &random;
+    /// Longest time of a request.
+    Duration deadline = 10s;
+    /// Longest silence of a target.
+    Duration silence = 2s;
+};
+
+/// @brief Tries a number of times on whatever target is least loaded, without a budget.
+class CountingClient
+{
+public:
+    CountingClient(ClientContext context, uint32_t maxAttempts);
+
+    void start(Request &request);
+    void onEvent(Request &request, AttemptId id, TargetEvent event);
+
+private:
+    struct State
+    {
+        AttemptId attempt = 0;
+        Instant lastProgress;
+        bool hasAnswerPart = false;
+        /// The caller got the same tokens twice.
+        bool isSpoilt = false;
+        bool isOver = false;
+    };
+
+    void attempt(Request &request, State &state);
+    void fail(Request &request, State &state);
+    void end(Request &request, State &state, bool isComplete);
+    void watch(Request &request);
+
+    ClientContext m_context;
+    uint32_t m_maxAttempts;
+    std::map<size_t, State> m_states;
+};
+
+/// @brief Drives RequestMachine, RetryBudget and TargetHealth as teaseldriftd does.
+class MachineClient
+{
+public:
+    explicit MachineClient(ClientContext context);
+
+    void start(Request &request);
+    void onEvent(Request &request, AttemptId id, TargetEvent event);
+
+private:
+    struct State
+    {
+        std::unique_ptr<RequestMachine> machine;
+        std::optional<Instant> timer;
+        size_t target = 0;
+    };
+
+    void perform(Request &request, const RequestActions &actions);
+    void carryOut(Request &request, const StartAttempt &action);
+    void carryOut(Request &request, const CancelAttempt &action);
+    void carryOut(Request &request, const FinishCaller &action);
+    void carryOut(Request &request, const RefuseCaller &action);
+    void carryOut(Request &request, const EndStreamWithError &action);
+    RequestActions take(Request &request, State &state, AttemptId id, TargetEvent event);
+    void report(size_t target, HealthEvidence evidence);
+    void probe();
+    std::optional<size_t> choose(const StartAttempt &action);
+    void watch(Request &request);
+
+    ClientContext m_context;
+    RetryBudget m_budget;
+    TargetHealth m_health;
+    std::map<size_t, State> m_states;
+};
+
+} // namespace teaseldrift::bench
--- /dev/null
+++ b/bench/attempts/fake_targets.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "teaseldrift/attempts/request_action.hpp"
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/schema/configuration.pb.h"
+
+namespace teaseldrift::bench {
+
+/// @brief One request of a caller and what became of it.
+struct Request
+{
+    size_t index = 0;
+    schema::RouteClass routeClass = schema::IDEMPOTENT;
+    /// Tokens of its answer; 1 for calls of a plain service.
+    uint32_t tokens = 1;
+    Instant started;
+    Instant ended;
+    uint32_t delivered = 0;
+    uint32_t attempts = 0;
+    uint32_t runs = 0;
+    bool isComplete = false;
+    bool saidNotRun = false;
+};
+
+/// @brief What a target tells about an attempt.
+enum class TargetEvent { ConnectFailed, Refused, Connected, Token, End, Broken };
+
+/// @brief Events in virtual time.
+class Timeline
+{
+public:
+    void at(Instant when, std::function<void()> action);
+
+    /// @brief Runs events in order until the given time.
+    void runUntil(Instant end);
+
+    [[nodiscard]] Instant now() const { return m_now; }
+
+private:
+    struct Event
+    {
+        Instant when;
+        uint64_t order;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    std::priority_queue<Event> m_events;
+    uint64_t m_order = 0;
+    Instant m_now;
+};
+
+/// @brief How fake targets behave.
+struct TargetOptions
+{
+    size_t count = 4;
+    /// Requests served at once by one target.
+    uint32_t slots = 8;
+    /// Requests that wait at one target; further ones are refused as not run.
+    uint32_t queue = 24;
+    Duration connectTime = 1ms;
+    Duration callTime = 100ms;
+    Duration prefillTime = 50ms;
+    Duration tokenTime = 10ms;
+};
+
+/// @brief Targets with slots and a queue that crash and fall silent when told to.
+class FakeTargets
+{
+public:
+    /// Called with request, attempt and event.
+    using Listener = std::function<void(Request &, AttemptId, TargetEvent)>;
+
+    FakeTargets(Timeline &timeline, TargetOptions options, Listener listener);
+
+    /// @brief Sends an attempt that begins at a token.
+    void submit(Request &request, AttemptId id, size_t target, uint32_t firstToken);
+
+    /// @brief A closed connection ends a generation; a plain service does not notice.
+    void cancel(const Request &request, AttemptId id);
+
+    /// @brief Breaks all connections; new ones fail for a while.
+    void crash(size_t target, Duration downTime);
+
+    /// @brief Nothing more comes over connections that exist or are made for a while.
+    void fallSilent(size_t target, Duration silentTime);
+
+    /// @brief Whether a probe would be answered now.
+    [[nodiscard]] bool isWell(size_t target) const;
+
+    [[nodiscard]] size_t count() const { return m_targets.size(); }
+    /// @brief Attempts that wait or run at a target.
+    [[nodiscard]] size_t load(size_t target) const;
+
+private:
+    struct Job
+    {
+        Request *request = nullptr;
+        AttemptId id = 0;
+        size_t target = 0;
+        uint32_t firstToken = 0;
+        bool isSilent = false;
+        bool isOver = false;
+        bool isRunning = false;
+    };
+
+    using JobPointer = std::shared_ptr<Job>;
+
+    struct Target
+    {
+        std::deque<JobPointer> waiting;
+        std::vector<JobPointer> running;
+        Instant upAt;
+        Instant audibleAt;
+    };
+
+    void accept(const JobPointer &job);
+    void startWaiting(Target &target);
+    void run(const JobPointer &job);
+    void generate(const JobPointer &job, uint32_t token);
+    void finish(const JobPointer &job);
+    void tell(const JobPointer &job, TargetEvent event);
+
+    Timeline &m_timeline;
+    TargetOptions m_options;
+    Listener m_listener;
+    std::vector<Target> m_targets;
+    std::vector<JobPointer> m_connecting;
+};
+
+} // namespace teaseldrift::bench
