--- a/packages/policy/include/teaseldrift/attempts/request_action.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_action.hpp
@@ -36,7 +36,8 @@
     std::vector<std::string> excludedTargets;
     /// Positions delivered to the caller so far.
     uint64_t position = 0;
-    /// RETRY_NONE for the first attempt; otherwise a counter to raise.
+    /// RETRY_NONE for the first attempt. Otherwise a counter to raise, and a retry to be taken from
+    /// the budget of the target that is chosen; one whose budget is spent is not chosen.
     schema::RetryReason reason = schema::RETRY_NONE;
 };
 
