--- /dev/null
+++ b/bench/rates/fleet.cpp
@@ -0,0 +1,290 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+#include <random>
+
+#include "simulation.hpp"
+#include "teaseldrift/homes/home_set.hpp"
+
+namespace teaseldrift::rates {
+
+namespace {
+
+constexpr uint64_t seed = 20261203;
+constexpr double meanPromptTokens = 1200.0;
+constexpr double maximumOutputTokens = 600.0;
+
+} // namespace
+
+Fleet::Fleet(Simulation &runningSimulation, const Scenario &runScenario)
+    : simulation(runningSimulation), scenario(runScenario), up(runScenario.vms, true),
+      listed(runScenario.vms, true)
+{
+    for (size_t vm = 0; vm < scenario.vms; ++vm) {
+        names.push_back("vm-" + std::to_string(vm));
+    }
+    for (const Organisation &organisation : scenario.organisations) {
+        m_ideal.push_back({.level = organisation.limits.burst});
+    }
+}
+
+std::string Fleet::zoneOf(size_t vm) const
+{
+    return "zone-" + std::to_string(vm % scenario.zones);
+}
+
+std::vector<size_t> Fleet::homesOf(size_t organisation) const
+{
+    std::vector<homes::VmView> views;
+    std::vector<size_t> slots;
+    for (size_t vm = 0; vm < scenario.vms; ++vm) {
+        if (listed[vm]) {
+            views.push_back({.id = names[vm], .availabilityZone = zoneOf(vm)});
+            slots.push_back(vm);
+        }
+    }
+    std::vector<size_t> chosen;
+    for (const size_t home : homes::homeSet(scenario.organisations[organisation].name, views)) {
+        chosen.push_back(slots[home]);
+    }
+    return chosen;
+}
+
+void Fleet::refill(size_t organisation)
+{
+    Ideal &ideal = m_ideal[organisation];
+    const Limits &limits = scenario.organisations[organisation].limits;
+    const MicroTokens gain
+            = allowance::earned(limits, allowance::wholeShare, simulation.now() - ideal.at);
+    ideal.level = std::min(limits.burst, ideal.level + gain);
+    ideal.at = simulation.now();
+}
+
+void Fleet::decide(size_t number, bool admitted, Instant at)
+{
+    Request &request = requests[number];
+    if (request.decided) {
+        return;
+    }
+    request.decided = true;
+    request.admitted = admitted;
+    request.admittedAt = at;
+    if (admitted) {
+        simulation.after(request.length, [this, number] {
+            if (up[requests[number].vm]) {
+                m_finish(number);
+            }
+        });
+    }
+}
+
+void Fleet::arrive(size_t number, const std::function<void(size_t)> &admit)
+{
+    Request &request = requests[number];
+    if (!up[request.vm]) {
+        return;
+    }
+    request.reached = true;
+    refill(request.organisation);
+    Ideal &ideal = m_ideal[request.organisation];
+    if (ideal.level >= request.cost) {
+        ideal.level -= request.cost;
+        request.admittedIdeally = true;
+        simulation.after(request.length, [this, number] {
+            const Request &done = requests[number];
+            refill(done.organisation);
+            MicroTokens &level = m_ideal[done.organisation].level;
+            level = std::min(scenario.organisations[done.organisation].limits.burst,
+                             level + done.unused);
+        });
+    }
+    admit(number);
+}
+
+/// The caller's VM: a home that its entry answer names, the hot one, or a stale answer's VM.
+size_t Fleet::chooseVm(size_t organisation, Instant when, uint64_t first, double draw) const
+{
+    if (draw < scenario.stale) {
+        return first % scenario.vms;
+    }
+    const std::vector<size_t> homes = homesOf(organisation);
+    if (draw < scenario.stale + scenario.skew) {
+        const size_t period = static_cast<size_t>((when - Instant{}) / scenario.hotTime);
+        return homes[period % homes.size()];
+    }
+    return homes[first % homes.size()];
+}
+
+void Fleet::scheduleArrivals(const std::function<void(size_t)> &admit,
+                             const std::function<void(size_t)> &finish)
+{
+    m_finish = finish;
+    std::mt19937_64 random(seed);
+    std::lognormal_distribution<double> prompt(std::log(meanPromptTokens) - 0.32, 0.8);
+    std::uniform_real_distribution<double> uniform(0.0, 1.0);
+    const double meanNet = meanPromptTokens + maximumOutputTokens / 2;
+    for (size_t organisation = 0; organisation < scenario.organisations.size(); ++organisation) {
+        const Organisation &one = scenario.organisations[organisation];
+        const double rate = static_cast<double>(one.limits.rate) / allowance::microTokensPerToken;
+        std::exponential_distribution<double> gap(rate * one.load / meanNet);
+        double when = 0.0;
+        while (true) {
+            when += gap(random);
+            const Instant arrival = Instant{} + Duration(static_cast<int64_t>(when * 1e6));
+            if (arrival >= Instant{} + scenario.length) {
+                break;
+            }
+            const double output = maximumOutputTokens * uniform(random);
+            const double cost = std::min(prompt(random), 9000.0) + maximumOutputTokens;
+            const Request request{
+                    .organisation = organisation,
+                    .arrival = arrival,
+                    .cost = static_cast<MicroTokens>(cost * allowance::microTokensPerToken),
+                    .unused = static_cast<MicroTokens>((maximumOutputTokens - output)
+                                                       * allowance::microTokensPerToken),
+                    .length = Duration(500'000 + static_cast<int64_t>(output * 4000.0)),
+            };
+            const size_t number = requests.size();
+            requests.push_back(request);
+            const uint64_t first = random();
+            const double draw = uniform(random);
+            simulation.at(arrival, [this, number, first, draw, admit] {
+                Request &arriving = requests[number];
+                arriving.vm = chooseVm(arriving.organisation, arriving.arrival, first, draw);
+                arrive(number, admit);
+            });
+        }
+    }
+}
+
+void Fleet::scheduleFaults(const std::function<void(size_t)> &crash,
+                           const std::function<void(size_t)> &start,
+                           const std::function<void()> &listChanged)
+{
+    const Instant origin{};
+    const auto stop = [this, crash](size_t vm) {
+        up[vm] = false;
+        crash(vm);
+    };
+    const auto restart = [this, start](size_t vm) {
+        up[vm] = true;
+        start(vm);
+    };
+    if (scenario.storeDownTo > 0s) {
+        simulation.at(origin + scenario.storeDownFrom, [this] { storeDown = true; });
+        simulation.at(origin + scenario.storeDownTo, [this] { storeDown = false; });
+    }
+    const size_t victim = homesOf(0).front();
+    if (scenario.loseVmAt > 0s) {
+        const Instant lost = origin + scenario.loseVmAt;
+        simulation.at(lost, [stop, victim] { stop(victim); });
+        simulation.at(lost + scenario.listLag, [this, victim, listChanged] {
+            listed[victim] = false;
+            listChanged();
+        });
+        simulation.at(lost + scenario.replaceAfter, [this, victim, restart, listChanged] {
+            names[victim] += "-b";
+            listed[victim] = true;
+            restart(victim);
+            listChanged();
+        });
+    }
+    if (scenario.restartOneAt > 0s) {
+        const Instant when = origin + scenario.restartOneAt;
+        simulation.at(when, [stop, victim] { stop(victim); });
+        simulation.at(when + scenario.restartTime, [restart, victim] { restart(victim); });
+    }
+    if (scenario.restartAllFrom > 0s) {
+        for (size_t vm = 0; vm < scenario.vms; ++vm) {
+            const Instant when = origin + scenario.restartAllFrom
+                                 + static_cast<int64_t>(vm) * Duration(60s)
+                                           / static_cast<int64_t>(scenario.vms);
+            simulation.at(when, [stop, vm] { stop(vm); });
+            simulation.at(when + scenario.restartTime, [restart, vm] { restart(vm); });
+        }
+    }
+}
+
+MicroTokens Fleet::overRate(size_t organisation) const
+{
+    std::vector<const Request *> admitted;
+    for (const Request &request : requests) {
+        if (request.organisation == organisation && request.admitted) {
+            admitted.push_back(&request);
+        }
+    }
+    std::stable_sort(admitted.begin(), admitted.end(),
+                     [](const Request *left, const Request *right) {
+                         return left->admittedAt < right->admittedAt;
+                     });
+    const Limits &limits = scenario.organisations[organisation].limits;
+    MicroTokens debt = 0;
+    MicroTokens over = 0;
+    Instant last{};
+    for (const Request *request : admitted) {
+        const MicroTokens growth
+                = allowance::earned(limits, allowance::wholeShare, request->admittedAt - last);
+        debt = std::max<MicroTokens>(0, debt - growth) + request->cost - request->unused;
+        over = std::max(over, debt - limits.burst);
+        last = request->admittedAt;
+    }
+    return over;
+}
+
+void Fleet::print(const std::string &policy) const
+{
+    uint64_t asked = 0;
+    uint64_t wrongful = 0;
+    uint64_t othersAsked = 0;
+    uint64_t othersWrongful = 0;
+    uint64_t refused = 0;
+    MicroTokens admittedTokens = 0;
+    MicroTokens idealTokens = 0;
+    const Instant origin{};
+    for (const Request &request : requests) {
+        const bool isMeasured = request.arrival >= origin + scenario.measureFrom
+                                && request.arrival < origin + scenario.measureTo;
+        if (!request.reached || !request.decided || !isMeasured) {
+            continue;
+        }
+        const bool isWrongful = request.admittedIdeally && !request.admitted;
+        const MicroTokens net = request.cost - request.unused;
+        ++asked;
+        refused += request.admitted ? 0 : 1;
+        wrongful += isWrongful ? 1 : 0;
+        admittedTokens += request.admitted ? net : 0;
+        idealTokens += request.admittedIdeally ? net : 0;
+        if (request.organisation != 0) {
+            ++othersAsked;
+            othersWrongful += isWrongful ? 1 : 0;
+        }
+    }
+    MicroTokens over = 0;
+    for (size_t i = 0; i < scenario.organisations.size(); ++i) {
+        over = std::max(over, overRate(i));
+    }
+    const double seconds = toSeconds(scenario.length);
+    const double vms = static_cast<double>(scenario.vms);
+    const auto row = [&](std::string_view metric, double value, std::string_view unit) {
+        std::cout << scenario.name << "," << policy << "," << metric << "," << value << "," << unit
+                  << "\n";
+    };
+    const auto part = [](uint64_t some, uint64_t all) {
+        return all == 0 ? 0.0 : 100.0 * static_cast<double>(some) / static_cast<double>(all);
+    };
+    std::cout << std::setprecision(6);
+    row("wrongful_refusals", part(wrongful, asked), "%");
+    row("wrongful_refusals_count", static_cast<double>(wrongful), "requests");
+    row("wrongful_refusals_other_organisations", part(othersWrongful, othersAsked), "%");
+    row("refusals", part(refused, asked), "%");
+    row("admitted_tokens_of_ideal",
+        100.0 * static_cast<double>(admittedTokens) / static_cast<double>(idealTokens), "%");
+    row("over_rate_tokens", static_cast<double>(over) / allowance::microTokensPerToken, "tokens");
+    row("messages_per_s", static_cast<double>(cost.messages) / seconds / vms, "1/s per VM");
+    row("message_bytes_per_s", static_cast<double>(cost.bytes) / seconds / vms, "B/s per VM");
+    row("store_calls_per_s", static_cast<double>(cost.storeCalls) / seconds, "1/s");
+}
+
+} // namespace teaseldrift::rates
--- /dev/null
+++ b/bench/rates/measure_rates.cpp
@@ -0,0 +1,30 @@
+/// Wrongful refusals, tokens over the rate and control cost of ways to divide a rate over VMs.
+
+#include "policies.hpp"
+
+namespace {
+
+using namespace teaseldrift::rates;
+
+template <typename Policy>
+void measure(const Scenario &scenario, const std::string &name)
+{
+    Simulation simulation;
+    Fleet fleet(simulation, scenario);
+    Policy policy(fleet);
+    fleet.run(policy);
+    fleet.print(name);
+}
+
+} // namespace
+
+int main()
+{
+    for (const Scenario &scenario : scenarios()) {
+        measure<StaticEqual>(scenario, "static-equal");
+        measure<OneAuthority>(scenario, "one-authority");
+        measure<LeasesOnly>(scenario, "leases-only");
+        measure<Teaseldrift>(scenario, "teaseldrift");
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/rates/policies.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "simulation.hpp"
+#include "teaseldrift/allowance/allowance_book.hpp"
+#include "teaseldrift/allowance/token_slice.hpp"
+
+namespace teaseldrift::rates {
+
+/// @brief A plain bucket, as the baselines use it.
+class Bucket
+{
+public:
+    void set(const Limits &limits, double share, Instant now);
+    bool spend(MicroTokens tokens, Instant now);
+    void refund(MicroTokens tokens, Instant now);
+    void clear(Instant now);
+
+private:
+    Limits m_limits;
+    MicroTokens m_level = 0;
+    Instant m_at{};
+
+    void refill(Instant now);
+};
+
+/// @brief Each home has the same fixed part. Other VMs ask a home.
+class StaticEqual
+{
+public:
+    explicit StaticEqual(Fleet &fleet);
+    void admit(size_t request);
+    void finish(size_t request);
+    void crash(size_t vm);
+    void start(size_t) { }
+    void listChanged() { divide(); }
+
+private:
+    Fleet &m_fleet;
+    std::vector<std::vector<Bucket>> m_buckets;
+    std::vector<size_t> m_decidedBy;
+
+    void divide();
+};
+
+/// @brief One home decides for all VMs. Its successor needs the store.
+class OneAuthority
+{
+public:
+    explicit OneAuthority(Fleet &fleet);
+    void admit(size_t request);
+    void finish(size_t request);
+    void crash(size_t vm);
+    void start(size_t) { }
+    void listChanged();
+
+private:
+    Fleet &m_fleet;
+    std::vector<Bucket> m_buckets;
+    std::vector<size_t> m_authority;
+};
+
+/// @brief Homes lease parts from the store for a time, divided by the demand of the time before.
+/// A home that cannot renew stops.
+class LeasesOnly
+{
+public:
+    explicit LeasesOnly(Fleet &fleet);
+    void admit(size_t request);
+    void finish(size_t request);
+    void crash(size_t vm);
+    void start(size_t) { }
+    void listChanged() { }
+
+private:
+    Fleet &m_fleet;
+    std::vector<std::vector<Bucket>> m_buckets;
+    std::vector<std::vector<double>> m_demand;
+    std::vector<size_t> m_decidedBy;
+
+    void renew();
+};
+
+/// @brief The product's books over a mailbox and a store in memory.
+class Teaseldrift
+{
+public:
+    explicit Teaseldrift(Fleet &fleet);
+    void admit(size_t request);
+    void finish(size_t request);
+    void crash(size_t vm);
+    void start(size_t vm);
+    void listChanged();
+
+private:
+    struct Record
+    {
+        std::optional<schema::DivisionRecord> record;
+        uint64_t revision = 0;
+    };
+
+    Fleet &m_fleet;
+    uint64_t m_started = 0;
+    std::vector<std::unique_ptr<allowance::AllowanceBook>> m_books;
+    std::vector<uint64_t> m_incarnations;
+    std::map<std::string, Record> m_store;
+    /// Requests that wait, by slot and request id.
+    std::vector<std::map<uint64_t, size_t>> m_waiting;
+    std::map<size_t, allowance::Ticket> m_tickets;
+    /// Moments when members decided for guests.
+    std::map<std::string, Instant> m_decidedAt;
+
+    void collect(size_t vm);
+    void tick();
+    void note(size_t vm, size_t request, const allowance::Decision &decision);
+    void deliver(size_t from, allowance::Outgoing outgoing);
+    void read(size_t vm, const std::string &organisation);
+    void write(size_t vm, const allowance::RecordWrite &write);
+    [[nodiscard]] std::vector<homes::VmView> views() const;
+};
+
+} // namespace teaseldrift::rates
--- /dev/null
+++ b/bench/rates/simulation.hpp
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "teaseldrift/allowance/tokens.hpp"
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::rates {
+
+using allowance::Limits;
+using allowance::MicroTokens;
+
+/// @brief Virtual time and the events that are due.
+class Simulation
+{
+public:
+    [[nodiscard]] Instant now() const { return m_now; }
+
+    void at(Instant when, std::function<void()> event)
+    {
+        m_events.push({when, m_number++, std::move(event)});
+    }
+
+    void after(Duration delay, std::function<void()> event) { at(m_now + delay, std::move(event)); }
+
+    void run(Instant end)
+    {
+        while (!m_events.empty() && m_events.top().when <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.when;
+            event.action();
+        }
+    }
+
+private:
+    struct Event
+    {
+        Instant when;
+        uint64_t number;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return when != other.when ? when > other.when : number > other.number;
+        }
+    };
+
+    Instant m_now{};
+    uint64_t m_number = 0;
+    std::priority_queue<Event> m_events;
+};
+
+/// @brief One organisation and its traffic.
+struct Organisation
+{
+    std::string name;
+    Limits limits;
+    /// Net tokens that it sends, as a part of its rate.
+    double load = 0.7;
+};
+
+/// @brief One request, its cost and what became of it.
+struct Request
+{
+    size_t organisation = 0;
+    size_t vm = 0;
+    Instant arrival{};
+    MicroTokens cost = 0;
+    MicroTokens unused = 0;
+    Duration length{0};
+    bool reached = false;
+    bool decided = false;
+    bool admitted = false;
+    bool admittedIdeally = false;
+    Instant admittedAt{};
+};
+
+/// @brief One experiment.
+struct Scenario
+{
+    std::string name;
+    size_t vms = 7;
+    size_t zones = 3;
+    std::vector<Organisation> organisations;
+    Duration length = 300s;
+    /// Part of the requests that go to the hot home of the organisation, which changes.
+    double skew = 0.0;
+    Duration hotTime = 20s;
+    /// Part of the requests that go to any VM.
+    double stale = 0.0;
+    /// Figures are taken between these times.
+    Duration measureFrom = 60s;
+    Duration measureTo = 300s;
+    /// A VM crashes and is replaced under another name; 0 for never.
+    Duration loseVmAt{0};
+    Duration replaceAfter = 30s;
+    Duration listLag = 10s;
+    Duration storeDownFrom{0};
+    Duration storeDownTo{0};
+    /// One VM restarts, or all within a minute; 0 for never.
+    Duration restartOneAt{0};
+    Duration restartAllFrom{0};
+    Duration restartTime = 3s;
+};
+
+std::vector<Scenario> scenarios();
+
+constexpr Duration zoneDelay = 1500us;
+constexpr Duration storeDelay = 3ms;
+/// How long callers keep an entry answer.
+constexpr Duration entryLifetime = 5s;
+
+/// @brief What a policy costs.
+struct Cost
+{
+    uint64_t messages = 0;
+    uint64_t bytes = 0;
+    uint64_t storeCalls = 0;
+};
+
+/// @brief The VMs, their traffic and the ideal bucket; a policy decides.
+class Fleet
+{
+public:
+    Fleet(Simulation &simulation, const Scenario &scenario);
+
+    Simulation &simulation;
+    const Scenario &scenario;
+    Cost cost;
+    std::vector<Request> requests;
+    std::vector<bool> up;
+    /// Names of the VMs in their slots; a replacement gets a new one.
+    std::vector<std::string> names;
+    /// Whether the platform's list shows the slot's VM.
+    std::vector<bool> listed;
+    bool storeDown = false;
+
+    [[nodiscard]] std::string zoneOf(size_t vm) const;
+    /// @brief Homes of an organisation among the VMs that are listed.
+    [[nodiscard]] std::vector<size_t> homesOf(size_t organisation) const;
+    [[nodiscard]] Duration delay(size_t from, size_t to) const
+    {
+        return from % scenario.zones == to % scenario.zones ? Duration(200) : zoneDelay;
+    }
+
+    void decide(size_t request, bool admitted, Instant at);
+
+    /// @brief Runs the scenario with a policy.
+    template <typename Policy>
+    void run(Policy &policy)
+    {
+        simulation.run(Instant{});
+        scheduleFaults([&policy](size_t vm) { policy.crash(vm); },
+                       [&policy](size_t vm) { policy.start(vm); },
+                       [&policy] { policy.listChanged(); });
+        scheduleArrivals([&policy](size_t request) { policy.admit(request); },
+                         [&policy](size_t request) { policy.finish(request); });
+        simulation.run(Instant{} + scenario.length);
+    }
+
+    /// @brief Prints the rows of a finished run.
+    void print(const std::string &policy) const;
+
+private:
+    struct Ideal
+    {
+        MicroTokens level = 0;
+        Instant at{};
+    };
+
+    std::vector<Ideal> m_ideal;
+    std::function<void(size_t)> m_finish;
+
+    void refill(size_t organisation);
+    void arrive(size_t request, const std::function<void(size_t)> &admit);
+    size_t chooseVm(size_t organisation, Instant when, uint64_t first, double draw) const;
+    void scheduleArrivals(const std::function<void(size_t)> &admit,
+                          const std::function<void(size_t)> &finish);
+    void scheduleFaults(const std::function<void(size_t)> &crash,
+                        const std::function<void(size_t)> &start,
+                        const std::function<void()> &listChanged);
+    [[nodiscard]] MicroTokens overRate(size_t organisation) const;
+};
+
+} // namespace teaseldrift::rates
