--- a/bench/control/measure_control.cpp
+++ b/bench/control/measure_control.cpp
@@ -15,6 +15,7 @@
 using teaseldrift::testing::SyncVm;
 using teaseldrift::testing::Traffic;
 
+constexpr uint64_t seed = 20261203;
 constexpr Duration settling = 5s;
 constexpr Duration measured = 60s;
 constexpr Duration step = 50ms;
@@ -92,7 +93,6 @@
 
 void measureSize(const Policy &policy, size_t vms)
 {
-    constexpr uint64_t seed = 20261203;
     const std::string suffix = "-" + std::to_string(vms) + "vms";
     const auto start = [&policy, vms] {
         std::unique_ptr<SyncFixture> fleet
