--- a/bench/rates/scenario.cpp
+++ b/bench/rates/scenario.cpp
@@ -20,7 +20,10 @@
 
 std::vector<Scenario> scenarios()
 {
-    const Scenario even{.name = "rates-even", .organisations = fiveOrganisations()};
+    const Scenario even{.name = "rates-even",
+                        .organisations = fiveOrganisations(),
+                        .length = 1500s,
+                        .measureTo = 1500s};
     std::vector<Scenario> all{even};
 
     Scenario skewed = even;
@@ -35,6 +38,7 @@
 
     Scenario lost = even;
     lost.name = "rates-vm-lost";
+    lost.length = 300s;
     lost.loseVmAt = 100s;
     lost.measureFrom = 100s;
     lost.measureTo = 160s;
@@ -51,6 +55,7 @@
 
     Scenario herd = even;
     herd.name = "rates-herd-restart";
+    herd.length = 300s;
     herd.restartAllFrom = 100s;
     herd.measureFrom = 100s;
     herd.measureTo = 200s;
@@ -58,6 +63,8 @@
 
     Scenario flood = even;
     flood.name = "rates-one-at-5x";
+    flood.length = 300s;
+    flood.measureTo = 300s;
     flood.organisations.front().load *= 5.0;
     all.push_back(flood);
     return all;
--- a/bench/rates/simulation.hpp
+++ b/bench/rates/simulation.hpp
@@ -167,16 +167,18 @@
     void print(const std::string &policy) const;
 
 private:
-    struct Ideal
+    /// An organisation's bucket if it were one; empty at first, as with all policies.
+    struct Whole
     {
         MicroTokens level = 0;
         Instant at{};
     };
 
-    std::vector<Ideal> m_ideal;
+    std::vector<Whole> m_ideal;
     std::function<void(size_t)> m_finish;
 
-    void refill(size_t organisation);
+    void refill(Whole &bucket, size_t organisation) const;
+    void refund(Whole &bucket, const Request &request) const;
     void arrive(size_t request, const std::function<void(size_t)> &admit);
     size_t chooseVm(size_t organisation, Instant when, uint64_t first, double draw) const;
     void scheduleArrivals(const std::function<void(size_t)> &admit,
--- a/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
+++ b/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
@@ -18,9 +18,10 @@
     explicit VmRegistry(Duration listLag) : m_listLag(listLag) { }
 
     /// @brief Takes a view that is newer than the last.
-    void update(std::span<const homes::VmView> vms, Instant now);
+    /// @return whether it differs from the last
+    bool update(std::span<const homes::VmView> vms, Instant now);
 
-    [[nodiscard]] std::span<const homes::VmView> vms() const { return m_vms; }
+    [[nodiscard]] const std::vector<homes::VmView> &vms() const { return m_vms; }
     [[nodiscard]] bool isListed(std::string_view vm) const;
 
     /// @brief Zone of a listed VM, empty if it is not listed.
@@ -35,10 +36,13 @@
 
 private:
     Duration m_listLag;
+    /// Ordered by id.
     std::vector<homes::VmView> m_vms;
     /// The VMs that vanished last, oldest first.
     std::vector<std::string> m_vanished;
     Instant m_viewAt{};
+
+    [[nodiscard]] const homes::VmView *find(std::string_view vm) const;
 };
 
 } // namespace teaseldrift::allowance
--- a/packages/policy/include/teaseldrift/homes/home_set.hpp
+++ b/packages/policy/include/teaseldrift/homes/home_set.hpp
@@ -18,6 +18,8 @@
     double weight = 1.0;
     /// Will go away soon; it gets no new callers.
     bool leaving = false;
+
+    friend bool operator==(const VmView &, const VmView &) = default;
 };
 
 /// @brief How many homes an organisation has.
@@ -32,6 +34,7 @@
 };
 
 /// @brief Number of homes: the traffic share of the VMs, between the bounds of the options.
+/// @param zones number of zones, which may be counted up to minimumHomesOverZones only
 size_t homeCount(size_t vms, size_t zones, const HomeSetOptions &options);
 
 /// @brief The VMs that are homes of an organisation, best first.
--- a/packages/policy/src/teaseldrift/allowance/allowance_book.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_book.cpp
@@ -52,7 +52,9 @@
 
 void AllowanceBook::setVms(std::span<const homes::VmView> vms, Instant now)
 {
-    m_native->environment.registry.update(vms, now);
+    if (!m_native->environment.registry.update(vms, now)) {
+        return;
+    }
     for (auto &[name, organisation] : m_native->organisations) {
         organisation.onVms(now);
     }
--- a/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
+++ b/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/allowance/vm_registry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaseldrift::allowance {
 
@@ -8,18 +9,24 @@
 
 constexpr size_t maximumVanished = 1024;
 
-bool contains(std::span<const homes::VmView> vms, std::string_view id)
+bool isBefore(const homes::VmView &left, const homes::VmView &right)
 {
-    return std::any_of(vms.begin(), vms.end(),
-                       [id](const homes::VmView &vm) { return vm.id == id; });
+    return left.id < right.id;
 }
 
 } // namespace
 
-void VmRegistry::update(std::span<const homes::VmView> vms, Instant now)
+bool VmRegistry::update(std::span<const homes::VmView> vms, Instant now)
 {
-    for (const homes::VmView &vm : m_vms) {
-        if (!contains(vms, vm.id)) {
+    m_viewAt = now;
+    std::vector<homes::VmView> sorted(vms.begin(), vms.end());
+    std::sort(sorted.begin(), sorted.end(), isBefore);
+    if (sorted == m_vms) {
+        return false;
+    }
+    const std::vector<homes::VmView> former = std::exchange(m_vms, std::move(sorted));
+    for (const homes::VmView &vm : former) {
+        if (!isListed(vm.id)) {
             m_vanished.push_back(vm.id);
         }
     }
@@ -28,20 +35,26 @@
         m_vanished.erase(m_vanished.begin(),
                          m_vanished.begin() + static_cast<std::ptrdiff_t>(surplus));
     }
-    m_vms.assign(vms.begin(), vms.end());
-    m_viewAt = now;
+    return true;
+}
+
+const homes::VmView *VmRegistry::find(std::string_view vm) const
+{
+    const auto found = std::lower_bound(
+            m_vms.begin(), m_vms.end(), vm,
+            [](const homes::VmView &view, std::string_view id) { return view.id < id; });
+    return found != m_vms.end() && found->id == vm ? &*found : nullptr;
 }
 
 bool VmRegistry::isListed(std::string_view vm) const
 {
-    return contains(m_vms, vm);
+    return find(vm) != nullptr;
 }
 
 std::string_view VmRegistry::zoneOf(std::string_view vm) const
 {
-    const auto found = std::find_if(m_vms.begin(), m_vms.end(),
-                                    [vm](const homes::VmView &view) { return view.id == vm; });
-    return found == m_vms.end() ? std::string_view() : found->availabilityZone;
+    const homes::VmView *view = find(vm);
+    return view == nullptr ? std::string_view() : view->availabilityZone;
 }
 
 bool VmRegistry::isGone(std::string_view vm, Instant knownSince) const
--- a/packages/policy/src/teaseldrift/homes/home_set.cpp
+++ b/packages/policy/src/teaseldrift/homes/home_set.cpp
@@ -19,16 +19,43 @@
     return members;
 }
 
-std::vector<std::string_view> zonesOf(std::span<const VmView> vms, std::span<const size_t> order)
+/// Number of zones with live VMs, counted up to a bound.
+size_t countZones(std::span<const VmView> vms, size_t bound)
 {
     std::vector<std::string_view> zones;
-    zones.reserve(order.size());
-    for (const size_t index : order) {
-        zones.emplace_back(vms[index].availabilityZone);
+    for (const VmView &vm : vms) {
+        if (zones.size() >= bound) {
+            break;
+        }
+        const std::string_view zone = vm.availabilityZone;
+        if (!vm.leaving && std::find(zones.begin(), zones.end(), zone) == zones.end()) {
+            zones.push_back(zone);
+        }
+    }
+    return zones.size();
+}
+
+/// Takes up to `count` VMs in order, at most one of each zone in a round. Zones so differ by one
+/// home at most while they have VMs left.
+/// @param rounds bound on the rounds
+std::vector<size_t> spread(std::span<const VmView> vms, std::span<const size_t> order, size_t count,
+                           size_t rounds)
+{
+    std::vector<size_t> chosen;
+    std::vector<bool> taken(order.size(), false);
+    for (size_t round = 0; round < rounds && chosen.size() < count; ++round) {
+        std::vector<std::string_view> used;
+        for (size_t i = 0; i < order.size() && chosen.size() < count; ++i) {
+            const std::string_view zone = vms[order[i]].availabilityZone;
+            if (taken[i] || std::find(used.begin(), used.end(), zone) != used.end()) {
+                continue;
+            }
+            taken[i] = true;
+            used.push_back(zone);
+            chosen.push_back(order[i]);
+        }
     }
-    std::sort(zones.begin(), zones.end());
-    zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
-    return zones;
+    return chosen;
 }
 
 } // namespace
@@ -47,29 +74,19 @@
                             const HomeSetOptions &options)
 {
     const std::vector<RendezvousMember> members = liveMembers(vms);
-    const std::vector<size_t> order
-            = rendezvousOrder(rendezvousKey(organisation), members, members.size());
-    const std::vector<std::string_view> zones = zonesOf(vms, order);
-    const size_t count = homeCount(order.size(), zones.size(), options);
+    const size_t live = static_cast<size_t>(
+            std::count_if(members.begin(), members.end(),
+                          [](const RendezvousMember &member) { return member.weight > 0.0; }));
+    const size_t zones = countZones(vms, options.minimumHomesOverZones);
+    const size_t count = homeCount(live, zones, options);
+    const uint64_t key = rendezvousKey(organisation);
 
-    std::vector<size_t> homes;
-    std::vector<bool> taken(vms.size(), false);
-    // Each round takes at most one VM of each zone, so zones differ by one home at most while
-    // they have VMs left.
-    while (homes.size() < count) {
-        std::vector<std::string_view> used;
-        for (const size_t index : order) {
-            const std::string_view zone = vms[index].availabilityZone;
-            if (homes.size() == count) {
-                break;
-            }
-            if (taken[index] || std::find(used.begin(), used.end(), zone) != used.end()) {
-                continue;
-            }
-            taken[index] = true;
-            used.push_back(zone);
-            homes.push_back(index);
-        }
+    // The best few nearly always lie in enough zones, which spares the order of all the others.
+    constexpr size_t fewPerHome = 8;
+    const std::vector<size_t> best = rendezvousOrder(key, members, count * fewPerHome);
+    std::vector<size_t> homes = spread(vms, best, count, 1);
+    if (homes.size() < count) {
+        homes = spread(vms, rendezvousOrder(key, members, live), count, count);
     }
     return homes;
 }
