--- a/packages/policy/include/teaseldrift/allowance/allowance_book.hpp
+++ b/packages/policy/include/teaseldrift/allowance/allowance_book.hpp
@@ -49,7 +49,8 @@
     ///
     /// Views must not go back in time. A VM that has left the list must be unable to run, and its
     /// id must not come back.
-    void setVms(std::span<const homes::VmView> vms, Instant now);
+    /// @param age time since the read of the list was started, in which this VM may have paused
+    void setVms(std::span<const homes::VmView> vms, Instant now, Duration age = Duration{0});
 
     /// @brief Asks for the tokens of a request.
     Decision admit(std::string_view organisation, MicroTokens cost, Instant now);
--- a/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
+++ b/packages/policy/include/teaseldrift/allowance/vm_registry.hpp
@@ -18,8 +18,9 @@
     explicit VmRegistry(Duration listLag) : m_listLag(listLag) { }
 
     /// @brief Takes a view that is newer than the last.
+    /// @param readAt when the read was started
     /// @return whether it differs from the last
-    bool update(std::span<const homes::VmView> vms, Instant now);
+    bool update(std::span<const homes::VmView> vms, Instant readAt);
 
     [[nodiscard]] const std::vector<homes::VmView> &vms() const { return m_vms; }
     [[nodiscard]] bool isListed(std::string_view vm) const;
--- a/packages/policy/src/teaseldrift/allowance/allowance_book.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_book.cpp
@@ -50,9 +50,9 @@
     }
 }
 
-void AllowanceBook::setVms(std::span<const homes::VmView> vms, Instant now)
+void AllowanceBook::setVms(std::span<const homes::VmView> vms, Instant now, Duration age)
 {
-    if (!m_native->environment.registry.update(vms, now)) {
+    if (!m_native->environment.registry.update(vms, now - age)) {
         return;
     }
     for (auto &[name, organisation] : m_native->organisations) {
--- a/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
+++ b/packages/policy/src/teaseldrift/allowance/vm_registry.cpp
@@ -16,9 +16,9 @@
 
 } // namespace
 
-bool VmRegistry::update(std::span<const homes::VmView> vms, Instant now)
+bool VmRegistry::update(std::span<const homes::VmView> vms, Instant readAt)
 {
-    m_viewAt = now;
+    m_viewAt = readAt;
     std::vector<homes::VmView> sorted(vms.begin(), vms.end());
     std::sort(sorted.begin(), sorted.end(), isBefore);
     if (sorted == m_vms) {
