Serve through the whole fleet: configuration, allowances and membership wired

First requests of a process wait up to 2 s for the division of their organisation instead of being refused while it is unknown.

--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -2,7 +2,6 @@
 
 #include <cmath>
 #include <map>
-#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -15,6 +14,10 @@
 namespace {
 
 using allowance::microTokensPerToken;
+
+/// Time after an organisation becomes known here in which its division may still be unknown.
+constexpr Duration settlingTime = 2s;
+constexpr Duration settlingRetry = 25ms;
 using allowance::MicroTokens;
 
 MicroTokens toMicroTokens(double tokens)
@@ -57,10 +60,12 @@
     std::string prefix;
     allowance::Options options;
     allowance::AllowanceBook book;
-    std::set<std::string> organisations;
+    /// When each organisation became known.
+    std::map<std::string, Instant> organisations;
     /// Callers of pending questions, by organisation and request id.
     std::map<std::pair<std::string, uint64_t>, Done> pending;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    AllowanceTask *task = nullptr;
 
     Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore,
            fleet::PeerNetwork &peerNetwork, allowance::SelfView self, std::string storePrefix)
@@ -73,6 +78,8 @@
     void read(const std::string &organisation);
     void write(const allowance::RecordWrite &write);
     void decide(const allowance::PendingDecision &decision);
+    [[nodiscard]] bool isSettling(const std::string &organisation) const;
+    void admitLater(const AdmissionRequest &request, const Done &done);
     void scheduleTick();
 };
 
@@ -144,6 +151,24 @@
     done(answerOf(decision.decision));
 }
 
+bool AllowanceTask::Native::isSettling(const std::string &organisation) const
+{
+    const auto known = organisations.find(organisation);
+    return known != organisations.end()
+            && http::EventLoop::now() - known->second < settlingTime;
+}
+
+/// A process that has just started asks its peers and the store how the organisation is divided;
+/// its first requests wait for that.
+void AllowanceTask::Native::admitLater(const AdmissionRequest &request, const Done &done)
+{
+    loop.startTimer(settlingRetry, [this, stillAlive = alive, request, done] {
+        if (*stillAlive) {
+            task->admit(request, done);
+        }
+    });
+}
+
 void AllowanceTask::Native::scheduleTick()
 {
     loop.startTimer(options.tickInterval, [this, stillAlive = alive] {
@@ -162,6 +187,7 @@
     : m_native(std::make_unique<Native>(loop, store, peers, std::move(self),
                                         std::move(storePrefix)))
 {
+    m_native->task = this;
     m_native->scheduleTick();
     Native *native = m_native.get();
     peers.handle(schema::PeerMessage::kAllowance, [native](const schema::PeerMessage &message) {
@@ -179,17 +205,19 @@
 void AllowanceTask::configure(const schema::Configuration &configuration)
 {
     const Instant now = http::EventLoop::now();
-    std::set<std::string> configured;
+    std::map<std::string, Instant> configured;
     for (const schema::Organisation &organisation : configuration.organisations()) {
-        configured.insert(organisation.name());
+        const auto known = m_native->organisations.find(organisation.name());
+        configured[organisation.name()] =
+                known == m_native->organisations.end() ? now : known->second;
         m_native->book.configure(organisation.name(),
                                  allowance::limitsFromTokens(organisation.rate_tokens_per_s(),
                                                              organisation.burst_tokens()),
                                  now);
     }
-    for (const std::string &organisation : m_native->organisations) {
-        if (!configured.contains(organisation)) {
-            m_native->book.remove(organisation, now);
+    for (auto it = m_native->organisations.begin(); it != m_native->organisations.end(); ++it) {
+        if (!configured.contains(it->first)) {
+            m_native->book.remove(it->first, now);
         }
     }
     m_native->organisations = std::move(configured);
@@ -205,15 +233,25 @@
 void AllowanceTask::admit(const AdmissionRequest &request,
                           std::function<void(const AdmissionAnswer &)> done)
 {
-    const allowance::Decision decision = m_native->book.admit(
+    Native *native = m_native.get();
+    const allowance::Decision decision = native->book.admit(
             request.organisation, toMicroTokens(request.tokens), http::EventLoop::now());
+    Native::Done answered = [native, request, done = std::move(done)](
+                                    const AdmissionAnswer &answer) {
+        if (answer.code != schema::ALLOWANCE_UNCONFIRMED
+            || !native->isSettling(request.organisation)) {
+            done(answer);
+            return;
+        }
+        native->admitLater(request, done);
+    };
     if (decision.verdict == allowance::Verdict::Pending) {
-        m_native->pending[{request.organisation, decision.requestId}] = std::move(done);
-        m_native->perform();
+        native->pending[{request.organisation, decision.requestId}] = std::move(answered);
+        native->perform();
         return;
     }
-    m_native->perform();
-    done(answerOf(decision));
+    native->perform();
+    answered(answerOf(decision));
 }
 
 void AllowanceTask::giveBack(const std::string &organisation, const allowance::Ticket &ticket,
@@ -235,7 +273,8 @@
 {
     const Instant now = http::EventLoop::now();
     nlohmann::json list = nlohmann::json::array();
-    for (const std::string &organisation : m_native->organisations) {
+    for (auto it = m_native->organisations.begin(); it != m_native->organisations.end(); ++it) {
+        const std::string &organisation = it->first;
         const double share = static_cast<double>(m_native->book.share(organisation))
                 / allowance::wholeShare;
         list.push_back({{"name", organisation},
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -133,6 +133,7 @@
     void onConfiguration(const schema::Configuration &configuration, uint64_t revision);
     void onLiveVms(const std::vector<FleetVm> &live);
     void updateAllowanceVms();
+    void pollMembers();
     [[nodiscard]] Duration entryLifetime() const;
     void beginStop();
     void closeListener();
@@ -188,6 +189,7 @@
     }
     targets.setTrafficShare(1.0 / static_cast<double>(std::max<size_t>(1, entryVms.size())));
     entries.setVms(std::move(entryVms));
+    updateAllowanceVms();
 }
 
 /// VMs that may hold allowances: all that the list shows, silent and leaving ones too.
@@ -203,7 +205,12 @@
         allowanceVms = std::move(views);
         allowance.setVms(allowanceVms);
     }
-    loop.startTimer(memberPollInterval, [this] { updateAllowanceVms(); });
+}
+
+void Daemon::Native::pollMembers()
+{
+    updateAllowanceVms();
+    loop.startTimer(memberPollInterval, [this] { pollMembers(); });
 }
 
 Duration Daemon::Native::entryLifetime() const
@@ -271,13 +278,17 @@
         return std::make_error_code(std::errc::invalid_argument);
     }
     std::error_code error = native.server.listen();
-    if (!error) {
-        error = native.peers.start();
-    }
     if (error) {
         return error;
     }
+    // Its handlers must be known to the network before that starts.
     native.startConfiguration();
+    error = native.peers.start();
+    if (error) {
+        return error;
+    }
+    native.configuration->start();
+    native.pollMembers();
     native.poller.emplace(native.loop, native.targets);
     telemetry::log(telemetry::LogLevel::Info, "listening",
                    {{"caller_port", std::to_string(native.server.port())},
