Let the demo's engine crash cut streams, and show the retries

Cause: with 8 ms a token hardly a stream was open on the engine that crashes. Change: longer streams; the demo prints retries by reason.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -76,7 +76,7 @@
 
 start_engine() {
   start "engine-$1" build/testing/standin-engine --port "${engine_ports[$1 - 1]}" \
-    --token-ms 8 --prefill-us-per-token 20 --block-tokens 128 --slots 16
+    --token-ms 15 --prefill-us-per-token 20 --block-tokens 128 --slots 16
 }
 
 start_vm() {
@@ -142,7 +142,7 @@
 echo
 echo "streams: $streams, non-idempotent calls: $calls, over $seconds s"
 ctl load --entry --key "$key,$second_key" --requests "$streams" --rate $((streams / seconds)) \
-  --level-tokens 256 --max-tokens 32 --verify-standin --fail-on-refusal --quiet \
+  --level-tokens 256 --max-tokens 48 --verify-standin --fail-on-refusal --quiet \
   --json-file "$logs/streams.json" >"$logs/streams.txt" 2>"$logs/streams.log" &
 streams_pid=$!
 ctl load --entry --key "$key,$second_key" --plain /bills/charge --requests "$calls" \
@@ -175,6 +175,11 @@
 cat "$logs/streams.txt" "$logs/streams.log"
 echo "== non-idempotent calls"
 cat "$logs/calls.txt" "$logs/calls.log"
+echo "== retries by reason, since each VM's start"
+for port in "${vm_ports[@]}"; do
+  curl -sf "http://127.0.0.1:$port/metrics" | grep '^teaseldrift_retries_total' || true
+done | awk '{ sum[$1] += $2 } END { for (name in sum) if (sum[name] > 0) print sum[name], name }'
+echo
 curl -sf "http://127.0.0.1:$service_port/runs" >"$logs/runs.json"
 python3 - "$logs" "$vm_exit" "$streams_exit" "$calls_exit" <<'PYTHON'
 import json, sys
