--- a/packages/ctl/src/teaseldrift/ctl/command_line_test.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/command_line_test.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr Duration outage = 100ms;
+
 /// The stand-in store on a thread of its own.
 class StoreThread
 {
@@ -38,7 +40,6 @@
     /// Answers to calls that take effect are lost for a while.
     void loseAnswers()
     {
-        constexpr Duration outage = 100ms;
         m_loop.post([this] {
             m_gateway.setFault("lose_answers");
             m_loop.startTimer(outage, [this] { m_gateway.setFault("none"); });
--- a/packages/ctl/src/teaseldrift/load/stream_check_test.cpp
+++ b/packages/ctl/src/teaseldrift/load/stream_check_test.cpp
@@ -108,7 +108,7 @@
     Workload second(options);
     const WorkloadRequest request = first.next("a");
     CHECK(request.body == second.next("a").body);
-    const size_t shared = std::string_view("system: ").size() + 2 * 8 * 4;
+    const size_t shared = std::string_view("system: ").size() + size_t(64);
     CHECK(first.next("a").prompt.substr(0, shared) == request.prompt.substr(0, shared));
     CHECK(first.next("b").prompt.substr(0, shared) != request.prompt.substr(0, shared));
 }
