Tune the refresh times so that the tree's third level needs no rounds

Cause: at 133 VMs at rest the third level's proofs grew older than majorityAfter, so that those VMs asked all others and the store as well. Change: refreshInterval 700 to 550 ms, readerMajorityAfter 900 to 750 ms, majorityAfter 2000 to 2200 ms; a parent without a proof is asked again after 100 ms.

--- a/packages/policy/include/teaseldrift/configuration/configuration_sync.hpp
+++ b/packages/policy/include/teaseldrift/configuration/configuration_sync.hpp
@@ -74,12 +74,14 @@
     /// Longest time between probes of a store that does not answer.
     Duration maxStoreBackoff = 2s;
     /// Time between an ordinary VM's requests to its parent.
-    Duration refreshInterval = 700ms;
+    Duration refreshInterval = 550ms;
     Duration answerTimeout = 300ms;
+    /// Time until a parent is asked again that had no proof itself.
+    Duration unconfirmedRetry = 100ms;
     /// Age of the proof at which a reader asks a majority of the VMs.
-    Duration readerMajorityAfter = 900ms;
+    Duration readerMajorityAfter = 750ms;
     /// Age of the proof at which any VM asks a majority, and the store.
-    Duration majorityAfter = 2s;
+    Duration majorityAfter = 2200ms;
     Duration majorityInterval = 700ms;
     /// Delay of a starting VM's own first read of the store while it waits for its parent.
     Duration startGrace = 600ms;
--- a/packages/policy/src/teaseldrift/configuration/configuration_sync.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync.cpp
@@ -308,7 +308,9 @@
                     .forgottenRevision = answer.forgotten_revision(),
             },
             request.knownRevision);
-    if (!answer.unconfirmed()) {
+    if (answer.unconfirmed()) {
+        m_nextRefresh = std::min(m_nextRefresh, now + m_options.unconfirmedRetry);
+    } else {
         m_replica.confirm(request.sentAt - std::chrono::milliseconds(answer.age_ms()));
     }
     if (m_round.has_value() && request.round == m_round->id) {
