--- a/bench/micro/bench_allowance.cpp
+++ b/bench/micro/bench_allowance.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <malloc.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,12 +72,97 @@
         now += 1ms;
         const Decision decision = book.admit(names[next], cost, now);
         refused += decision.verdict == Verdict::Admitted ? 0 : 1;
-        next = (next + 1) % organisations;
+        next = next + 1 < organisations ? next + 1 : 0;
     }
     state.counters["refused"] = static_cast<double>(refused);
 }
 BENCHMARK(admit)->Arg(5)->Arg(50)->Arg(1400);
 
+/// Three homes that answer each other at once, with a store in memory.
+class Homes
+{
+public:
+    Homes()
+    {
+        const std::vector<homes::VmView> vms = fleet(3);
+        for (const homes::VmView &vm : vms) {
+            m_books.emplace_back(SelfView{.vm = vm.id, .incarnation = m_books.size() + 1});
+            m_books.back().setVms(vms, m_now);
+            m_books.back().configure("organisation", limitsFromTokens(1e6, 1e7), m_now);
+        }
+        for (int step = 0; step < 100; ++step) {
+            advance(200ms);
+        }
+    }
+
+    void advance(Duration time)
+    {
+        m_now += time;
+        for (size_t i = 0; i < m_books.size(); ++i) {
+            m_books[i].tick(m_now);
+            exchange(i);
+        }
+    }
+
+    /// @return messages of one gather of more than a home's own part
+    size_t gather(size_t home)
+    {
+        m_messages = 0;
+        const MicroTokens most = 5'000'000 * microTokensPerToken;
+        m_books[home].admit("organisation", most, m_now);
+        exchange(home);
+        return m_messages;
+    }
+
+private:
+    std::vector<AllowanceBook> m_books;
+    std::optional<schema::DivisionRecord> m_record;
+    uint64_t m_revision = 0;
+    size_t m_messages = 0;
+    Instant m_now{};
+
+    void exchange(size_t from)
+    {
+        const Actions actions = m_books[from].takeActions();
+        for (const RecordRead &read : actions.reads) {
+            m_books[from].onRead(read.organisation, {.record = m_record, .revision = m_revision},
+                                 m_now);
+        }
+        for (const RecordWrite &write : actions.writes) {
+            m_record = write.record;
+            ++m_revision;
+            m_books[from].onWrite(write.organisation, RecordWriteOutcome::Written, m_now);
+        }
+        const std::string sender = "vm-" + std::to_string(from);
+        for (const Outgoing &outgoing : actions.messages) {
+            ++m_messages;
+            const size_t to = std::stoul(outgoing.vm.substr(3));
+            m_books[to].onMessage(sender, outgoing.message, m_now);
+            exchange(to);
+        }
+        if (!actions.reads.empty() || !actions.writes.empty()) {
+            exchange(from);
+        }
+    }
+};
+
+/// A decision that needs tokens of the other homes.
+void gather(benchmark::State &state)
+{
+    Homes homes;
+    size_t home = 0;
+    double messages = 0.0;
+    double gathers = 0.0;
+    for (auto _ : state) {
+        homes.advance(10s);
+        messages += static_cast<double>(homes.gather(home));
+        gathers += 1.0;
+        home = home < 2 ? home + 1 : 0;
+    }
+    state.counters["messages_per_gather"] = messages / gathers;
+}
+BENCHMARK(gather);
+
 /// A tick over all organisations, most of which have nothing to do.
 void tick(benchmark::State &state)
 {
