Keep prefixes on their placement and together under overload

Cause: choices drifted from the placement with the load, so restarted routers found the blocks elsewhere; replicas flickered with each router's sample of the rates; with every engine full, late binding sent requests wherever a slot came free. Change: a target outside the placement costs 150 ms more; replicas go by powers of two from rates averaged over the routers' tables; a request whose cheapest target is full is held while waiting costs less; room is estimated as if other routers did as this one; mean reported backlog and occupancy enter the wait; organisations may catch up on 4 s of unused share.

--- a/bench/placement/engine_model.cpp
+++ b/bench/placement/engine_model.cpp
@@ -48,7 +48,10 @@
     m_hooks.onPrefill(job);
     m_computing = true;
     ++m_running;
-    m_timeline.after(prefillTime(job), [this, job, incarnation = m_incarnation] {
+    m_computingTokens = job.request->promptTokens - m_site.blockTokens * job.cachedBlocks;
+    m_computingFrom = m_timeline.now();
+    m_computingTime = prefillTime(job);
+    m_timeline.after(m_computingTime, [this, job, incarnation = m_incarnation] {
         if (incarnation == m_incarnation) {
             onComputed(job);
         }
@@ -156,6 +159,11 @@
 placement::LoadReport EngineModel::load() const
 {
     uint64_t backlog = 0;
+    if (m_computing) {
+        const double done
+                = toSeconds(m_timeline.now() - m_computingFrom) / toSeconds(m_computingTime);
+        backlog = static_cast<uint64_t>(m_computingTokens * (1.0 - done));
+    }
     for (const EngineJob &job : m_waiting) {
         backlog += job.request->promptTokens
                    - uint64_t{m_site.blockTokens} * matchedBlocks(job.request->chain);
--- a/bench/placement/engine_model.hpp
+++ b/bench/placement/engine_model.hpp
@@ -90,6 +90,10 @@
     bool m_up = true;
     bool m_computing = false;
     uint32_t m_running = 0;
+    /// Prompt tokens of the request that is being computed.
+    uint32_t m_computingTokens = 0;
+    Instant m_computingFrom{};
+    Duration m_computingTime{};
     std::deque<EngineJob> m_waiting;
     std::unordered_map<uint64_t, EngineJob> m_active;
     Lru m_order;
--- a/bench/placement/simulation.hpp
+++ b/bench/placement/simulation.hpp
@@ -11,8 +11,8 @@
 #include "engine_model.hpp"
 #include "outcome.hpp"
 #include "scenario.hpp"
+#include "teaseldrift/placement/dispatcher.hpp"
 #include "teaseldrift/placement/routing_policy.hpp"
-#include "teaseldrift/queueing/fair_queue.hpp"
 #include "timeline.hpp"
 #include "workload.hpp"
 
@@ -30,6 +30,9 @@
     Duration failureNotice = 20ms;
     Duration expiryInterval = 100ms;
     Duration retryDelay = 50ms;
+    Duration tableInterval = 2s;
+    /// Time before the deadline by which a request has to be sent.
+    Duration dispatchMargin = 1500ms;
 };
 
 /// @brief One run of a workload through routers with one policy, in virtual time.
@@ -49,7 +52,7 @@
     struct Router
     {
         Policy policy;
-        queueing::FairQueue queue;
+        placement::Dispatcher dispatcher;
         std::vector<placement::TargetView> views;
         std::vector<Instant> lastEventAt;
         std::mt19937_64 random;
@@ -64,7 +67,8 @@
     void expireQueues();
     void arrive(const ModelRequest &request);
     void pump(uint32_t router);
-    bool dispatch(uint32_t router, const ModelRequest &request);
+    bool sendNow(uint32_t router, const ModelRequest &request);
+    void exchangeTables();
     void send(uint32_t router, const ModelRequest &request, const placement::Choice &choice);
     void import(EngineJob job, uint32_t target, const placement::ImportPlan &plan, Duration delay);
     void reportLoad(uint32_t engine);
--- a/packages/policy/include/teaseldrift/placement/choice.hpp
+++ b/packages/policy/include/teaseldrift/placement/choice.hpp
@@ -52,6 +52,11 @@
     Duration expectedWait{};
     Duration expectedPrefill{};
     Duration expectedImport{};
+    /// Target that would be cheapest if each had room, and the cost beyond that of its own.
+    size_t preferred = 0;
+    Duration regret{};
+    /// Time that one more request ahead of this one would cost at the preferred target.
+    Duration queueStep{};
     /// Blocks expected in the target's cache.
     double expectedBlocks = 0.0;
     /// Prompt tokens that the target is expected to compute.
--- /dev/null
+++ b/packages/policy/include/teaseldrift/placement/fleet_rates.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/placement/hot_prefix_sketch.hpp"
+
+namespace teaseldrift::placement {
+
+struct FleetRatesOptions
+{
+    size_t maxPeers = 16;
+    size_t maxPrefixesPerPeer = 64;
+    /// Age at which a peer's table no longer counts.
+    Duration maxAge = 15s;
+};
+
+/// @brief Rates of the hottest prefixes at other VMs, from the tables that they send.
+///
+/// With them all VMs see nearly the same rate of a hot prefix and give it the same replicas. A VM
+/// that hears no peer works from its own rates alone.
+class FleetRates
+{
+public:
+    explicit FleetRates(const FleetRatesOptions &options = {});
+
+    /// @brief Replaces a peer's table.
+    void setTable(std::string_view peerId, std::span<const HotPrefix> table, Instant now);
+
+    /// @brief Mean rate of a prefix over this VM and the peers that name it.
+    double meanRate(uint64_t hash, double ownRate) const
+    {
+        const Cell &cell = m_cells[hash & (m_cells.size() - 1)];
+        return cell.hash == hash && cell.peers > 0 ? (cell.sum + ownRate) / (cell.peers + 1.0)
+                                                   : ownRate;
+    }
+
+    size_t memoryBytes() const;
+
+private:
+    struct Peer
+    {
+        std::string id;
+        Instant heardAt{};
+        std::vector<HotPrefix> table;
+    };
+    struct Cell
+    {
+        uint64_t hash = 0;
+        double sum = 0.0;
+        uint32_t peers = 0;
+    };
+
+    void rebuild();
+
+    FleetRatesOptions m_options;
+    std::vector<Peer> m_peers;
+    std::vector<Cell> m_cells;
+};
+
+} // namespace teaseldrift::placement
--- a/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
+++ b/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
@@ -14,8 +14,8 @@
 struct ReplicaOptions
 {
     uint32_t maxReplicas = 16;
-    /// A prefix loses replicas when it needs less than this part of those it has.
-    double shrinkBelow = 0.6;
+    /// A prefix loses half of its replicas when it needs less than this part of that half.
+    double shrinkBelow = 0.7;
     /// Prefixes whose replicas are remembered for hysteresis, a power of two.
     size_t rememberedPrefixes = 4096;
 };
--- a/packages/policy/include/teaseldrift/placement/target_chooser.hpp
+++ b/packages/policy/include/teaseldrift/placement/target_chooser.hpp
@@ -13,6 +13,7 @@
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/placement/cache_event.hpp"
 #include "teaseldrift/placement/choice.hpp"
+#include "teaseldrift/placement/fleet_rates.hpp"
 #include "teaseldrift/placement/hot_prefix_sketch.hpp"
 #include "teaseldrift/placement/prefix_index.hpp"
 #include "teaseldrift/placement/views.hpp"
@@ -32,12 +33,18 @@
     /// Round trip to a target in another availability zone beyond that to one in this zone.
     Duration zoneRoundTrip = 3ms;
     /// Requests in flight per slot at which a target counts as full.
-    double inFlightPerSlot = 1.25;
+    double inFlightPerSlot = 1.0;
     /// Weight of prompt computation beyond this request's own time, since it delays others.
     double prefillWeight = 1.5;
+    /// Part of a target's mean reported backlog that is expected whatever its last report says.
+    double meanBacklogWeight = 0.5;
+    /// Cost of a target whose slots are all taken, in proportion below that.
+    Duration occupancyPenalty = 100ms;
     /// Replicas of a prefix are chosen so that this part of each is used by it.
-    double replicaUtilisation = 0.5;
+    double replicaUtilisation = 0.7;
     uint32_t maxReplicas = 16;
+    /// Cost of a target outside the prefix's placement.
+    Duration misplacedPenalty = 150ms;
     /// Costs closer than this count as equal and are decided between two at random.
     Duration tieWidth = 5ms;
     /// Load reports older than this count as stale.
@@ -102,10 +109,13 @@
     /// @brief Drops everything known of a target that has left.
     void forgetTarget(std::string_view targetId);
 
-    /// @brief The hottest prefixes for a peer that has just started.
+    /// @brief The hottest prefixes, to be sent to the peers every few seconds.
     std::vector<HotPrefix> hotPrefixes(Instant now) const;
 
-    /// @brief Takes over a peer's hottest prefixes.
+    /// @brief Replaces a peer's table of hot prefixes, so that all VMs see the same rates.
+    void setPeerTable(std::string_view peerId, std::span<const HotPrefix> peerTable, Instant now);
+
+    /// @brief Takes a peer's hottest prefixes for this VM's own, right after its start.
     void mergeHotPrefixes(std::span<const HotPrefix> peerTable, Instant now);
 
     /// @brief Changes this VM's part of the model's requests, as VMs come and go.
--- a/packages/policy/include/teaseldrift/placement/target_load.hpp
+++ b/packages/policy/include/teaseldrift/placement/target_load.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "teaseldrift/base/time.hpp"
@@ -12,7 +13,12 @@
 struct LoadEstimate
 {
     double inFlight = 0.0;
+    /// Requests in flight if the other VMs have done since the report as this VM has.
+    double inFlightOfAll = 0.0;
     double backlogTokens = 0.0;
+    /// Means over the last reports, which vary less than one report.
+    double meanBacklogTokens = 0.0;
+    double meanInFlight = 0.0;
     /// The report is missing or too old to rely on.
     bool stale = false;
 };
@@ -33,8 +39,9 @@
 
     /// @param prefillTokensPerSecond speed at which the reported backlog shrinks
     /// @param staleReport age from which a report is not relied on
+    /// @param trafficShare this VM's part of the requests that the target gets
     LoadEstimate estimate(const LoadReport &report, double prefillTokensPerSecond,
-                          Duration staleReport, Instant now);
+                          Duration staleReport, double trafficShare, Instant now);
 
 private:
     struct OwnWork
@@ -47,8 +54,12 @@
     };
 
     void dropReported(Instant reportedAt);
+    void learnMean(const LoadReport &report);
 
     std::vector<OwnWork> m_work;
+    std::optional<Instant> m_lastReport;
+    double m_meanBacklog = 0.0;
+    double m_meanInFlight = 0.0;
     uint32_t m_inFlight = 0;
 };
 
--- a/packages/policy/include/teaseldrift/queueing/fair_queue.hpp
+++ b/packages/policy/include/teaseldrift/queueing/fair_queue.hpp
@@ -16,6 +16,9 @@
 {
     /// Requests that wait at most.
     size_t maxWaiting = 1024;
+    /// Past time whose unused share an organisation may still claim, so that a small one's short
+    /// bursts go ahead of another one's long queue.
+    Duration catchUp = 4s;
     /// Time over which the rate of dispatched cost is averaged.
     Duration drainWindow = 4s;
 };
@@ -82,6 +85,9 @@
     /// @brief The request whose turn it is.
     std::optional<uint64_t> next() const;
 
+    /// @brief The first requests in the order of their turns, as far as it is known now.
+    std::vector<uint64_t> head(size_t count) const;
+
     /// @brief Removes a request for dispatch and charges its organisation.
     /// @return false if it does not wait
     bool take(uint64_t id, Instant now);
--- a/packages/policy/src/teaseldrift/placement/baselines.cpp
+++ b/packages/policy/src/teaseldrift/placement/baselines.cpp
@@ -65,7 +65,7 @@
 {
     TargetLoad &load = m_loads.try_emplace(std::string(target.id)).first->second;
     const LoadEstimate estimate = load.estimate(target.load, m_options.prefillTokensPerSecond,
-                                                m_options.staleReport, now);
+                                                m_options.staleReport, 1.0, now);
     return estimate.inFlight / std::max(1U, target.slots);
 }
 
--- a/packages/policy/src/teaseldrift/placement/chain_match.cpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -82,25 +82,24 @@
 
 void ChainMatch::walk(const RequestView &request, const WalkOptions &options,
                       const PrefixIndex &index, const HotPrefixSketch &sketch,
-                      ReplicaCounts &replicas, Instant now)
+                      const FleetRates &fleetRates, ReplicaCounts &replicas, Instant now)
 {
     m_candidates = m_eligible;
     m_knownPart = std::min(1.0, toSeconds(sketch.observedTime(now)) / toSeconds(rateLearningTime));
-    double lastRate = -1.0;
+    double parentRate = -1.0;
     float prior = 0.0F;
-    bool following = true;
+    bool following = !m_eligible.empty();
     for (uint32_t level = 0; level < request.chain.size() && following; ++level) {
         const hashing::BlockHash &block = request.chain[level];
-        const double rate = sketch.requestsPerSecond(block, now) / options.trafficShare;
-        const double needed = rate * options.targetSecondsPerRequest / options.replicaUtilisation;
-        const size_t count = replicas.update(block, needed);
-        if (count < m_candidates.size()) {
-            narrowCandidates(block, m_ids, count, m_candidates);
-            lastRate = -1.0;
-        }
-        if (rate != lastRate && !m_candidates.empty()) {
+        const double ownRate = sketch.requestsPerSecond(block, now);
+        // Blocks that are always asked for together share their placement.
+        if (ownRate != parentRate) {
+            const double rate = fleetRates.meanRate(block.low, ownRate) / options.trafficShare;
+            const double needed
+                    = rate * options.targetSecondsPerRequest / options.replicaUtilisation;
+            narrowCandidates(block, m_ids, replicas.update(block, needed), m_candidates);
             prior = static_cast<float>(priorAt(rate, m_candidates.size(), options));
-            lastRate = rate;
+            parentRate = ownRate;
         }
         following = matchLevel(block, level, prior, index, now);
     }
--- a/packages/policy/src/teaseldrift/placement/chain_match.hpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "teaseldrift/placement/fleet_rates.hpp"
 #include "teaseldrift/placement/hot_prefix_sketch.hpp"
 #include "teaseldrift/placement/prefix_index.hpp"
 #include "teaseldrift/placement/prefix_placement.hpp"
@@ -50,7 +51,8 @@
     void resolve(std::span<const TargetView> targets, PrefixIndex &index);
 
     void walk(const RequestView &request, const WalkOptions &options, const PrefixIndex &index,
-              const HotPrefixSketch &sketch, ReplicaCounts &replicas, Instant now);
+              const HotPrefixSketch &sketch, const FleetRates &fleetRates, ReplicaCounts &replicas,
+              Instant now);
 
     /// @brief Forgets positions of targets, after one has left.
     void reset();
--- a/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
+++ b/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
@@ -67,24 +67,22 @@
         m_windowStart = now;
     }
     std::ranges::fill(m_current.counters, 0);
+    for (HotPrefix &prefix : m_hottest) {
+        prefix.requestsPerSecond /= 2.0;
+    }
 }
 
 void HotPrefixSketch::record(std::span<const hashing::BlockHash> chain, Instant now)
 {
     advance(now);
     uint32_t parentCount = 0;
-    uint64_t parent = 0;
     for (const hashing::BlockHash &block : chain) {
         const uint32_t count = m_current.add(block.low, m_options.width);
-        // Of a run of blocks that are always asked for together, the last one names the prefix.
-        if (parentCount > count) {
-            note(parent, parentCount);
+        // The first of a run of blocks that are always asked for together names the prefix.
+        if (count != parentCount && count > 1) {
+            note(block.low, count);
         }
         parentCount = count;
-        parent = block.low;
-    }
-    if (parentCount > 1) {
-        note(parent, parentCount);
     }
 }
 
--- a/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
@@ -20,12 +20,14 @@
     const double bounded = std::clamp(needed, 1.0, static_cast<double>(m_options.maxReplicas));
     Remembered &slot = m_remembered[block.high & (m_remembered.size() - 1)];
     const bool known = slot.hash == block.low && slot.replicas > 0;
-    const uint32_t wanted = static_cast<uint32_t>(std::ceil(bounded));
+    // Powers of two: VMs whose rates differ a little still agree.
+    const uint32_t wanted = std::bit_ceil(static_cast<uint32_t>(std::ceil(bounded)));
     if (!known && wanted == 1) {
         return 1;
     }
     const bool grows = !known || wanted > slot.replicas;
-    const bool shrinks = known && needed < m_options.shrinkBelow * slot.replicas;
+    const bool shrinks = known && wanted < slot.replicas
+                         && needed < m_options.shrinkBelow * slot.replicas / 2.0;
     if (grows || shrinks) {
         slot = {.hash = block.low, .replicas = wanted};
     }
--- a/packages/policy/src/teaseldrift/placement/target_chooser.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_chooser.cpp
@@ -38,6 +38,7 @@
     double inFlight = 0.0;
     uint32_t prefillTokens = 0;
     bool stale = false;
+    bool hasRoom = false;
     std::optional<ImportPlan> plan;
 };
 
@@ -72,6 +73,7 @@
     ChooserOptions options;
     PrefixIndex index;
     HotPrefixSketch sketch;
+    FleetRates fleetRates;
     ReplicaCounts replicas;
     ChainMatch match;
     std::vector<TargetLoad> loads;
@@ -83,10 +85,12 @@
 
     TargetLoad &loadOf(TargetSlot slot);
     void selectCompared(std::mt19937_64 &generator);
-    bool addCost(uint32_t target, const RequestView &request, std::span<const TargetView> targets,
+    void addCost(uint32_t target, const RequestView &request, std::span<const TargetView> targets,
                  Instant now);
+    double placementPenalty(uint32_t target) const;
     void planImport(Cost &cost, std::span<const TargetView> targets) const;
     const Cost &pick(std::mt19937_64 &generator) const;
+    bool anyRoom() const;
     Choice describe(const Cost &cost) const;
     WalkOptions walkOptions() const;
     void learnService(const Attempt &attempt, Instant now);
@@ -138,35 +142,45 @@
     compared.erase(std::unique(compared.begin(), compared.end()), compared.end());
 }
 
-/// @return false if the target has no room
-bool TargetChooser::Native::addCost(uint32_t target, const RequestView &request,
+/// Targets outside the prefix's placement cost a little more, so that copies do not multiply and a
+/// restarted VM finds the blocks where the placement says.
+double TargetChooser::Native::placementPenalty(uint32_t target) const
+{
+    const std::span<const uint32_t> placed = match.placed();
+    const bool isPlaced = std::ranges::find(placed, target) != placed.end();
+    return isPlaced ? 0.0 : toSeconds(options.misplacedPenalty);
+}
+
+void TargetChooser::Native::addCost(uint32_t target, const RequestView &request,
                                     std::span<const TargetView> targets, Instant now)
 {
     const TargetView &view = targets[target];
     const TargetMatch &matched = match.matches()[target];
     if (matched.slot == unknownSlot) {
-        return false;
+        return;
     }
     const LoadEstimate load = loadOf(matched.slot)
                                       .estimate(view.load, options.prefillTokensPerSecond,
-                                                options.staleReport, now);
+                                                options.staleReport, options.trafficShare, now);
     const double slots = std::max(1U, view.slots);
-    if (load.inFlight >= options.inFlightPerSlot * slots) {
-        return false;
-    }
     const double cached = matched.expectedBlocks * options.blockTokens;
-    Cost cost{.target = target, .inFlight = load.inFlight / slots, .stale = load.stale};
+    Cost cost{.target = target,
+              .inFlight = load.inFlight / slots,
+              .stale = load.stale,
+              .hasRoom = load.inFlightOfAll < options.inFlightPerSlot * slots};
     cost.prefillTokens = static_cast<uint32_t>(std::max(1.0, request.promptTokens - cached));
     cost.prefill = cost.prefillTokens / options.prefillTokensPerSecond;
     planImport(cost, targets);
-    cost.wait = load.backlogTokens / options.prefillTokensPerSecond;
+    const double expectedBacklog
+            = std::max(load.backlogTokens, options.meanBacklogWeight * load.meanBacklogTokens);
+    cost.wait = expectedBacklog / options.prefillTokensPerSecond;
     cost.wait += std::max(0.0, load.inFlight - slots + 1.0) / slots * serviceSeconds;
     const bool near
             = options.availabilityZone.empty() || view.availabilityZone == options.availabilityZone;
     cost.total = cost.wait + cost.import + cost.prefill * (1.0 + options.prefillWeight)
-                 + (near ? 0.0 : toSeconds(options.zoneRoundTrip));
+                 + (near ? 0.0 : toSeconds(options.zoneRoundTrip)) + placementPenalty(target)
+                 + load.inFlight / slots * toSeconds(options.occupancyPenalty);
     costs.push_back(cost);
-    return true;
 }
 
 void TargetChooser::Native::planImport(Cost &cost, std::span<const TargetView> targets) const
@@ -235,6 +249,11 @@
     return *picked;
 }
 
+bool TargetChooser::Native::anyRoom() const
+{
+    return std::ranges::any_of(costs, &Cost::hasRoom);
+}
+
 Choice TargetChooser::Native::describe(const Cost &cost) const
 {
     const TargetMatch &matched = match.matches()[cost.target];
@@ -297,22 +316,31 @@
     if (native.match.eligible().empty()) {
         return {.outcome = ChoiceOutcome::NoTarget};
     }
-    native.match.walk(request, native.walkOptions(), native.index, native.sketch, native.replicas,
-                      now);
+    native.match.walk(request, native.walkOptions(), native.index, native.sketch, native.fleetRates,
+                      native.replicas, now);
     native.selectCompared(generator);
     native.costs.clear();
     for (const uint32_t target : native.compared) {
         native.addCost(target, request, targets, now);
     }
-    if (native.costs.empty() && native.compared.size() < native.match.eligible().size()) {
+    if (!native.anyRoom() && native.compared.size() < native.match.eligible().size()) {
+        native.costs.clear();
         for (const uint32_t target : native.match.eligible()) {
             native.addCost(target, request, targets, now);
         }
     }
-    if (native.costs.empty()) {
+    if (!native.anyRoom()) {
         return {.outcome = ChoiceOutcome::NoRoom};
     }
-    return native.describe(native.pick(generator));
+    const Cost cheapest = *std::ranges::min_element(native.costs, {}, &Cost::total);
+    std::erase_if(native.costs, [](const Cost &cost) { return !cost.hasRoom; });
+    const Cost &picked = native.pick(generator);
+    Choice choice = native.describe(picked);
+    choice.preferred = cheapest.target;
+    choice.regret = cheapest.hasRoom ? Duration{} : fromSeconds(picked.total - cheapest.total);
+    choice.queueStep
+            = fromSeconds(native.serviceSeconds / std::max(1U, targets[cheapest.target].slots));
+    return choice;
 }
 
 void TargetChooser::started(uint64_t attemptId, const RequestView &request,
@@ -404,6 +432,12 @@
     m_native->sketch.merge(peerTable, now);
 }
 
+void TargetChooser::setPeerTable(std::string_view peerId, std::span<const HotPrefix> peerTable,
+                                 Instant now)
+{
+    m_native->fleetRates.setTable(peerId, peerTable, now);
+}
+
 void TargetChooser::setTrafficShare(double share)
 {
     m_native->options.trafficShare = std::clamp(share, minTrafficShare, 1.0);
@@ -413,7 +447,7 @@
 {
     const Native &native = *m_native;
     size_t bytes = sizeof(Native) + native.index.memoryBytes() + native.sketch.memoryBytes()
-                   + native.replicas.memoryBytes();
+                   + native.fleetRates.memoryBytes() + native.replicas.memoryBytes();
     for (const auto &entry : native.attempts) {
         bytes += sizeof(entry) + entry.second.chain.capacity() * sizeof(hashing::BlockHash)
                  + entry.second.ages.capacity() * sizeof(BelievedAge);
--- a/packages/policy/src/teaseldrift/placement/target_load.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_load.cpp
@@ -4,6 +4,13 @@
 
 namespace teaseldrift::placement {
 
+namespace {
+
+/// Weight of one report in the means.
+constexpr double meanLearningRate = 0.15;
+
+} // namespace
+
 void TargetLoad::started(uint64_t attemptId, uint32_t prefillTokens, Instant now)
 {
     m_work.push_back({.attemptId = attemptId, .prefillTokens = prefillTokens, .startedAt = now});
@@ -35,22 +42,35 @@
                   [reportedAt](const OwnWork &work) { return work.finishedAt <= reportedAt; });
 }
 
+void TargetLoad::learnMean(const LoadReport &report)
+{
+    if (!report.reportedAt || report.reportedAt == m_lastReport) {
+        return;
+    }
+    const double rate = m_lastReport ? meanLearningRate : 1.0;
+    m_lastReport = report.reportedAt;
+    m_meanBacklog += rate * (static_cast<double>(report.prefillBacklogTokens) - m_meanBacklog);
+    m_meanInFlight += rate * (double{1} * report.running + report.queued - m_meanInFlight);
+}
+
 LoadEstimate TargetLoad::estimate(const LoadReport &report, double prefillTokensPerSecond,
-                                  Duration staleReport, Instant now)
+                                  Duration staleReport, double trafficShare, Instant now)
 {
     const bool usable = report.reportedAt && now - *report.reportedAt < staleReport;
     // Without a report the ended work carries no information; with an old one, it corrects it.
+    learnMean(report);
     dropReported(report.reportedAt.value_or(now));
-    double inFlight = usable ? double{1} * report.running + report.queued : 0.0;
+    const double reportedInFlight = usable ? double{1} * report.running + report.queued : 0.0;
+    double ownChange = 0.0;
     double computing = 0.0;
     double sentSince = 0.0;
     for (const OwnWork &work : m_work) {
         const bool counted = usable && work.startedAt <= *report.reportedAt;
         const bool ended = work.finishedAt != Instant::max();
         if (counted && ended) {
-            inFlight -= 1.0;
+            ownChange -= 1.0;
         } else if (!counted && !ended) {
-            inFlight += 1.0;
+            ownChange += 1.0;
         }
         if (!counted) {
             sentSince += work.prefillTokens;
@@ -62,9 +82,13 @@
         const double computed = prefillTokensPerSecond * toSeconds(now - *report.reportedAt);
         reported = static_cast<double>(report.prefillBacklogTokens) + sentSince - computed;
     }
+    const double own = m_inFlight;
     return {
-            .inFlight = std::max(inFlight, static_cast<double>(m_inFlight)),
+            .inFlight = std::max(reportedInFlight + ownChange, own),
+            .inFlightOfAll = std::max(reportedInFlight + ownChange / trafficShare, own),
             .backlogTokens = std::max(computing, reported),
+            .meanBacklogTokens = m_meanBacklog,
+            .meanInFlight = m_meanInFlight,
             .stale = !usable,
     };
 }
--- a/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
+++ b/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -17,6 +18,8 @@
 /// Busy time from which the rate of dispatch counts as known.
 constexpr double minBusySeconds = 0.25;
 constexpr double minCost = 1.0;
+/// Entries in which past virtual time is kept.
+constexpr int catchUpSteps = 16;
 constexpr double minWeight = 1e-6;
 
 Duration fromSeconds(double seconds)
@@ -76,6 +79,13 @@
     }
 };
 
+/// Virtual time at one moment.
+struct PastTime
+{
+    Instant at{};
+    double virtualTime = 0.0;
+};
+
 struct Place
 {
     Organisation *organisation = nullptr;
@@ -92,6 +102,8 @@
     std::unordered_map<uint64_t, Place> places;
     std::set<Turn> turns;
     double virtualTime = 0.0;
+    /// Virtual time at past moments, one entry each catchUpStep, over the catch-up time.
+    std::deque<PastTime> past;
     uint64_t arrivals = 0;
     /// Cost dispatched and time spent with requests waiting, both fading over the drain window.
     double drainedCost = 0.0;
@@ -103,6 +115,7 @@
     void remove(const Place &place);
     void reschedule(Organisation &organisation, double start);
     void advanceDrain(Instant now);
+    void recordTime(Instant now);
     void dropIdle();
     double drainRate() const;
     double workAhead(const Organisation *organisation, double weight, double ownCost) const;
@@ -142,7 +155,7 @@
             .cost = std::max(request.costTokens, minCost),
     };
     if (organisation.waiting.empty()) {
-        organisation.start = std::max(organisation.start, virtualTime);
+        organisation.start = std::max(organisation.start, past.front().virtualTime);
         turns.insert({organisation.start, &organisation});
     }
     organisation.weight = std::max(request.weight, minWeight);
@@ -170,6 +183,18 @@
     drainedCost *= kept;
     busySeconds = busySeconds * kept + (places.empty() ? 0.0 : elapsed);
     drainedAt = now;
+    recordTime(now);
+}
+
+void FairQueue::Native::recordTime(Instant now)
+{
+    const Duration step = options.catchUp / catchUpSteps;
+    if (past.empty() || now - past.back().at >= step) {
+        past.push_back({.at = now, .virtualTime = virtualTime});
+    }
+    while (past.size() > 1 && now - past[1].at >= options.catchUp) {
+        past.pop_front();
+    }
 }
 
 double FairQueue::Native::drainRate() const
@@ -276,6 +301,31 @@
     return m_native->turns.begin()->organisation->waiting.begin()->id;
 }
 
+std::vector<uint64_t> FairQueue::head(size_t count) const
+{
+    /// Where one organisation's turn has come to.
+    struct Cursor
+    {
+        double start = 0.0;
+        const Organisation *organisation = nullptr;
+        std::set<Waiting>::const_iterator waiting;
+    };
+    std::vector<Cursor> cursors;
+    for (const Turn &turn : m_native->turns) {
+        cursors.push_back({turn.start, turn.organisation, turn.organisation->waiting.begin()});
+    }
+    std::vector<uint64_t> ids;
+    while (ids.size() < count && !cursors.empty()) {
+        const auto earliest = std::ranges::min_element(cursors, {}, &Cursor::start);
+        ids.push_back(earliest->waiting->id);
+        earliest->start += earliest->waiting->cost / earliest->organisation->weight;
+        if (++earliest->waiting == earliest->organisation->waiting.end()) {
+            cursors.erase(earliest);
+        }
+    }
+    return ids;
+}
+
 bool FairQueue::take(uint64_t id, Instant now)
 {
     Native &native = *m_native;
@@ -342,7 +392,7 @@
     }
     Organisation &owner = *known->second;
     const double corrected = owner.start + (actualTokens - estimatedTokens) / owner.weight;
-    m_native->reschedule(owner, std::max(corrected, m_native->virtualTime));
+    m_native->reschedule(owner, std::max(corrected, std::min(owner.start, m_native->virtualTime)));
 }
 
 Duration FairQueue::expectedWait(std::string_view organisation, double weight, double costTokens,
