--- a/packages/policy/src/teaseldrift/placement/chain_match.cpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -74,10 +74,12 @@
 double ChainMatch::priorAt(double requestsPerSecond, size_t replicas,
                            const WalkOptions &options) const
 {
+    // This VM's own requests are in the index; the prior stands for those of the others.
+    const double others = 1.0 - options.trafficShare;
     const double requestsInLife
-            = requestsPerSecond * options.blockLifeSeconds / static_cast<double>(replicas);
+            = others * requestsPerSecond * options.blockLifeSeconds / static_cast<double>(replicas);
     const double byRate = 1.0 - std::exp(-requestsInLife);
-    return m_knownPart * byRate + (1.0 - m_knownPart) * std::max(unknownPrior, byRate);
+    return m_knownPart * byRate + (1.0 - m_knownPart) * std::max(unknownPrior * others, byRate);
 }
 
 void ChainMatch::walk(const RequestView &request, const WalkOptions &options,
@@ -145,7 +147,6 @@
             TargetMatch &match = m_matches[candidate];
             matched = matched || match.levels == level;
             extend(match, level, prior);
-            match.placed = true;
         }
     }
     return matched;
--- a/packages/policy/src/teaseldrift/placement/chain_match.hpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -26,7 +26,6 @@
     float run = 1.0F;
     /// Levels matched without a break.
     uint32_t levels = 0;
-    bool placed = false;
 };
 
 /// @brief Inputs of a walk along a chain that stay the same for all levels.
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/prefix_index_test.cpp
@@ -0,0 +1,203 @@
+#include "teaseldrift/placement/prefix_index.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace teaseldrift::placement {
+
+namespace {
+
+using hashing::BlockHash;
+using hashing::VersionSalt;
+
+BlockHash blockOf(uint64_t number)
+{
+    // Few buckets and tags, so that blocks collide.
+    return {.high = number % 7, .low = number};
+}
+
+size_t holdersOf(const PrefixIndex &index, const BlockHash &block, std::string_view version,
+                 Instant now)
+{
+    std::array<Holder, PrefixIndex::holdersPerBlock> holders;
+    return index.holders(block, VersionSalt(version), now, holders);
+}
+
+/// What a target has shown since it came up: the only things that may be believed of it.
+struct TrueTarget
+{
+    uint64_t incarnation = 1;
+    std::string version = "1";
+    uint64_t sequence = 0;
+    std::set<uint64_t> shown;
+};
+
+struct Fuzz
+{
+    PrefixIndex index{{.capacityBlocks = 64}};
+    std::map<std::string, TrueTarget> targets;
+    Instant now{};
+    uint64_t incarnations = 1;
+
+    std::string anyTarget() { return "t" + std::to_string(*rc::gen::inRange(0, 4)); }
+    uint64_t anyBlock() { return *rc::gen::inRange<uint64_t>(0, 200); }
+
+    TargetSlot observe(const std::string &id)
+    {
+        const TrueTarget &target = targets[id];
+        return index.observeTarget(id, target.incarnation, target.version);
+    }
+
+    void sendEvent(const std::string &id, uint64_t incarnation, uint64_t sequence,
+                   CacheEventKind kind, uint64_t number)
+    {
+        const std::array<BlockHash, 1> blocks{blockOf(number)};
+        index.onCacheEvent({.targetId = id,
+                            .incarnation = incarnation,
+                            .sequence = sequence,
+                            .kind = kind,
+                            .blocks = blocks},
+                           now);
+    }
+
+    void step()
+    {
+        const std::string id = anyTarget();
+        TrueTarget &target = targets[id];
+        const uint64_t number = anyBlock();
+        const std::array<BlockHash, 1> blocks{blockOf(number)};
+        now += Duration(*rc::gen::inRange(0, 2000000));
+        switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+            target = {.incarnation = ++incarnations, .version = target.version};
+            observe(id);
+            break;
+        case 1:
+            target = {.incarnation = target.incarnation,
+                      .version = target.version + "1",
+                      .sequence = target.sequence};
+            observe(id);
+            break;
+        case 2:
+            index.forgetTarget(id);
+            targets.erase(id);
+            break;
+        case 3: {
+            // An event late from a former incarnation.
+            const uint64_t former = *rc::gen::inRange<uint64_t>(1, incarnations + 1);
+            if (former != target.incarnation) {
+                sendEvent(id, former, 1, CacheEventKind::Stored, number);
+            }
+            break;
+        }
+        case 4:
+            observe(id);
+            target.sequence += *rc::gen::inRange<uint64_t>(1, 3);
+            if (*rc::gen::arbitrary<bool>()) {
+                target.shown.insert(number);
+                sendEvent(id, target.incarnation, target.sequence, CacheEventKind::Stored, number);
+            } else {
+                target.shown.erase(number);
+                sendEvent(id, target.incarnation, target.sequence, CacheEventKind::Removed, number);
+            }
+            break;
+        default:
+            target.shown.insert(number);
+            index.recordUse(observe(id), blocks, now);
+        }
+    }
+
+    void check(size_t memory)
+    {
+        for (const auto &[id, target] : targets) {
+            const TargetSlot slot = observe(id);
+            for (uint64_t number = 0; number < 200; ++number) {
+                for (const std::string &version : {target.version, target.version + "1"}) {
+                    std::array<Holder, PrefixIndex::holdersPerBlock> holders;
+                    const size_t count
+                            = index.holders(blockOf(number), VersionSalt(version), now, holders);
+                    for (const Holder &holder : std::span(holders).first(count)) {
+                        RC_ASSERT(holder.belief > 0.0F);
+                        RC_ASSERT(holder.belief <= 1.0F);
+                        const bool believed = holder.slot == slot;
+                        RC_ASSERT(!believed || target.version == version);
+                        RC_ASSERT(!believed || target.shown.contains(number));
+                    }
+                }
+            }
+        }
+        RC_ASSERT(index.memoryBytes() <= memory);
+    }
+};
+
+} // namespace
+
+TEST_CASE("nothing is believed beyond what the present incarnation has shown", "[fuzz]")
+{
+    REQUIRE(rc::check("beliefs are a subset of what was shown", [] {
+        Fuzz fuzz;
+        const size_t memory = fuzz.index.memoryBytes() + 64 * 1024;
+        const int steps = *rc::gen::inRange(1, 80);
+        for (int step = 0; step < steps; ++step) {
+            fuzz.step();
+        }
+        fuzz.check(memory);
+    }));
+}
+
+TEST_CASE("a generation that wraps around revives nothing")
+{
+    PrefixIndex index({.capacityBlocks = 64});
+    const std::array<BlockHash, 1> blocks{blockOf(5)};
+    index.recordUse(index.observeTarget("a", 0, "1"), blocks, Instant{});
+    REQUIRE(holdersOf(index, blocks[0], "1", Instant{}) == 1);
+    for (uint64_t incarnation = 1; incarnation <= 65536; ++incarnation) {
+        index.observeTarget("a", incarnation, "1");
+    }
+    CHECK(holdersOf(index, blocks[0], "1", Instant{}) == 0);
+}
+
+TEST_CASE("a gap in the events leaves belief to fade with age")
+{
+    PrefixIndex index;
+    const std::array<BlockHash, 1> blocks{blockOf(5)};
+    index.observeTarget("a", 1, "1");
+    const auto store = [&index, &blocks](uint64_t sequence, Instant now) {
+        index.onCacheEvent(
+                {.targetId = "a", .incarnation = 1, .sequence = sequence, .blocks = blocks}, now);
+    };
+    const auto other = [&index](uint64_t sequence, Instant now) {
+        const std::array<BlockHash, 1> otherBlocks{blockOf(6)};
+        index.onCacheEvent(
+                {.targetId = "a", .incarnation = 1, .sequence = sequence, .blocks = otherBlocks},
+                now);
+    };
+    constexpr Duration longAfter = 100s;
+    store(1, Instant{});
+    other(2, Instant(longAfter));
+    CHECK(holdersOf(index, blocks[0], "1", Instant(longAfter)) == 1);
+    other(4, Instant(longAfter));
+    CHECK(holdersOf(index, blocks[0], "1", Instant(longAfter)) == 0);
+}
+
+TEST_CASE("the life of blocks is learned from answers")
+{
+    PrefixIndex index;
+    const TargetSlot slot = index.observeTarget("a", 1, "1");
+    const Duration before = index.blockLife(slot);
+    for (int answer = 0; answer < 50; ++answer) {
+        index.learnLife(slot, false, 4s);
+    }
+    CHECK(index.blockLife(slot) < before);
+    CHECK(index.blockLife(slot) >= 3s);
+    for (int answer = 0; answer < 50; ++answer) {
+        index.learnLife(slot, true, 60s);
+    }
+    CHECK(index.blockLife(slot) > before);
+}
+
+} // namespace teaseldrift::placement
