--- a/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
+++ b/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
@@ -57,6 +57,18 @@
 
     size_t memoryBytes() const;
 
+    /// @brief What one count of each window adds to a rate at a moment.
+    struct Weights
+    {
+        double current = 0.0;
+        double previous = 0.0;
+    };
+
+    Weights weightsAt(Instant now) const;
+
+    /// @brief The rate of a prefix, for callers that ask for many at the same moment.
+    double rate(uint64_t hash, const Weights &weights) const;
+
 private:
     static constexpr double maxMergedCount = 1e9;
 
@@ -70,7 +82,6 @@
 
     void advance(Instant now);
     void note(uint64_t hash, uint32_t count);
-    double rate(uint64_t hash, Instant now) const;
 
     HotPrefixOptions m_options;
     bool m_started = false;
--- a/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
+++ b/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
@@ -48,7 +48,8 @@
 /// Since the targets of the longer prefix lie inside those of the shorter one, nested prefixes
 /// gather on the same targets. No state is needed: every VM narrows alike.
 ///
-/// @param candidates indices into `targetIds`; reduced to the first `count` in rendezvous order
+/// @param candidates indices into `targetIds`; reduced to the first `count` of the rendezvous
+/// order, in any order
 void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
                       size_t count, std::vector<uint32_t> &candidates);
 
--- a/packages/policy/src/teaseldrift/placement/baselines.cpp
+++ b/packages/policy/src/teaseldrift/placement/baselines.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <optional>
 #include <vector>
 
 #include "teaseldrift/base/rendezvous.hpp"
@@ -30,31 +29,33 @@
 
     void offer(size_t target, double score)
     {
-        if (m_target && score < m_score) {
+        if (m_found && score < m_score) {
             return;
         }
-        m_equals = m_target && score == m_score ? m_equals + 1 : 1;
+        m_equals = m_found && score == m_score ? m_equals + 1 : 1;
         if (m_equals > 1 && m_generator() % m_equals != 0) {
             return;
         }
+        m_found = true;
         m_target = target;
         m_score = score;
     }
 
     Choice choice(std::span<const TargetView> targets, uint32_t promptTokens) const
     {
-        if (!m_target) {
+        if (!m_found) {
             return {.outcome = outcomeWithout(targets)};
         }
         return {.outcome = ChoiceOutcome::Dispatch,
                 .reason = ChoiceReason::Load,
-                .target = *m_target,
+                .target = m_target,
                 .prefillTokens = promptTokens};
     }
 
 private:
     std::mt19937_64 &m_generator;
-    std::optional<size_t> m_target;
+    bool m_found = false;
+    size_t m_target = 0;
     double m_score = 0.0;
     uint64_t m_equals = 0;
 };
--- a/packages/policy/src/teaseldrift/placement/chain_match.cpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -87,19 +87,24 @@
                       const FleetRates &fleetRates, ReplicaCounts &replicas, Instant now)
 {
     m_candidates = m_eligible;
+    m_isCandidate.assign(m_matches.size(), 0);
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 1;
+    }
     m_knownPart = std::min(1.0, toSeconds(sketch.observedTime(now)) / toSeconds(rateLearningTime));
+    const HotPrefixSketch::Weights rateWeights = sketch.weightsAt(now);
     double parentRate = -1.0;
     float prior = 0.0F;
     bool following = !m_eligible.empty();
     for (uint32_t level = 0; level < request.chain.size() && following; ++level) {
         const hashing::BlockHash &block = request.chain[level];
-        const double ownRate = sketch.requestsPerSecond(block, now);
+        const double ownRate = sketch.rate(block.low, rateWeights);
         // Blocks that are always asked for together share their placement.
         if (ownRate != parentRate) {
             const double rate = fleetRates.meanRate(block.low, ownRate) / options.trafficShare;
             const double needed
                     = rate * options.targetSecondsPerRequest / options.replicaUtilisation;
-            narrowCandidates(block, m_ids, replicas.update(block, needed), m_candidates);
+            narrow(block, replicas.update(block, needed));
             prior = static_cast<float>(priorAt(rate, m_candidates.size(), options));
             parentRate = ownRate;
         }
@@ -107,6 +112,20 @@
     }
 }
 
+void ChainMatch::narrow(const hashing::BlockHash &block, size_t count)
+{
+    if (count >= m_candidates.size()) {
+        return;
+    }
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 0;
+    }
+    narrowCandidates(block, m_ids, count, m_candidates);
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 1;
+    }
+}
+
 void ChainMatch::extend(TargetMatch &match, uint32_t level, float probability)
 {
     if (match.levels != level) {
@@ -132,9 +151,7 @@
                 continue;
             }
             TargetMatch &match = m_matches[position - 1];
-            const bool isPlaced
-                    = placedCounts
-                      && std::ranges::find(m_candidates, position - 1) != m_candidates.end();
+            const bool isPlaced = placedCounts && m_isCandidate[position - 1] != 0;
             if (match.indexedBlocks == level && holder.belief >= indexedBelief) {
                 match.indexedBlocks = level + 1;
             }
--- a/packages/policy/src/teaseldrift/placement/chain_match.hpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -59,6 +59,7 @@
     std::span<const TargetMatch> matches() const { return m_matches; }
     /// @brief Targets on which the whole chain is placed.
     std::span<const uint32_t> placed() const { return m_candidates; }
+    bool isPlaced(uint32_t target) const { return m_isCandidate[target] != 0; }
     std::span<const uint32_t> eligible() const { return m_eligible; }
 
 private:
@@ -73,6 +74,7 @@
 
     /// @brief Probability that a target of the placement holds a block that nothing is known of.
     double priorAt(double requestsPerSecond, size_t replicas, const WalkOptions &options) const;
+    void narrow(const hashing::BlockHash &block, size_t count);
     bool matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
                     const PrefixIndex &index, Instant now);
     void extend(TargetMatch &match, uint32_t level, float probability);
@@ -83,6 +85,7 @@
     std::vector<std::string_view> m_ids;
     std::vector<uint32_t> m_eligible;
     std::vector<uint32_t> m_candidates;
+    std::vector<uint8_t> m_isCandidate;
     /// Position of each slot plus one, 0 for none.
     std::vector<uint32_t> m_positionOfSlot;
     double m_knownPart = 0.0;
--- a/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
+++ b/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
@@ -103,26 +103,27 @@
     }
 }
 
-double HotPrefixSketch::rate(uint64_t hash, Instant now) const
+HotPrefixSketch::Weights HotPrefixSketch::weightsAt(Instant now) const
 {
-    if (!m_started) {
-        return 0.0;
-    }
     const Duration window = m_options.window;
     const Duration elapsed = now - m_windowStart;
-    if (elapsed >= 2 * window) {
-        return 0.0;
+    if (!m_started || elapsed >= 2 * window) {
+        return {};
     }
-    const double current = m_current.minimum(hash, m_options.width);
-    const double previous = m_previous.minimum(hash, m_options.width);
     const double overlap = std::max(0.0, 1.0 - toSeconds(elapsed) / toSeconds(window));
     const Duration observed = std::clamp<Duration>(now - m_startedAt, minObserved, window);
-    return (current + previous * overlap) / toSeconds(observed);
+    return {.current = 1.0 / toSeconds(observed), .previous = overlap / toSeconds(observed)};
+}
+
+double HotPrefixSketch::rate(uint64_t hash, const Weights &weights) const
+{
+    return m_current.minimum(hash, m_options.width) * weights.current
+           + m_previous.minimum(hash, m_options.width) * weights.previous;
 }
 
 double HotPrefixSketch::requestsPerSecond(const hashing::BlockHash &block, Instant now) const
 {
-    return rate(block.low, now);
+    return rate(block.low, weightsAt(now));
 }
 
 Duration HotPrefixSketch::observedTime(Instant now) const
@@ -133,8 +134,9 @@
 std::vector<HotPrefix> HotPrefixSketch::table(Instant now) const
 {
     std::vector<HotPrefix> result;
+    const Weights weights = weightsAt(now);
     for (const HotPrefix &prefix : m_hottest) {
-        const double requestsPerSecond = rate(prefix.hash, now);
+        const double requestsPerSecond = rate(prefix.hash, weights);
         if (requestsPerSecond > 0.0) {
             result.push_back({.hash = prefix.hash, .requestsPerSecond = requestsPerSecond});
         }
--- a/packages/policy/src/teaseldrift/placement/prefix_index.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_index.cpp
@@ -286,9 +286,13 @@
     if (trusted && byEvent && tickOf(record.seen) >= target.trustedSince) {
         return streamedBelief;
     }
-    const double age = secondsSince(record.seen, tick) / target.lifeSeconds;
-    const double belief = (noBeliefFrom - age) / (noBeliefFrom - fullBeliefUntil);
-    return static_cast<float>(std::clamp(belief, 0.0, 1.0));
+    const double age = secondsSince(record.seen, tick);
+    const double fullUntil = fullBeliefUntil * target.lifeSeconds;
+    if (age <= fullUntil) {
+        return 1.0F;
+    }
+    const double noneFrom = noBeliefFrom * target.lifeSeconds;
+    return static_cast<float>(std::max(0.0, (noneFrom - age) / (noneFrom - fullUntil)));
 }
 
 size_t PrefixIndex::holders(const hashing::BlockHash &block, const hashing::VersionSalt &version,
--- a/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
@@ -55,12 +55,12 @@
     for (const uint32_t index : candidates) {
         scored.push_back({rendezvousScore(block.low, targetIds[index]), index});
     }
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
-                      scored.end(), [&targetIds](const Scored &left, const Scored &right) {
-                          return left.score != right.score
-                                         ? left.score > right.score
-                                         : targetIds[left.index] < targetIds[right.index];
-                      });
+    std::nth_element(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
+                     scored.end(), [&targetIds](const Scored &left, const Scored &right) {
+                         return left.score != right.score
+                                        ? left.score > right.score
+                                        : targetIds[left.index] < targetIds[right.index];
+                     });
     candidates.resize(count);
     for (size_t i = 0; i < count; ++i) {
         candidates[i] = scored[i].index;
--- a/packages/policy/src/teaseldrift/placement/target_chooser.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_chooser.cpp
@@ -87,7 +87,6 @@
     void selectCompared(std::mt19937_64 &generator);
     void addCost(uint32_t target, const RequestView &request, std::span<const TargetView> targets,
                  Instant now);
-    bool isPlaced(uint32_t target) const;
     double placementPenalty(uint32_t target) const;
     void planImport(Cost &cost, std::span<const TargetView> targets) const;
     const Cost &pick(std::mt19937_64 &generator) const;
@@ -143,17 +142,11 @@
     compared.erase(std::unique(compared.begin(), compared.end()), compared.end());
 }
 
-bool TargetChooser::Native::isPlaced(uint32_t target) const
-{
-    const std::span<const uint32_t> placed = match.placed();
-    return std::ranges::find(placed, target) != placed.end();
-}
-
 /// Targets outside the prefix's placement cost a little more, so that copies do not multiply and a
 /// restarted VM finds the blocks where the placement says.
 double TargetChooser::Native::placementPenalty(uint32_t target) const
 {
-    return isPlaced(target) ? 0.0 : toSeconds(options.misplacedPenalty);
+    return match.isPlaced(target) ? 0.0 : toSeconds(options.misplacedPenalty);
 }
 
 void TargetChooser::Native::addCost(uint32_t target, const RequestView &request,
@@ -266,7 +259,7 @@
     if (matched.indexedBlocks > 0) {
         reason = ChoiceReason::CachedPrefix;
     } else if (!match.placed().empty() && match.placed().size() < match.eligible().size()
-               && isPlaced(cost.target)) {
+               && match.isPlaced(cost.target)) {
         reason = ChoiceReason::PlacedPrefix;
     }
     return {
