Remember the order of targets for first blocks, look long chains up in steps

Cause: half of a decision over 400 targets was the rendezvous order of the first block, half of one with 64 blocks the look-ups of each. Change: the order is kept for 1024 first blocks while the targets stay the same; chains of 24 blocks and more are looked up every second or third block, since a target that holds a block holds those before it.

--- a/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
+++ b/packages/policy/include/teaseldrift/placement/prefix_placement.hpp
@@ -43,13 +43,19 @@
     std::vector<Remembered> m_remembered;
 };
 
+/// @brief The first `count` of some targets in rendezvous order for a block, best first.
+/// @param candidates indices into `targetIds`
+std::vector<uint32_t> rendezvousCandidates(const hashing::BlockHash &block,
+                                           std::span<const std::string_view> targetIds,
+                                           std::span<const uint32_t> candidates, size_t count);
+
 /// @brief Narrows the targets of a prefix to those of a longer prefix by rendezvous hashing.
 ///
 /// Since the targets of the longer prefix lie inside those of the shorter one, nested prefixes
 /// gather on the same targets. No state is needed: every VM narrows alike.
 ///
 /// @param candidates indices into `targetIds`; reduced to the first `count` of the rendezvous
-/// order, in any order
+/// order
 void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
                       size_t count, std::vector<uint32_t> &candidates);
 
--- a/packages/policy/src/teaseldrift/placement/chain_match.cpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -14,6 +14,11 @@
 constexpr float negligible = 0.05F;
 /// Belief from which a block counts as held by the index's word.
 constexpr float indexedBelief = 0.7F;
+/// Levels at which the index is asked for a chain, at most about twice this.
+constexpr size_t maxLookups = 24;
+/// First blocks whose order of targets is remembered, and the length of that order.
+constexpr size_t rememberedFirstBlocks = 1024;
+constexpr size_t rememberedOrder = 16;
 /// Time after which observed rates replace the assumed probability.
 constexpr Duration rateLearningTime = 2s;
 
@@ -23,6 +28,7 @@
 {
     m_positions.clear();
     m_positionOfSlot.clear();
+    ++m_targetsVersion;
 }
 
 void ChainMatch::resolve(std::span<const TargetView> targets, PrefixIndex &index)
@@ -32,7 +38,11 @@
             m_positionOfSlot[match.slot] = 0;
         }
     }
+    if (m_positions.size() != targets.size()) {
+        ++m_targetsVersion;
+    }
     m_positions.resize(targets.size());
+    std::swap(m_formerEligible, m_eligible);
     m_matches.assign(targets.size(), {});
     m_ids.resize(targets.size());
     m_salts.clear();
@@ -44,6 +54,7 @@
                              && position.incarnation == target.incarnation
                              && position.weightsVersion == target.weightsVersion;
         if (!current) {
+            ++m_targetsVersion;
             position = {
                     .id = std::string(target.id),
                     .incarnation = target.incarnation,
@@ -69,6 +80,9 @@
             m_eligible.push_back(i);
         }
     }
+    if (m_eligible != m_formerEligible) {
+        ++m_targetsVersion;
+    }
 }
 
 double ChainMatch::priorAt(double requestsPerSecond, size_t replicas,
@@ -96,6 +110,9 @@
     double parentRate = -1.0;
     float prior = 0.0F;
     bool following = !m_eligible.empty();
+    // A target that holds a block holds those before it, so long chains are looked up in steps.
+    const uint32_t stride = 1 + static_cast<uint32_t>(request.chain.size() / maxLookups);
+    uint32_t matched = 0;
     for (uint32_t level = 0; level < request.chain.size() && following; ++level) {
         const hashing::BlockHash &block = request.chain[level];
         const double ownRate = sketch.rate(block.low, rateWeights);
@@ -108,8 +125,25 @@
             prior = static_cast<float>(priorAt(rate, m_candidates.size(), options));
             parentRate = ownRate;
         }
-        following = matchLevel(block, level, prior, index, now);
+        const bool isSampled = (level + 1) % stride == 0 || level + 1 == request.chain.size();
+        if (isSampled) {
+            following = matchGroup(block, {.from = matched, .to = level + 1}, prior, index, now);
+            matched = level + 1;
+        }
+    }
+}
+
+const ChainMatch::FirstOrder &ChainMatch::firstOrder(const hashing::BlockHash &block)
+{
+    m_firstOrders.resize(rememberedFirstBlocks);
+    FirstOrder &order = m_firstOrders[block.low % rememberedFirstBlocks];
+    if (order.hash == block.low && order.targetsVersion == m_targetsVersion) {
+        return order;
     }
+    order.hash = block.low;
+    order.targetsVersion = m_targetsVersion;
+    order.best = rendezvousCandidates(block, m_ids, m_eligible, rememberedOrder);
+    return order;
 }
 
 void ChainMatch::narrow(const hashing::BlockHash &block, size_t count)
@@ -120,30 +154,35 @@
     for (const uint32_t candidate : m_candidates) {
         m_isCandidate[candidate] = 0;
     }
-    narrowCandidates(block, m_ids, count, m_candidates);
+    if (m_candidates.size() == m_eligible.size() && count <= rememberedOrder) {
+        const std::vector<uint32_t> &best = firstOrder(block).best;
+        m_candidates.assign(best.begin(), best.begin() + static_cast<std::ptrdiff_t>(count));
+    } else {
+        narrowCandidates(block, m_ids, count, m_candidates);
+    }
     for (const uint32_t candidate : m_candidates) {
         m_isCandidate[candidate] = 1;
     }
 }
 
-void ChainMatch::extend(TargetMatch &match, uint32_t level, float probability)
+void ChainMatch::extend(TargetMatch &match, const LevelGroup &group, float probability)
 {
-    if (match.levels != level) {
+    if (match.levels != group.from) {
         return;
     }
     match.run = std::min(match.run, probability);
-    match.expectedBlocks += match.run;
-    match.levels = level + 1;
+    match.expectedBlocks += static_cast<double>(match.run) * (group.to - group.from);
+    match.levels = group.to;
 }
 
-bool ChainMatch::matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
+bool ChainMatch::matchGroup(const hashing::BlockHash &last, const LevelGroup &group, float prior,
                             const PrefixIndex &index, Instant now)
 {
     const bool placedCounts = prior >= negligible;
     bool matched = false;
     std::array<Holder, PrefixIndex::holdersPerBlock> holders;
     for (const hashing::VersionSalt &salt : m_salts) {
-        const size_t count = index.holders(block, salt, now, holders);
+        const size_t count = index.holders(last, salt, now, holders);
         for (const Holder &holder : std::span(holders).first(count)) {
             const uint32_t position
                     = holder.slot < m_positionOfSlot.size() ? m_positionOfSlot[holder.slot] : 0;
@@ -152,18 +191,18 @@
             }
             TargetMatch &match = m_matches[position - 1];
             const bool isPlaced = placedCounts && m_isCandidate[position - 1] != 0;
-            if (match.indexedBlocks == level && holder.belief >= indexedBelief) {
-                match.indexedBlocks = level + 1;
+            if (match.indexedBlocks == group.from && holder.belief >= indexedBelief) {
+                match.indexedBlocks = group.to;
             }
-            matched = matched || match.levels == level;
-            extend(match, level, isPlaced ? std::max(prior, holder.belief) : holder.belief);
+            matched = matched || match.levels == group.from;
+            extend(match, group, isPlaced ? std::max(prior, holder.belief) : holder.belief);
         }
     }
     if (placedCounts) {
         for (const uint32_t candidate : m_candidates) {
             TargetMatch &match = m_matches[candidate];
-            matched = matched || match.levels == level;
-            extend(match, level, prior);
+            matched = matched || match.levels == group.from;
+            extend(match, group, prior);
         }
     }
     return matched;
--- a/packages/policy/src/teaseldrift/placement/chain_match.hpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -28,6 +28,13 @@
     uint32_t levels = 0;
 };
 
+/// @brief Levels [from, to) of a chain that are looked up by their last block.
+struct LevelGroup
+{
+    uint32_t from = 0;
+    uint32_t to = 0;
+};
+
 /// @brief Inputs of a walk along a chain that stay the same for all levels.
 struct WalkOptions
 {
@@ -74,10 +81,19 @@
 
     /// @brief Probability that a target of the placement holds a block that nothing is known of.
     double priorAt(double requestsPerSecond, size_t replicas, const WalkOptions &options) const;
+    /// @brief Rendezvous order of all eligible targets for a chain's first block.
+    struct FirstOrder
+    {
+        uint64_t hash = 0;
+        uint64_t targetsVersion = 0;
+        std::vector<uint32_t> best;
+    };
+
+    const FirstOrder &firstOrder(const hashing::BlockHash &block);
     void narrow(const hashing::BlockHash &block, size_t count);
-    bool matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
+    bool matchGroup(const hashing::BlockHash &last, const LevelGroup &group, float prior,
                     const PrefixIndex &index, Instant now);
-    void extend(TargetMatch &match, uint32_t level, float probability);
+    void extend(TargetMatch &match, const LevelGroup &group, float probability);
 
     std::vector<Position> m_positions;
     std::vector<TargetMatch> m_matches;
@@ -88,6 +104,10 @@
     std::vector<uint8_t> m_isCandidate;
     /// Position of each slot plus one, 0 for none.
     std::vector<uint32_t> m_positionOfSlot;
+    /// Grows whenever the targets or their eligibility change.
+    uint64_t m_targetsVersion = 1;
+    std::vector<uint32_t> m_formerEligible;
+    std::vector<FirstOrder> m_firstOrders;
     double m_knownPart = 0.0;
 };
 
--- a/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
@@ -39,12 +39,10 @@
     return m_remembered.size() * sizeof(Remembered);
 }
 
-void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
-                      size_t count, std::vector<uint32_t> &candidates)
+std::vector<uint32_t> rendezvousCandidates(const hashing::BlockHash &block,
+                                           std::span<const std::string_view> targetIds,
+                                           std::span<const uint32_t> candidates, size_t count)
 {
-    if (candidates.size() <= count) {
-        return;
-    }
     struct Scored
     {
         double score;
@@ -55,15 +53,26 @@
     for (const uint32_t index : candidates) {
         scored.push_back({rendezvousScore(block.low, targetIds[index]), index});
     }
-    std::nth_element(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
-                     scored.end(), [&targetIds](const Scored &left, const Scored &right) {
-                         return left.score != right.score
-                                        ? left.score > right.score
-                                        : targetIds[left.index] < targetIds[right.index];
-                     });
-    candidates.resize(count);
-    for (size_t i = 0; i < count; ++i) {
-        candidates[i] = scored[i].index;
+    const size_t kept = std::min(count, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
+                      scored.end(), [&targetIds](const Scored &left, const Scored &right) {
+                          return left.score != right.score
+                                         ? left.score > right.score
+                                         : targetIds[left.index] < targetIds[right.index];
+                      });
+    std::vector<uint32_t> best;
+    best.reserve(kept);
+    for (const Scored &one : std::span<const Scored>(scored.data(), kept)) {
+        best.push_back(one.index);
+    }
+    return best;
+}
+
+void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
+                      size_t count, std::vector<uint32_t> &candidates)
+{
+    if (candidates.size() > count) {
+        candidates = rendezvousCandidates(block, targetIds, candidates, count);
     }
 }
 
