--- a/packages/policy/src/teaseldrift/placement/chain_match.hpp
+++ b/packages/policy/src/teaseldrift/placement/chain_match.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "teaseldrift/placement/fleet_rates.hpp"
 #include "teaseldrift/placement/hot_prefix_sketch.hpp"
 #include "teaseldrift/placement/prefix_index.hpp"
 #include "teaseldrift/placement/prefix_placement.hpp"
@@ -25,7 +26,13 @@
     float run = 1.0F;
     /// Levels matched without a break.
     uint32_t levels = 0;
-    bool placed = false;
+};
+
+/// @brief Levels [from, to) of a chain that are looked up by their last block.
+struct LevelGroup
+{
+    uint32_t from = 0;
+    uint32_t to = 0;
 };
 
 /// @brief Inputs of a walk along a chain that stay the same for all levels.
@@ -50,7 +57,8 @@
     void resolve(std::span<const TargetView> targets, PrefixIndex &index);
 
     void walk(const RequestView &request, const WalkOptions &options, const PrefixIndex &index,
-              const HotPrefixSketch &sketch, ReplicaCounts &replicas, Instant now);
+              const HotPrefixSketch &sketch, const FleetRates &fleetRates, ReplicaCounts &replicas,
+              Instant now);
 
     /// @brief Forgets positions of targets, after one has left.
     void reset();
@@ -58,6 +66,7 @@
     std::span<const TargetMatch> matches() const { return m_matches; }
     /// @brief Targets on which the whole chain is placed.
     std::span<const uint32_t> placed() const { return m_candidates; }
+    bool isPlaced(uint32_t target) const { return m_isCandidate[target] != 0; }
     std::span<const uint32_t> eligible() const { return m_eligible; }
 
 private:
@@ -72,9 +81,19 @@
 
     /// @brief Probability that a target of the placement holds a block that nothing is known of.
     double priorAt(double requestsPerSecond, size_t replicas, const WalkOptions &options) const;
-    bool matchLevel(const hashing::BlockHash &block, uint32_t level, float prior,
+    /// @brief Rendezvous order of all eligible targets for a chain's first block.
+    struct FirstOrder
+    {
+        uint64_t hash = 0;
+        uint64_t targetsVersion = 0;
+        std::vector<uint32_t> best;
+    };
+
+    const FirstOrder &firstOrder(const hashing::BlockHash &block);
+    void narrow(const hashing::BlockHash &block, size_t count);
+    bool matchGroup(const hashing::BlockHash &last, const LevelGroup &group, float prior,
                     const PrefixIndex &index, Instant now);
-    void extend(TargetMatch &match, uint32_t level, float probability);
+    void extend(TargetMatch &match, const LevelGroup &group, float probability);
 
     std::vector<Position> m_positions;
     std::vector<TargetMatch> m_matches;
@@ -82,8 +101,13 @@
     std::vector<std::string_view> m_ids;
     std::vector<uint32_t> m_eligible;
     std::vector<uint32_t> m_candidates;
+    std::vector<uint8_t> m_isCandidate;
     /// Position of each slot plus one, 0 for none.
     std::vector<uint32_t> m_positionOfSlot;
+    /// Grows whenever the targets or their eligibility change.
+    uint64_t m_targetsVersion = 1;
+    std::vector<uint32_t> m_formerEligible;
+    std::vector<FirstOrder> m_firstOrders;
     double m_knownPart = 0.0;
 };
 
--- a/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_placement.cpp
@@ -20,12 +20,14 @@
     const double bounded = std::clamp(needed, 1.0, static_cast<double>(m_options.maxReplicas));
     Remembered &slot = m_remembered[block.high & (m_remembered.size() - 1)];
     const bool known = slot.hash == block.low && slot.replicas > 0;
-    const uint32_t wanted = static_cast<uint32_t>(std::ceil(bounded));
+    // Powers of two: VMs whose rates differ a little still agree.
+    const uint32_t wanted = std::bit_ceil(static_cast<uint32_t>(std::ceil(bounded)));
     if (!known && wanted == 1) {
         return 1;
     }
     const bool grows = !known || wanted > slot.replicas;
-    const bool shrinks = known && needed < m_options.shrinkBelow * slot.replicas;
+    const bool shrinks = known && wanted < slot.replicas
+                         && needed < m_options.shrinkBelow * slot.replicas / 2.0;
     if (grows || shrinks) {
         slot = {.hash = block.low, .replicas = wanted};
     }
@@ -37,12 +39,10 @@
     return m_remembered.size() * sizeof(Remembered);
 }
 
-void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
-                      size_t count, std::vector<uint32_t> &candidates)
+std::vector<uint32_t> rendezvousCandidates(const hashing::BlockHash &block,
+                                           std::span<const std::string_view> targetIds,
+                                           std::span<const uint32_t> candidates, size_t count)
 {
-    if (candidates.size() <= count) {
-        return;
-    }
     struct Scored
     {
         double score;
@@ -53,15 +53,26 @@
     for (const uint32_t index : candidates) {
         scored.push_back({rendezvousScore(block.low, targetIds[index]), index});
     }
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
+    const size_t kept = std::min(count, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
                       scored.end(), [&targetIds](const Scored &left, const Scored &right) {
                           return left.score != right.score
                                          ? left.score > right.score
                                          : targetIds[left.index] < targetIds[right.index];
                       });
-    candidates.resize(count);
-    for (size_t i = 0; i < count; ++i) {
-        candidates[i] = scored[i].index;
+    std::vector<uint32_t> best;
+    best.reserve(kept);
+    for (const Scored &one : std::span<const Scored>(scored.data(), kept)) {
+        best.push_back(one.index);
+    }
+    return best;
+}
+
+void narrowCandidates(const hashing::BlockHash &block, std::span<const std::string_view> targetIds,
+                      size_t count, std::vector<uint32_t> &candidates)
+{
+    if (candidates.size() > count) {
+        candidates = rendezvousCandidates(block, targetIds, candidates, count);
     }
 }
 
