Let a new controller use only reports of its own term

Cause: a check of the fuzz test that took over control while orders were on their way: a new controller chose a target by a report made before its term, and loaded it although the former controller had done so and requests were in flight. Change: reports made before the term, or before an order may have arrived, choose no target and count no target as serving. The fuzz test takes over control on purpose, hears part of the reports, and routes requests between an order and the next report.

--- a/packages/policy/include/teaseldrift/orders/order_controller.hpp
+++ b/packages/policy/include/teaseldrift/orders/order_controller.hpp
@@ -61,6 +61,8 @@
         /// The order that a report has yet to confirm.
         std::optional<Order> pending;
         Instant orderedAt;
+        /// A report made earlier may be overtaken by an order.
+        Instant reportsFrom;
         /// Empty while the target gets requests.
         std::optional<Instant> withdrawnAt;
         /// Chosen for a load in this pass of plan().
@@ -79,6 +81,7 @@
     void finishPass(OrderPlan &plan);
     [[nodiscard]] bool isDrained(const State &state, Instant now) const;
     [[nodiscard]] bool mayBeLoading(const State &state, Instant now) const;
+    static bool isReportCurrent(const State &state);
     [[nodiscard]] bool isChoosable(const State &state) const;
     [[nodiscard]] bool isFree(const State &state) const;
     [[nodiscard]] bool mayReplace(const State &state, const ModelDemand &demand) const;
--- a/packages/policy/src/teaseldrift/orders/order_controller.cpp
+++ b/packages/policy/src/teaseldrift/orders/order_controller.cpp
@@ -94,6 +94,7 @@
     for (std::pair<const std::string, State> &entry : m_states) {
         entry.second.pending.reset();
         entry.second.withdrawnAt.reset();
+        entry.second.reportsFrom = now;
     }
 }
 
@@ -108,6 +109,7 @@
     const bool isRefuted = state.report && state.report->reportedAt >= arrived;
     if (isConfirmed || isRefuted || now >= arrived + m_options.maxLoadTime) {
         state.pending.reset();
+        state.reportsFrom = isConfirmed ? state.orderedAt : arrived;
     }
 }
 
@@ -158,10 +160,15 @@
     return free != nullptr ? free : older;
 }
 
+bool OrderController::isReportCurrent(const State &state)
+{
+    return state.report && state.report->reportedAt >= state.reportsFrom;
+}
+
 bool OrderController::isChoosable(const State &state) const
 {
-    return state.report && !state.report->isLoading && !state.pending && !state.target.isLeaving
-           && !state.isChosen;
+    return isReportCurrent(state) && !state.report->isLoading && !state.pending
+           && !state.target.isLeaving && !state.isChosen;
 }
 
 /// Whether no model needs what the target holds.
@@ -295,10 +302,10 @@
 
 uint32_t OrderController::countServing(std::string_view model) const
 {
-    return static_cast<uint32_t>(std::count_if(m_states.begin(), m_states.end(),
-                                               [this, model](const States::value_type &entry) {
-                                                   return isServing(entry.first, model);
-                                               }));
+    return static_cast<uint32_t>(std::count_if(
+            m_states.begin(), m_states.end(), [this, model](const States::value_type &entry) {
+                return isReportCurrent(entry.second) && isServing(entry.first, model);
+            }));
 }
 
 uint32_t OrderController::countHolding(std::string_view model) const
--- a/packages/policy/src/teaseldrift/orders/order_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/orders/order_fuzz_test.cpp
@@ -233,11 +233,62 @@
         }
         arrive(1);
         for (FakeTarget &target : targets) {
+            request(target); // Before the target's next report.
             target.inFlight = 0;
         }
     }
 };
 
+/// Brings the reports of some targets to a VM, by the bits of a number.
+void hear(World &world, FakeVm &vm, uint32_t bits)
+{
+    for (FakeTarget &target : world.targets) {
+        world.makeReport(target);
+        if (bits % 2 == 1) {
+            vm.controller.report(world.reports.back());
+        }
+        bits /= 2;
+    }
+}
+
+/// Brings about a change of controller while orders are on their way.
+void takeOver(World &world, uint32_t choice)
+{
+    const size_t formerIndex = world.holder;
+    if (formerIndex == vmCount || world.vms[formerIndex].isPaused) {
+        return;
+    }
+    const size_t nextIndex = 1 - formerIndex;
+    FakeVm &former = world.vms[formerIndex];
+    FakeVm &next = world.vms[nextIndex];
+    world.now = std::max(world.now, world.leaseEnd - 100ms);
+    hear(world, former, ~0U);
+    world.plan(former);
+    world.send(former);
+    former.isPaused = true;
+    next.isPaused = false;
+    if (choice % 2 == 0) {
+        world.arrive(choice);
+    }
+    next.askedAt.reset();
+    for (int i = 0; i < 40 && world.holder != nextIndex; ++i) {
+        world.now += 100ms;
+        world.ask(next);
+        world.storeAnswers(nextIndex, 7);
+    }
+    if (choice % 4 < 2) {
+        world.now += options.maxOrderLife + 100ms;
+    }
+    hear(world, next, choice / 8);
+    world.plan(next);
+    hear(world, next, choice / 8);
+    world.plan(next);
+    world.send(next);
+    if (!world.network.empty()) {
+        world.arrive(static_cast<uint32_t>(world.network.size() - 1));
+    }
+}
+
 struct Model
 { };
 
@@ -254,6 +305,7 @@
     Hear,
     Pause,
     Roll,
+    TakeOver,
     GoOn
 };
 
@@ -271,6 +323,7 @@
                                            {2, Op::Hear},
                                            {1, Op::Pause},
                                            {1, Op::Roll},
+                                           {2, Op::TakeOver},
                                            {6, Op::GoOn}});
     uint32_t choice = *rc::gen::arbitrary<uint8_t>();
 
@@ -311,6 +364,8 @@
         case Op::Roll:
             ++world.version;
             return world.demand();
+        case Op::TakeOver:
+            return takeOver(world, choice);
         case Op::GoOn:
             for (uint32_t i = 0; i < choice; ++i) {
                 world.goOn();
