End a stream at once that no request can continue; take over control in the fuzz test

Cause: a continuation for which no body can be made was waited for; three checks of orders were not caught when their rule was broken. Change: noTarget() after forbidContinuation() gives up. The fuzz test of orders sends at the end of a lease, wakes former controllers, and lets requests and loads last.

--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -139,6 +139,8 @@
     RequestActions broken(AttemptId id, Instant now);
 
     /// @brief The delivered part of the stream cannot be continued by another target.
+    ///
+    /// For a Continuation that has already been asked for, report noTarget() next.
     void forbidContinuation() { m_canContinue = false; }
 
     /// @brief The caller went away.
--- a/packages/policy/src/teaseldrift/attempts/request_machine.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_machine.cpp
@@ -223,6 +223,9 @@
         m_reason = schema::RETRY_STREAM_CONTINUED;
         return startNext(now);
     }
+    if (m_kind == AttemptKind::Continuation && !m_canContinue) {
+        return giveUp(m_lastCause);
+    }
     return waitOrGiveUp(now);
 }
 
--- a/packages/policy/src/teaseldrift/attempts/request_machine_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_machine_test.cpp
@@ -141,6 +141,18 @@
     CHECK(find<EndStreamWithError>(actions) != nullptr);
 }
 
+TEST_CASE("a continuation for which no request can be made ends the stream at once")
+{
+    Fixture fixture({.routeClass = schema::GENERATION,
+                     .answerMode = AnswerMode::Streamed,
+                     .targetsResume = false});
+    fixture.answer();
+    fixture.machine.data(1, {.first = 0, .count = 3}, fixture.now);
+    CHECK(find<StartAttempt>(fixture.machine.broken(1, fixture.now)) != nullptr);
+    fixture.machine.forbidContinuation();
+    CHECK(find<EndStreamWithError>(fixture.machine.noTarget(2, fixture.now)) != nullptr);
+}
+
 TEST_CASE("a stream closed without its end marker is not complete")
 {
     Fixture fixture(streamOptions);
--- a/packages/policy/src/teaseldrift/orders/order_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/orders/order_fuzz_test.cpp
@@ -15,6 +15,12 @@
 
 constexpr size_t vmCount = 2;
 constexpr size_t targetCount = 4;
+/// Choices that stand for an answered call, a lost one, and a load of more than a second.
+constexpr uint32_t answered = 7;
+constexpr uint32_t unanswered = 0;
+constexpr uint32_t longLoad = 40;
+/// Longest request.
+constexpr Duration requestTime = 3s;
 constexpr OrderOptions options{.concurrentLoads = 2, .maxLoadTime = 10s};
 
 /// A target that ignores fencing numbers.
@@ -212,6 +218,19 @@
 
     /// Everything that happens when nothing goes wrong, for one tick.
     void goOn()
+    {
+        tick(answered);
+        for (FakeVm &vm : vms) {
+            vm.isPaused ? void() : send(vm);
+        }
+        arrive(longLoad);
+        for (FakeTarget &target : targets) {
+            request(target); // Before the target's next report.
+        }
+    }
+
+    /// All but the sending of orders.
+    void tick(uint32_t storeChoice)
     {
         now += 100ms;
         for (FakeTarget &target : targets) {
@@ -224,17 +243,15 @@
                 continue;
             }
             ask(vm);
-            storeAnswers(i, 7);
+            storeAnswers(i, storeChoice);
             for (size_t j = reports.size() - targetCount; j < reports.size(); ++j) {
                 vm.controller.report(reports[j]);
             }
             plan(vm);
-            send(vm);
         }
-        arrive(1);
+        const bool isRequestEnd = now.time_since_epoch() % requestTime < 100ms;
         for (FakeTarget &target : targets) {
-            request(target); // Before the target's next report.
-            target.inFlight = 0;
+            target.inFlight = isRequestEnd ? 0 : target.inFlight;
         }
     }
 };
@@ -251,6 +268,34 @@
     }
 }
 
+/// Lets the controller prepare orders while it cannot keep its lease, and hand them over last.
+void sendAtLeaseEnd(World &world, FakeVm &vm)
+{
+    ++world.version;
+    world.demand();
+    while (vm.outbox.empty() && world.now < world.leaseEnd - 200ms) {
+        world.tick(unanswered);
+    }
+    world.now = std::max(world.now, world.leaseEnd - 100ms);
+    while (!vm.outbox.empty()) {
+        world.send(vm);
+    }
+}
+
+/// A former controller wakes up and goes on with what it believes.
+void orderOnceMore(World &world, FakeVm &former)
+{
+    former.isPaused = false;
+    hear(world, former, ~0U);
+    world.plan(former);
+    while (!former.outbox.empty()) {
+        world.send(former);
+    }
+    while (!world.network.empty()) {
+        world.arrive(0);
+    }
+}
+
 /// Brings about a change of controller while orders are on their way.
 void takeOver(World &world, uint32_t choice)
 {
@@ -259,34 +304,43 @@
         return;
     }
     const size_t nextIndex = 1 - formerIndex;
-    FakeVm &former = world.vms[formerIndex];
     FakeVm &next = world.vms[nextIndex];
-    world.now = std::max(world.now, world.leaseEnd - 100ms);
-    hear(world, former, ~0U);
-    world.plan(former);
-    world.send(former);
-    former.isPaused = true;
+    sendAtLeaseEnd(world, world.vms[formerIndex]);
+    world.vms[formerIndex].isPaused = true;
     next.isPaused = false;
-    if (choice % 2 == 0) {
+    while (choice % 2 == 0 && !world.network.empty()) {
         world.arrive(choice);
     }
     next.askedAt.reset();
     for (int i = 0; i < 40 && world.holder != nextIndex; ++i) {
         world.now += 100ms;
         world.ask(next);
-        world.storeAnswers(nextIndex, 7);
-    }
-    if (choice % 4 < 2) {
-        world.now += options.maxOrderLife + 100ms;
+        world.storeAnswers(nextIndex, answered);
     }
+    const Duration wait = choice % 4 < 2 ? options.maxOrderLife + 100ms : Duration(0);
+    world.now += wait;
+    next.controller.lease().kept(world.now);
+    world.leaseEnd += wait;
     hear(world, next, choice / 8);
     world.plan(next);
     hear(world, next, choice / 8);
     world.plan(next);
-    world.send(next);
-    if (!world.network.empty()) {
+    for (FakeTarget &target : world.targets) {
+        world.request(target);
+    }
+    const size_t earlier = world.network.size();
+    while (!next.outbox.empty()) {
+        world.send(next);
+    }
+    while (world.network.size() > earlier) {
         world.arrive(static_cast<uint32_t>(world.network.size() - 1));
     }
+    if (choice % 16 >= 8) {
+        orderOnceMore(world, world.vms[formerIndex]);
+    }
+    while (choice % 8 < 4 && !world.network.empty()) {
+        world.arrive(0);
+    }
 }
 
 struct Model
