--- a/packages/router/include/teaseldrift/router/claim_task.hpp
+++ b/packages/router/include/teaseldrift/router/claim_task.hpp
@@ -19,7 +19,7 @@
     ClaimVerdict verdict = ClaimVerdict::Refused;
     schema::ResultCode code = schema::OK;
     schema::KeptAnswer answer;
-    Instant sendUntil {};
+    Instant sendUntil{};
 };
 
 /// @brief Claims idempotency keys in the platform's store, through a ClaimTable.
--- a/packages/router/include/teaseldrift/router/routing_table.hpp
+++ b/packages/router/include/teaseldrift/router/routing_table.hpp
@@ -32,7 +32,8 @@
     [[nodiscard]] const schema::Organisation *findOrganisation(std::string_view name) const;
 
     /// @return the engines configured for a model
-    [[nodiscard]] const std::vector<const schema::Target *> &enginesOf(std::string_view model) const;
+    [[nodiscard]] const std::vector<const schema::Target *> &
+    enginesOf(std::string_view model) const;
 
     /// @return the targets of a plain service
     [[nodiscard]] const std::vector<const schema::Target *> &
--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -38,7 +38,7 @@
     int32_t priority = 0;
     double weight = 1.0;
     /// When the first token must be there.
-    Instant deadline {};
+    Instant deadline{};
 };
 
 /// @brief Limits of one acquisition.
@@ -83,7 +83,7 @@
     uint32_t queued = 0;
     uint64_t prefillBacklogTokens = 0;
     uint32_t slots = 0;
-    Instant observedAt {};
+    Instant observedAt{};
     /// Weights version by model that the engine serves now; a model that is being loaded is
     /// missing. Empty if the engine does not say.
     std::map<std::string, std::string> models;
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -41,7 +41,7 @@
 
 AdmissionAnswer answerOf(const allowance::Decision &decision)
 {
-    AdmissionAnswer answer {.code = decision.code, .ticket = decision.ticket};
+    AdmissionAnswer answer{.code = decision.code, .ticket = decision.ticket};
     if (decision.retryAfter > Duration::zero()) {
         answer.retryAfter = decision.retryAfter;
     }
@@ -71,8 +71,7 @@
            fleet::PeerNetwork &peerNetwork, allowance::SelfView self, std::string storePrefix)
         : loop(eventLoop), store(etcdStore), peers(peerNetwork),
           prefix(std::move(storePrefix) + "allowance/"), book(std::move(self), options)
-    {
-    }
+    { }
 
     void perform();
     void read(const std::string &organisation);
@@ -105,12 +104,12 @@
 void AllowanceTask::Native::read(const std::string &organisation)
 {
     const std::string key = prefix + organisation;
-    store.readPrefix(key, [this, stillAlive = alive, organisation, key](
-                                  std::error_code error, const platform::StoreSnapshot &snapshot) {
+    store.readPrefix(key, [this, stillAlive = alive, organisation,
+                           key](std::error_code error, const platform::StoreSnapshot &snapshot) {
         if (!*stillAlive) {
             return;
         }
-        allowance::RecordState state {.failed = static_cast<bool>(error)};
+        allowance::RecordState state{.failed = static_cast<bool>(error)};
         for (const platform::StoreEntry &entry : snapshot.entries) {
             schema::DivisionRecord record;
             if (entry.key == key && record.ParseFromString(entry.value)) {
@@ -125,7 +124,7 @@
 
 void AllowanceTask::Native::write(const allowance::RecordWrite &wanted)
 {
-    const platform::StoreWrite write {
+    const platform::StoreWrite write{
             .key = prefix + wanted.organisation,
             .value = wanted.record.SerializeAsString(),
             .expectedRevision = wanted.expectedRevision,
@@ -154,8 +153,7 @@
 bool AllowanceTask::Native::isSettling(const std::string &organisation) const
 {
     const auto known = organisations.find(organisation);
-    return known != organisations.end()
-            && http::EventLoop::now() - known->second < settlingTime;
+    return known != organisations.end() && http::EventLoop::now() - known->second < settlingTime;
 }
 
 /// A process that has just started asks its peers and the store how the organisation is divided;
@@ -184,8 +182,8 @@
 AllowanceTask::AllowanceTask(http::EventLoop &loop, platform::EtcdStore &store,
                              fleet::PeerNetwork &peers, allowance::SelfView self,
                              std::string storePrefix)
-    : m_native(std::make_unique<Native>(loop, store, peers, std::move(self),
-                                        std::move(storePrefix)))
+    : m_native(
+            std::make_unique<Native>(loop, store, peers, std::move(self), std::move(storePrefix)))
 {
     m_native->task = this;
     m_native->scheduleTick();
@@ -208,8 +206,8 @@
     std::map<std::string, Instant> configured;
     for (const schema::Organisation &organisation : configuration.organisations()) {
         const auto known = m_native->organisations.find(organisation.name());
-        configured[organisation.name()] =
-                known == m_native->organisations.end() ? now : known->second;
+        configured[organisation.name()]
+                = known == m_native->organisations.end() ? now : known->second;
         m_native->book.configure(organisation.name(),
                                  allowance::limitsFromTokens(organisation.rate_tokens_per_s(),
                                                              organisation.burst_tokens()),
@@ -236,15 +234,15 @@
     Native *native = m_native.get();
     const allowance::Decision decision = native->book.admit(
             request.organisation, toMicroTokens(request.tokens), http::EventLoop::now());
-    Native::Done answered = [native, request, done = std::move(done)](
-                                    const AdmissionAnswer &answer) {
-        if (answer.code != schema::ALLOWANCE_UNCONFIRMED
-            || !native->isSettling(request.organisation)) {
-            done(answer);
-            return;
-        }
-        native->admitLater(request, done);
-    };
+    Native::Done answered
+            = [native, request, done = std::move(done)](const AdmissionAnswer &answer) {
+                  if (answer.code != schema::ALLOWANCE_UNCONFIRMED
+                      || !native->isSettling(request.organisation)) {
+                      done(answer);
+                      return;
+                  }
+                  native->admitLater(request, done);
+              };
     if (decision.verdict == allowance::Verdict::Pending) {
         native->pending[{request.organisation, decision.requestId}] = std::move(answered);
         native->perform();
@@ -275,14 +273,14 @@
     nlohmann::json list = nlohmann::json::array();
     for (auto it = m_native->organisations.begin(); it != m_native->organisations.end(); ++it) {
         const std::string &organisation = it->first;
-        const double share = static_cast<double>(m_native->book.share(organisation))
-                / allowance::wholeShare;
-        list.push_back({{"name", organisation},
-                        {"share", share},
-                        {"level_tokens",
-                         static_cast<double>(m_native->book.level(organisation, now))
-                                 / microTokensPerToken},
-                        {"homes", m_native->book.members(organisation)}});
+        const double share
+                = static_cast<double>(m_native->book.share(organisation)) / allowance::wholeShare;
+        list.push_back(
+                {{"name", organisation},
+                 {"share", share},
+                 {"level_tokens", static_cast<double>(m_native->book.level(organisation, now))
+                                          / microTokensPerToken},
+                 {"homes", m_native->book.members(organisation)}});
     }
     return list.dump();
 }
--- a/packages/router/src/teaseldrift/router/claim_task.cpp
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -36,7 +36,7 @@
 ClaimReadResult resultOf(std::error_code error, const platform::StoreSnapshot &snapshot,
                          const std::string &key)
 {
-    ClaimReadResult result {.isAnswered = !error};
+    ClaimReadResult result{.isAnswered = !error};
     for (const platform::StoreEntry &entry : snapshot.entries) {
         schema::ClaimRecord record;
         if (entry.key == key && record.ParseFromString(entry.value)) {
@@ -60,8 +60,7 @@
 
     Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore, std::string storePrefix)
         : loop(eventLoop), store(etcdStore), prefix(std::move(storePrefix))
-    {
-    }
+    { }
 
     void perform(const std::string &claimId, const ClaimStep &step);
     void write(const std::string &claimId, platform::StoreWrite write);
@@ -95,18 +94,19 @@
 
 void ClaimTask::Native::write(const std::string &claimId, platform::StoreWrite write)
 {
-    store.write({&write, 1}, [this, stillAlive = alive, claimId](platform::StoreWriteResult result) {
-        if (*stillAlive) {
-            perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome), result.revision,
-                                             http::EventLoop::now()));
-        }
-    });
+    store.write({&write, 1},
+                [this, stillAlive = alive, claimId](platform::StoreWriteResult result) {
+                    if (*stillAlive) {
+                        perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome),
+                                                         result.revision, http::EventLoop::now()));
+                    }
+                });
 }
 
 void ClaimTask::Native::read(const std::string &claimId, const std::string &key)
 {
-    store.readPrefix(key, [this, stillAlive = alive, claimId, key](
-                                  std::error_code error, const platform::StoreSnapshot &snapshot) {
+    store.readPrefix(key, [this, stillAlive = alive, claimId,
+                           key](std::error_code error, const platform::StoreSnapshot &snapshot) {
         if (*stillAlive) {
             perform(claimId, table.readDone(claimId, resultOf(error, snapshot, key),
                                             http::EventLoop::now(), nowUnixMs()));
@@ -132,8 +132,8 @@
             return;
         }
         for (const std::string &claimId : table.expire(http::EventLoop::now())) {
-            answer(claimId, {.verdict = ClaimVerdict::Refused,
-                             .code = schema::IDEMPOTENCY_CLAIM_FAILED});
+            answer(claimId,
+                   {.verdict = ClaimVerdict::Refused, .code = schema::IDEMPOTENCY_CLAIM_FAILED});
         }
         scheduleExpiry();
     });
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -79,8 +79,7 @@
 
 struct Daemon::Native
 {
-    using ConfigurationTask =
-            fleet::ConfigurationTask<platform::EtcdStore, platform::HttpVmList>;
+    using ConfigurationTask = fleet::ConfigurationTask<platform::EtcdStore, platform::HttpVmList>;
 
     schema::RouterSettings settings;
     DaemonIdentity identity;
@@ -101,7 +100,7 @@
     std::vector<homes::VmView> allowanceVms;
     bool stopping = false;
     bool wasCut = false;
-    Instant stopDeadline {};
+    Instant stopDeadline{};
 
     Native(schema::RouterSettings daemonSettings, DaemonIdentity daemonIdentity)
         : settings(std::move(daemonSettings)), identity(daemonIdentity),
@@ -114,20 +113,18 @@
           allowance(loop, store, peers,
                     {.vm = settings.vm_id(), .incarnation = identity.incarnation},
                     settings.store_prefix()),
-          claims(loop, store, settings.store_prefix()),
-          front({.loop = loop,
-                 .settings = settings,
-                 .metrics = metrics,
-                 .targets = targets,
-                 .allowance = allowance,
-                 .claims = claims,
-                 .entries = entries,
-                 .seed = identity.seed}),
+          claims(loop, store, settings.store_prefix()), front({.loop = loop,
+                                                               .settings = settings,
+                                                               .metrics = metrics,
+                                                               .targets = targets,
+                                                               .allowance = allowance,
+                                                               .claims = claims,
+                                                               .entries = entries,
+                                                               .seed = identity.seed}),
           server(loop, serverOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) {
               front.handle(std::move(exchange));
           })
-    {
-    }
+    { }
 
     void startConfiguration();
     void onConfiguration(const schema::Configuration &configuration, uint64_t revision);
@@ -142,7 +139,7 @@
 
 void Daemon::Native::startConfiguration()
 {
-    fleet::ConfigurationTaskOptions options {
+    fleet::ConfigurationTaskOptions options{
             .vmId = settings.vm_id(),
             .incarnation = identity.incarnation,
             .randomSeed = identity.seed,
@@ -151,15 +148,13 @@
     options.sync.freshnessBound = std::chrono::milliseconds(settings.freshness_bound_ms());
     configuration.emplace(
             loop, store, vmList, peers, std::move(options),
-            fleet::ConfigurationHandlers {
-                    .onConfiguration =
-                            [this](const schema::Configuration &newest, uint64_t revision) {
-                                onConfiguration(newest, revision);
-                            },
-                    .onCurrentUntil =
-                            [this](Instant currentUntil) { front.setCurrentUntil(currentUntil); },
-                    .onLiveVms =
-                            [this](const std::vector<FleetVm> &live) { onLiveVms(live); },
+            fleet::ConfigurationHandlers{
+                    .onConfiguration
+                    = [this](const schema::Configuration &newest,
+                             uint64_t revision) { onConfiguration(newest, revision); },
+                    .onCurrentUntil
+                    = [this](Instant currentUntil) { front.setCurrentUntil(currentUntil); },
+                    .onLiveVms = [this](const std::vector<FleetVm> &live) { onLiveVms(live); },
                     .onLeavingTargets =
                             [this](const std::vector<std::string> &leaving) {
                                 targets.setLeaving(leaving);
@@ -182,10 +177,9 @@
 {
     std::vector<EntryVm> entryVms;
     for (const FleetVm &vm : live) {
-        entryVms.push_back({.view = {.id = vm.listed.id,
-                                     .availabilityZone = vm.listed.availabilityZone},
-                            .endpoint = {.address = vm.listed.address,
-                                         .port = vm.listed.callerPort}});
+        entryVms.push_back(
+                {.view = {.id = vm.listed.id, .availabilityZone = vm.listed.availabilityZone},
+                 .endpoint = {.address = vm.listed.address, .port = vm.listed.callerPort}});
     }
     targets.setTrafficShare(1.0 / static_cast<double>(std::max<size_t>(1, entryVms.size())));
     entries.setVms(std::move(entryVms));
@@ -216,8 +210,7 @@
 Duration Daemon::Native::entryLifetime() const
 {
     const schema::FleetDocument none;
-    const schema::FleetDocument &fleet =
-            table == nullptr ? none : table->configuration().fleet();
+    const schema::FleetDocument &fleet = table == nullptr ? none : table->configuration().fleet();
     return std::chrono::milliseconds(effective(fleet, "", "", 0).entry_lifetime_ms());
 }
 
@@ -227,8 +220,8 @@
         return;
     }
     stopping = true;
-    stopDeadline = http::EventLoop::now()
-            + std::chrono::milliseconds(settings.shutdown_deadline_ms());
+    stopDeadline
+            = http::EventLoop::now() + std::chrono::milliseconds(settings.shutdown_deadline_ms());
     telemetry::log(telemetry::LogLevel::Info, "stopping");
     front.setLeaving();
     if (configuration.has_value()) {
@@ -264,8 +257,7 @@
 
 Daemon::Daemon(schema::RouterSettings settings, DaemonIdentity identity)
     : m_native(std::make_unique<Native>(std::move(settings), identity))
-{
-}
+{ }
 
 Daemon::~Daemon() = default;
 
--- a/packages/router/src/teaseldrift/router/entry_book.cpp
+++ b/packages/router/src/teaseldrift/router/entry_book.cpp
@@ -7,10 +7,8 @@
 
 namespace teaseldrift::router {
 
-EntryBook::EntryBook(std::string availabilityZone)
-    : m_availabilityZone(std::move(availabilityZone))
-{
-}
+EntryBook::EntryBook(std::string availabilityZone) : m_availabilityZone(std::move(availabilityZone))
+{ }
 
 void EntryBook::setVms(std::vector<EntryVm> vms)
 {
@@ -24,13 +22,12 @@
 std::string EntryBook::answerJson(std::string_view organisation, std::string_view prefix,
                                   Duration lifetime) const
 {
-    homes::EntryQuestion question {.organisation = organisation,
-                                   .availabilityZone = m_availabilityZone};
+    homes::EntryQuestion question{.organisation = organisation,
+                                  .availabilityZone = m_availabilityZone};
     if (!prefix.empty()) {
         question.prefixRoot = rendezvousKey(prefix);
     }
-    const homes::EntryAnswer answer =
-            homes::entryAnswer(question, m_views, {.lifetime = lifetime});
+    const homes::EntryAnswer answer = homes::entryAnswer(question, m_views, {.lifetime = lifetime});
     nlohmann::json addresses = nlohmann::json::array();
     for (const size_t index : answer.vms) {
         addresses.push_back(http::toString(m_vms[index].endpoint));
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -69,13 +69,13 @@
 bool isSameSecret(std::string_view left, std::string_view right)
 {
     return left.size() == right.size()
-            && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+           && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
 std::string sha256Of(std::string_view method, std::string_view path, std::string_view body)
 {
-    const std::string text = std::string(method) + "\n" + std::string(path) + "\n"
-            + std::string(body);
+    const std::string text
+            = std::string(method) + "\n" + std::string(path) + "\n" + std::string(body);
     std::string digest(SHA256_DIGEST_LENGTH, '\0');
     SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(),
            reinterpret_cast<unsigned char *>(digest.data()));
@@ -114,7 +114,7 @@
 
 http::Response replayOf(const schema::KeptAnswer &kept)
 {
-    http::Response response {.status = static_cast<int>(kept.status()), .body = kept.body()};
+    http::Response response{.status = static_cast<int>(kept.status()), .body = kept.body()};
     for (const schema::KeptHeader &header : kept.headers()) {
         response.headers.push_back({header.name(), header.value()});
     }
@@ -137,7 +137,7 @@
     struct CachedDefaults
     {
         schema::Defaults defaults;
-        Instant madeAt {};
+        Instant madeAt{};
     };
 
     FrontParts parts;
@@ -155,11 +155,9 @@
 
     explicit Native(const FrontParts &frontParts)
         : parts(frontParts), generator(frontParts.seed),
-          client(frontParts.loop,
-                 {.connectTimeout = std::chrono::milliseconds(
-                          frontParts.settings.connect_timeout_ms())})
-    {
-    }
+          client(frontParts.loop, {.connectTimeout = std::chrono::milliseconds(
+                                           frontParts.settings.connect_timeout_ms())})
+    { }
 
     void refuse(const Arrival &arrival, schema::ResultCode code,
                 std::optional<Duration> retryAfter = std::nullopt);
@@ -222,9 +220,8 @@
     json models = json::array();
     if (table != nullptr) {
         for (const schema::Model &model : table->configuration().fleet().models()) {
-            models.push_back({{"id", model.name()},
-                              {"object", "model"},
-                              {"owned_by", "teaseldrift"}});
+            models.push_back(
+                    {{"id", model.name()}, {"object", "model"}, {"owned_by", "teaseldrift"}});
         }
     }
     const json list = {{"object", "list"}, {"data", models}};
@@ -238,7 +235,7 @@
         exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
         return;
     }
-    const TargetQuery query {
+    const TargetQuery query{
             .organisation = question.value("organisation", ""),
             .model = question["model"].get<std::string>(),
             .prompt = question.value("prompt", ""),
@@ -295,8 +292,8 @@
         exchange->respond({.body = "ok\n"});
     } else if (path == "/readyz") {
         const bool ready = table != nullptr && !leaving && isCurrent();
-        exchange->respond({.status = ready ? 200 : unavailable,
-                           .body = ready ? "ready\n" : "not ready\n"});
+        exchange->respond(
+                {.status = ready ? 200 : unavailable, .body = ready ? "ready\n" : "not ready\n"});
     } else if (path == "/metrics") {
         parts.metrics.figures().setGauge({"teaseldrift_open_requests"},
                                          static_cast<double>(tasks.size()));
@@ -321,8 +318,8 @@
     CachedDefaults &cached = defaults[organisation + "\n" + route];
     if (cached.madeAt == Instant() || now - cached.madeAt > defaultsLifetime) {
         const schema::FleetDocument none;
-        const schema::FleetDocument &fleet =
-                table == nullptr ? none : table->configuration().fleet();
+        const schema::FleetDocument &fleet
+                = table == nullptr ? none : table->configuration().fleet();
         cached = {.defaults = effective(fleet, organisation, route, nowUnixMs()), .madeAt = now};
     }
     return cached.defaults;
@@ -385,12 +382,12 @@
 {
     RequestSpec &spec = arrival.spec;
     CompletionRequest completion;
-    const std::error_code error =
-            parseCompletion(arrival.exchange->body(),
-                            {.isChat = spec.isChat,
-                             .maxOutputTokens = spec.defaults.max_output_tokens(),
-                             .cacheSalt = "organisation:" + arrival.organisation},
-                            completion);
+    const std::error_code error
+            = parseCompletion(arrival.exchange->body(),
+                              {.isChat = spec.isChat,
+                               .maxOutputTokens = spec.defaults.max_output_tokens(),
+                               .cacheSalt = "organisation:" + arrival.organisation},
+                              completion);
     if (error) {
         return error;
     }
@@ -400,10 +397,10 @@
     spec.streams = completion.streams;
     spec.wantsUsage = completion.wantsUsage;
     spec.body = std::move(completion.targetBody);
-    arrival.tokens = static_cast<double>(completion.prompt.size()) / bytesPerToken
-            + completion.maxTokens;
+    arrival.tokens
+            = static_cast<double>(completion.prompt.size()) / bytesPerToken + completion.maxTokens;
     const double weight = arrival.organisationRecord->weight();
-    spec.query = std::make_shared<TargetQuery>(TargetQuery {
+    spec.query = std::make_shared<TargetQuery>(TargetQuery{
             .organisation = arrival.organisation,
             .model = std::move(completion.model),
             .prompt = std::move(completion.prompt),
@@ -421,7 +418,7 @@
     const schema::Route *found = arrival.table->findRoute(pathOnly(arrival.exchange->path()));
     spec.body = std::string(arrival.exchange->body());
     arrival.tokens = 1.0 + static_cast<double>(spec.body.size()) / bytesPerToken;
-    spec.query = std::make_shared<TargetQuery>(TargetQuery {
+    spec.query = std::make_shared<TargetQuery>(TargetQuery{
             .organisation = arrival.organisation,
             .service = found->service(),
             .deadline = http::EventLoop::now() + spec.deadline,
@@ -488,10 +485,12 @@
         start(arrival);
         return;
     }
-    const std::array<uint64_t, 2> claimWords {generator(), generator()};
+    const std::array<uint64_t, 2> claimWords{generator(), generator()};
     arrival->claimId = hexText(claimWords);
-    const int64_t endsUnixMs = nowUnixMs()
-            + std::chrono::duration_cast<std::chrono::milliseconds>(arrival->spec.deadline).count();
+    const int64_t endsUnixMs
+            = nowUnixMs()
+              + std::chrono::duration_cast<std::chrono::milliseconds>(arrival->spec.deadline)
+                        .count();
     parts.claims.claim(
             {.organisation = arrival->organisation,
              .route = arrival->route,
@@ -521,7 +520,7 @@
 
 void Front::Native::start(const std::shared_ptr<Arrival> &arrival)
 {
-    const RequestServices services {
+    const RequestServices services{
             .loop = parts.loop,
             .client = client,
             .targets = parts.targets,
@@ -556,8 +555,7 @@
         used = 0.0;
     }
     if (used < arrival.tokens && !arrival.organisation.empty()) {
-        parts.allowance.giveBack(arrival.organisation, arrival.ticket,
-                                 arrival.tokens - used);
+        parts.allowance.giveBack(arrival.organisation, arrival.ticket, arrival.tokens - used);
     }
 }
 
@@ -595,10 +593,9 @@
     const std::shared_ptr<Arrival> arrival = std::make_shared<Arrival>();
     arrival->exchange = std::move(exchange);
     arrival->table = m_native->table;
-    const std::error_code error =
-            parseHeaders(arrival->exchange->headers(), arrival->headers);
+    const std::error_code error = parseHeaders(arrival->exchange->headers(), arrival->headers);
     if (arrival->headers.requestId.empty()) {
-        const std::array<uint64_t, 2> words {m_native->generator(), m_native->generator()};
+        const std::array<uint64_t, 2> words{m_native->generator(), m_native->generator()};
         arrival->headers.requestId = hexText(words);
     }
     if (arrival->exchange->authority().empty()) {
--- a/packages/router/src/teaseldrift/router/refusal.cpp
+++ b/packages/router/src/teaseldrift/router/refusal.cpp
@@ -53,9 +53,10 @@
     const schema::ResultInfo &info = schema::describe(refusal.code);
     http::Response response{
             .status = static_cast<int>(info.http_status()),
-            .headers = {{"content-type", "application/json"},
-                        {"x-teaseldrift-result", std::to_string(refusal.code)},
-                        {"x-teaseldrift-ran", std::string(ranText(refusal.ran.value_or(info.ran())))}},
+            .headers
+            = {{"content-type", "application/json"},
+               {"x-teaseldrift-result", std::to_string(refusal.code)},
+               {"x-teaseldrift-ran", std::string(ranText(refusal.ran.value_or(info.ran())))}},
             .body = errorObject(refusal).dump() + "\n",
     };
     if (!refusal.requestId.empty()) {
--- a/packages/router/src/teaseldrift/router/request_log.cpp
+++ b/packages/router/src/teaseldrift/router/request_log.cpp
@@ -9,8 +9,8 @@
 void logOutcome(std::string_view requestId, std::string_view organisation,
                 const RequestOutcome &outcome)
 {
-    const telemetry::LogLevel level = outcome.code == schema::OK ? telemetry::LogLevel::Debug
-                                                                 : telemetry::LogLevel::Info;
+    const telemetry::LogLevel level
+            = outcome.code == schema::OK ? telemetry::LogLevel::Debug : telemetry::LogLevel::Info;
     telemetry::log(level, "request ended",
                    {{"request_id", std::string(requestId)},
                     {"organisation", std::string(organisation)},
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -80,7 +80,7 @@
         return std::nullopt;
     }
     const nlohmann::json &usage = answer["usage"];
-    StreamUsage counts {
+    StreamUsage counts{
             .promptTokens = unsignedField(usage, "prompt_tokens"),
             .completionTokens = unsignedField(usage, "completion_tokens"),
     };
@@ -123,7 +123,7 @@
     Instant startedAt = http::EventLoop::now();
     std::optional<Instant> lastTokenAt;
     http::EventLoop::TimerId timer = 0;
-    Instant timerAt {};
+    Instant timerAt{};
     http::EventLoop::TimerId callerTimer = 0;
     bool done = false;
 
@@ -133,8 +133,7 @@
         : services(requestServices), exchange(std::move(callerExchange)),
           spec(std::move(requestSpec)), onDone(std::move(doneHandler)),
           machine(machineOptions(spec), budget), relay(streamOptionsOf(spec.body))
-    {
-    }
+    { }
 
     void perform(const RequestActions &actions);
     void perform(const StartAttempt &action);
@@ -183,19 +182,18 @@
         services.metrics.countRetry(action.reason);
     }
     const std::weak_ptr<RequestTask> weak = self;
-    ticket = services.targets.acquire(
-            spec.query,
-            {
-                    .onlyTarget = action.target,
-                    .excludedTargets = action.excludedTargets,
-                    .isRetry = action.reason != schema::RETRY_NONE,
-            },
-            [weak, id = action.id](const Acquired &acquired) {
-                const std::shared_ptr<RequestTask> task = weak.lock();
-                if (task != nullptr) {
-                    task->m_native->onAcquired(id, acquired);
-                }
-            });
+    ticket = services.targets.acquire(spec.query,
+                                      {
+                                              .onlyTarget = action.target,
+                                              .excludedTargets = action.excludedTargets,
+                                              .isRetry = action.reason != schema::RETRY_NONE,
+                                      },
+                                      [weak, id = action.id](const Acquired &acquired) {
+                                          const std::shared_ptr<RequestTask> task = weak.lock();
+                                          if (task != nullptr) {
+                                              task->m_native->onAcquired(id, acquired);
+                                          }
+                                      });
 }
 
 void RequestTask::Native::onAcquired(AttemptId id, const Acquired &acquired)
@@ -233,7 +231,7 @@
 
 http::Request RequestTask::Native::attemptRequest() const
 {
-    http::Request request {
+    http::Request request{
             .method = spec.method,
             .path = spec.path,
             .headers = spec.headers,
@@ -262,8 +260,7 @@
     call = services.client.start(
             endpoint, attemptRequest(), use,
             {
-                    .onSent =
-                            [this, id] { machine.sent(id, http::EventLoop::now()); },
+                    .onSent = [this, id] { machine.sent(id, http::EventLoop::now()); },
                     .onHead =
                             [weak, id](const http::ResponseHead &head) {
                                 const std::shared_ptr<RequestTask> task = weak.lock();
@@ -287,11 +284,10 @@
     answer.status = head.status;
     answer.headers = endToEndHeaders(head.headers);
     const std::string_view type = http::findHeader(head.headers, "content-type");
-    answersAsStream =
-            spec.streams && head.status == statusOk && type.starts_with(eventStreamType);
+    answersAsStream = spec.streams && head.status == statusOk && type.starts_with(eventStreamType);
     cancelEvidence = head.status >= firstServerError && head.status != statusUnavailable
-            ? HealthEvidence::Failed
-            : HealthEvidence::Answered;
+                             ? HealthEvidence::Failed
+                             : HealthEvidence::Answered;
     perform(machine.headReceived(id, answerHeadOf(head), http::EventLoop::now()));
     cancelEvidence.reset();
 }
@@ -348,7 +344,7 @@
 void RequestTask::Native::startStream()
 {
     streamStarted = true;
-    http::Headers headers {
+    http::Headers headers{
             {"content-type", std::string(eventStreamType)},
             {"cache-control", "no-cache"},
             {"x-request-id", spec.requestId},
@@ -482,7 +478,7 @@
     if (!useId.has_value()) {
         return;
     }
-    TargetUse use {.evidence = evidence};
+    TargetUse use{.evidence = evidence};
     if (!answersAsStream && spec.isCompletion && evidence == HealthEvidence::Answered) {
         const std::optional<StreamUsage> usage = usageOf(answer.body);
         if (usage.has_value()) {
@@ -582,7 +578,7 @@
     services.loop.cancelTimer(timer);
     services.loop.cancelTimer(callerTimer);
     exchange->onGone(nullptr);
-    RequestOutcome outcome {
+    RequestOutcome outcome{
             .code = code,
             .ran = ran,
             .status = answer.status,
@@ -601,18 +597,18 @@
     }
     services.metrics.countResult(code);
     // The task may be destroyed by its owner from here on, so it goes last and from a message.
-    services.loop.post([handler = std::move(onDone), outcome = std::move(outcome)] {
-        handler(outcome);
-    });
+    services.loop.post(
+            [handler = std::move(onDone), outcome = std::move(outcome)] { handler(outcome); });
 }
 
 RequestTask::RequestTask(std::unique_ptr<Native> native) : m_native(std::move(native)) { }
 
 RequestTask::~RequestTask() = default;
 
-std::shared_ptr<RequestTask> RequestTask::start(
-        const RequestServices &services, std::shared_ptr<http::Exchange> exchange,
-        RequestSpec spec, RetryBudget &budget, std::function<void(const RequestOutcome &)> onDone)
+std::shared_ptr<RequestTask> RequestTask::start(const RequestServices &services,
+                                                std::shared_ptr<http::Exchange> exchange,
+                                                RequestSpec spec, RetryBudget &budget,
+                                                std::function<void(const RequestOutcome &)> onDone)
 {
     std::unique_ptr<Native> native = std::make_unique<Native>(
             services, std::move(exchange), std::move(spec), budget, std::move(onDone));
--- a/packages/router/src/teaseldrift/router/router_metrics.cpp
+++ b/packages/router/src/teaseldrift/router/router_metrics.cpp
@@ -20,8 +20,8 @@
     }
     const google::protobuf::EnumDescriptor *reasons = schema::RetryReason_descriptor();
     for (int i = 1; i < reasons->value_count(); ++i) {
-        const schema::RetryReason reason =
-                static_cast<schema::RetryReason>(reasons->value(i)->number());
+        const schema::RetryReason reason
+                = static_cast<schema::RetryReason>(reasons->value(i)->number());
         m_figures.counter({"teaseldrift_retries_total", "reason", schema::metricLabel(reason)});
     }
 }
--- a/packages/router/src/teaseldrift/router/routing_table.cpp
+++ b/packages/router/src/teaseldrift/router/routing_table.cpp
@@ -101,8 +101,8 @@
 {
     const schema::Route *longest = nullptr;
     for (const schema::Route &route : m_native->configuration.fleet().routes()) {
-        const bool longer =
-                longest == nullptr || route.path_prefix().size() > longest->path_prefix().size();
+        const bool longer
+                = longest == nullptr || route.path_prefix().size() > longest->path_prefix().size();
         if (longer && covers(route.path_prefix(), path)) {
             longest = &route;
         }
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -28,7 +28,7 @@
     report.running = parsed.value("running", 0U);
     report.queued = parsed.value("queued", 0U);
     report.slots = parsed.value("slots", 0U);
-    report.prefillBacklogTokens = parsed.value("prefill_backlog_tokens", uint64_t {0});
+    report.prefillBacklogTokens = parsed.value("prefill_backlog_tokens", uint64_t{0});
     const std::chrono::milliseconds age(parsed.value("age_ms", 0U));
     report.observedAt = http::EventLoop::now() - age;
     for (const json &model : parsed.value("models", json::array())) {
@@ -57,7 +57,7 @@
     http::Client client;
     std::map<std::string, Question> questions;
     std::deque<TargetAddress> round;
-    Instant roundStartedAt {};
+    Instant roundStartedAt{};
     http::EventLoop::TimerId timer = 0;
 
     Native(http::EventLoop &eventLoop, TargetPool &pool, TargetPollerOptions pollerOptions)
@@ -65,8 +65,7 @@
           client(eventLoop, {.connectTimeout = options.timeout,
                              .ioTimeout = options.timeout,
                              .keepAlive = 30s})
-    {
-    }
+    { }
 
     void step();
     void startRound();
@@ -110,14 +109,13 @@
     const std::string id = target.id;
     Question &question = questions[id];
     question.isEngine = target.isEngine;
-    question.timer = loop.startTimer(options.timeout, [this, id] {
-        finish(id, HealthEvidence::Silent);
-    });
+    question.timer
+            = loop.startTimer(options.timeout, [this, id] { finish(id, HealthEvidence::Silent); });
     question.call = client.start(
             target.endpoint, {.path = target.isEngine ? "/load" : "/healthz"},
             http::ConnectionUse::Pooled,
             {
-                    .onHead = [](const http::ResponseHead &) { },
+                    .onHead = [](const http::ResponseHead &) {},
                     .onData = [this, id](std::string_view data) { questions[id].body += data; },
                     .onEnd =
                             [this, id](http::CallEnd end) {
@@ -154,8 +152,7 @@
     targets.reportEvidence(target, evidence);
 }
 
-TargetPoller::TargetPoller(http::EventLoop &loop, TargetPool &targets,
-                           TargetPollerOptions options)
+TargetPoller::TargetPoller(http::EventLoop &loop, TargetPool &targets, TargetPollerOptions options)
     : m_native(std::make_unique<Native>(loop, targets, options))
 {
     m_native->step();
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -60,7 +60,7 @@
     std::vector<hashing::BlockHash> chain;
     uint32_t promptTokens = 0;
     TargetPool::Done done;
-    Instant since {};
+    Instant since{};
 
     [[nodiscard]] placement::RequestView view() const
     {
@@ -73,7 +73,7 @@
             return target != options.onlyTarget;
         }
         return std::find(options.excludedTargets.begin(), options.excludedTargets.end(), target)
-                != options.excludedTargets.end();
+               != options.excludedTargets.end();
     }
 };
 
@@ -119,8 +119,7 @@
             continue;
         }
         selection.outcome = placement::ChoiceOutcome::NoRoom;
-        const bool hasRoom =
-                state->target.slots() == 0 || state->inFlight < state->target.slots();
+        const bool hasRoom = state->target.slots() == 0 || state->inFlight < state->target.slots();
         if (hasRoom && (best == nullptr || state->inFlight < best->inFlight)) {
             best = state;
         }
@@ -136,7 +135,7 @@
 
 placement::TargetView viewOf(const TargetState &state, const std::string &model, bool accepting)
 {
-    placement::TargetView view {
+    placement::TargetView view{
             .id = state.target.id(),
             .incarnation = state.report.incarnation,
             .weightsVersion = state.versionOf(model),
@@ -177,8 +176,7 @@
            uint64_t seed)
         : loop(eventLoop), metrics(routerMetrics), availabilityZone(std::move(zone)),
           generator(seed)
-    {
-    }
+    { }
 
     void configureTargets();
     void configurePools();
@@ -187,8 +185,8 @@
     std::vector<placement::TargetView> views(const Pool &pool, const Waiting &waiting) const;
     Selection select(Pool &pool, const Waiting &waiting, placement::Choice &choice);
     void pump(const std::string &name, Pool &pool);
-    void dispatch(const std::string &name, Pool &pool, TicketId ticket,
-                  const Selection &selection, const placement::Choice &choice);
+    void dispatch(const std::string &name, Pool &pool, TicketId ticket, const Selection &selection,
+                  const placement::Choice &choice);
     void refuse(Pool &pool, TicketId ticket, schema::ResultCode code,
                 std::optional<Duration> retryAfter);
     void answer(Done done, Acquired acquired);
@@ -269,14 +267,13 @@
     for (const TargetState *state : pool.targets) {
         const std::string &id = state->target.id();
         const bool accepting = health.isEligible(id) && !waiting.excludes(id)
-                && state->serves(waiting.query->model);
+                               && state->serves(waiting.query->model);
         list.push_back(viewOf(*state, waiting.query->model, accepting));
     }
     return list;
 }
 
-Selection TargetPool::Native::select(Pool &pool, const Waiting &waiting,
-                                     placement::Choice &choice)
+Selection TargetPool::Native::select(Pool &pool, const Waiting &waiting, placement::Choice &choice)
 {
     if (!pool.chooser.has_value()) {
         return selectPlain(pool, waiting, health);
@@ -325,12 +322,11 @@
                               choice, now);
     }
     uses[ticket] = {.pool = name, .target = state.target.id()};
-    answer(waiting.done,
-           {.target = state.target.id(),
-            .endpoint = {.address = state.target.address(),
-                         .port = static_cast<uint16_t>(state.target.port())},
-            .explanation = selection.explanation,
-            .useId = ticket});
+    answer(waiting.done, {.target = state.target.id(),
+                          .endpoint = {.address = state.target.address(),
+                                       .port = static_cast<uint16_t>(state.target.port())},
+                          .explanation = selection.explanation,
+                          .useId = ticket});
 }
 
 void TargetPool::Native::refuse(Pool &pool, TicketId ticket, schema::ResultCode code,
@@ -380,11 +376,10 @@
     });
 }
 
-TargetPool::TargetPool(http::EventLoop &loop, RouterMetrics &metrics,
-                       std::string availabilityZone, uint64_t seed)
+TargetPool::TargetPool(http::EventLoop &loop, RouterMetrics &metrics, std::string availabilityZone,
+                       uint64_t seed)
     : m_native(std::make_unique<Native>(loop, metrics, std::move(availabilityZone), seed))
-{
-}
+{ }
 
 TargetPool::~TargetPool()
 {
@@ -465,10 +460,10 @@
     const TicketId ticket = ++m_native->lastId;
     const std::string name = poolName(*query);
     Pool &pool = m_native->poolOf(*query);
-    Waiting waiting {.query = std::move(query),
-                     .options = std::move(options),
-                     .done = std::move(done),
-                     .since = now};
+    Waiting waiting{.query = std::move(query),
+                    .options = std::move(options),
+                    .done = std::move(done),
+                    .since = now};
     if (pool.chooser.has_value()) {
         waiting.chain = hashing::hashChain({.organisation = waiting.query->organisation,
                                             .model = waiting.query->model,
@@ -481,7 +476,7 @@
              .organisation = waiting.query->organisation,
              .weight = waiting.query->weight,
              .costTokens = std::max(1.0, static_cast<double>(waiting.promptTokens)
-                                            + static_cast<double>(waiting.query->maxTokens)),
+                                                 + static_cast<double>(waiting.query->maxTokens)),
              .priority = waiting.options.isRetry ? std::numeric_limits<int32_t>::max()
                                                  : waiting.query->priority,
              .dispatchBy = waiting.query->deadline},
@@ -545,7 +540,7 @@
     }
     Pool &pool = m_native->pools.at(ended.pool);
     if (pool.chooser.has_value()) {
-        placement::AttemptEnd end {.completed = use.evidence == HealthEvidence::Answered};
+        placement::AttemptEnd end{.completed = use.evidence == HealthEvidence::Answered};
         if (use.cachedTokens.has_value()) {
             end.cachedTokens = static_cast<uint32_t>(*use.cachedTokens);
         }
@@ -573,11 +568,10 @@
 std::string TargetPool::explainJson(const TargetQuery &query)
 {
     Pool &pool = m_native->poolOf(query);
-    Waiting waiting {.query = std::make_shared<TargetQuery>(query)};
-    waiting.chain = hashing::hashChain({.organisation = query.organisation,
-                                        .model = query.model,
-                                        .adapter = query.adapter},
-                                       query.prompt, pool.chainOptions);
+    Waiting waiting{.query = std::make_shared<TargetQuery>(query)};
+    waiting.chain = hashing::hashChain(
+            {.organisation = query.organisation, .model = query.model, .adapter = query.adapter},
+            query.prompt, pool.chainOptions);
     waiting.promptTokens = hashing::estimateTokens(query.prompt, pool.chainOptions);
     placement::Choice choice;
     const Selection selection = m_native->select(pool, waiting, choice);
--- a/testing/processes/conversation.cpp
+++ b/testing/processes/conversation.cpp
@@ -43,9 +43,8 @@
         m_loop.stop();
         return;
     }
-    m_loop.startTimer(1ms, [this, &condition, deadline, &held] {
-        poll(condition, deadline, held);
-    });
+    m_loop.startTimer(1ms,
+                      [this, &condition, deadline, &held] { poll(condition, deadline, held); });
 }
 
 bool Conversation::waitFor(const std::function<bool()> &condition, Duration patience)
--- a/testing/processes/conversation.hpp
+++ b/testing/processes/conversation.hpp
@@ -20,10 +20,7 @@
     http::CallEnd end = http::CallEnd::NotSent;
     bool ended = false;
 
-    [[nodiscard]] bool isComplete() const
-    {
-        return ended && end == http::CallEnd::Complete;
-    }
+    [[nodiscard]] bool isComplete() const { return ended && end == http::CallEnd::Complete; }
 };
 
 /// @brief A caller on a loop of its own that waits for answers.
@@ -47,7 +44,7 @@
 
 private:
     http::EventLoop m_loop;
-    http::Client m_client {m_loop, {.connectTimeout = 2s, .ioTimeout = 120s}};
+    http::Client m_client{m_loop, {.connectTimeout = 2s, .ioTimeout = 120s}};
     std::map<Answer *, std::unique_ptr<http::Call>> m_calls;
 
     void poll(const std::function<bool()> &condition, Instant deadline, bool &held);
--- a/testing/processes/fleet_fixture.cpp
+++ b/testing/processes/fleet_fixture.cpp
@@ -17,7 +17,7 @@
 using nlohmann::json;
 
 constexpr std::string_view storePrefix = "/teaseldrift/";
-constexpr std::array<const char *, 3> zones {"colombo-a", "gampaha-b", "kalutara-c"};
+constexpr std::array<const char *, 3> zones{"colombo-a", "gampaha-b", "kalutara-c"};
 
 std::string programPath(const std::string &name)
 {
@@ -36,7 +36,7 @@
 FleetFixture::Member FleetFixture::launch(const std::string &id, const std::string &program,
                                           std::vector<std::string> arguments, uint16_t port)
 {
-    Member member {.id = id, .port = port};
+    Member member{.id = id, .port = port};
     member.program = programPath(program);
     member.arguments = std::move(arguments);
     member.process = Process(member.program, member.arguments);
@@ -70,7 +70,7 @@
 {
     for (size_t i = 0; i < m_options.engines; ++i) {
         const uint16_t port = freePort();
-        std::vector<std::string> arguments {"--port", std::to_string(port)};
+        std::vector<std::string> arguments{"--port", std::to_string(port)};
         arguments.insert(arguments.end(), m_options.engineArguments.begin(),
                          m_options.engineArguments.end());
         m_engines.push_back(launch("engine-" + std::to_string(i), "engine", arguments, port));
@@ -90,18 +90,28 @@
         const uint16_t port = freePort();
         const uint16_t peerPort = freePort();
         const std::string id = "vm-" + std::to_string(i);
-        std::vector<std::string> arguments {
-                "--vm-id", id,
-                "--availability-zone", zones[i % zones.size()],
-                "--caller-port", std::to_string(port),
-                "--peer-port", std::to_string(peerPort),
-                "--store-address", "127.0.0.1:" + std::to_string(m_store.port),
-                "--vm-list-address", "127.0.0.1:" + std::to_string(m_vmList.port),
-                "--admin-token", "admin",
+        std::vector<std::string> arguments{
+                "--vm-id",
+                id,
+                "--availability-zone",
+                zones[i % zones.size()],
+                "--caller-port",
+                std::to_string(port),
+                "--peer-port",
+                std::to_string(peerPort),
+                "--store-address",
+                "127.0.0.1:" + std::to_string(m_store.port),
+                "--vm-list-address",
+                "127.0.0.1:" + std::to_string(m_vmList.port),
+                "--admin-token",
+                "admin",
         };
         arguments.insert(arguments.end(), m_options.vmArguments.begin(),
                          m_options.vmArguments.end());
-        m_vms.push_back({.id = id, .port = port, .peerPort = peerPort, .arguments = arguments,
+        m_vms.push_back({.id = id,
+                         .port = port,
+                         .peerPort = peerPort,
+                         .arguments = arguments,
                          .program = programPath("teaseldriftd")});
     }
     publishVms();
@@ -112,7 +122,7 @@
 
 void FleetFixture::configure()
 {
-    const std::array<uint8_t, keyRandomBytes> randomBytes {1, 2, 3, 4, 5, 6, 7, 8};
+    const std::array<uint8_t, keyRandomBytes> randomBytes{1, 2, 3, 4, 5, 6, 7, 8};
     const NewKey created = createKey(randomBytes, 0);
     m_key = created.text;
     schema::Configuration configuration;
@@ -156,17 +166,16 @@
 void FleetFixture::put(const schema::Document &document)
 {
     platform::EtcdStore etcd(caller.loop(), store());
-    const std::string key = std::string(storePrefix) + std::string(configurationKeyPart)
-            + nameOf(document);
+    const std::string key
+            = std::string(storePrefix) + std::string(configurationKeyPart) + nameOf(document);
     bool done = false;
     etcd.readPrefix(key, [&](std::error_code, const platform::StoreSnapshot &snapshot) {
         uint64_t revision = 0;
         for (const platform::StoreEntry &entry : snapshot.entries) {
             revision = entry.key == key ? entry.revision : revision;
         }
-        const platform::StoreWrite write {.key = key,
-                                          .value = document.SerializeAsString(),
-                                          .expectedRevision = revision};
+        const platform::StoreWrite write{
+                .key = key, .value = document.SerializeAsString(), .expectedRevision = revision};
         etcd.write({&write, 1}, [&done](platform::StoreWriteResult result) {
             done = result.outcome == platform::StoreOutcome::Written;
         });
@@ -198,7 +207,7 @@
     }
     for (const Member &member : m_engines) {
         const bool leaving = std::find(leavingTargets.begin(), leavingTargets.end(), member.id)
-                != leavingTargets.end();
+                             != leavingTargets.end();
         list.push_back({{"id", member.id},
                         {"address", "127.0.0.1"},
                         {"caller_port", member.port},
@@ -215,7 +224,7 @@
     bool listens = false;
     while (!listens) {
         listens = caller.ask(endpoint, {.path = "/health"}).ended
-                && caller.ask(endpoint, {.path = "/health"}).end == http::CallEnd::Complete;
+                  && caller.ask(endpoint, {.path = "/health"}).end == http::CallEnd::Complete;
     }
 }
 
@@ -325,7 +334,7 @@
         next += event.starts_with(expected) ? 1 : 0;
     }
     return answer.isComplete() && next == tokens && !events.empty()
-            && events.back() == "data: [DONE]";
+           && events.back() == "data: [DONE]";
 }
 
 } // namespace teaseldrift::testing
--- a/testing/processes/fleet_fixture.hpp
+++ b/testing/processes/fleet_fixture.hpp
@@ -17,7 +17,7 @@
     size_t vms = 3;
     size_t engines = 2;
     size_t plainServices = 1;
-    std::vector<std::string> engineArguments {"--token-ms", "2"};
+    std::vector<std::string> engineArguments{"--token-ms", "2"};
     std::vector<std::string> vmArguments;
     double rateTokensPerS = 1e7;
     double burstTokens = 1e7;
--- a/testing/processes/fleet_test.cpp
+++ b/testing/processes/fleet_test.cpp
@@ -20,7 +20,7 @@
 uint64_t served(FleetFixture &fleet, size_t engine)
 {
     return json::parse(fleet.caller.ask(fleet.engine(engine), {.path = "/load"}).body)
-            .value("served", uint64_t {0});
+            .value("served", uint64_t{0});
 }
 
 } // namespace
@@ -29,19 +29,17 @@
 {
     constexpr size_t streams = 200;
     constexpr uint32_t tokens = 60;
-    FleetFixture fleet({.vms = 1,
-                        .engines = 2,
-                        .engineArguments = {"--token-ms", "20", "--slots", "200"}});
+    FleetFixture fleet(
+            {.vms = 1, .engines = 2, .engineArguments = {"--token-ms", "20", "--slots", "200"}});
     std::vector<std::shared_ptr<Answer>> answers;
     for (size_t i = 0; i < streams; ++i) {
         answers.push_back(fleet.caller.begin(
                 fleet.vm(0), fleet.completion("stream " + std::to_string(i), tokens)));
     }
     REQUIRE(fleet.caller.waitFor([&] {
-        return std::all_of(answers.begin(), answers.end(),
-                           [](const std::shared_ptr<Answer> &answer) {
-                               return answer->body.size() > 100;
-                           });
+        return std::all_of(
+                answers.begin(), answers.end(),
+                [](const std::shared_ptr<Answer> &answer) { return answer->body.size() > 100; });
     }));
     fleet.vmProcess(0).signal(SIGTERM);
     fleet.vmProcess(0).signal(SIGTERM);
@@ -114,9 +112,9 @@
     }));
     before = served(fleet, 0);
     for (int i = 0; i < 20; ++i) {
-        CHECK(isWholeStream(fleet.caller.ask(fleet.vm(0),
-                                             fleet.completion("chilli " + std::to_string(i), 2)),
-                            2));
+        CHECK(isWholeStream(
+                fleet.caller.ask(fleet.vm(0), fleet.completion("chilli " + std::to_string(i), 2)),
+                2));
     }
     CHECK(served(fleet, 0) == before);
 }
@@ -137,8 +135,8 @@
     double admitted = 0.0;
     size_t refused = 0;
     for (size_t i = 0; i < 90; ++i) {
-        const Answer answer = fleet.caller.ask(fleet.vm(i % 3),
-                                               fleet.completion("ab", outputTokens));
+        const Answer answer
+                = fleet.caller.ask(fleet.vm(i % 3), fleet.completion("ab", outputTokens));
         if (answer.status == 200) {
             admitted += outputTokens;
         } else {
@@ -155,8 +153,8 @@
 TEST_CASE("entry answers name the VMs and leave out one that stops")
 {
     FleetFixture fleet({.vms = 3, .engines = 1, .entryLifetimeMs = 5000});
-    const http::Request question {.path = "/v1/entry",
-                                  .headers = {{"authorization", "Bearer " + fleet.key()}}};
+    const http::Request question{.path = "/v1/entry",
+                                 .headers = {{"authorization", "Bearer " + fleet.key()}}};
     json answer;
     // A VM names another one as soon as it has heard it.
     CHECK(fleet.caller.waitFor([&] {
--- a/testing/processes/process.cpp
+++ b/testing/processes/process.cpp
@@ -34,13 +34,13 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, readableByOwner);
-    std::vector<char *> argv {const_cast<char *>(program.c_str())};
+    std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
     }
     argv.push_back(nullptr);
-    const int result =
-            posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    const int result
+            = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (result != 0) {
         throw std::runtime_error("cannot start " + program);
@@ -58,8 +58,7 @@
 
 Process::Process(Process &&other) noexcept
     : m_pid(std::exchange(other.m_pid, -1)), m_status(other.m_status)
-{
-}
+{ }
 
 Process &Process::operator=(Process &&other) noexcept
 {
@@ -95,7 +94,7 @@
 uint16_t freePort()
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
+    sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -19,8 +19,8 @@
     for (const std::string &event : eventsOf(answer.body)) {
         const size_t dataAt = event.find("data: ");
         const json chunk = dataAt == std::string::npos
-                ? json()
-                : json::parse(event.substr(dataAt + 6), nullptr, false);
+                                   ? json()
+                                   : json::parse(event.substr(dataAt + 6), nullptr, false);
         if (chunk.is_object() && chunk.contains("choices") && !chunk["choices"].empty()) {
             text += chunk["choices"][0].value("text", "");
         }
@@ -53,7 +53,7 @@
 uint64_t keysSeen(FleetFixture &fleet, const http::Endpoint &target)
 {
     return json::parse(fleet.caller.ask(target, {.path = "/runs"}).body)
-            .value("keys_seen", uint64_t {0});
+            .value("keys_seen", uint64_t{0});
 }
 
 } // namespace
@@ -78,23 +78,29 @@
         http::Request request;
         schema::ResultCode code;
     };
-    const http::Headers key {{"authorization", "Bearer " + fleet.key()}};
+    const http::Headers key{{"authorization", "Bearer " + fleet.key()}};
     const std::string path = "/v1/completions";
-    const std::vector<BadInput> inputs {
+    const std::vector<BadInput> inputs{
             {{.method = "POST", .path = path, .headers = key, .body = "{"}, schema::MALFORMED_BODY},
-            {{.method = "POST", .path = path, .headers = key,
+            {{.method = "POST",
+              .path = path,
+              .headers = key,
               .body = R"({"model":"none","prompt":"p"})"},
              schema::UNKNOWN_MODEL},
             {{.method = "GET", .path = "/nowhere", .headers = key}, schema::UNKNOWN_ROUTE},
             {{.method = "POST", .path = path, .body = "{}"}, schema::KEY_MISSING},
-            {{.method = "POST", .path = path, .headers = {{"authorization", "Bearer td-x-y"}},
+            {{.method = "POST",
+              .path = path,
+              .headers = {{"authorization", "Bearer td-x-y"}},
               .body = "{}"},
              schema::KEY_REFUSED},
             {{.method = "GET", .path = path, .headers = key}, schema::METHOD_NOT_ALLOWED},
             {{.method = "POST", .path = path, .headers = key, .body = std::string(5000, 'x')},
              schema::BODY_TOO_LARGE},
-            {{.method = "POST", .path = path,
-              .headers = {key[0], {"x-request-timeout-ms", "soon"}}, .body = "{}"},
+            {{.method = "POST",
+              .path = path,
+              .headers = {key[0], {"x-request-timeout-ms", "soon"}},
+              .body = "{}"},
              schema::DEADLINE_REFUSED},
     };
     for (const BadInput &input : inputs) {
@@ -104,9 +110,11 @@
         CHECK(ranOf(answer) == "no");
     }
     // h2o refuses a malformed head itself, before it knows the request.
-    const Answer malformedHead = fleet.caller.ask(
-            fleet.vm(0), {.method = "POST", .path = path,
-                          .headers = {key[0], {"x-note", "a\x01z"}}, .body = "{}"});
+    const Answer malformedHead
+            = fleet.caller.ask(fleet.vm(0), {.method = "POST",
+                                             .path = path,
+                                             .headers = {key[0], {"x-note", "a\x01z"}},
+                                             .body = "{}"});
     CHECK(malformedHead.status == 400);
     CHECK(fleet.caller.ask(fleet.vm(0), {.path = "/public/notice"}).status == 200);
 }
@@ -148,8 +156,8 @@
 TEST_CASE("a silent engine is replaced")
 {
     FleetFixture fleet({.vms = 1, .engines = 2, .engineArguments = {"--token-ms", "20"}});
-    const std::shared_ptr<Answer> answer =
-            fleet.caller.begin(fleet.vm(0), fleet.completion("holiday holds", 40));
+    const std::shared_ptr<Answer> answer
+            = fleet.caller.begin(fleet.vm(0), fleet.completion("holiday holds", 40));
     REQUIRE(fleet.caller.waitFor([&] { return eventsOf(answer->body).size() >= 3; }));
     const size_t busy = busyEngine(fleet, 2);
     REQUIRE(busy < 2);
@@ -200,8 +208,8 @@
 TEST_CASE("a caller that vanishes cancels its stream at the engine")
 {
     FleetFixture fleet({.vms = 1, .engines = 1, .engineArguments = {"--token-ms", "20"}});
-    const std::shared_ptr<Answer> answer =
-            fleet.caller.begin(fleet.vm(0), fleet.completion("long draft", 5000));
+    const std::shared_ptr<Answer> answer
+            = fleet.caller.begin(fleet.vm(0), fleet.completion("long draft", 5000));
     REQUIRE(fleet.caller.waitFor([&] { return eventsOf(answer->body).size() >= 3; }));
     fleet.caller.drop(answer);
     CHECK(fleet.caller.waitFor([&] { return busyEngine(fleet, 1) == 1; }));
@@ -211,8 +219,8 @@
 {
     constexpr uint32_t tokens = 4000;
     FleetFixture fleet({.vms = 1, .engines = 1, .engineArguments = {"--token-ms", "0"}});
-    const Answer answer =
-            fleet.caller.ask(fleet.vm(0), fleet.completion("all divisions", tokens), 60s);
+    const Answer answer
+            = fleet.caller.ask(fleet.vm(0), fleet.completion("all divisions", tokens), 60s);
     CHECK(isWholeStream(answer, tokens));
 }
 
