Close three holes that a harsher adversary found

Cause: the fuzzed mailbox flushed all mail at each run, so messages were never long under way. Change: the adversary holds messages back, copies passing ones and releases them at any time. Only the store or a welcome now confirms a record, gone VMs are no homes while a view may lag, and guest requests are known by their ids.

--- a/packages/policy/src/teaseldrift/allowance/allowance_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_fuzz_test.cpp
@@ -21,6 +21,9 @@
     Deliver,
     Drop,
     Duplicate,
+    Hold,
+    Release,
+    CopyNext,
     Admit,
     SpendAll,
     GiveBack,
@@ -46,23 +49,16 @@
     Step()
     {
         move = *rc::gen::weightedElement<Move>({
-                {8, Move::Run},
-                {2, Move::Skip},
-                {8, Move::Deliver},
-                {2, Move::Drop},
-                {4, Move::Duplicate},
-                {14, Move::Admit},
-                {2, Move::SpendAll},
-                {4, Move::GiveBack},
-                {1, Move::Pause},
-                {3, Move::Resume},
-                {1, Move::Kill},
-                {3, Move::Replace},
-                {1, Move::ReplaceElsewhere},
-                {1, Move::Drain},
-                {4, Move::RefreshList},
-                {1, Move::StoreDown},
-                {1, Move::StoreUp},
+                {8, Move::Run},         {2, Move::Skip},
+                {8, Move::Deliver},     {2, Move::Drop},
+                {4, Move::Duplicate},   {2, Move::Hold},
+                {8, Move::Release},     {4, Move::CopyNext},
+                {14, Move::Admit},      {2, Move::SpendAll},
+                {4, Move::GiveBack},    {1, Move::Pause},
+                {3, Move::Resume},      {1, Move::Kill},
+                {3, Move::Replace},     {1, Move::ReplaceElsewhere},
+                {1, Move::Drain},       {4, Move::RefreshList},
+                {1, Move::StoreDown},   {1, Move::StoreUp},
                 {3, Move::AnswerStore},
         });
     }
@@ -90,6 +86,17 @@
         case Move::Duplicate:
             sut.duplicate(first);
             break;
+        case Move::Hold:
+            sut.hold(first);
+            break;
+        case Move::Release:
+            for (size_t i = 0; i <= second % 8; ++i) {
+                sut.release(first);
+            }
+            break;
+        case Move::CopyNext:
+            sut.copyNext(second);
+            break;
         case Move::Admit:
             sut.admit(first, cost);
             break;
--- a/packages/policy/src/teaseldrift/allowance/allowance_world_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_world_test.cpp
@@ -14,6 +14,12 @@
     return std::string(vm) + "/" + std::to_string(incarnation) + "/" + std::to_string(requestId);
 }
 
+std::string answerKey(std::string_view guest, uint64_t guestProcess, uint64_t member,
+                      uint64_t requestId)
+{
+    return costKey(guest, guestProcess, member) + "/" + std::to_string(requestId);
+}
+
 } // namespace
 
 World::World(size_t vms, bool clocksStop) : m_clocksStop(clocksStop)
@@ -85,7 +91,8 @@
     if (ticket.vm.empty()) {
         admitCount(m_now, ticket.cost);
     } else {
-        admission = m_answers.at(costKey(vm, ticket.vmIncarnation, ticket.requestId));
+        admission = m_answers.at(
+                answerKey(vm, process.incarnation, ticket.vmIncarnation, ticket.requestId));
     }
     m_tickets.push_back({vm, process.incarnation, decision.ticket, admission});
 }
@@ -100,14 +107,16 @@
     }
     for (Outgoing &outgoing : actions.messages) {
         const schema::AllowanceMessage &message = outgoing.message;
+        m_processOf[message.sender_incarnation()] = process.incarnation;
         if (message.has_admit_request()) {
             m_costs[costKey(vm, message.sender_incarnation(), message.admit_request().request_id())]
                     = message.admit_request().cost();
         }
         if (message.has_admit_answer() && !message.admit_answer().not_member()
             && message.admit_answer().code() == schema::OK) {
-            m_answers.emplace(costKey(outgoing.vm, message.sender_incarnation(),
-                                      message.admit_answer().request_id()),
+            m_answers.emplace(answerKey(outgoing.vm, m_processOf[message.receiver_incarnation()],
+                                        message.sender_incarnation(),
+                                        message.admit_answer().request_id()),
                               m_admissions.size());
             admitCount(m_now, m_costs[costKey(outgoing.vm, message.receiver_incarnation(),
                                               message.admit_answer().request_id())]);
@@ -140,6 +149,10 @@
     const auto chosen = m_mail.begin() + static_cast<std::ptrdiff_t>(number % m_mail.size());
     const Letter letter = *chosen;
     m_mail.erase(chosen);
+    if (m_copies > 0) {
+        --m_copies;
+        m_held.push_back(letter);
+    }
     hand(letter);
 }
 
@@ -157,6 +170,24 @@
     }
 }
 
+void World::hold(size_t number)
+{
+    if (!m_mail.empty()) {
+        m_held.push_back(m_mail[number % m_mail.size()]);
+        drop(number);
+    }
+}
+
+void World::release(size_t number)
+{
+    if (!m_held.empty()) {
+        const auto chosen = m_held.begin() + static_cast<std::ptrdiff_t>(number % m_held.size());
+        const Letter letter = *chosen;
+        m_held.erase(chosen);
+        hand(letter);
+    }
+}
+
 void World::tickAll()
 {
     for (auto &[vm, process] : m_processes) {
--- a/packages/policy/src/teaseldrift/allowance/allowance_world_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_world_test.hpp
@@ -73,6 +73,11 @@
     void deliver(size_t number);
     void drop(size_t number);
     void duplicate(size_t number);
+    /// @brief Keeps a message back until it is released, however long that takes.
+    void hold(size_t number);
+    void release(size_t number);
+    /// @brief Keeps copies of the next messages that pass.
+    void copyNext(size_t count) { m_copies = count; }
     void admit(size_t vm, MicroTokens cost);
     /// @brief Each VM admits as much as its level holds.
     void spendAll();
@@ -107,6 +112,8 @@
     std::vector<std::string> m_leaving;
     std::vector<View> m_views;
     std::deque<Letter> m_mail;
+    std::deque<Letter> m_held;
+    size_t m_copies = 0;
     std::deque<StoreCall> m_calls;
     std::optional<schema::DivisionRecord> m_record;
     uint64_t m_revision = 0;
@@ -115,6 +122,8 @@
     std::map<std::string, MicroTokens> m_costs;
     /// Admissions that members made for guests.
     std::map<std::string, size_t> m_answers;
+    /// Processes by the incarnation in their messages.
+    std::map<uint64_t, uint64_t> m_processOf;
     bool m_wronglyTooLarge = false;
 
     void start(const std::string &vm, const std::string &zone);
--- a/packages/policy/src/teaseldrift/allowance/division.cpp
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -203,7 +203,7 @@
                                     Instant now)
 {
     const schema::AllowanceFence &fence = message.fence();
-    install(fence.record(), true, now);
+    install(fence.record(), false, now);
     if (m_record.epoch() != fence.record().epoch()) {
         return sendNotice(from);
     }
--- a/packages/policy/src/teaseldrift/allowance/guests.cpp
+++ b/packages/policy/src/teaseldrift/allowance/guests.cpp
@@ -96,6 +96,9 @@
         send(from, message.sender_incarnation(), std::move(answer));
         return;
     }
+    if (isKnownGuestRequest(question)) {
+        return;
+    }
     if (request.cost() < 0 || request.cost() > m_slice.limits().burst) {
         return answerQuestion(question, {.code = schema::LARGER_THAN_BURST});
     }
@@ -188,17 +191,39 @@
                                        const schema::AllowanceMessage &message, Instant now)
 {
     const schema::AllowanceGiveBack &back = message.give_back();
-    const auto found = std::find_if(
-            m_guestTickets.begin(), m_guestTickets.end(), [&](const GuestTicket &ticket) {
-                return ticket.vm == from && ticket.incarnation == message.sender_incarnation()
-                       && ticket.requestId == back.request_id();
-            });
-    if (found == m_guestTickets.end()) {
+    GuestTicket *ticket = findGuestTicket(from, message.sender_incarnation(), back.request_id());
+    if (ticket == nullptr || ticket->closed) {
         return;
     }
-    m_slice.refund(found->sequence, std::min(back.unused(), found->cost), now);
-    m_guestTickets.erase(found);
+    // It stays known, so that a repeated message changes nothing.
+    ticket->closed = true;
+    m_slice.refund(ticket->sequence, std::min(back.unused(), ticket->cost), now);
     settle(now);
 }
 
+OrganisationAllowance::GuestTicket *OrganisationAllowance::findGuestTicket(std::string_view vm,
+                                                                           uint64_t incarnation,
+                                                                           uint64_t requestId)
+{
+    const auto found = std::find_if(
+            m_guestTickets.begin(), m_guestTickets.end(), [&](const GuestTicket &ticket) {
+                return ticket.requestId == requestId && ticket.incarnation == incarnation
+                       && ticket.vm == vm;
+            });
+    return found == m_guestTickets.end() ? nullptr : &*found;
+}
+
+/// Whether a guest's request was admitted before or waits; the network may repeat messages.
+bool OrganisationAllowance::isKnownGuestRequest(const Question &question)
+{
+    const bool isPending
+            = std::any_of(m_pending.begin(), m_pending.end(), [&question](const Question &other) {
+                  return other.guestRequestId == question.guestRequestId
+                         && other.guestIncarnation == question.guestIncarnation;
+              });
+    return isPending
+           || findGuestTicket(question.guest, question.guestIncarnation, question.guestRequestId)
+                      != nullptr;
+}
+
 } // namespace teaseldrift::allowance
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
@@ -45,8 +45,14 @@
 {
     const std::span<const homes::VmView> vms = m_environment.registry.vms();
     m_homes.clear();
+    std::erase_if(m_gone, [now](const GoneVm &gone) { return now >= gone.until; });
     for (const size_t index : homes::homeSet(m_name, vms, options().homeSet)) {
-        m_homes.push_back(vms[index].id);
+        const std::string &vm = vms[index].id;
+        const bool isGone = std::any_of(m_gone.begin(), m_gone.end(),
+                                        [&vm](const GoneVm &gone) { return gone.vm == vm; });
+        if (!isGone) {
+            m_homes.push_back(vm);
+        }
     }
     syncPeers(now);
     dropGonePeers(now);
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -96,6 +96,8 @@
         uint64_t requestId = 0;
         MicroTokens cost = 0;
         uint64_t sequence = 0;
+        /// Its unused tokens have come back.
+        bool closed = false;
     };
 
     /// A refusal that holds for later requests of a guest for a moment.
@@ -107,6 +109,13 @@
         Instant retryAt{};
     };
 
+    /// A VM that is gone, although a lagging view may still show it.
+    struct GoneVm
+    {
+        std::string vm;
+        Instant until{};
+    };
+
     enum class ChangeStep { Idle, Reading, Fencing, Writing };
 
     /// A change of the division record that this VM makes.
@@ -137,7 +146,9 @@
     bool m_standing = false;
     bool m_draining = false;
     std::vector<Peer> m_peers;
+    /// Homes by this VM's view of the list, without VMs known to be gone.
     std::vector<std::string> m_homes;
+    std::vector<GoneVm> m_gone;
     std::deque<Question> m_pending;
     Instant m_gatherDeadline{};
     bool m_gathering = false;
@@ -211,6 +222,8 @@
                         Instant now);
     void onAdmitAnswer(std::string_view from, const schema::AllowanceMessage &message, Instant now);
     void onGiveBack(std::string_view from, const schema::AllowanceMessage &message, Instant now);
+    GuestTicket *findGuestTicket(std::string_view vm, uint64_t incarnation, uint64_t requestId);
+    bool isKnownGuestRequest(const Question &question);
     void sendAdmitAnswer(const Question &question, const Decision &decision);
 
     // Division (division.cpp)
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -24,7 +24,9 @@
     }
 }
 
-/// Takes a record if it is newer. Records come from the store only, so any copy is true.
+/// Takes a record if it is newer. Records come from the store only, so any copy is true, but it
+/// may be an old one that was long under way.
+/// @param confirmed the record was current at some moment in this process's life
 void OrganisationAllowance::install(const schema::DivisionRecord &record, bool confirmed,
                                     Instant now)
 {
@@ -63,7 +65,6 @@
         schema::AllowanceHello &hello = *message.mutable_hello();
         hello.set_nonce(peer.handshake.helloNonce);
         *hello.mutable_record() = m_record;
-        hello.set_record_confirmed(m_recordConfirmed);
         send(peer.vm, 0, std::move(message));
     }
     tryStand(now);
@@ -129,6 +130,8 @@
     startSession(peer, 0, now);
     peer.account.restart(0);
     peer.gone = true;
+    m_gone.push_back({peer.vm, now + options().listLag});
+    std::erase(m_homes, peer.vm);
     updateShare(now);
     tryStand(now);
 }
@@ -146,7 +149,7 @@
                                     Instant now)
 {
     const schema::AllowanceHello &hello = message.hello();
-    install(hello.record(), hello.record_confirmed(), now);
+    install(hello.record(), false, now);
     Peer *peer = findPeer(from);
     if (m_record.epoch() == 0 || peer == nullptr || peer->gone || !isMember(from)) {
         if (m_record.epoch() > hello.record().epoch()) {
