Tell members apart that were removed and added again; design note on allowances

Cause: a member that skips the record in which a gone VM was removed would count its loans twice, once as loan and once as base share. Change: since_epoch in the record. docs/design/allowance.md with alternatives, proof and figures.

--- a/packages/policy/src/teaseldrift/allowance/division.cpp
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -27,6 +27,7 @@
     }
     schema::DivisionMember &added = *record.add_members();
     added.set_vm_id(std::string(vm));
+    added.set_since_epoch(record.epoch());
     return added;
 }
 
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -4,6 +4,21 @@
 
 namespace teaseldrift::allowance {
 
+namespace {
+
+/// Epoch at which a VM became a member; 0 if it is none.
+uint64_t memberSince(const schema::DivisionRecord &record, std::string_view vm)
+{
+    for (const schema::DivisionMember &member : record.members()) {
+        if (member.vm_id() == vm) {
+            return member.since_epoch();
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
 /// Keeps one peer for each other member, or for each other home while there is no record.
 void OrganisationAllowance::syncPeers(Instant now)
 {
@@ -35,6 +50,12 @@
     }
     m_recordConfirmed = m_recordConfirmed || confirmed;
     if (record.epoch() > m_record.epoch()) {
+        // A member that was removed and added again in between starts anew: what was held of it
+        // has become base share.
+        std::erase_if(m_peers, [this, &record](const Peer &peer) {
+            return isMember(peer.vm)
+                   && memberSince(m_record, peer.vm) != memberSince(record, peer.vm);
+        });
         m_record = record;
         syncPeers(now);
         m_standing = m_standing && isMember(m_environment.self.vm);
