--- a/packages/policy/src/teaseldrift/allowance/division.cpp
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -27,6 +27,7 @@
     }
     schema::DivisionMember &added = *record.add_members();
     added.set_vm_id(std::string(vm));
+    added.set_since_epoch(record.epoch());
     return added;
 }
 
@@ -203,7 +204,7 @@
                                     Instant now)
 {
     const schema::AllowanceFence &fence = message.fence();
-    install(fence.record(), true, now);
+    install(fence.record(), false, now);
     if (m_record.epoch() != fence.record().epoch()) {
         return sendNotice(from);
     }
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -4,6 +4,21 @@
 
 namespace teaseldrift::allowance {
 
+namespace {
+
+/// Epoch at which a VM became a member; 0 if it is none.
+uint64_t memberSince(const schema::DivisionRecord &record, std::string_view vm)
+{
+    for (const schema::DivisionMember &member : record.members()) {
+        if (member.vm_id() == vm) {
+            return member.since_epoch();
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
 /// Keeps one peer for each other member, or for each other home while there is no record.
 void OrganisationAllowance::syncPeers(Instant now)
 {
@@ -24,7 +39,9 @@
     }
 }
 
-/// Takes a record if it is newer. Records come from the store only, so any copy is true.
+/// Takes a record if it is newer. Records come from the store only, so any copy is true, but it
+/// may be an old one that was long under way.
+/// @param confirmed the record was current at some moment in this process's life
 void OrganisationAllowance::install(const schema::DivisionRecord &record, bool confirmed,
                                     Instant now)
 {
@@ -33,6 +50,12 @@
     }
     m_recordConfirmed = m_recordConfirmed || confirmed;
     if (record.epoch() > m_record.epoch()) {
+        // A member that was removed and added again in between starts anew: what was held of it
+        // has become base share.
+        std::erase_if(m_peers, [this, &record](const Peer &peer) {
+            return isMember(peer.vm)
+                   && memberSince(m_record, peer.vm) != memberSince(record, peer.vm);
+        });
         m_record = record;
         syncPeers(now);
         m_standing = m_standing && isMember(m_environment.self.vm);
@@ -63,7 +86,6 @@
         schema::AllowanceHello &hello = *message.mutable_hello();
         hello.set_nonce(peer.handshake.helloNonce);
         *hello.mutable_record() = m_record;
-        hello.set_record_confirmed(m_recordConfirmed);
         send(peer.vm, 0, std::move(message));
     }
     tryStand(now);
@@ -129,6 +151,8 @@
     startSession(peer, 0, now);
     peer.account.restart(0);
     peer.gone = true;
+    m_gone.push_back({peer.vm, now + options().listLag});
+    std::erase(m_homes, peer.vm);
     updateShare(now);
     tryStand(now);
 }
@@ -146,7 +170,7 @@
                                     Instant now)
 {
     const schema::AllowanceHello &hello = message.hello();
-    install(hello.record(), hello.record_confirmed(), now);
+    install(hello.record(), false, now);
     Peer *peer = findPeer(from);
     if (m_record.epoch() == 0 || peer == nullptr || peer->gone || !isMember(from)) {
         if (m_record.epoch() > hello.record().epoch()) {
