Import only where it saves much, weigh occupancy more, bound own-load records

Cause: imports slowed the median; own work on a target whose reports stop was kept without bound; a table that names only the first block of a run misleads a newcomer about the run's length.

--- a/packages/policy/include/teaseldrift/placement/fleet_rates.hpp
+++ b/packages/policy/include/teaseldrift/placement/fleet_rates.hpp
@@ -16,7 +16,7 @@
 struct FleetRatesOptions
 {
     size_t maxPeers = 16;
-    size_t maxPrefixesPerPeer = 64;
+    size_t maxPrefixesPerPeer = 128;
     /// Age at which a peer's table no longer counts.
     Duration maxAge = 15s;
 };
--- a/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
+++ b/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
@@ -24,7 +24,7 @@
     /// Time over which rates are averaged.
     Duration window = 8s;
     /// Entries of the table that peers fetch.
-    size_t tableSize = 64;
+    size_t tableSize = 128;
 };
 
 /// @brief Request rate of every prefix in bounded memory: a count-min sketch over two windows.
--- a/packages/policy/include/teaseldrift/placement/target_chooser.hpp
+++ b/packages/policy/include/teaseldrift/placement/target_chooser.hpp
@@ -39,12 +39,12 @@
     /// Part of a target's mean reported backlog that is expected whatever its last report says.
     double meanBacklogWeight = 0.5;
     /// Cost of a target whose slots are all taken, in proportion below that.
-    Duration occupancyPenalty = 100ms;
+    Duration occupancyPenalty = 200ms;
     /// Replicas of a prefix are chosen so that this part of each is used by it.
     double replicaUtilisation = 0.7;
     uint32_t maxReplicas = 16;
     /// Cost of a target outside the prefix's placement.
-    Duration misplacedPenalty = 150ms;
+    Duration misplacedPenalty = 200ms;
     /// Costs closer than this count as equal and are decided between two at random.
     Duration tieWidth = 5ms;
     /// Load reports older than this count as stale.
@@ -53,6 +53,8 @@
     double importTokensPerSecond = 0.0;
     /// Fixed time of one import.
     Duration importOverhead = 30ms;
+    /// An import has to take less than this part of the computation that it saves.
+    double importGain = 0.7;
     PrefixIndexOptions index;
     HotPrefixOptions hotPrefixes;
 };
--- a/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
+++ b/packages/policy/src/teaseldrift/placement/hot_prefix_sketch.cpp
@@ -75,14 +75,11 @@
 void HotPrefixSketch::record(std::span<const hashing::BlockHash> chain, Instant now)
 {
     advance(now);
-    uint32_t parentCount = 0;
     for (const hashing::BlockHash &block : chain) {
         const uint32_t count = m_current.add(block.low, m_options.width);
-        // The first of a run of blocks that are always asked for together names the prefix.
-        if (count != parentCount && count > 1) {
+        if (count > 1) {
             note(block.low, count);
         }
-        parentCount = count;
     }
 }
 
--- a/packages/policy/src/teaseldrift/placement/target_chooser.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_chooser.cpp
@@ -68,7 +68,9 @@
     explicit Native(ChooserOptions chooserOptions)
         : options(std::move(chooserOptions)), index(options.index), sketch(options.hotPrefixes),
           replicas({.maxReplicas = options.maxReplicas})
-    { }
+    {
+        options.trafficShare = std::clamp(options.trafficShare, minTrafficShare, 1.0);
+    }
 
     ChooserOptions options;
     PrefixIndex index;
@@ -208,7 +210,7 @@
     const double import
             = toSeconds(options.importOverhead) + tokens / options.importTokensPerSecond;
     const double saved = tokens / options.prefillTokensPerSecond;
-    if (import >= saved) {
+    if (import >= saved * options.importGain) {
         cost.plan.reset();
         return;
     }
--- a/packages/policy/src/teaseldrift/placement/target_load.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_load.cpp
@@ -57,9 +57,9 @@
                                   Duration staleReport, double trafficShare, Instant now)
 {
     const bool usable = report.reportedAt && now - *report.reportedAt < staleReport;
-    // Without a report the ended work carries no information; with an old one, it corrects it.
     learnMean(report);
-    dropReported(report.reportedAt.value_or(now));
+    // Ended work corrects a usable report; without one it carries no information.
+    dropReported(usable ? *report.reportedAt : now);
     const double reportedInFlight = usable ? double{1} * report.running + report.queued : 0.0;
     double ownChange = 0.0;
     double computing = 0.0;
