--- a/packages/policy/src/teaseldrift/placement/prefix_index_test.cpp
+++ b/packages/policy/src/teaseldrift/placement/prefix_index_test.cpp
@@ -140,7 +140,7 @@
 {
     REQUIRE(rc::check("beliefs are a subset of what was shown", [] {
         Fuzz fuzz;
-        const size_t memory = fuzz.index.memoryBytes() + 64 * 1024;
+        const size_t memory = fuzz.index.memoryBytes() + size_t{64} * 1024;
         const int steps = *rc::gen::inRange(1, 80);
         for (int step = 0; step < steps; ++step) {
             fuzz.step();
