Split the long files of attempts and orders

Change: timers of RequestMachine and the fuzz tests' worlds in files of their own. The fake ends only streams too early, as HTTP does; the check itself is unchanged.

--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -172,6 +172,7 @@
     RequestActions fail(Failure failure, Instant now);
     RequestActions startNext(Instant now);
     RequestActions giveUp(schema::ResultCode whenNotRun);
+    RequestActions cancelAndGiveUp(schema::ResultCode whenNotRun);
     RequestActions finish();
     RequestActions waitOrGiveUp(Instant now);
     RequestActions silent(Instant now);
--- /dev/null
+++ b/packages/policy/src/teaseldrift/attempts/request_fuzz_test.hpp
@@ -0,0 +1,363 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include "teaseldrift/attempts/request_machine.hpp"
+#include "teaseldrift/streams/stream_relay.hpp"
+
+namespace teaseldrift::requestfuzz {
+
+constexpr uint64_t targetCount = 3;
+constexpr uint64_t allowedTokens = 8;
+
+inline std::string token(uint64_t position)
+{
+    return "t" + std::to_string(position) + " ";
+}
+
+inline std::string textOf(uint64_t tokens)
+{
+    std::string text;
+    for (uint64_t i = 0; i < tokens; ++i) {
+        text += token(i);
+    }
+    return text;
+}
+
+/// One attempt as its target sees it. It lives on after the machine has given it up.
+struct FakeAttempt
+{
+    StartAttempt action;
+    std::string body;
+    std::string lastEventId;
+    std::string target;
+    bool isSent = false;
+    bool hasRun = false;
+    bool isRefused = false;
+    bool hasHead = false;
+    int status = 200;
+    std::string answer;
+    size_t cursor = 0;
+};
+
+/// A request, its fake targets, the caller, and the promises checked against them.
+struct RequestWorld
+{
+    schema::RouteClass routeClass;
+    AnswerMode mode;
+    /// Tokens after which the model stops by itself; at least allowedTokens for never.
+    uint64_t stopsAfter;
+    bool numbersEvents;
+    /// Before the relay, which is made from it.
+    std::string body = nlohmann::json{{"prompt", "p"}, {"max_tokens", allowedTokens}}.dump();
+    RetryBudget budget{{.floor = 4, .streamReserve = 6}};
+    RequestMachine machine;
+    StreamRelay relay;
+    /// Request of the stream that a Resume takes up.
+    std::string streamBody;
+    Instant now{};
+    std::vector<FakeAttempt> attempts;
+    std::string callerText;
+    std::string buffer;
+    uint32_t runs = 0;
+    uint32_t outcomes = 0;
+    bool isCallerGone = false;
+    bool saidNotRun = false;
+
+    RequestWorld(schema::RouteClass route, AnswerMode answers, uint64_t stop, bool numbers)
+        : routeClass(route), mode(answers), stopsAfter(stop), numbersEvents(numbers),
+          machine({.routeClass = route, .answerMode = answers}, budget),
+          relay(streamOptionsOf(body))
+    {
+        perform(machine.start(now));
+    }
+
+    [[nodiscard]] uint64_t tokens() const { return std::min(stopsAfter, allowedTokens); }
+
+    void perform(const RequestActions &actions)
+    {
+        for (const RequestAction &action : actions) {
+            std::visit([this](const auto &one) { carryOut(one); }, action);
+        }
+    }
+
+    void carryOut(const StartAttempt &action)
+    {
+        RC_ASSERT(outcomes == 0U);
+        if (action.kind == AttemptKind::Whole) {
+            streamBody = body;
+        }
+        if (action.kind == AttemptKind::Continuation) {
+            streamBody = relay.continuationBody(body).value_or("");
+            RC_ASSERT(!streamBody.empty());
+        }
+        FakeAttempt attempt{.action = action, .body = streamBody};
+        attempt.lastEventId = relay.lastEventId();
+        relay.beginAttempt(action.kind);
+        buffer.clear();
+        attempts.push_back(attempt);
+    }
+
+    void carryOut(const CancelAttempt & /*action*/) { }
+
+    void carryOut(const FinishCaller &action)
+    {
+        noteOutcome();
+        const FakeAttempt &attempt = attempts.at(action.id - 1);
+        if (mode == AnswerMode::Streamed && attempt.status == 200) {
+            RC_ASSERT(callerText == textOf(tokens()));
+        } else {
+            RC_ASSERT(callerText.empty());
+            RC_ASSERT(buffer == attempt.answer);
+        }
+    }
+
+    void carryOut(const RefuseCaller &action)
+    {
+        noteOutcome();
+        RC_ASSERT(callerText.empty());
+        RC_ASSERT(schema::describe(action.code).ran() == action.ran);
+        saidNotRun = action.ran == schema::RAN_NO;
+        RC_ASSERT(!saidNotRun || runs == 0U);
+    }
+
+    void carryOut(const EndStreamWithError & /*action*/)
+    {
+        noteOutcome();
+        RC_ASSERT(mode == AnswerMode::Streamed);
+    }
+
+    void noteOutcome()
+    {
+        ++outcomes;
+        RC_ASSERT(outcomes == 1U);
+    }
+
+    void choose(uint64_t choice)
+    {
+        FakeAttempt &attempt = attempts.back();
+        if (machine.phase() != RequestPhase::Choosing) {
+            return;
+        }
+        if (attempt.action.kind == AttemptKind::Resume && attempt.lastEventId.empty()) {
+            perform(machine.noTarget(attempt.action.id, now));
+            return;
+        }
+        const std::string target = attempt.action.target.empty()
+                                           ? "e" + std::to_string(choice % targetCount)
+                                           : attempt.action.target;
+        const std::vector<std::string> &excluded = attempt.action.excludedTargets;
+        if (std::find(excluded.begin(), excluded.end(), target) != excluded.end()) {
+            if (choice % 5 == 0) {
+                perform(machine.noTarget(attempt.action.id, now));
+            }
+            return;
+        }
+        attempt.target = target;
+        machine.targetChosen(attempt.action.id, target, now);
+    }
+
+    void connect(bool isReached)
+    {
+        FakeAttempt &attempt = attempts.back();
+        if (machine.phase() != RequestPhase::Attempting || attempt.isSent) {
+            return;
+        }
+        if (!isReached) {
+            perform(machine.connectFailed(attempt.action.id, now));
+            return;
+        }
+        attempt.isSent = true;
+        machine.sent(attempt.action.id, now);
+    }
+
+    /// The target gets the request and runs it, however late.
+    void run(FakeAttempt &attempt, uint64_t choice)
+    {
+        if (!attempt.isSent || attempt.hasRun || attempt.isRefused) {
+            return;
+        }
+        attempt.hasRun = true;
+        ++runs;
+        RC_ASSERT(routeClass != schema::NON_IDEMPOTENT || runs <= 1U);
+        RC_ASSERT(!saidNotRun);
+        attempt.answer = mode == AnswerMode::Streamed
+                                 ? stream(attempt, choice)
+                                 : "whole answer " + std::to_string(attempt.action.id);
+    }
+
+    [[nodiscard]] std::string stream(const FakeAttempt &attempt, uint64_t choice) const
+    {
+        const nlohmann::json request = nlohmann::json::parse(attempt.body);
+        const std::string prompt = request["prompt"].get<std::string>().substr(1);
+        const uint64_t first = static_cast<uint64_t>(std::count(prompt.begin(), prompt.end(), ' '));
+        RC_ASSERT(prompt == textOf(first));
+        const uint64_t last = std::min(stopsAfter, first + request["max_tokens"].get<uint64_t>());
+        uint64_t begin = first;
+        if (attempt.action.kind == AttemptKind::Resume) {
+            begin = std::min(resumeAt(first + std::stoull(attempt.lastEventId) + 1, first, choice),
+                             last - 1); // What it says at all, it ends rightly.
+        }
+        std::string answer = ": ping\n\n";
+        for (uint64_t i = begin; i < last; ++i) {
+            answer += numbersEvents ? "id: " + std::to_string(i - first) + "\n" : "";
+            answer += "data: "
+                      + nlohmann::json{{"choices", {{{"index", 0}, {"text", token(i)}}}}}.dump()
+                      + "\n\n";
+        }
+        return answer + "data: [DONE]\n\n";
+    }
+
+    /// A target that resumes does so rightly, begins anew, or leaves something out.
+    static uint64_t resumeAt(uint64_t next, uint64_t first, uint64_t choice)
+    {
+        return choice % 4 == 0 ? first : choice % 4 == 1 ? next + 1 : next;
+    }
+
+    void head(FakeAttempt &attempt, uint64_t choice)
+    {
+        if (!attempt.isSent || attempt.hasHead) {
+            return;
+        }
+        if (!attempt.hasRun) {
+            attempt.isRefused = true;
+            attempt.hasHead = true;
+            perform(machine.headReceived(attempt.action.id, {.status = 503, .saysNotRun = true},
+                                         now));
+            return;
+        }
+        attempt.hasHead = true;
+        if (choice % 8 == 0) {
+            attempt.status = 500;
+            attempt.answer = "failed";
+        }
+        perform(machine.headReceived(attempt.action.id, {.status = attempt.status}, now));
+    }
+
+    /// What the router's task does with bytes of an attempt.
+    void data(FakeAttempt &attempt, size_t bytes)
+    {
+        if (!attempt.hasHead || attempt.isRefused || !machine.isCurrent(attempt.action.id)) {
+            return;
+        }
+        const std::string piece = attempt.answer.substr(attempt.cursor, bytes);
+        attempt.cursor += piece.size();
+        const AttemptId id = attempt.action.id;
+        if (mode == AnswerMode::Buffered || attempt.status != 200) {
+            buffer += piece;
+            machine.progress(id, now);
+            return;
+        }
+        std::string out;
+        const StreamProgress progress = relay.feed(piece, out);
+        RequestActions actions;
+        if (!out.empty()) {
+            actions = machine.data(id, {.first = progress.first, .count = progress.count}, now);
+        }
+        if (!actions.empty()) {
+            perform(actions);
+            return;
+        }
+        toCaller(out);
+        if (progress.isTextComplete) {
+            machine.textComplete(id);
+        }
+        if (progress.isBroken) {
+            perform(machine.broken(id, now));
+        } else if (progress.isEnded) {
+            perform(machine.endMarker(id, now));
+        }
+    }
+
+    void toCaller(std::string_view bytes)
+    {
+        SseParser parser;
+        parser.append(bytes);
+        SseEvent event;
+        while (parser.next(event)) {
+            RC_ASSERT(outcomes == 0U);
+            callerText
+                    += nlohmann::json::parse(event.data)["choices"][0]["text"].get<std::string>();
+        }
+        RC_ASSERT(!parser.hasPartialEvent());
+        RC_ASSERT(textOf(tokens()).starts_with(callerText));
+    }
+
+    /// The transport ends. It knows the length of a plain answer, not that of a stream.
+    void complete(FakeAttempt &attempt)
+    {
+        const bool isStream = mode == AnswerMode::Streamed && attempt.status == 200;
+        const bool isWhole = attempt.cursor == attempt.answer.size();
+        if (attempt.hasHead && !attempt.isRefused && (isWhole || isStream)) {
+            perform(machine.answerComplete(attempt.action.id, now));
+        }
+    }
+
+    void pass(Duration time)
+    {
+        now += time;
+        perform(machine.timer(now));
+    }
+
+    void callerGone()
+    {
+        isCallerGone = isCallerGone || outcomes == 0;
+        perform(machine.callerGone(now));
+    }
+
+    /// Shows in the test's output which ways through the machine were taken.
+    void classify() const
+    {
+        const AttemptKind last = attempts.back().action.kind;
+        RC_CLASSIFY(last == AttemptKind::Resume, "resumed");
+        RC_CLASSIFY(last == AttemptKind::Continuation, "continued");
+        RC_CLASSIFY(machine.attemptPhase() == AttemptPhase::Answered, "whole");
+        RC_CLASSIFY(saidNotRun, "not run");
+        RC_CLASSIFY(attempts.size() > 1, "retried");
+    }
+
+    /// What happens next to the newest attempt when nothing goes wrong.
+    void goOn(uint64_t choice)
+    {
+        FakeAttempt &attempt = attempts.back();
+        if (machine.phase() == RequestPhase::Choosing) {
+            choose(choice);
+        } else if (!attempt.isSent) {
+            connect(true);
+        } else if (!attempt.hasRun) {
+            run(attempt, choice);
+        } else if (!attempt.hasHead) {
+            head(attempt, choice | 1U);
+        } else if (attempt.cursor < attempt.answer.size()) {
+            data(attempt, choice);
+        } else {
+            complete(attempt);
+        }
+    }
+
+    /// Lets time pass until nothing more can happen, then checks for the one final outcome.
+    void drain()
+    {
+        for (int i = 0; i < 200 && machine.phase() != RequestPhase::Finished; ++i) {
+            if (machine.phase() == RequestPhase::Choosing
+                && attempts.back().action.target.empty()) {
+                perform(machine.noTarget(attempts.back().action.id, now));
+            }
+            const std::optional<Instant> due = machine.nextDeadline();
+            if (due) {
+                now = std::max(now, *due);
+                perform(machine.timer(now));
+            }
+        }
+        RC_ASSERT(machine.phase() == RequestPhase::Finished);
+        RC_ASSERT(outcomes == 1U || (outcomes == 0U && isCallerGone));
+        classify();
+    }
+};
+
+} // namespace teaseldrift::requestfuzz
--- a/packages/policy/src/teaseldrift/attempts/request_machine.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_machine.cpp
@@ -171,45 +171,7 @@
     if (m_phase == RequestPhase::Finished) {
         return {};
     }
-    RequestActions actions{CancelAttempt{.id = m_attempt}};
-    append(actions, giveUp(schema::SHUTTING_DOWN));
-    return actions;
-}
-
-RequestActions RequestMachine::timer(Instant now)
-{
-    const std::optional<Instant> due = nextDeadline();
-    if (!due || now < *due) {
-        return {};
-    }
-    if (m_lingering) {
-        m_lingering = false;
-        return {CancelAttempt{.id = m_attempt}};
-    }
-    if (m_phase == RequestPhase::Waiting && now >= m_retryAt) {
-        return startNext(now);
-    }
-    if (isBoundByDeadline() && now >= m_deadline) {
-        RequestActions actions{CancelAttempt{.id = m_attempt}};
-        append(actions, giveUp(schema::DEADLINE_UNREACHABLE));
-        return actions;
-    }
-    if (now - *due > m_options.timerTolerance) {
-        m_lastProgress = now; // This VM was paused: its own silence says nothing of the target.
-        return {};
-    }
-    return silent(now);
-}
-
-RequestActions RequestMachine::silent(Instant now)
-{
-    if (m_phase == RequestPhase::Choosing) {
-        RequestActions actions{CancelAttempt{.id = m_attempt}};
-        append(actions, giveUp(schema::NO_TARGET));
-        return actions;
-    }
-    const bool isSent = m_attemptPhase != AttemptPhase::NotSent;
-    return fail(isSent ? Failure::Silent : Failure::ConnectFailed, now);
+    return cancelAndGiveUp(schema::SHUTTING_DOWN);
 }
 
 RequestActions RequestMachine::noTarget(AttemptId id, Instant now, Duration retryAfter)
@@ -246,33 +208,6 @@
     return {};
 }
 
-std::optional<Instant> RequestMachine::nextDeadline() const
-{
-    if (m_lingering) {
-        return m_lastProgress + m_options.progressTimeout;
-    }
-    if (m_phase == RequestPhase::New || m_phase == RequestPhase::Finished) {
-        return std::nullopt;
-    }
-    std::optional<Instant> due
-            = m_phase == RequestPhase::Waiting ? std::optional(m_retryAt) : silenceDeadline();
-    if (isBoundByDeadline()) {
-        due = due ? std::min(*due, m_deadline) : m_deadline;
-    }
-    return due;
-}
-
-std::optional<Instant> RequestMachine::silenceDeadline() const
-{
-    if (m_phase == RequestPhase::Choosing) {
-        return m_callerHasPart ? std::optional(m_lastProgress + m_options.firstByteTimeout)
-                               : std::nullopt;
-    }
-    // A resumed stream needs no new computation, so its target answers at once.
-    const bool isQuick = m_attemptPhase == AttemptPhase::Answering || m_kind == AttemptKind::Resume;
-    return m_lastProgress + (isQuick ? m_options.progressTimeout : m_options.firstByteTimeout);
-}
-
 bool RequestMachine::isCurrent(AttemptId id) const
 {
     return id == m_attempt
@@ -415,6 +350,13 @@
     return {RefuseCaller{.code = code, .ran = schema::RAN_UNKNOWN}};
 }
 
+RequestActions RequestMachine::cancelAndGiveUp(schema::ResultCode whenNotRun)
+{
+    RequestActions actions{CancelAttempt{.id = m_attempt}};
+    append(actions, giveUp(whenNotRun));
+    return actions;
+}
+
 RequestActions RequestMachine::finish()
 {
     m_phase = RequestPhase::Finished;
