--- /dev/null
+++ b/bench/micro/bench_allowance.cpp
@@ -0,0 +1,220 @@
+/// Cost of one decision and of a VM's allowances, by number of organisations and of VMs.
+
+#include <cstdint>
+#include <malloc.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "teaseldrift/allowance/allowance_book.hpp"
+
+namespace {
+
+using namespace teaseldrift;
+using namespace teaseldrift::allowance;
+
+constexpr MicroTokens cost = 100 * microTokensPerToken;
+
+std::string organisationName(size_t number)
+{
+    return "organisation-" + std::to_string(number);
+}
+
+std::vector<homes::VmView> fleet(size_t vms)
+{
+    std::vector<homes::VmView> list;
+    for (size_t i = 0; i < vms; ++i) {
+        list.push_back({.id = "vm-" + std::to_string(i),
+                        .availabilityZone = "zone-" + std::to_string(i % 25)});
+    }
+    return list;
+}
+
+/// Alone on the list, so that it holds whole buckets without any message.
+AllowanceBook standingBook(size_t organisations, Instant &now)
+{
+    AllowanceBook book({.vm = "vm-0", .incarnation = 1});
+    book.setVms(fleet(1), now);
+    for (size_t i = 0; i < organisations; ++i) {
+        book.configure(organisationName(i), limitsFromTokens(1e6, 1e9), now);
+    }
+    for (int step = 0; step < 3; ++step) {
+        now += 1s;
+        book.tick(now);
+        Actions actions = book.takeActions();
+        for (const RecordRead &read : actions.reads) {
+            book.onRead(read.organisation, {}, now);
+        }
+        actions = book.takeActions();
+        for (const RecordWrite &write : actions.writes) {
+            book.onWrite(write.organisation, RecordWriteOutcome::Written, now);
+        }
+    }
+    now += 1000s;
+    return book;
+}
+
+/// A decision from the local level.
+void admit(benchmark::State &state)
+{
+    const size_t organisations = static_cast<size_t>(state.range(0));
+    Instant now{};
+    AllowanceBook book = standingBook(organisations, now);
+    std::vector<std::string> names;
+    for (size_t i = 0; i < organisations; ++i) {
+        names.push_back(organisationName(i));
+    }
+    size_t next = 0;
+    size_t refused = 0;
+    for (auto _ : state) {
+        now += 1ms;
+        const Decision decision = book.admit(names[next], cost, now);
+        refused += decision.verdict == Verdict::Admitted ? 0 : 1;
+        next = next + 1 < organisations ? next + 1 : 0;
+    }
+    state.counters["refused"] = static_cast<double>(refused);
+}
+BENCHMARK(admit)->Arg(5)->Arg(50)->Arg(1400);
+
+/// Three homes that answer each other at once, with a store in memory.
+class Homes
+{
+public:
+    Homes()
+    {
+        const std::vector<homes::VmView> vms = fleet(3);
+        for (const homes::VmView &vm : vms) {
+            m_books.emplace_back(SelfView{.vm = vm.id, .incarnation = m_books.size() + 1});
+            m_books.back().setVms(vms, m_now);
+            m_books.back().configure("organisation", limitsFromTokens(1e6, 1e7), m_now);
+        }
+        for (int step = 0; step < 100; ++step) {
+            advance(200ms);
+        }
+    }
+
+    void advance(Duration time)
+    {
+        m_now += time;
+        for (size_t i = 0; i < m_books.size(); ++i) {
+            m_books[i].tick(m_now);
+            exchange(i);
+        }
+    }
+
+    /// @return messages of one gather of more than a home's own part
+    size_t gather(size_t home)
+    {
+        m_messages = 0;
+        const MicroTokens most = 5'000'000 * microTokensPerToken;
+        m_books[home].admit("organisation", most, m_now);
+        exchange(home);
+        return m_messages;
+    }
+
+private:
+    std::vector<AllowanceBook> m_books;
+    std::optional<schema::DivisionRecord> m_record;
+    uint64_t m_revision = 0;
+    size_t m_messages = 0;
+    Instant m_now{};
+
+    void exchange(size_t from)
+    {
+        const Actions actions = m_books[from].takeActions();
+        for (const RecordRead &read : actions.reads) {
+            m_books[from].onRead(read.organisation, {.record = m_record, .revision = m_revision},
+                                 m_now);
+        }
+        for (const RecordWrite &write : actions.writes) {
+            m_record = write.record;
+            ++m_revision;
+            m_books[from].onWrite(write.organisation, RecordWriteOutcome::Written, m_now);
+        }
+        const std::string sender = "vm-" + std::to_string(from);
+        for (const Outgoing &outgoing : actions.messages) {
+            ++m_messages;
+            const size_t to = std::stoul(outgoing.vm.substr(3));
+            m_books[to].onMessage(sender, outgoing.message, m_now);
+            exchange(to);
+        }
+        if (!actions.reads.empty() || !actions.writes.empty()) {
+            exchange(from);
+        }
+    }
+};
+
+/// A decision that needs tokens of the other homes.
+void gather(benchmark::State &state)
+{
+    Homes homes;
+    size_t home = 0;
+    double messages = 0.0;
+    double gathers = 0.0;
+    for (auto _ : state) {
+        homes.advance(10s);
+        messages += static_cast<double>(homes.gather(home));
+        gathers += 1.0;
+        home = home < 2 ? home + 1 : 0;
+    }
+    state.counters["messages_per_gather"] = messages / gathers;
+}
+BENCHMARK(gather);
+
+/// A tick over all organisations, most of which have nothing to do.
+void tick(benchmark::State &state)
+{
+    Instant now{};
+    AllowanceBook book = standingBook(static_cast<size_t>(state.range(0)), now);
+    for (auto _ : state) {
+        now += 10ms;
+        book.tick(now);
+        benchmark::DoNotOptimize(book.takeActions());
+    }
+}
+BENCHMARK(tick)->Arg(5)->Arg(50)->Arg(1400);
+
+/// A new view of the platform's list for all organisations.
+void list(benchmark::State &state)
+{
+    Instant now{};
+    AllowanceBook book = standingBook(static_cast<size_t>(state.range(0)), now);
+    std::vector<homes::VmView> vms = fleet(static_cast<size_t>(state.range(1)));
+    for (auto _ : state) {
+        now += 1s;
+        vms.back().leaving = !vms.back().leaving;
+        book.setVms(vms, now);
+    }
+}
+BENCHMARK(list)
+        ->Args({5, 6})
+        ->Args({5, 1200})
+        ->Args({1400, 6})
+        ->Args({1400, 1200})
+        ->Unit(benchmark::kMicrosecond);
+
+/// Memory of a book: `bytes_per_organisation` is the difference that organisations make.
+void memory(benchmark::State &state)
+{
+    const size_t organisations = static_cast<size_t>(state.range(0));
+    const std::vector<homes::VmView> vms = fleet(static_cast<size_t>(state.range(1)));
+    double bytes = 0.0;
+    for (auto _ : state) {
+        Instant now{};
+        AllowanceBook book({.vm = "vm-0", .incarnation = 1});
+        book.setVms(vms, now);
+        const size_t before = mallinfo2().uordblks;
+        for (size_t i = 0; i < organisations; ++i) {
+            book.configure(organisationName(i), limitsFromTokens(1e6, 1e9), now);
+        }
+        bytes = static_cast<double>(mallinfo2().uordblks - before);
+    }
+    state.counters["bytes_per_organisation"] = bytes / static_cast<double>(organisations);
+}
+BENCHMARK(memory)->Args({5, 6})->Args({1400, 6})->Args({1400, 1200})->Iterations(3);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/chain_match.cpp
@@ -0,0 +1,211 @@
+#include "chain_match.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace teaseldrift::placement {
+
+namespace {
+
+/// Probability assumed of the placement's targets before rates are known.
+constexpr double unknownPrior = 0.5;
+/// Probability below which a level is not worth following.
+constexpr float negligible = 0.05F;
+/// Belief from which a block counts as held by the index's word.
+constexpr float indexedBelief = 0.7F;
+/// Levels at which the index is asked for a chain, at most about twice this.
+constexpr size_t maxLookups = 24;
+/// First blocks whose order of targets is remembered, and the length of that order.
+constexpr size_t rememberedFirstBlocks = 1024;
+constexpr size_t rememberedOrder = 16;
+/// Time after which observed rates replace the assumed probability.
+constexpr Duration rateLearningTime = 2s;
+
+} // namespace
+
+void ChainMatch::reset()
+{
+    m_positions.clear();
+    m_positionOfSlot.clear();
+    ++m_targetsVersion;
+}
+
+void ChainMatch::resolve(std::span<const TargetView> targets, PrefixIndex &index)
+{
+    for (const TargetMatch &match : m_matches) {
+        if (match.slot < m_positionOfSlot.size()) {
+            m_positionOfSlot[match.slot] = 0;
+        }
+    }
+    if (m_positions.size() != targets.size()) {
+        ++m_targetsVersion;
+    }
+    m_positions.resize(targets.size());
+    std::swap(m_formerEligible, m_eligible);
+    m_matches.assign(targets.size(), {});
+    m_ids.resize(targets.size());
+    m_salts.clear();
+    m_eligible.clear();
+    for (uint32_t i = 0; i < targets.size(); ++i) {
+        const TargetView &target = targets[i];
+        Position &position = m_positions[i];
+        const bool current = position.slot != unknownSlot && position.id == target.id
+                             && position.incarnation == target.incarnation
+                             && position.weightsVersion == target.weightsVersion;
+        if (!current) {
+            ++m_targetsVersion;
+            position = {
+                    .id = std::string(target.id),
+                    .incarnation = target.incarnation,
+                    .weightsVersion = std::string(target.weightsVersion),
+                    .slot
+                    = index.observeTarget(target.id, target.incarnation, target.weightsVersion),
+                    .salt = hashing::VersionSalt(target.weightsVersion),
+            };
+        }
+        m_matches[i].slot = position.slot;
+        m_matches[i].salt = position.salt;
+        m_ids[i] = target.id;
+        if (std::ranges::find(m_salts, position.salt) == m_salts.end()) {
+            m_salts.push_back(position.salt);
+        }
+        if (position.slot != unknownSlot) {
+            if (m_positionOfSlot.size() <= position.slot) {
+                m_positionOfSlot.resize(size_t{position.slot} + 1);
+            }
+            m_positionOfSlot[position.slot] = i + 1;
+        }
+        if (target.accepting && target.role == TargetRole::Engine) {
+            m_eligible.push_back(i);
+        }
+    }
+    if (m_eligible != m_formerEligible) {
+        ++m_targetsVersion;
+    }
+}
+
+double ChainMatch::priorAt(double requestsPerSecond, size_t replicas,
+                           const WalkOptions &options) const
+{
+    // This VM's own requests are in the index; the prior stands for those of the others.
+    const double others = 1.0 - options.trafficShare;
+    const double requestsInLife
+            = others * requestsPerSecond * options.blockLifeSeconds / static_cast<double>(replicas);
+    const double byRate = 1.0 - std::exp(-requestsInLife);
+    return m_knownPart * byRate + (1.0 - m_knownPart) * std::max(unknownPrior * others, byRate);
+}
+
+void ChainMatch::walk(const RequestView &request, const WalkOptions &options,
+                      const PrefixIndex &index, const HotPrefixSketch &sketch,
+                      const FleetRates &fleetRates, ReplicaCounts &replicas, Instant now)
+{
+    m_candidates = m_eligible;
+    m_isCandidate.assign(m_matches.size(), 0);
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 1;
+    }
+    m_knownPart = std::min(1.0, toSeconds(sketch.observedTime(now)) / toSeconds(rateLearningTime));
+    const HotPrefixSketch::Weights rateWeights = sketch.weightsAt(now);
+    double parentRate = -1.0;
+    float prior = 0.0F;
+    bool following = !m_eligible.empty();
+    // A target that holds a block holds those before it, so long chains are looked up in steps.
+    const uint32_t stride = 1 + static_cast<uint32_t>(request.chain.size() / maxLookups);
+    uint32_t matched = 0;
+    for (uint32_t level = 0; level < request.chain.size() && following; ++level) {
+        const hashing::BlockHash &block = request.chain[level];
+        const double ownRate = sketch.rate(block.low, rateWeights);
+        // Blocks that are always asked for together share their placement.
+        if (ownRate != parentRate) {
+            const double rate = fleetRates.meanRate(block.low, ownRate) / options.trafficShare;
+            const double needed
+                    = rate * options.targetSecondsPerRequest / options.replicaUtilisation;
+            narrow(block, replicas.update(block, needed));
+            prior = static_cast<float>(priorAt(rate, m_candidates.size(), options));
+            parentRate = ownRate;
+        }
+        const bool isSampled = (level + 1) % stride == 0 || level + 1 == request.chain.size();
+        if (isSampled) {
+            following = matchGroup(block, {.from = matched, .to = level + 1}, prior, index, now);
+            matched = level + 1;
+        }
+    }
+}
+
+const ChainMatch::FirstOrder &ChainMatch::firstOrder(const hashing::BlockHash &block)
+{
+    m_firstOrders.resize(rememberedFirstBlocks);
+    FirstOrder &order = m_firstOrders[block.low % rememberedFirstBlocks];
+    if (order.hash == block.low && order.targetsVersion == m_targetsVersion) {
+        return order;
+    }
+    order.hash = block.low;
+    order.targetsVersion = m_targetsVersion;
+    order.best = rendezvousCandidates(block, m_ids, m_eligible, rememberedOrder);
+    return order;
+}
+
+void ChainMatch::narrow(const hashing::BlockHash &block, size_t count)
+{
+    if (count >= m_candidates.size()) {
+        return;
+    }
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 0;
+    }
+    if (m_candidates.size() == m_eligible.size() && count <= rememberedOrder) {
+        const std::vector<uint32_t> &best = firstOrder(block).best;
+        m_candidates.assign(best.begin(), best.begin() + static_cast<std::ptrdiff_t>(count));
+    } else {
+        narrowCandidates(block, m_ids, count, m_candidates);
+    }
+    for (const uint32_t candidate : m_candidates) {
+        m_isCandidate[candidate] = 1;
+    }
+}
+
+void ChainMatch::extend(TargetMatch &match, const LevelGroup &group, float probability)
+{
+    if (match.levels != group.from) {
+        return;
+    }
+    match.run = std::min(match.run, probability);
+    match.expectedBlocks += static_cast<double>(match.run) * (group.to - group.from);
+    match.levels = group.to;
+}
+
+bool ChainMatch::matchGroup(const hashing::BlockHash &last, const LevelGroup &group, float prior,
+                            const PrefixIndex &index, Instant now)
+{
+    const bool placedCounts = prior >= negligible;
+    bool matched = false;
+    std::array<Holder, PrefixIndex::holdersPerBlock> holders;
+    for (const hashing::VersionSalt &salt : m_salts) {
+        const size_t count = index.holders(last, salt, now, holders);
+        for (const Holder &holder : std::span(holders).first(count)) {
+            const uint32_t position
+                    = holder.slot < m_positionOfSlot.size() ? m_positionOfSlot[holder.slot] : 0;
+            if (position == 0 || m_matches[position - 1].salt != salt) {
+                continue;
+            }
+            TargetMatch &match = m_matches[position - 1];
+            const bool isPlaced = placedCounts && m_isCandidate[position - 1] != 0;
+            if (match.indexedBlocks == group.from && holder.belief >= indexedBelief) {
+                match.indexedBlocks = group.to;
+            }
+            matched = matched || match.levels == group.from;
+            extend(match, group, isPlaced ? std::max(prior, holder.belief) : holder.belief);
+        }
+    }
+    if (placedCounts) {
+        for (const uint32_t candidate : m_candidates) {
+            TargetMatch &match = m_matches[candidate];
+            matched = matched || match.levels == group.from;
+            extend(match, group, prior);
+        }
+    }
+    return matched;
+}
+
+} // namespace teaseldrift::placement
