--- a/packages/fleet/src/teaseldrift/fleet/peer_thread.cpp
+++ b/packages/fleet/src/teaseldrift/fleet/peer_thread.cpp
@@ -14,6 +14,8 @@
 constexpr const char *authenticatorEndpoint = "inproc://zeromq.zap.01";
 /// Messages taken from one socket before the others get their turn.
 constexpr int messagesPerTurn = 64;
+/// Routing ids remembered, those of replaced VMs included.
+constexpr size_t maxRoutes = 4096;
 
 int toMs(Duration duration)
 {
@@ -236,6 +238,10 @@
             ++m_counters.messagesRefused;
             continue;
         }
+        if (m_routes.size() >= maxRoutes && !m_routes.contains(vmId)) {
+            // Those still in use come back with their next message.
+            m_routes.clear();
+        }
         m_routes[vmId] = id;
         take(vmId, parts.back());
     }
--- a/packages/fleet/src/teaseldrift/fleet/silent_proxy.hpp
+++ b/packages/fleet/src/teaseldrift/fleet/silent_proxy.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -21,8 +23,10 @@
     {
         sockaddr_in address = loopback(0);
         socklen_t length = sizeof(address);
-        bind(m_listener, reinterpret_cast<sockaddr *>(&address), length);
-        listen(m_listener, SOMAXCONN);
+        if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), length) != 0
+            || listen(m_listener, SOMAXCONN) != 0) {
+            throw std::system_error(errno, std::generic_category());
+        }
         getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
         m_port = ntohs(address.sin_port);
         m_thread = std::thread([this] { run(); });
@@ -102,7 +106,10 @@
         Link link{.client = accept(m_listener, nullptr, nullptr),
                   .server = socket(AF_INET, SOCK_STREAM, 0)};
         const sockaddr_in address = loopback(m_targetPort);
-        connect(link.server, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        if (connect(link.server, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+            != 0) {
+            shutdown(link.client, SHUT_RDWR);
+        }
         link.number = m_accepted + 1;
         m_accepted = link.number;
         m_links.push_back(link);
