--- a/packages/fleet/src/teaseldrift/fleet/peer_network.cpp
+++ b/packages/fleet/src/teaseldrift/fleet/peer_network.cpp
@@ -53,8 +53,8 @@
 void PeerNetwork::Native::command(PeerCommand command)
 {
     std::unique_ptr<PeerCommand> owned = std::make_unique<PeerCommand>(std::move(command));
-    PeerCommand *pointer = owned.release();
-    commands.send(zmq::buffer(&pointer, sizeof(pointer)), zmq::send_flags::none);
+    const PeerCommandHandle handle{.command = owned.release()};
+    commands.send(zmq::const_buffer(&handle, sizeof(handle)), zmq::send_flags::none);
 }
 
 /// Runs on the peer thread.
@@ -83,7 +83,7 @@
 {
     zmq::message_t message;
     while (commandReceiver.recv(message, zmq::recv_flags::dontwait).has_value()) {
-        const std::unique_ptr<PeerCommand> command(*message.data<PeerCommand *>());
+        const std::unique_ptr<PeerCommand> command(message.data<PeerCommandHandle>()->command);
     }
 }
 
--- a/packages/fleet/src/teaseldrift/fleet/peer_thread.cpp
+++ b/packages/fleet/src/teaseldrift/fleet/peer_thread.cpp
@@ -137,7 +137,7 @@
 {
     zmq::message_t message;
     while (commands.recv(message, zmq::recv_flags::dontwait).has_value()) {
-        const std::unique_ptr<PeerCommand> command(*message.data<PeerCommand *>());
+        const std::unique_ptr<PeerCommand> command(message.data<PeerCommandHandle>()->command);
         switch (command->kind) {
         case PeerCommand::Kind::Stop:
             return false;
--- a/packages/fleet/src/teaseldrift/fleet/peer_thread.hpp
+++ b/packages/fleet/src/teaseldrift/fleet/peer_thread.hpp
@@ -30,6 +30,12 @@
     std::vector<PeerAddress> peers;
 };
 
+/// @brief A command on its way between the threads; the receiver owns it.
+struct PeerCommandHandle
+{
+    PeerCommand *command = nullptr;
+};
+
 struct AtomicPeerCounters
 {
     std::atomic<uint64_t> messagesSent = 0;
--- a/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-using testing::Faults;
 using testing::PendingChange;
 using testing::SyncFixture;
 using testing::SyncVm;
