Let the fuzzed fleet restart while the store goes down

Cause: a restart that forgets an accepted change needs the store to be gone in the same moment. Change: a step that does both.

--- a/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_sync_fuzz_test.cpp
@@ -28,6 +28,7 @@
     Restart,
     RestartAll,
     RestartOthers,
+    RestartOthersWithoutStore,
     ToggleLink,
     ToggleStoreLink,
     Split,
@@ -114,6 +115,9 @@
             fleet.restart(i);
         }
         break;
+    case StepKind::RestartOthersWithoutStore:
+        fleet.storeDown = true;
+        [[fallthrough]];
     case StepKind::RestartOthers:
         for (size_t i = 0; i < fleet.vms.size(); ++i) {
             if (i != index) {
