--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/target_chooser_native.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "chain_match.hpp"
+#include "teaseldrift/placement/target_chooser.hpp"
+#include "teaseldrift/placement/target_load.hpp"
+
+namespace teaseldrift::placement {
+
+constexpr double minTrafficShare = 1e-4;
+/// Means before the first answers.
+constexpr double initialServiceSeconds = 2.0;
+constexpr double initialTargetSeconds = 0.1;
+
+inline Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/// Cost of one target for one request, in seconds.
+struct Cost
+{
+    uint32_t target = 0;
+    double wait = 0.0;
+    double prefill = 0.0;
+    double import = 0.0;
+    double total = 0.0;
+    double inFlight = 0.0;
+    uint32_t prefillTokens = 0;
+    bool stale = false;
+    bool hasRoom = false;
+    std::optional<ImportPlan> plan;
+};
+
+/// A block of a chain with the age of what was believed of it when the attempt started.
+struct BelievedAge
+{
+    uint32_t level = 0;
+    Duration age{};
+};
+
+struct Attempt
+{
+    TargetSlot slot = unknownSlot;
+    uint64_t incarnation = 0;
+    std::vector<hashing::BlockHash> chain;
+    std::vector<BelievedAge> ages;
+    uint32_t prefillTokens = 0;
+    uint32_t slots = 1;
+    Instant startedAt{};
+    std::optional<Instant> firstTokenAt;
+};
+
+struct TargetChooser::Native
+{
+    explicit Native(ChooserOptions chooserOptions)
+        : options(std::move(chooserOptions)), index(options.index), sketch(options.hotPrefixes),
+          replicas({.maxReplicas = options.maxReplicas})
+    {
+        options.trafficShare = std::clamp(options.trafficShare, minTrafficShare, 1.0);
+    }
+
+    ChooserOptions options;
+    PrefixIndex index;
+    HotPrefixSketch sketch;
+    FleetRates fleetRates;
+    ReplicaCounts replicas;
+    ChainMatch match;
+    std::vector<TargetLoad> loads;
+    std::unordered_map<uint64_t, Attempt> attempts;
+    std::vector<Cost> costs;
+    std::vector<uint32_t> compared;
+    double serviceSeconds = initialServiceSeconds;
+    double targetSeconds = initialTargetSeconds;
+
+    TargetLoad &loadOf(TargetSlot slot);
+    void selectCompared(std::mt19937_64 &generator);
+    void addCost(uint32_t target, const RequestView &request, std::span<const TargetView> targets,
+                 Instant now);
+    double placementPenalty(uint32_t target) const;
+    void planImport(Cost &cost, std::span<const TargetView> targets) const;
+    const Cost &pick(std::mt19937_64 &generator) const;
+    bool anyRoom() const;
+    Choice describe(const Cost &cost) const;
+    WalkOptions walkOptions() const;
+    void learnService(const Attempt &attempt, Instant now);
+    void learnCache(const Attempt &attempt, uint32_t cachedTokens);
+};
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/placement/target_cost.cpp
@@ -0,0 +1,220 @@
+#include <algorithm>
+
+#include "target_chooser_native.hpp"
+
+namespace teaseldrift::placement {
+
+namespace {
+
+/// Up to this many targets, the cost of each is compared.
+constexpr size_t compareAllUpTo = 32;
+/// Targets compared beyond those that may hold the prefix, when there are more.
+constexpr size_t randomTargets = 4;
+/// Weight of one request in learned means.
+constexpr double meanLearningRate = 0.02;
+
+} // namespace
+
+TargetLoad &TargetChooser::Native::loadOf(TargetSlot slot)
+{
+    if (loads.size() <= slot) {
+        loads.resize(size_t{slot} + 1);
+    }
+    return loads[slot];
+}
+
+WalkOptions TargetChooser::Native::walkOptions() const
+{
+    return {
+            .trafficShare = options.trafficShare,
+            .targetSecondsPerRequest = targetSeconds,
+            .replicaUtilisation = options.replicaUtilisation,
+            .blockLifeSeconds = toSeconds(options.index.initialBlockLife),
+    };
+}
+
+/// With many targets, only those that may hold a part of the chain and a few others are compared.
+void TargetChooser::Native::selectCompared(std::mt19937_64 &generator)
+{
+    const std::span<const uint32_t> eligible = match.eligible();
+    if (eligible.size() <= compareAllUpTo) {
+        compared.assign(eligible.begin(), eligible.end());
+        return;
+    }
+    compared.clear();
+    for (const uint32_t target : eligible) {
+        if (match.matches()[target].levels > 0) {
+            compared.push_back(target);
+        }
+    }
+    for (size_t i = 0; i < randomTargets; ++i) {
+        compared.push_back(eligible[generator() % eligible.size()]);
+    }
+    if (compared.size() > compareAllUpTo) {
+        std::ranges::nth_element(
+                compared, compared.begin() + compareAllUpTo, std::greater{},
+                [this](uint32_t target) { return match.matches()[target].expectedBlocks; });
+        compared.resize(compareAllUpTo);
+    }
+    std::ranges::sort(compared);
+    compared.erase(std::unique(compared.begin(), compared.end()), compared.end());
+}
+
+/// Targets outside the prefix's placement cost a little more, so that copies do not multiply and a
+/// restarted VM finds the blocks where the placement says.
+double TargetChooser::Native::placementPenalty(uint32_t target) const
+{
+    return match.isPlaced(target) ? 0.0 : toSeconds(options.misplacedPenalty);
+}
+
+void TargetChooser::Native::addCost(uint32_t target, const RequestView &request,
+                                    std::span<const TargetView> targets, Instant now)
+{
+    const TargetView &view = targets[target];
+    const TargetMatch &matched = match.matches()[target];
+    if (matched.slot == unknownSlot) {
+        return;
+    }
+    const LoadEstimate load = loadOf(matched.slot)
+                                      .estimate(view.load, options.prefillTokensPerSecond,
+                                                options.staleReport, options.trafficShare, now);
+    const double slots = std::max(1U, view.slots);
+    const double cached = matched.expectedBlocks * options.blockTokens;
+    Cost cost{.target = target,
+              .inFlight = load.inFlight / slots,
+              .stale = load.stale,
+              .hasRoom = load.inFlightOfAll < options.inFlightPerSlot * slots};
+    cost.prefillTokens = static_cast<uint32_t>(std::max(1.0, request.promptTokens - cached));
+    cost.prefill = cost.prefillTokens / options.prefillTokensPerSecond;
+    planImport(cost, targets);
+    const double expectedBacklog
+            = std::max(load.backlogTokens, options.meanBacklogWeight * load.meanBacklogTokens);
+    cost.wait = expectedBacklog / options.prefillTokensPerSecond;
+    cost.wait += std::max(0.0, load.inFlight - slots + 1.0) / slots * serviceSeconds;
+    const bool near
+            = options.availabilityZone.empty() || view.availabilityZone == options.availabilityZone;
+    cost.total = cost.wait + cost.import + cost.prefill * (1.0 + options.prefillWeight)
+                 + (near ? 0.0 : toSeconds(options.zoneRoundTrip)) + placementPenalty(target)
+                 + load.inFlight / slots * toSeconds(options.occupancyPenalty);
+    costs.push_back(cost);
+}
+
+void TargetChooser::Native::planImport(Cost &cost, std::span<const TargetView> targets) const
+{
+    if (options.importTokensPerSecond <= 0.0) {
+        return;
+    }
+    const std::span<const TargetMatch> matches = match.matches();
+    const TargetMatch &own = matches[cost.target];
+    const uint32_t held = static_cast<uint32_t>(own.expectedBlocks);
+    uint32_t best = held;
+    for (uint32_t source = 0; source < matches.size(); ++source) {
+        if (source == cost.target || matches[source].indexedBlocks <= best
+            || matches[source].salt != own.salt) {
+            continue;
+        }
+        best = matches[source].indexedBlocks;
+        cost.plan = {.source = source,
+                     .sourceIncarnation = targets[source].incarnation,
+                     .firstBlock = held,
+                     .blocks = best - held};
+    }
+    if (!cost.plan) {
+        return;
+    }
+    const double tokens = static_cast<double>(cost.plan->blocks) * options.blockTokens;
+    const double import
+            = toSeconds(options.importOverhead) + tokens / options.importTokensPerSecond;
+    const double saved = tokens / options.prefillTokensPerSecond;
+    if (import >= saved * options.importGain) {
+        cost.plan.reset();
+        return;
+    }
+    cost.import = import;
+    cost.prefillTokens -= std::min(cost.prefillTokens - 1, static_cast<uint32_t>(tokens));
+    cost.prefill = cost.prefillTokens / options.prefillTokensPerSecond;
+}
+
+/// The cheapest target; among targets that cost about the same, the less loaded of two.
+const Cost &TargetChooser::Native::pick(std::mt19937_64 &generator) const
+{
+    const auto cheapest = std::ranges::min_element(costs, {}, &Cost::total);
+    constexpr double staleFactor = 4.0;
+    const double width = toSeconds(options.tieWidth) * (cheapest->stale ? staleFactor : 1.0);
+    const auto isTied = [&cheapest, width](const Cost &cost) {
+        return cost.total <= cheapest->total + width;
+    };
+    const size_t tied = static_cast<size_t>(std::ranges::count_if(costs, isTied));
+    if (tied == 1) {
+        return *cheapest;
+    }
+    size_t first = generator() % tied;
+    size_t second = generator() % (tied - 1);
+    second += second >= first ? 1 : 0;
+    const Cost *picked = nullptr;
+    size_t position = 0;
+    for (const Cost &cost : costs) {
+        if (!isTied(cost)) {
+            continue;
+        }
+        if (position == first || position == second) {
+            picked = picked == nullptr || cost.inFlight < picked->inFlight ? &cost : picked;
+        }
+        ++position;
+    }
+    return *picked;
+}
+
+bool TargetChooser::Native::anyRoom() const
+{
+    return std::ranges::any_of(costs, &Cost::hasRoom);
+}
+
+Choice TargetChooser::Native::describe(const Cost &cost) const
+{
+    const TargetMatch &matched = match.matches()[cost.target];
+    ChoiceReason reason = ChoiceReason::Load;
+    if (matched.indexedBlocks > 0) {
+        reason = ChoiceReason::CachedPrefix;
+    } else if (!match.placed().empty() && match.placed().size() < match.eligible().size()
+               && match.isPlaced(cost.target)) {
+        reason = ChoiceReason::PlacedPrefix;
+    }
+    return {
+            .outcome = ChoiceOutcome::Dispatch,
+            .reason = reason,
+            .target = cost.target,
+            .expectedWait = fromSeconds(cost.wait),
+            .expectedPrefill = fromSeconds(cost.prefill),
+            .expectedImport = fromSeconds(cost.import),
+            .expectedBlocks = matched.expectedBlocks,
+            .prefillTokens = cost.prefillTokens,
+            .considered = static_cast<uint32_t>(costs.size()),
+            .replicas = static_cast<uint32_t>(match.placed().size()),
+            .import = cost.plan,
+    };
+}
+
+void TargetChooser::Native::learnService(const Attempt &attempt, Instant now)
+{
+    if (!attempt.firstTokenAt) {
+        return;
+    }
+    const double prefill = attempt.prefillTokens / options.prefillTokensPerSecond;
+    const double service = prefill + toSeconds(now - *attempt.firstTokenAt);
+    serviceSeconds += meanLearningRate * (service - serviceSeconds);
+    const double ofTarget = std::max(prefill, service / attempt.slots);
+    targetSeconds += meanLearningRate * (ofTarget - targetSeconds);
+}
+
+void TargetChooser::Native::learnCache(const Attempt &attempt, uint32_t cachedTokens)
+{
+    const uint32_t cachedBlocks = cachedTokens / std::max(1U, options.blockTokens);
+    for (const BelievedAge &believed : attempt.ages) {
+        if (believed.level <= cachedBlocks) {
+            index.learnLife(attempt.slot, believed.level < cachedBlocks, believed.age);
+        }
+    }
+}
+
+} // namespace teaseldrift::placement
--- /dev/null
+++ b/packages/policy/src/teaseldrift/queueing/drain_rate.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::queueing {
+
+/// @brief Rate at which cost is dispatched while requests wait, averaged over a window.
+class DrainRate
+{
+public:
+    explicit DrainRate(Duration window) : m_window(window) { }
+
+    /// @param waiting whether requests have waited since the last call
+    void advance(bool waiting, Instant now)
+    {
+        const double elapsed = std::max(0.0, toSeconds(now - m_at));
+        const double kept = std::exp(-elapsed / toSeconds(m_window));
+        m_cost *= kept;
+        m_busySeconds = m_busySeconds * kept + (waiting ? elapsed : 0.0);
+        m_at = now;
+    }
+
+    void add(double cost) { m_cost += cost; }
+
+    /// @return cost per second, 0 while it is not known
+    double perSecond() const
+    {
+        return m_busySeconds < minBusySeconds ? 0.0 : m_cost / m_busySeconds;
+    }
+
+private:
+    static constexpr double minBusySeconds = 0.25;
+
+    Duration m_window;
+    Instant m_at{};
+    double m_cost = 0.0;
+    double m_busySeconds = 0.0;
+};
+
+} // namespace teaseldrift::queueing
--- a/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
+++ b/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
@@ -1,12 +1,13 @@
 #include "teaseldrift/queueing/fair_queue.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <set>
 #include <string>
 #include <unordered_map>
 
+#include "drain_rate.hpp"
+
 namespace teaseldrift::queueing {
 
 namespace {
@@ -15,8 +16,6 @@
 constexpr Duration minRetryAfter = 100ms;
 /// Time after which a refused caller is asked back while the rate of dispatch is unknown.
 constexpr Duration unknownRetryAfter = 1s;
-/// Busy time from which the rate of dispatch counts as known.
-constexpr double minBusySeconds = 0.25;
 constexpr double minCost = 1.0;
 /// Entries in which past virtual time is kept.
 constexpr int catchUpSteps = 16;
@@ -105,10 +104,11 @@
     /// Virtual time at past moments, one entry each catchUpStep, over the catch-up time.
     std::deque<PastTime> past;
     uint64_t arrivals = 0;
-    /// Cost dispatched and time spent with requests waiting, both fading over the drain window.
-    double drainedCost = 0.0;
-    double busySeconds = 0.0;
-    Instant drainedAt{};
+    DrainRate drainRate;
+
+    explicit Native(const FairQueueOptions &queueOptions)
+        : options(queueOptions), drainRate(queueOptions.drainWindow)
+    { }
 
     Organisation &organisationOf(std::string_view name);
     void add(Organisation &organisation, const QueuedRequest &request);
@@ -117,7 +117,6 @@
     void advanceDrain(Instant now);
     void recordTime(Instant now);
     void dropIdle();
-    double drainRate() const;
     double workAhead(const Organisation *organisation, double weight, double ownCost) const;
     double waitSeconds(const Organisation *organisation, double weight, double ownCost) const;
     Organisation *longestQueue() const;
@@ -178,11 +177,7 @@
 
 void FairQueue::Native::advanceDrain(Instant now)
 {
-    const double elapsed = std::max(0.0, toSeconds(now - drainedAt));
-    const double kept = std::exp(-elapsed / toSeconds(options.drainWindow));
-    drainedCost *= kept;
-    busySeconds = busySeconds * kept + (places.empty() ? 0.0 : elapsed);
-    drainedAt = now;
+    drainRate.advance(!places.empty(), now);
     recordTime(now);
 }
 
@@ -197,11 +192,6 @@
     }
 }
 
-double FairQueue::Native::drainRate() const
-{
-    return busySeconds < minBusySeconds ? 0.0 : drainedCost / busySeconds;
-}
-
 /// Work that fair queueing does before an organisation has got through `ownCost` of its own.
 double FairQueue::Native::workAhead(const Organisation *organisation, double weight,
                                     double ownCost) const
@@ -219,7 +209,7 @@
 double FairQueue::Native::waitSeconds(const Organisation *organisation, double weight,
                                       double ownCost) const
 {
-    const double rate = drainRate();
+    const double rate = drainRate.perSecond();
     return rate > 0.0 ? workAhead(organisation, weight, ownCost) / rate : 0.0;
 }
 
@@ -243,10 +233,8 @@
     });
 }
 
-FairQueue::FairQueue(const FairQueueOptions &options) : m_native(std::make_unique<Native>())
-{
-    m_native->options = options;
-}
+FairQueue::FairQueue(const FairQueueOptions &options) : m_native(std::make_unique<Native>(options))
+{ }
 
 FairQueue::~FairQueue() = default;
 FairQueue::FairQueue(FairQueue &&) noexcept = default;
@@ -339,7 +327,7 @@
     native.virtualTime = std::max(native.virtualTime, organisation.start);
     native.reschedule(organisation, organisation.start + place.waiting.cost / organisation.weight);
     native.remove(place);
-    native.drainedCost += place.waiting.cost;
+    native.drainRate.add(place.waiting.cost);
     return true;
 }
 
