--- a/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
+++ b/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "drain_rate.hpp"
+#include "fair_queue_state.hpp"
 
 namespace teaseldrift::queueing {
 
@@ -28,68 +29,12 @@
             std::chrono::duration<double>(std::min(seconds, longest)));
 }
 
-/// Order of one organisation's requests.
-struct Waiting
+/// @param waitSeconds expected wait, 0 if it is not known
+Duration retryAfter(double waitSeconds)
 {
-    int32_t priority = 0;
-    Instant dispatchBy{};
-    uint64_t arrival = 0;
-    uint64_t id = 0;
-    double cost = 0.0;
-
-    bool operator<(const Waiting &other) const
-    {
-        if (priority != other.priority) {
-            return priority > other.priority;
-        }
-        if (dispatchBy != other.dispatchBy) {
-            return dispatchBy < other.dispatchBy;
-        }
-        return arrival < other.arrival;
-    }
-};
-
-struct Organisation
-{
-    std::string name;
-    double weight = 1.0;
-    /// Virtual time at which its next request starts.
-    double start = 0.0;
-    double backlog = 0.0;
-    std::set<Waiting> waiting;
-};
-
-struct StringHash
-{
-    using is_transparent = void;
-    size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
-};
-
-/// Turn of an organisation that has requests waiting.
-struct Turn
-{
-    double start = 0.0;
-    Organisation *organisation = nullptr;
-
-    bool operator<(const Turn &other) const
-    {
-        return start != other.start ? start < other.start
-                                    : organisation->name < other.organisation->name;
-    }
-};
-
-/// Virtual time at one moment.
-struct PastTime
-{
-    Instant at{};
-    double virtualTime = 0.0;
-};
-
-struct Place
-{
-    Organisation *organisation = nullptr;
-    Waiting waiting;
-};
+    return waitSeconds > 0.0 ? std::max(fromSeconds(waitSeconds), minRetryAfter)
+                             : unknownRetryAfter;
+}
 
 } // namespace
 
@@ -120,6 +65,7 @@
     double workAhead(const Organisation *organisation, double weight, double ownCost) const;
     double waitSeconds(const Organisation *organisation, double weight, double ownCost) const;
     Organisation *longestQueue() const;
+    PushResult pushWhenFull(Organisation &organisation, const QueuedRequest &request, double wait);
 };
 
 Organisation &FairQueue::Native::organisationOf(std::string_view name)
@@ -263,22 +209,25 @@
         native.add(organisation, request);
         return {};
     }
-    const Duration retryAfter
-            = wait > 0.0 ? std::max(fromSeconds(wait), minRetryAfter) : unknownRetryAfter;
-    Organisation *longest = native.longestQueue();
-    const double ownShare = (organisation.backlog + request.costTokens) / weight;
+    return native.pushWhenFull(organisation, request, wait);
+}
+
+/// The organisation with the longest queue by weight gives way, which may be the newcomer's own.
+PushResult FairQueue::Native::pushWhenFull(Organisation &organisation, const QueuedRequest &request,
+                                           double wait)
+{
+    const double weight = std::max(request.weight, minWeight);
+    const double ownQueue = (organisation.backlog + request.costTokens) / weight;
+    Organisation *longest = longestQueue();
     if (longest == nullptr || longest == &organisation
-        || longest->backlog / longest->weight <= ownShare) {
-        return {.refused = Refusal{request.id, schema::QUEUE_FULL, retryAfter}};
+        || longest->backlog / longest->weight <= ownQueue) {
+        return {.refused = Refusal{request.id, schema::QUEUE_FULL, retryAfter(wait)}};
     }
     const Place last{longest, *longest->waiting.rbegin()};
-    const double longestWait = native.waitSeconds(longest, longest->weight, longest->backlog);
-    native.remove(last);
-    native.add(organisation, request);
-    return {.displaced
-            = Refusal{last.waiting.id, schema::QUEUE_FULL,
-                      longestWait > 0.0 ? std::max(fromSeconds(longestWait), minRetryAfter)
-                                        : unknownRetryAfter}};
+    const double longestWait = waitSeconds(longest, longest->weight, longest->backlog);
+    remove(last);
+    add(organisation, request);
+    return {.displaced = Refusal{last.waiting.id, schema::QUEUE_FULL, retryAfter(longestWait)}};
 }
 
 std::optional<uint64_t> FairQueue::next() const
--- /dev/null
+++ b/packages/policy/src/teaseldrift/queueing/fair_queue_state.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift::queueing {
+
+/// Order of one organisation's requests.
+struct Waiting
+{
+    int32_t priority = 0;
+    Instant dispatchBy{};
+    uint64_t arrival = 0;
+    uint64_t id = 0;
+    double cost = 0.0;
+
+    bool operator<(const Waiting &other) const
+    {
+        if (priority != other.priority) {
+            return priority > other.priority;
+        }
+        if (dispatchBy != other.dispatchBy) {
+            return dispatchBy < other.dispatchBy;
+        }
+        return arrival < other.arrival;
+    }
+};
+
+struct Organisation
+{
+    std::string name;
+    double weight = 1.0;
+    /// Virtual time at which its next request starts.
+    double start = 0.0;
+    double backlog = 0.0;
+    std::set<Waiting> waiting;
+};
+
+struct StringHash
+{
+    using is_transparent = void;
+    size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
+};
+
+/// Turn of an organisation that has requests waiting.
+struct Turn
+{
+    double start = 0.0;
+    Organisation *organisation = nullptr;
+
+    bool operator<(const Turn &other) const
+    {
+        return start != other.start ? start < other.start
+                                    : organisation->name < other.organisation->name;
+    }
+};
+
+/// Virtual time at one moment.
+struct PastTime
+{
+    Instant at{};
+    double virtualTime = 0.0;
+};
+
+struct Place
+{
+    Organisation *organisation = nullptr;
+    Waiting waiting;
+};
+
+} // namespace teaseldrift::queueing
