--- a/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
+++ b/packages/policy/src/teaseldrift/queueing/fair_queue.cpp
@@ -1,12 +1,14 @@
 #include "teaseldrift/queueing/fair_queue.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <set>
 #include <string>
 #include <unordered_map>
 
+#include "drain_rate.hpp"
+#include "fair_queue_state.hpp"
+
 namespace teaseldrift::queueing {
 
 namespace {
@@ -15,8 +17,6 @@
 constexpr Duration minRetryAfter = 100ms;
 /// Time after which a refused caller is asked back while the rate of dispatch is unknown.
 constexpr Duration unknownRetryAfter = 1s;
-/// Busy time from which the rate of dispatch counts as known.
-constexpr double minBusySeconds = 0.25;
 constexpr double minCost = 1.0;
 /// Entries in which past virtual time is kept.
 constexpr int catchUpSteps = 16;
@@ -29,68 +29,12 @@
             std::chrono::duration<double>(std::min(seconds, longest)));
 }
 
-/// Order of one organisation's requests.
-struct Waiting
-{
-    int32_t priority = 0;
-    Instant dispatchBy{};
-    uint64_t arrival = 0;
-    uint64_t id = 0;
-    double cost = 0.0;
-
-    bool operator<(const Waiting &other) const
-    {
-        if (priority != other.priority) {
-            return priority > other.priority;
-        }
-        if (dispatchBy != other.dispatchBy) {
-            return dispatchBy < other.dispatchBy;
-        }
-        return arrival < other.arrival;
-    }
-};
-
-struct Organisation
+/// @param waitSeconds expected wait, 0 if it is not known
+Duration retryAfter(double waitSeconds)
 {
-    std::string name;
-    double weight = 1.0;
-    /// Virtual time at which its next request starts.
-    double start = 0.0;
-    double backlog = 0.0;
-    std::set<Waiting> waiting;
-};
-
-struct StringHash
-{
-    using is_transparent = void;
-    size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
-};
-
-/// Turn of an organisation that has requests waiting.
-struct Turn
-{
-    double start = 0.0;
-    Organisation *organisation = nullptr;
-
-    bool operator<(const Turn &other) const
-    {
-        return start != other.start ? start < other.start
-                                    : organisation->name < other.organisation->name;
-    }
-};
-
-/// Virtual time at one moment.
-struct PastTime
-{
-    Instant at{};
-    double virtualTime = 0.0;
-};
-
-struct Place
-{
-    Organisation *organisation = nullptr;
-    Waiting waiting;
-};
+    return waitSeconds > 0.0 ? std::max(fromSeconds(waitSeconds), minRetryAfter)
+                             : unknownRetryAfter;
+}
 
 } // namespace
 
@@ -105,10 +49,11 @@
     /// Virtual time at past moments, one entry each catchUpStep, over the catch-up time.
     std::deque<PastTime> past;
     uint64_t arrivals = 0;
-    /// Cost dispatched and time spent with requests waiting, both fading over the drain window.
-    double drainedCost = 0.0;
-    double busySeconds = 0.0;
-    Instant drainedAt{};
+    DrainRate drainRate;
+
+    explicit Native(const FairQueueOptions &queueOptions)
+        : options(queueOptions), drainRate(queueOptions.drainWindow)
+    { }
 
     Organisation &organisationOf(std::string_view name);
     void add(Organisation &organisation, const QueuedRequest &request);
@@ -117,10 +62,10 @@
     void advanceDrain(Instant now);
     void recordTime(Instant now);
     void dropIdle();
-    double drainRate() const;
     double workAhead(const Organisation *organisation, double weight, double ownCost) const;
     double waitSeconds(const Organisation *organisation, double weight, double ownCost) const;
     Organisation *longestQueue() const;
+    PushResult pushWhenFull(Organisation &organisation, const QueuedRequest &request, double wait);
 };
 
 Organisation &FairQueue::Native::organisationOf(std::string_view name)
@@ -178,11 +123,7 @@
 
 void FairQueue::Native::advanceDrain(Instant now)
 {
-    const double elapsed = std::max(0.0, toSeconds(now - drainedAt));
-    const double kept = std::exp(-elapsed / toSeconds(options.drainWindow));
-    drainedCost *= kept;
-    busySeconds = busySeconds * kept + (places.empty() ? 0.0 : elapsed);
-    drainedAt = now;
+    drainRate.advance(!places.empty(), now);
     recordTime(now);
 }
 
@@ -197,11 +138,6 @@
     }
 }
 
-double FairQueue::Native::drainRate() const
-{
-    return busySeconds < minBusySeconds ? 0.0 : drainedCost / busySeconds;
-}
-
 /// Work that fair queueing does before an organisation has got through `ownCost` of its own.
 double FairQueue::Native::workAhead(const Organisation *organisation, double weight,
                                     double ownCost) const
@@ -219,7 +155,7 @@
 double FairQueue::Native::waitSeconds(const Organisation *organisation, double weight,
                                       double ownCost) const
 {
-    const double rate = drainRate();
+    const double rate = drainRate.perSecond();
     return rate > 0.0 ? workAhead(organisation, weight, ownCost) / rate : 0.0;
 }
 
@@ -243,10 +179,8 @@
     });
 }
 
-FairQueue::FairQueue(const FairQueueOptions &options) : m_native(std::make_unique<Native>())
-{
-    m_native->options = options;
-}
+FairQueue::FairQueue(const FairQueueOptions &options) : m_native(std::make_unique<Native>(options))
+{ }
 
 FairQueue::~FairQueue() = default;
 FairQueue::FairQueue(FairQueue &&) noexcept = default;
@@ -275,22 +209,25 @@
         native.add(organisation, request);
         return {};
     }
-    const Duration retryAfter
-            = wait > 0.0 ? std::max(fromSeconds(wait), minRetryAfter) : unknownRetryAfter;
-    Organisation *longest = native.longestQueue();
-    const double ownShare = (organisation.backlog + request.costTokens) / weight;
+    return native.pushWhenFull(organisation, request, wait);
+}
+
+/// The organisation with the longest queue by weight gives way, which may be the newcomer's own.
+PushResult FairQueue::Native::pushWhenFull(Organisation &organisation, const QueuedRequest &request,
+                                           double wait)
+{
+    const double weight = std::max(request.weight, minWeight);
+    const double ownQueue = (organisation.backlog + request.costTokens) / weight;
+    Organisation *longest = longestQueue();
     if (longest == nullptr || longest == &organisation
-        || longest->backlog / longest->weight <= ownShare) {
-        return {.refused = Refusal{request.id, schema::QUEUE_FULL, retryAfter}};
+        || longest->backlog / longest->weight <= ownQueue) {
+        return {.refused = Refusal{request.id, schema::QUEUE_FULL, retryAfter(wait)}};
     }
     const Place last{longest, *longest->waiting.rbegin()};
-    const double longestWait = native.waitSeconds(longest, longest->weight, longest->backlog);
-    native.remove(last);
-    native.add(organisation, request);
-    return {.displaced
-            = Refusal{last.waiting.id, schema::QUEUE_FULL,
-                      longestWait > 0.0 ? std::max(fromSeconds(longestWait), minRetryAfter)
-                                        : unknownRetryAfter}};
+    const double longestWait = waitSeconds(longest, longest->weight, longest->backlog);
+    remove(last);
+    add(organisation, request);
+    return {.displaced = Refusal{last.waiting.id, schema::QUEUE_FULL, retryAfter(longestWait)}};
 }
 
 std::optional<uint64_t> FairQueue::next() const
@@ -339,7 +276,7 @@
     native.virtualTime = std::max(native.virtualTime, organisation.start);
     native.reschedule(organisation, organisation.start + place.waiting.cost / organisation.weight);
     native.remove(place);
-    native.drainedCost += place.waiting.cost;
+    native.drainRate.add(place.waiting.cost);
     return true;
 }
 
