--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -139,6 +139,8 @@
     RequestActions broken(AttemptId id, Instant now);
 
     /// @brief The delivered part of the stream cannot be continued by another target.
+    ///
+    /// For a Continuation that has already been asked for, report noTarget() next.
     void forbidContinuation() { m_canContinue = false; }
 
     /// @brief The caller went away.
@@ -170,6 +172,7 @@
     RequestActions fail(Failure failure, Instant now);
     RequestActions startNext(Instant now);
     RequestActions giveUp(schema::ResultCode whenNotRun);
+    RequestActions cancelAndGiveUp(schema::ResultCode whenNotRun);
     RequestActions finish();
     RequestActions waitOrGiveUp(Instant now);
     RequestActions silent(Instant now);
--- a/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
+++ b/packages/policy/include/teaseldrift/placement/hot_prefix_sketch.hpp
@@ -24,7 +24,7 @@
     /// Time over which rates are averaged.
     Duration window = 8s;
     /// Entries of the table that peers fetch.
-    size_t tableSize = 64;
+    size_t tableSize = 128;
 };
 
 /// @brief Request rate of every prefix in bounded memory: a count-min sketch over two windows.
@@ -57,6 +57,18 @@
 
     size_t memoryBytes() const;
 
+    /// @brief What one count of each window adds to a rate at a moment.
+    struct Weights
+    {
+        double current = 0.0;
+        double previous = 0.0;
+    };
+
+    Weights weightsAt(Instant now) const;
+
+    /// @brief The rate of a prefix, for callers that ask for many at the same moment.
+    double rate(uint64_t hash, const Weights &weights) const;
+
 private:
     static constexpr double maxMergedCount = 1e9;
 
@@ -70,7 +82,6 @@
 
     void advance(Instant now);
     void note(uint64_t hash, uint32_t count);
-    double rate(uint64_t hash, Instant now) const;
 
     HotPrefixOptions m_options;
     bool m_started = false;
