Let operators check and hand over what a VM holds; count suspended time

/admin/held and /admin/offer are what the acceptance rule of a change needs: a majority that holds the document, and the document itself when the store dies before any watch has reported it. The loop's clock is CLOCK_BOOTTIME, so that a suspended VM does not take its configuration for current.

--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <thread>
 
 #include "native.hpp"
@@ -132,8 +133,11 @@
 
 Instant EventLoop::now()
 {
-    return Instant(std::chrono::duration_cast<Duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+    // Counts while the VM is suspended, so that no bound of time is stretched by a pause.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 EventLoop::Native &EventLoop::native()
--- a/packages/router/include/teaseldrift/router/front.hpp
+++ b/packages/router/include/teaseldrift/router/front.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,25 @@
     uint64_t seed = 0;
 };
 
+/// @brief What an operator's change is checked against.
+struct HeldConfiguration
+{
+    uint64_t incarnation = 0;
+    /// The document is held with at least the revision asked for.
+    bool holds = false;
+    /// This VM's answer counts towards a majority.
+    bool votes = false;
+    size_t knownVms = 0;
+};
+
+/// @brief Questions and documents of operators for this VM's configuration.
+struct ConfigurationDesk
+{
+    std::function<HeldConfiguration(std::string_view name, uint64_t revision)> held;
+    /// Takes documents that an operator has written to the store.
+    std::function<void(std::span<const schema::VersionedDocument>)> offer;
+};
+
 /// @brief Answers callers.
 ///
 /// Each request is read, authenticated, admitted against its organisation's rate, claimed if it
@@ -56,6 +76,9 @@
     /// afterwards.
     void setCurrentUntil(std::optional<Instant> currentUntil);
 
+    /// @brief What operators may ask of this VM's configuration.
+    void setConfigurationDesk(ConfigurationDesk desk);
+
     /// @brief Says in /readyz and /admin/status that this VM is leaving.
     void setLeaving();
 
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -127,6 +127,7 @@
     { }
 
     void startConfiguration();
+    [[nodiscard]] HeldConfiguration held(std::string_view name, uint64_t revision) const;
     void onConfiguration(const schema::Configuration &configuration, uint64_t revision);
     void onLiveVms(const std::vector<FleetVm> &live);
     void updateAllowanceVms();
@@ -160,6 +161,25 @@
                                 targets.setLeaving(leaving);
                             },
             });
+    front.setConfigurationDesk({
+            .held
+            = [this](std::string_view name, uint64_t revision) { return held(name, revision); },
+            .offer =
+                    [this](std::span<const schema::VersionedDocument> documents) {
+                        configuration->offer(documents);
+                    },
+    });
+}
+
+HeldConfiguration Daemon::Native::held(std::string_view name, uint64_t revision) const
+{
+    const ConfigurationSync &sync = configuration->sync();
+    return {
+            .incarnation = identity.incarnation,
+            .holds = sync.replica().holds(name, revision),
+            .votes = sync.votes(),
+            .knownVms = sync.knownVms(),
+    };
 }
 
 void Daemon::Native::onConfiguration(const schema::Configuration &newest, uint64_t revision)
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/router/front.hpp"
 
 #include <array>
+#include <charconv>
 #include <chrono>
 #include <map>
 #include <random>
@@ -22,6 +23,7 @@
 #include "teaseldrift/router/request_log.hpp"
 #include "teaseldrift/router/request_task.hpp"
 #include "teaseldrift/router/router_metrics.hpp"
+#include "teaseldrift/schema/fleet.pb.h"
 #include "teaseldrift/schema/result.hpp"
 #include "teaseldrift/telemetry/log.hpp"
 
@@ -145,6 +147,7 @@
     http::Client client;
     std::shared_ptr<const RoutingTable> table;
     KeyRing keys;
+    ConfigurationDesk desk;
     std::optional<Instant> currentUntil;
     std::map<std::string, CachedDefaults> defaults;
     std::map<std::string, RetryBudget> budgets;
@@ -166,6 +169,8 @@
     [[nodiscard]] std::string statusJson() const;
     [[nodiscard]] std::string modelsJson() const;
     void explainRoute(const std::shared_ptr<http::Exchange> &exchange);
+    void answerHeld(const std::shared_ptr<http::Exchange> &exchange);
+    void takeOffer(const std::shared_ptr<http::Exchange> &exchange);
     void answerEntry(const std::shared_ptr<http::Exchange> &exchange);
 
     [[nodiscard]] bool isCurrent() const;
@@ -249,6 +254,40 @@
     exchange->respond(jsonResponse(parts.targets.explainJson(query)));
 }
 
+/// GET /admin/held?name=...&revision=...
+void Front::Native::answerHeld(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const std::string_view revisionText = queryValue(exchange->path(), "revision");
+    uint64_t revision = 0;
+    const char *end = revisionText.data() + revisionText.size();
+    const std::from_chars_result parsed = std::from_chars(revisionText.data(), end, revision);
+    if (!desk.held || parsed.ec != std::errc() || parsed.ptr != end) {
+        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
+        return;
+    }
+    const HeldConfiguration held = desk.held(queryValue(exchange->path(), "name"), revision);
+    const json answer = {{"incarnation", std::to_string(held.incarnation)},
+                         {"holds", held.holds},
+                         {"votes", held.votes},
+                         {"known_vms", held.knownVms}};
+    exchange->respond(jsonResponse(answer.dump()));
+}
+
+/// POST /admin/offer with a serialized ConfigurationAnswer.
+void Front::Native::takeOffer(const std::shared_ptr<http::Exchange> &exchange)
+{
+    schema::ConfigurationAnswer offered;
+    const std::string_view body = exchange->body();
+    if (!desk.offer || !offered.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
+        return;
+    }
+    const std::vector<schema::VersionedDocument> documents(offered.documents().begin(),
+                                                           offered.documents().end());
+    desk.offer(documents);
+    exchange->respond(jsonResponse("{}"));
+}
+
 void Front::Native::answerAdmin(const std::shared_ptr<http::Exchange> &exchange,
                                 std::string_view path)
 {
@@ -259,6 +298,10 @@
         exchange->respond(toResponse({.code = schema::KEY_REFUSED}));
     } else if (path == "/admin/status") {
         exchange->respond(jsonResponse(statusJson()));
+    } else if (path == "/admin/held") {
+        answerHeld(exchange);
+    } else if (path == "/admin/offer") {
+        takeOffer(exchange);
     } else if (path == "/admin/explain-route") {
         explainRoute(exchange);
     } else {
@@ -579,6 +622,11 @@
     m_native->currentUntil = currentUntil;
 }
 
+void Front::setConfigurationDesk(ConfigurationDesk desk)
+{
+    m_native->desk = std::move(desk);
+}
+
 void Front::setLeaving()
 {
     m_native->leaving = true;
