--- a/packages/policy/include/teaseldrift/streams/stream_relay.hpp
+++ b/packages/policy/include/teaseldrift/streams/stream_relay.hpp
@@ -39,6 +39,8 @@
     size_t maxEventBytes = 1U << 20U;
     /// Most positions that the request allows; 0 if it sets no bound.
     uint64_t maxPositions = 0;
+    /// The caller wants the chunk that reports token counts only.
+    bool passesUsage = true;
 };
 
 /// @brief Reads from a request's body what a StreamRelay has to know.
--- a/packages/policy/src/teaseldrift/streams/stream_relay.cpp
+++ b/packages/policy/src/teaseldrift/streams/stream_relay.cpp
@@ -198,6 +198,10 @@
     m_finishPassed = m_finishPassed || chunk.hasFinish;
     if (chunk.hasUsage) {
         takeUsage(chunk);
+        const bool isUsageOnly = !chunk.hasText && !chunk.isOpaque && !chunk.hasFinish;
+        if (isUsageOnly && !m_options.passesUsage) {
+            return;
+        }
     }
     if (m_firstChunk.empty()) {
         m_firstChunk = event.data;
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -207,7 +207,11 @@
 
 std::string Front::Native::statusJson() const
 {
+    const HeldConfiguration held = desk.held ? desk.held("", 0) : HeldConfiguration();
     json status = {
+            {"incarnation", std::to_string(held.incarnation)},
+            {"votes", held.votes},
+            {"known_vms", held.knownVms},
             {"vm_id", parts.settings.vm_id()},
             {"availability_zone", parts.settings.availability_zone()},
             {"revision", table == nullptr ? 0 : table->revision()},
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -36,6 +36,13 @@
     };
 }
 
+StreamOptions relayOptions(const RequestSpec &spec)
+{
+    StreamOptions options = streamOptionsOf(spec.body);
+    options.passesUsage = spec.wantsUsage;
+    return options;
+}
+
 Duration retryAfterOf(const http::Headers &headers)
 {
     const std::string_view text = http::findHeader(headers, "retry-after");
@@ -132,7 +139,7 @@
            std::function<void(const RequestOutcome &)> doneHandler)
         : services(requestServices), exchange(std::move(callerExchange)),
           spec(std::move(requestSpec)), onDone(std::move(doneHandler)),
-          machine(machineOptions(spec), budget), relay(streamOptionsOf(spec.body))
+          machine(machineOptions(spec), budget), relay(relayOptions(spec))
     { }
 
     void perform(const RequestActions &actions);
--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -64,6 +64,7 @@
     const Answer answer = fleet.caller.ask(fleet.vm(0), fleet.completion("plots of Yala", 20));
     CHECK(answer.status == 200);
     CHECK(isWholeStream(answer, 20));
+    CHECK(answer.body.find("\"choices\":[]") == std::string::npos);
     CHECK(fleet.caller.ask(fleet.vm(0), fleet.call("c-1")).status == 200);
     CHECK(fleet.runsOf("c-1") == 1);
     CHECK(keysSeen(fleet, fleet.engine(0)) == 0);
