Send nothing for a request that was given up; never repeat a stream from its start

Also: a started stream is known to the machine from its first event, a sent non-idempotent call outlives its caller, connections are kept after streams, and claim records carry a lease of 24 h.

--- a/packages/router/src/teaseldrift/router/claim_task.cpp
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr Duration expiryInterval = 100ms;
+/// How long records are kept; one lease serves all records of an hour and is never kept alive.
+constexpr Duration recordLifetime = std::chrono::hours(24);
+constexpr Duration leaseInterval = std::chrono::hours(1);
+constexpr Duration leaseRetry = 5s;
 
 ClaimWriteOutcome outcomeOf(platform::StoreOutcome outcome)
 {
@@ -56,6 +60,8 @@
     std::string prefix;
     ClaimTable table;
     std::map<std::string, std::function<void(const ClaimAnswer &)>> waiting;
+    /// Lease of the records written now; 0 while the store has not granted one.
+    uint64_t lease = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore, std::string storePrefix)
@@ -67,6 +73,7 @@
     void read(const std::string &claimId, const std::string &key);
     void answer(const std::string &claimId, const ClaimAnswer &answer);
     void scheduleExpiry();
+    void renewLease();
 };
 
 void ClaimTask::Native::perform(const std::string &claimId, const ClaimStep &step)
@@ -83,7 +90,8 @@
     if (step.write.has_value()) {
         write(claimId, {.key = prefix + step.write->key,
                         .value = step.write->record.SerializeAsString(),
-                        .expectedRevision = step.write->expectedRevision});
+                        .expectedRevision = step.write->expectedRevision,
+                        .lease = lease});
     }
     if (step.erase.has_value()) {
         write(claimId, {.key = prefix + step.erase->key,
@@ -139,10 +147,27 @@
     });
 }
 
+void ClaimTask::Native::renewLease()
+{
+    store.grantLease(recordLifetime,
+                     [this, stillAlive = alive](std::error_code error, uint64_t granted) {
+                         if (!*stillAlive) {
+                             return;
+                         }
+                         lease = error ? lease : granted;
+                         loop.startTimer(error ? leaseRetry : leaseInterval, [this, stillAlive] {
+                             if (*stillAlive) {
+                                 renewLease();
+                             }
+                         });
+                     });
+}
+
 ClaimTask::ClaimTask(http::EventLoop &loop, platform::EtcdStore &store, std::string storePrefix)
     : m_native(std::make_unique<Native>(loop, store, std::move(storePrefix)))
 {
     m_native->scheduleExpiry();
+    m_native->renewLease();
 }
 
 ClaimTask::~ClaimTask()
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+/// Longest wait for the end of an answer after its end marker.
+constexpr Duration lingerTime = 1s;
 constexpr int statusOk = 200;
 constexpr int firstServerError = 500;
 constexpr int statusUnavailable = 503;
@@ -118,6 +120,8 @@
     std::optional<uint64_t> useId;
     std::string target;
     std::string explanation;
+    /// Body of a continuation.
+    std::optional<std::string> continuation;
     bool answersAsStream = false;
     bool paused = false;
     /// What a cancelled attempt tells about its target.
@@ -132,6 +136,7 @@
     http::EventLoop::TimerId timer = 0;
     Instant timerAt{};
     http::EventLoop::TimerId callerTimer = 0;
+    http::EventLoop::TimerId lingerTimer = 0;
     bool done = false;
 
     Native(const RequestServices &requestServices, std::shared_ptr<http::Exchange> callerExchange,
@@ -152,6 +157,7 @@
     void onAcquired(AttemptId id, const Acquired &acquired);
     void send(AttemptId id, const http::Endpoint &endpoint);
     [[nodiscard]] http::Request attemptRequest() const;
+    bool prepareAttempt();
     void onHead(AttemptId id, const http::ResponseHead &head);
     void onData(AttemptId id, std::string_view data);
     void onStreamData(AttemptId id, std::string_view data);
@@ -166,6 +172,7 @@
     void onCallerGone();
     void refuse(const Refusal &refusal, schema::Ran ran);
     void end(schema::ResultCode code, schema::Ran ran);
+    void linger();
 };
 
 void RequestTask::Native::perform(const RequestActions &actions)
@@ -207,6 +214,11 @@
 {
     ticket.reset();
     const Instant now = http::EventLoop::now();
+    if (done || !machine.isCurrent(id)) {
+        // The request has been given up in the meantime; nothing may be sent any more.
+        services.targets.release(acquired.useId, {});
+        return;
+    }
     if (acquired.code != schema::OK) {
         const bool neverTried = machine.attempts() == 1 && acquired.code != schema::NO_TARGET;
         if (neverTried) {
@@ -229,6 +241,11 @@
                schema::RAN_NO);
         return;
     }
+    if (!prepareAttempt()) {
+        releaseTarget(std::nullopt);
+        perform(machine.noTarget(id, now));
+        return;
+    }
     target = acquired.target;
     explanation = acquired.explanation;
     machine.targetChosen(id, acquired.target, now);
@@ -245,15 +262,32 @@
             .body = spec.body,
     };
     request.headers.push_back({"x-request-id", spec.requestId});
-    if (attemptPlan.kind == AttemptKind::Resume && !relay.lastEventId().empty()) {
+    if (attemptPlan.kind == AttemptKind::Resume) {
         request.headers.push_back({"last-event-id", std::string(relay.lastEventId())});
     }
-    if (attemptPlan.kind == AttemptKind::Continuation) {
-        request.body = relay.continuationBody(spec.body).value_or(spec.body);
+    if (continuation.has_value()) {
+        request.body = *continuation;
     }
     return request;
 }
 
+/// @return false if the rest of the stream cannot be asked for in the way that was planned
+bool RequestTask::Native::prepareAttempt()
+{
+    continuation.reset();
+    if (attemptPlan.kind == AttemptKind::Resume) {
+        return !relay.lastEventId().empty();
+    }
+    if (attemptPlan.kind == AttemptKind::Continuation) {
+        continuation = relay.continuationBody(spec.body);
+        if (!continuation.has_value()) {
+            machine.forbidContinuation();
+            return false;
+        }
+    }
+    return true;
+}
+
 void RequestTask::Native::send(AttemptId id, const http::Endpoint &endpoint)
 {
     answer = {};
@@ -322,7 +356,7 @@
     std::string events;
     const StreamProgress progress = relay.feed(data, events);
     RequestActions actions;
-    if (progress.count > 0) {
+    if (progress.count > 0 || !events.empty()) {
         actions = machine.data(id, {.first = progress.first, .count = progress.count}, now);
     } else {
         machine.progress(id, now);
@@ -406,6 +440,11 @@
 
 void RequestTask::Native::onEnd(AttemptId id, http::CallEnd end)
 {
+    if (done) {
+        // The connection has brought the whole answer and may be used again.
+        services.loop.cancelTimer(lingerTimer);
+        return;
+    }
     const Instant now = http::EventLoop::now();
     switch (end) {
     case http::CallEnd::NotSent:
@@ -566,8 +605,10 @@
         return;
     }
     perform(machine.callerGone(http::EventLoop::now()));
-    releaseTarget(std::nullopt);
-    end(schema::CALLER_GONE, schema::RAN_UNKNOWN);
+    // A non-idempotent call that was sent goes on, so that its outcome becomes known.
+    if (machine.phase() == RequestPhase::Finished) {
+        end(schema::CALLER_GONE, schema::RAN_UNKNOWN);
+    }
 }
 
 void RequestTask::Native::end(schema::ResultCode code, schema::Ran ran)
@@ -580,7 +621,12 @@
         services.targets.cancel(*ticket);
         ticket.reset();
     }
-    call.reset();
+    const bool callLingers = code == schema::OK && answersAsStream && call != nullptr;
+    if (callLingers) {
+        linger();
+    } else {
+        call.reset();
+    }
     releaseTarget(std::nullopt);
     services.loop.cancelTimer(timer);
     services.loop.cancelTimer(callerTimer);
@@ -608,6 +654,18 @@
             [handler = std::move(onDone), outcome = std::move(outcome)] { handler(outcome); });
 }
 
+/// The end marker of a stream comes a little before the end of the answer. Waiting for that lets
+/// the connection be used again.
+void RequestTask::Native::linger()
+{
+    if (paused) {
+        paused = false;
+        call->resume();
+    }
+    lingerTimer = services.loop.startTimer(
+            lingerTime, [keptAlive = self.lock()] { keptAlive->m_native->call.reset(); });
+}
+
 RequestTask::RequestTask(std::unique_ptr<Native> native) : m_native(std::move(native)) { }
 
 RequestTask::~RequestTask() = default;
