--- a/packages/ctl/src/teaseldrift/ctl/load_command.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/load_command.cpp
@@ -40,7 +40,9 @@
 void addTrafficFlags(CLI::App &command, LoadFlags &flags)
 {
     load::LoadOptions &options = flags.options;
-    command.add_option("--key", options.keys, "keys that take turns")->delimiter(',');
+    command.add_option("--key", options.keys, "keys that take turns")
+            ->envname("TEASELDRIFT_KEYS")
+            ->delimiter(',');
     command.add_option("--rate", options.requestsPerS, "requests a second")
             ->check(CLI::PositiveNumber);
     command.add_option("--requests", options.requests)->check(CLI::PositiveNumber);
