--- a/testing/standins/engine/batch.hpp
+++ b/testing/standins/engine/batch.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <unordered_set>
 #include <vector>
 
@@ -47,7 +48,11 @@
     {
         int64_t priority = 0;
         uint64_t arrival = 0;
-        auto operator<=>(const QueueKey &) const = default;
+
+        bool operator<(const QueueKey &other) const
+        {
+            return std::tie(priority, arrival) < std::tie(other.priority, other.arrival);
+        }
     };
 
     http::EventLoop &m_loop;
