--- a/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
+++ b/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
@@ -115,6 +115,9 @@
     [[nodiscard]] const ConfigurationSync &sync() const { return m_sync; }
     [[nodiscard]] const MembershipView &members() const { return m_members; }
 
+    /// @brief When the read of the list that members() reflects was started; empty before the first.
+    [[nodiscard]] std::optional<Instant> listReadAt() const { return m_listReadAt; }
+
 private:
     http::EventLoop &m_loop;
     Store &m_store;
@@ -128,6 +131,7 @@
     http::EventLoop::TimerId m_timer = 0;
     Instant m_nextList{};
     bool m_listed = false;
+    std::optional<Instant> m_listReadAt;
     std::vector<std::string> m_liveIds;
     std::vector<std::string> m_leavingTargets;
     std::vector<PeerAddress> m_peers;
@@ -194,9 +198,10 @@
         const int64_t jitter = static_cast<int64_t>(
                 m_random() % static_cast<uint64_t>(m_options.listInterval.count()));
         m_nextList = now + m_options.listInterval - Duration(jitter / jitterDivisor);
-        m_list.read([this, alive = m_alive](std::error_code error,
-                                            const std::vector<platform::VmRecord> &records) {
+        m_list.read([this, alive = m_alive, now](std::error_code error,
+                                                 const std::vector<platform::VmRecord> &records) {
             if (*alive && !error) {
+                m_listReadAt = now;
                 onList(records);
             }
         });
--- a/packages/router/include/teaseldrift/router/allowance_task.hpp
+++ b/packages/router/include/teaseldrift/router/allowance_task.hpp
@@ -58,7 +58,8 @@
     void configure(const schema::Configuration &configuration);
 
     /// @brief Takes over a newer view of the platform's list, with this VM in it.
-    void setVms(std::span<const homes::VmView> vms);
+    /// @param age time since the read of the list was started
+    void setVms(std::span<const homes::VmView> vms, Duration age);
 
     /// @brief Asks for tokens.
     /// @param done called once, at once if this VM's own part holds the tokens
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -222,9 +222,9 @@
     m_native->perform();
 }
 
-void AllowanceTask::setVms(std::span<const homes::VmView> vms)
+void AllowanceTask::setVms(std::span<const homes::VmView> vms, Duration age)
 {
-    m_native->book.setVms(vms, http::EventLoop::now());
+    m_native->book.setVms(vms, http::EventLoop::now(), age);
     m_native->perform();
 }
 
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -97,7 +97,6 @@
     std::optional<TargetPoller> poller;
     std::optional<ConfigurationTask> configuration;
     std::shared_ptr<const RoutingTable> table;
-    std::vector<homes::VmView> allowanceVms;
     bool stopping = false;
     bool wasCut = false;
     Instant stopDeadline{};
@@ -209,16 +208,18 @@
 /// VMs that may hold allowances: all that the list shows, silent and leaving ones too.
 void Daemon::Native::updateAllowanceVms()
 {
+    const std::optional<Instant> listReadAt = configuration->listReadAt();
+    if (!listReadAt.has_value()) {
+        return;
+    }
+    const Instant now = http::EventLoop::now();
     std::vector<homes::VmView> views;
-    for (const FleetVm &vm : configuration->members().knownVms(http::EventLoop::now())) {
+    for (const FleetVm &vm : configuration->members().knownVms(now)) {
         views.push_back({.id = vm.listed.id,
                          .availabilityZone = vm.listed.availabilityZone,
                          .leaving = vm.state != MemberState::Live});
     }
-    if (views != allowanceVms) {
-        allowanceVms = std::move(views);
-        allowance.setVms(allowanceVms);
-    }
+    allowance.setVms(views, now - *listReadAt);
 }
 
 void Daemon::Native::pollMembers()
