--- a/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
+++ b/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
@@ -115,7 +115,8 @@
     [[nodiscard]] const ConfigurationSync &sync() const { return m_sync; }
     [[nodiscard]] const MembershipView &members() const { return m_members; }
 
-    /// @brief When the read of the list that members() reflects was started; empty before the first.
+    /// @brief When the read of the list that members() reflects was started; empty before the
+    /// first.
     [[nodiscard]] std::optional<Instant> listReadAt() const { return m_listReadAt; }
 
 private:
--- a/scripts/performance.py
+++ b/scripts/performance.py
@@ -68,10 +68,11 @@
                    "peer_port": self.peer, "zone": "perth", "state": "live"}]
         urllib.request.urlopen(urllib.request.Request(
             f"http://127.0.0.1:{self.vm_list}/vms", json.dumps(record).encode(), method="PUT"))
-        self.ctl("model", "create", "m", "--block-tokens", "128")
+        self.ctl("model", "create", "m", "--block-tokens", "128", "--weights-version", "1")
         for index, port in enumerate(self.engines):
             self.ctl("target", "create", f"engine-{index}", "--address", "127.0.0.1", "--port",
-                     str(port), "--kind", "engine", "--models", "m", "--slots", "4000")
+                     str(port), "--kind", "engine", "--models", "m", "--slots", "4000",
+                     "--availability-zone", "perth")
         self.ctl("organisation", "create", "o", "--rate-tokens-per-s", "100000000",
                  "--burst-tokens", "100000000")
         self.pid = self.start("packages/router/teaseldriftd", "--vm-id", "vm-1",
@@ -89,8 +90,9 @@
         return process.pid
 
     def ctl(self, *arguments):
-        return subprocess.run([CTL, *arguments, "--store", f"127.0.0.1:{self.store}",
-                               "--no-wait"], check=True, capture_output=True, text=True).stdout
+        settings = {**os.environ, "TEASELDRIFT_STORE_ADDRESS": f"127.0.0.1:{self.store}"}
+        return subprocess.run([CTL, "--no-wait", *arguments], check=True, capture_output=True,
+                              text=True, env=settings).stdout
 
     def load(self, vms, requests, rate, tokens):
         with tempfile.NamedTemporaryFile(suffix=".json") as result:
