Weigh recomputation more when all slots are taken, and bound how long a request is held

Change: the weight of computation and the penalty outside the placement grow up to sixfold as mean occupancy goes from 0.7 to 1; a request is held for its target for 2 s at most.

--- a/packages/policy/include/teaseldrift/placement/dispatcher.hpp
+++ b/packages/policy/include/teaseldrift/placement/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,8 @@
     size_t window = 16;
     /// Regret that a request is forgiven each time another one went before it.
     Duration patience = 100ms;
+    /// Longest time for which a request is held back from targets with room.
+    Duration maxHold = 2s;
     /// Time before its deadline from which a request takes any target with room.
     Duration urgentBefore = 500ms;
 };
@@ -79,6 +82,8 @@
         uint32_t outputTokens = 0;
         uint32_t passedOver = 0;
         Instant dispatchBy = Instant::max();
+        /// When it was first held back from a target with room.
+        Instant heldSince = Instant::max();
 
         RequestView view() const
         {
@@ -88,7 +93,9 @@
 
     bool isUrgent(const Waiting &waiting, Instant now) const
     {
-        return now + m_options.urgentBefore >= waiting.dispatchBy;
+        const bool heldLong = waiting.heldSince != Instant::max()
+                              && now - waiting.heldSince >= m_options.maxHold;
+        return heldLong || now + m_options.urgentBefore >= waiting.dispatchBy;
     }
     void take(uint64_t id, std::span<const uint64_t> head, Instant now);
 
@@ -104,7 +111,7 @@
     std::vector<int> heldFor(targets.size());
     const std::vector<uint64_t> head = m_queue.head(m_options.window);
     for (const uint64_t id : head) {
-        const Waiting &waiting = m_waiting.at(id);
+        Waiting &waiting = m_waiting.at(id);
         const Choice choice = policy.choose(waiting.view(), targets, now, generator);
         if (choice.outcome != ChoiceOutcome::Dispatch) {
             return std::nullopt;
@@ -115,6 +122,7 @@
             take(id, head, now);
             return Dispatch{.id = id, .choice = choice};
         }
+        waiting.heldSince = std::min(waiting.heldSince, now);
         ++heldFor[choice.preferred];
     }
     return std::nullopt;
--- a/packages/policy/include/teaseldrift/placement/target_chooser.hpp
+++ b/packages/policy/include/teaseldrift/placement/target_chooser.hpp
@@ -36,6 +36,8 @@
     double inFlightPerSlot = 1.0;
     /// Weight of prompt computation beyond this request's own time, since it delays others.
     double prefillWeight = 1.5;
+    /// Growth of that weight, and of the penalty below, when all slots are taken.
+    double scarcityWeight = 5.0;
     /// Part of a target's mean reported backlog that is expected whatever its last report says.
     double meanBacklogWeight = 0.5;
     /// Cost of a target whose slots are all taken, in proportion below that.
--- a/packages/policy/src/teaseldrift/placement/target_chooser_native.hpp
+++ b/packages/policy/src/teaseldrift/placement/target_chooser_native.hpp
@@ -76,12 +76,15 @@
     std::vector<uint32_t> compared;
     double serviceSeconds = initialServiceSeconds;
     double targetSeconds = initialTargetSeconds;
+    /// Mean of requests in flight per slot over the targets compared lately.
+    double meanOccupancy = 0.0;
 
     TargetLoad &loadOf(TargetSlot slot);
     void selectCompared(std::mt19937_64 &generator);
     void addCost(uint32_t target, const RequestView &request, std::span<const TargetView> targets,
                  Instant now);
     double placementPenalty(uint32_t target) const;
+    double busyFactor() const;
     void planImport(Cost &cost, std::span<const TargetView> targets) const;
     const Cost &pick(std::mt19937_64 &generator) const;
     bool anyRoom() const;
--- a/packages/policy/src/teaseldrift/placement/target_cost.cpp
+++ b/packages/policy/src/teaseldrift/placement/target_cost.cpp
@@ -12,6 +12,10 @@
 constexpr size_t randomTargets = 4;
 /// Weight of one request in learned means.
 constexpr double meanLearningRate = 0.02;
+/// Weight of one estimate in the mean occupancy.
+constexpr double occupancyLearningRate = 0.005;
+/// Mean occupancy from which targets count as scarce.
+constexpr double scarceFrom = 0.7;
 
 } // namespace
 
@@ -67,6 +71,13 @@
     return match.isPlaced(target) ? 0.0 : toSeconds(options.misplacedPenalty);
 }
 
+/// When all targets are busy, computing a prefix once more delays everyone, so it weighs more.
+double TargetChooser::Native::busyFactor() const
+{
+    const double scarcity = (meanOccupancy - scarceFrom) / (1.0 - scarceFrom);
+    return 1.0 + options.scarcityWeight * std::clamp(scarcity, 0.0, 1.0);
+}
+
 void TargetChooser::Native::addCost(uint32_t target, const RequestView &request,
                                     std::span<const TargetView> targets, Instant now)
 {
@@ -93,8 +104,11 @@
     cost.wait += std::max(0.0, load.inFlight - slots + 1.0) / slots * serviceSeconds;
     const bool near
             = options.availabilityZone.empty() || view.availabilityZone == options.availabilityZone;
-    cost.total = cost.wait + cost.import + cost.prefill * (1.0 + options.prefillWeight)
-                 + (near ? 0.0 : toSeconds(options.zoneRoundTrip)) + placementPenalty(target)
+    meanOccupancy += occupancyLearningRate * (cost.inFlight - meanOccupancy);
+    cost.total = cost.wait + cost.import
+                 + cost.prefill * (1.0 + options.prefillWeight * busyFactor())
+                 + (near ? 0.0 : toSeconds(options.zoneRoundTrip))
+                 + placementPenalty(target) * busyFactor()
                  + load.inFlight / slots * toSeconds(options.occupancyPenalty);
     costs.push_back(cost);
 }
