--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -27,6 +27,9 @@
     /// PEM files; both empty for plain HTTP.
     std::string certificateFile;
     std::string keyFile;
+    /// Headers added to an error that the server answers itself, before the handler sees the
+    /// request: 400 for a malformed head, 413 for a body over the limit.
+    std::function<Headers(int status)> errorHeaders;
 };
 
 /// @brief One request of a caller and the way to answer it.
@@ -62,6 +65,9 @@
     /// @brief Breaks the stream off, so that the caller sees an incomplete answer.
     void abort();
 
+    /// @brief Like abort(), once the caller has taken everything written so far.
+    void abortAfterWrites();
+
     /// @brief Bytes that wait for the caller to read.
     [[nodiscard]] size_t pendingBytes() const;
 
@@ -115,8 +121,10 @@
     /// @brief Requests whose answer is not complete.
     [[nodiscard]] size_t openExchanges() const;
 
-private:
+    /// Access for the other parts of this package.
     struct Native;
+
+private:
     std::unique_ptr<Native> m_native;
 };
 
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
+#include <thread>
 
 #include "native.hpp"
 
@@ -79,13 +81,18 @@
 {
     // Writes made outside h2o_evloop_run() complete in its next run, which must not wait then.
     bool mayWait = false;
+    m_native->thread = std::this_thread::get_id();
     while (!m_native->stopped) {
         h2o_evloop_run(m_native->loop, mayWait ? waitFor(*m_native) : 0);
         const bool handledMessages = runPosted(*m_native);
         const bool firedTimers = fireTimers(*m_native);
+        // Finishes writes that went out at once. Otherwise h2o polls their sockets for writing, and
+        // asserts if more than 256 of them are ready at the same time.
+        h2o_timeout__do_post_callback(m_native->loop);
         mayWait = !handledMessages && !firedTimers;
     }
     m_native->stopped = false;
+    m_native->thread = std::thread::id();
 }
 
 void EventLoop::stop()
@@ -100,7 +107,10 @@
         const std::lock_guard<std::mutex> lock(m_native->mutex);
         m_native->posted.push_back(std::move(message));
     }
-    h2o_multithread_send_message(&m_native->receiver, nullptr);
+    // The loop's own thread looks at the messages before it waits again.
+    if (std::this_thread::get_id() != m_native->thread.load()) {
+        h2o_multithread_send_message(&m_native->receiver, nullptr);
+    }
 }
 
 EventLoop::TimerId EventLoop::startTimer(Duration delay, std::function<void()> action)
@@ -123,8 +133,11 @@
 
 Instant EventLoop::now()
 {
-    return Instant(std::chrono::duration_cast<Duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+    // Counts while the VM is suspended, so that no bound of time is stretched by a pause.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 EventLoop::Native &EventLoop::native()
--- /dev/null
+++ b/packages/policy/src/teaseldrift/homes/home_set.cpp
@@ -0,0 +1,109 @@
+#include "teaseldrift/homes/home_set.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift::homes {
+
+namespace {
+
+std::vector<RendezvousMember> liveMembers(std::span<const VmView> vms)
+{
+    std::vector<RendezvousMember> members;
+    members.reserve(vms.size());
+    for (const VmView &vm : vms) {
+        members.push_back({.id = vm.id, .weight = vm.leaving ? 0.0 : vm.weight});
+    }
+    return members;
+}
+
+/// Number of zones with live VMs, counted up to a bound.
+size_t countZones(std::span<const VmView> vms, size_t bound)
+{
+    std::vector<std::string_view> zones;
+    for (const VmView &vm : vms) {
+        if (zones.size() >= bound) {
+            break;
+        }
+        const std::string_view zone = vm.availabilityZone;
+        if (!vm.leaving && std::find(zones.begin(), zones.end(), zone) == zones.end()) {
+            zones.push_back(zone);
+        }
+    }
+    return zones.size();
+}
+
+/// Takes up to `count` VMs in order, at most one of each zone in a round. Zones so differ by one
+/// home at most while they have VMs left.
+/// @param rounds bound on the rounds
+std::vector<size_t> spread(std::span<const VmView> vms, std::span<const size_t> order, size_t count,
+                           size_t rounds)
+{
+    std::vector<size_t> chosen;
+    std::vector<bool> taken(order.size(), false);
+    for (size_t round = 0; round < rounds && chosen.size() < count; ++round) {
+        std::vector<std::string_view> used;
+        for (size_t i = 0; i < order.size() && chosen.size() < count; ++i) {
+            const std::string_view zone = vms[order[i]].availabilityZone;
+            if (taken[i] || std::find(used.begin(), used.end(), zone) != used.end()) {
+                continue;
+            }
+            taken[i] = true;
+            used.push_back(zone);
+            chosen.push_back(order[i]);
+        }
+    }
+    return chosen;
+}
+
+} // namespace
+
+size_t homeCount(size_t vms, size_t zones, const HomeSetOptions &options)
+{
+    const double byTraffic = std::ceil(options.trafficShare * static_cast<double>(vms));
+    const size_t least = zones >= options.minimumHomesOverZones ? options.minimumHomesOverZones
+                                                                : options.minimumHomes;
+    const size_t most = std::max(least, options.maximumHomes);
+    const size_t wanted = std::clamp(static_cast<size_t>(std::max(byTraffic, 0.0)), least, most);
+    return std::min(wanted, vms);
+}
+
+std::vector<size_t> homeSet(std::string_view organisation, std::span<const VmView> vms,
+                            const HomeSetOptions &options)
+{
+    const std::vector<RendezvousMember> members = liveMembers(vms);
+    const size_t live = static_cast<size_t>(
+            std::count_if(members.begin(), members.end(),
+                          [](const RendezvousMember &member) { return member.weight > 0.0; }));
+    const size_t zones = countZones(vms, options.minimumHomesOverZones);
+    const size_t count = homeCount(live, zones, options);
+    const uint64_t key = rendezvousKey(organisation);
+
+    // The best few nearly always lie in enough zones, which spares the order of all the others.
+    constexpr size_t fewPerHome = 8;
+    const std::vector<size_t> best = rendezvousOrder(key, members, count * fewPerHome);
+    std::vector<size_t> homes = spread(vms, best, count, 1);
+    if (homes.size() < count) {
+        homes = spread(vms, rendezvousOrder(key, members, live), count, count);
+    }
+    return homes;
+}
+
+std::vector<size_t> homesOfPrefix(uint64_t prefixRoot, std::span<const VmView> vms,
+                                  std::span<const size_t> homes, size_t count)
+{
+    std::vector<RendezvousMember> members;
+    members.reserve(homes.size());
+    for (const size_t home : homes) {
+        members.push_back({.id = vms[home].id, .weight = vms[home].weight});
+    }
+    std::vector<size_t> chosen;
+    for (const size_t index : rendezvousOrder(prefixRoot, members, std::max<size_t>(count, 1))) {
+        chosen.push_back(homes[index]);
+    }
+    return chosen;
+}
+
+} // namespace teaseldrift::homes
