--- /dev/null
+++ b/packages/router/src/teaseldrift/router/answer_reading.cpp
@@ -0,0 +1,88 @@
+#include "answer_reading.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace teaseldrift::router {
+
+namespace {
+
+Duration retryAfterOf(const http::Headers &headers)
+{
+    const std::string_view text = http::findHeader(headers, "retry-after");
+    int64_t seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+uint64_t unsignedField(const nlohmann::json &object, const char *name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_unsigned() ? found->get<uint64_t>() : 0;
+}
+
+} // namespace
+
+RequestOptions machineOptions(const RequestSpec &spec)
+{
+    const Duration progress = std::chrono::milliseconds(spec.defaults.progress_timeout_ms());
+    return {
+            .routeClass = spec.routeClass,
+            .answerMode = spec.streams ? AnswerMode::Streamed : AnswerMode::Buffered,
+            .deadline = spec.deadline,
+            .firstByteTimeout = std::max(progress, spec.deadline / 2),
+            .progressTimeout = progress,
+            .maxAttempts = spec.defaults.max_attempts(),
+    };
+}
+
+StreamOptions relayOptions(const RequestSpec &spec)
+{
+    StreamOptions options = streamOptionsOf(spec.body);
+    options.passesUsage = spec.wantsUsage;
+    return options;
+}
+
+AnswerHead answerHeadOf(const http::ResponseHead &head)
+{
+    return {
+            .status = head.status,
+            .retryAfter = retryAfterOf(head.headers),
+            .saysNotRun = http::findHeader(head.headers, "x-request-ran") == "no",
+    };
+}
+
+http::Headers endToEndHeaders(const http::Headers &headers)
+{
+    http::Headers kept;
+    for (const http::Header &header : headers) {
+        if (header.name != "connection" && header.name != "transfer-encoding"
+            && header.name != "content-length" && header.name != "keep-alive"
+            && header.name != "server" && header.name != "date") {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::optional<StreamUsage> usageOf(const std::string &body)
+{
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("usage") || !answer["usage"].is_object()) {
+        return std::nullopt;
+    }
+    const nlohmann::json &usage = answer["usage"];
+    StreamUsage counts{
+            .promptTokens = unsignedField(usage, "prompt_tokens"),
+            .completionTokens = unsignedField(usage, "completion_tokens"),
+    };
+    const auto details = usage.find("prompt_tokens_details");
+    if (details != usage.end() && details->is_object()) {
+        counts.cachedTokens = unsignedField(*details, "cached_tokens");
+    }
+    return counts;
+}
+
+} // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/answer_reading.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "teaseldrift/attempts/answer_head.hpp"
+#include "teaseldrift/attempts/request_machine.hpp"
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/router/request_task.hpp"
+#include "teaseldrift/streams/stream_relay.hpp"
+
+namespace teaseldrift::router {
+
+/// @brief Bounds of a request's state machine.
+RequestOptions machineOptions(const RequestSpec &spec);
+
+/// @brief What the stream of a request may bring.
+StreamOptions relayOptions(const RequestSpec &spec);
+
+/// @brief What the head of an answer says about the attempt.
+AnswerHead answerHeadOf(const http::ResponseHead &head);
+
+/// @brief The answer's headers without those that belong to one connection.
+http::Headers endToEndHeaders(const http::Headers &headers);
+
+/// @brief Token counts of a whole answer, if it reports them.
+std::optional<StreamUsage> usageOf(const std::string &body);
+
+} // namespace teaseldrift::router
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -1,5 +1,7 @@
 #include "teaseldrift/router/front.hpp"
 
+#include "front_native.hpp"
+
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -59,21 +61,6 @@
     return text;
 }
 
-http::Response jsonResponse(std::string body, int status = 200)
-{
-    return {
-            .status = status,
-            .headers = {{"content-type", "application/json"}},
-            .body = std::move(body),
-    };
-}
-
-bool isSameSecret(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size()
-           && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
 std::string sha256Of(std::string_view method, std::string_view path, std::string_view body)
 {
     const std::string text
@@ -84,23 +71,6 @@
     return digest;
 }
 
-/// A request between its arrival and its RequestTask.
-struct Arrival
-{
-    std::shared_ptr<http::Exchange> exchange;
-    std::shared_ptr<const RoutingTable> table;
-    CallerHeaders headers;
-    std::string organisation;
-    const schema::Organisation *organisationRecord = nullptr;
-    /// Path prefix of the route, or the path of a completion.
-    std::string route;
-    RequestSpec spec;
-    double tokens = 0.0;
-    allowance::Ticket ticket;
-    /// Set while an Idempotency-Key is claimed.
-    std::string claimId;
-};
-
 schema::KeptAnswer keptAnswer(const http::Response &response)
 {
     schema::KeptAnswer kept;
@@ -134,60 +104,6 @@
 
 } // namespace
 
-struct Front::Native
-{
-    struct CachedDefaults
-    {
-        schema::Defaults defaults;
-        Instant madeAt{};
-    };
-
-    FrontParts parts;
-    std::mt19937_64 generator;
-    http::Client client;
-    std::shared_ptr<const RoutingTable> table;
-    KeyRing keys;
-    ConfigurationDesk desk;
-    std::optional<Instant> currentUntil;
-    std::map<std::string, CachedDefaults> defaults;
-    std::map<std::string, RetryBudget> budgets;
-    std::map<uint64_t, std::shared_ptr<RequestTask>> tasks;
-    uint64_t lastTask = 0;
-    bool leaving = false;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-
-    explicit Native(const FrontParts &frontParts)
-        : parts(frontParts), generator(frontParts.seed),
-          client(frontParts.loop, {.connectTimeout = std::chrono::milliseconds(
-                                           frontParts.settings.connect_timeout_ms())})
-    { }
-
-    void refuse(const Arrival &arrival, schema::ResultCode code,
-                std::optional<Duration> retryAfter = std::nullopt);
-    bool answerOwnPaths(const std::shared_ptr<http::Exchange> &exchange, std::string_view path);
-    void answerAdmin(const std::shared_ptr<http::Exchange> &exchange, std::string_view path);
-    [[nodiscard]] std::string statusJson() const;
-    [[nodiscard]] std::string modelsJson() const;
-    void explainRoute(const std::shared_ptr<http::Exchange> &exchange);
-    void answerHeld(const std::shared_ptr<http::Exchange> &exchange);
-    void takeOffer(const std::shared_ptr<http::Exchange> &exchange);
-    void answerEntry(const std::shared_ptr<http::Exchange> &exchange);
-
-    [[nodiscard]] bool isCurrent() const;
-    const schema::Defaults &defaultsFor(const std::string &organisation, const std::string &route);
-    RetryBudget &budgetFor(const std::string &organisation, const schema::Defaults &defaults);
-
-    void take(const std::shared_ptr<Arrival> &arrival);
-    std::error_code route(Arrival &arrival, bool &isOpen);
-    std::error_code authenticate(Arrival &arrival, bool isOpen);
-    std::error_code readCompletion(Arrival &arrival);
-    std::error_code readPlain(Arrival &arrival);
-    void admit(const std::shared_ptr<Arrival> &arrival);
-    void claim(const std::shared_ptr<Arrival> &arrival);
-    void start(const std::shared_ptr<Arrival> &arrival);
-    void finish(const Arrival &arrival, uint64_t taskId, const RequestOutcome &outcome);
-};
-
 void Front::Native::refuse(const Arrival &arrival, schema::ResultCode code,
                            std::optional<Duration> retryAfter)
 {
@@ -200,164 +116,6 @@
             {.code = code, .retryAfter = retryAfter, .requestId = arrival.headers.requestId}));
 }
 
-bool Front::Native::isCurrent() const
-{
-    return currentUntil.has_value() && http::EventLoop::now() <= *currentUntil;
-}
-
-std::string Front::Native::statusJson() const
-{
-    const HeldConfiguration held = desk.held ? desk.held("", 0) : HeldConfiguration();
-    json status = {
-            {"incarnation", std::to_string(held.incarnation)},
-            {"votes", held.votes},
-            {"known_vms", held.knownVms},
-            {"vm_id", parts.settings.vm_id()},
-            {"availability_zone", parts.settings.availability_zone()},
-            {"revision", table == nullptr ? 0 : table->revision()},
-            {"configuration_current", isCurrent()},
-            {"leaving", leaving},
-            {"open_requests", tasks.size()},
-            {"targets", json::parse(parts.targets.statusJson())},
-            {"organisations", json::parse(parts.allowance.statusJson())},
-    };
-    return status.dump();
-}
-
-std::string Front::Native::modelsJson() const
-{
-    json models = json::array();
-    if (table != nullptr) {
-        for (const schema::Model &model : table->configuration().fleet().models()) {
-            models.push_back(
-                    {{"id", model.name()}, {"object", "model"}, {"owned_by", "teaseldrift"}});
-        }
-    }
-    const json list = {{"object", "list"}, {"data", models}};
-    return list.dump();
-}
-
-void Front::Native::explainRoute(const std::shared_ptr<http::Exchange> &exchange)
-{
-    const json question = json::parse(exchange->body(), nullptr, false);
-    if (!question.is_object() || !question.contains("model") || !question["model"].is_string()) {
-        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
-        return;
-    }
-    const TargetQuery query{
-            .organisation = question.value("organisation", ""),
-            .model = question["model"].get<std::string>(),
-            .prompt = question.value("prompt", ""),
-            .maxTokens = question.value("max_tokens", 0U),
-            .deadline = http::EventLoop::now() + 60s,
-    };
-    if (table == nullptr || table->findModel(query.model) == nullptr) {
-        exchange->respond(toResponse({.code = schema::UNKNOWN_MODEL}));
-        return;
-    }
-    exchange->respond(jsonResponse(parts.targets.explainJson(query)));
-}
-
-/// GET /admin/held?name=...&revision=...
-void Front::Native::answerHeld(const std::shared_ptr<http::Exchange> &exchange)
-{
-    const std::string_view revisionText = queryValue(exchange->path(), "revision");
-    uint64_t revision = 0;
-    const char *end = revisionText.data() + revisionText.size();
-    const std::from_chars_result parsed = std::from_chars(revisionText.data(), end, revision);
-    if (!desk.held || parsed.ec != std::errc() || parsed.ptr != end) {
-        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
-        return;
-    }
-    const HeldConfiguration held = desk.held(queryValue(exchange->path(), "name"), revision);
-    const json answer = {{"incarnation", std::to_string(held.incarnation)},
-                         {"holds", held.holds},
-                         {"votes", held.votes},
-                         {"known_vms", held.knownVms}};
-    exchange->respond(jsonResponse(answer.dump()));
-}
-
-/// POST /admin/offer with a serialized ConfigurationAnswer.
-void Front::Native::takeOffer(const std::shared_ptr<http::Exchange> &exchange)
-{
-    schema::ConfigurationAnswer offered;
-    const std::string_view body = exchange->body();
-    if (!desk.offer || !offered.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
-        exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
-        return;
-    }
-    const std::vector<schema::VersionedDocument> documents(offered.documents().begin(),
-                                                           offered.documents().end());
-    desk.offer(documents);
-    exchange->respond(jsonResponse("{}"));
-}
-
-void Front::Native::answerAdmin(const std::shared_ptr<http::Exchange> &exchange,
-                                std::string_view path)
-{
-    CallerHeaders headers;
-    const std::string &token = parts.settings.admin_token();
-    if (parseHeaders(exchange->headers(), headers) || token.empty()
-        || !isSameSecret(headers.bearer, token)) {
-        exchange->respond(toResponse({.code = schema::KEY_REFUSED}));
-    } else if (path == "/admin/status") {
-        exchange->respond(jsonResponse(statusJson()));
-    } else if (path == "/admin/held") {
-        answerHeld(exchange);
-    } else if (path == "/admin/offer") {
-        takeOffer(exchange);
-    } else if (path == "/admin/explain-route") {
-        explainRoute(exchange);
-    } else {
-        exchange->respond(toResponse({.code = schema::UNKNOWN_ROUTE}));
-    }
-}
-
-void Front::Native::answerEntry(const std::shared_ptr<http::Exchange> &exchange)
-{
-    CallerHeaders headers;
-    std::string organisation;
-    if (!parseHeaders(exchange->headers(), headers) && !headers.bearer.empty()) {
-        const std::optional<std::string_view> owner = keys.organisationOf(headers.bearer);
-        if (!owner.has_value()) {
-            exchange->respond(toResponse({.code = schema::KEY_REFUSED}));
-            return;
-        }
-        organisation = std::string(*owner);
-    }
-    exchange->respond(jsonResponse(parts.entries.answerJson(
-            organisation, queryValue(exchange->path(), "prefix"),
-            std::chrono::milliseconds(defaultsFor(organisation, "").entry_lifetime_ms()))));
-}
-
-/// @return whether the path is one that the router answers itself
-bool Front::Native::answerOwnPaths(const std::shared_ptr<http::Exchange> &exchange,
-                                   std::string_view path)
-{
-    constexpr int unavailable = 503;
-    if (path == "/healthz") {
-        exchange->respond({.body = "ok\n"});
-    } else if (path == "/readyz") {
-        const bool ready = table != nullptr && !leaving && isCurrent();
-        exchange->respond(
-                {.status = ready ? 200 : unavailable, .body = ready ? "ready\n" : "not ready\n"});
-    } else if (path == "/metrics") {
-        parts.metrics.figures().setGauge({"teaseldrift_open_requests"},
-                                         static_cast<double>(tasks.size()));
-        exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
-                           .body = parts.metrics.figures().text()});
-    } else if (path == "/v1/entry") {
-        answerEntry(exchange);
-    } else if (path == "/v1/models") {
-        exchange->respond(jsonResponse(modelsJson()));
-    } else if (path.starts_with("/admin/")) {
-        answerAdmin(exchange, path);
-    } else {
-        return false;
-    }
-    return true;
-}
-
 const schema::Defaults &Front::Native::defaultsFor(const std::string &organisation,
                                                    const std::string &route)
 {
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/request_task_caller.cpp
@@ -0,0 +1,202 @@
+#include "request_task_native.hpp"
+
+namespace teaseldrift::router {
+
+namespace {
+
+/// Longest wait for the end of an answer after its end marker.
+constexpr Duration lingerTime = 1s;
+
+} // namespace
+
+void RequestTask::Native::startStream()
+{
+    streamStarted = true;
+    http::Headers headers{
+            {"content-type", std::string(eventStreamType)},
+            {"cache-control", "no-cache"},
+            {"x-request-id", spec.requestId},
+    };
+    if (services.debugHeaders) {
+        headers.push_back({"x-teaseldrift-choice", explanation});
+    }
+    exchange->startStream(statusOk, headers);
+    const std::weak_ptr<RequestTask> weak = self;
+    exchange->onDrained([weak] {
+        const std::shared_ptr<RequestTask> task = weak.lock();
+        if (task != nullptr) {
+            task->m_native->onDrained();
+        }
+    });
+    watchCaller();
+}
+
+void RequestTask::Native::passOn(const std::string &events, uint64_t count)
+{
+    const Instant now = http::EventLoop::now();
+    if (!streamStarted) {
+        startStream();
+    }
+    if (count > 0) {
+        if (lastTokenAt.has_value()) {
+            services.metrics.observeBetweenTokens(now - *lastTokenAt);
+        } else {
+            services.metrics.observeFirstToken(now - startedAt);
+            services.targets.firstToken(useId.value_or(0));
+        }
+        lastTokenAt = now;
+        services.metrics.countEvents(count);
+    }
+    const size_t pending = exchange->write(events);
+    if (pending > services.streamBufferBytes && call != nullptr && !paused) {
+        paused = true;
+        call->pause();
+    }
+}
+
+void RequestTask::Native::onDrained()
+{
+    if (!paused || call == nullptr || done) {
+        return;
+    }
+    paused = false;
+    // The silence was the caller's, not the target's.
+    machine.progress(attempt, http::EventLoop::now());
+    call->resume();
+}
+
+void RequestTask::Native::perform(const FinishCaller & /*action*/)
+{
+    releaseTarget(HealthEvidence::Answered);
+    if (streamStarted) {
+        exchange->write(relay.closing());
+        exchange->finish();
+    } else {
+        http::Response response = answer;
+        response.headers.push_back({"x-request-id", spec.requestId});
+        if (services.debugHeaders) {
+            response.headers.push_back({"x-teaseldrift-choice", explanation});
+        }
+        if (answersAsStream) {
+            response.body = relay.closing();
+        }
+        exchange->respond(response);
+    }
+    end(schema::OK, schema::RAN_YES);
+}
+
+void RequestTask::Native::perform(const RefuseCaller &action)
+{
+    refuse({.code = action.code,
+            .retryAfter = action.retryAfter > Duration::zero() ? std::optional(action.retryAfter)
+                                                               : std::nullopt,
+            .requestId = spec.requestId,
+            .ran = action.ran},
+           action.ran);
+}
+
+void RequestTask::Native::perform(const EndStreamWithError &action)
+{
+    if (!streamStarted) {
+        startStream();
+    }
+    exchange->write(toErrorEvent({.code = action.code, .requestId = spec.requestId}));
+    // Not a clean end: a caller that ignores the event still sees a broken connection.
+    exchange->abortAfterWrites();
+    end(action.code, schema::RAN_YES);
+}
+
+void RequestTask::Native::refuse(const Refusal &refusal, schema::Ran ran)
+{
+    exchange->respond(toResponse(refusal));
+    end(refusal.code, ran);
+}
+
+void RequestTask::Native::watchCaller()
+{
+    const std::weak_ptr<RequestTask> weak = self;
+    callerTimer = services.loop.startTimer(services.callerIdle, [weak] {
+        const std::shared_ptr<RequestTask> task = weak.lock();
+        if (task == nullptr || task->m_native->done) {
+            return;
+        }
+        Native &native = *task->m_native;
+        const bool waits = native.exchange->pendingBytes() > 0;
+        const Duration idle = http::EventLoop::now() - native.exchange->lastProgress();
+        if (waits && idle >= native.services.callerIdle) {
+            native.exchange->abort();
+            native.onCallerGone();
+            return;
+        }
+        native.watchCaller();
+    });
+}
+
+void RequestTask::Native::onCallerGone()
+{
+    if (done) {
+        return;
+    }
+    perform(machine.callerGone(http::EventLoop::now()));
+    // A non-idempotent call that was sent goes on, so that its outcome becomes known.
+    if (machine.phase() == RequestPhase::Finished) {
+        end(schema::CALLER_GONE, schema::RAN_UNKNOWN);
+    }
+}
+
+void RequestTask::Native::end(schema::ResultCode code, schema::Ran ran)
+{
+    if (done) {
+        return;
+    }
+    done = true;
+    if (ticket.has_value()) {
+        services.targets.cancel(*ticket);
+        ticket.reset();
+    }
+    const bool callLingers = code == schema::OK && answersAsStream && call != nullptr;
+    if (callLingers) {
+        linger();
+    } else {
+        call.reset();
+    }
+    releaseTarget(std::nullopt);
+    services.loop.cancelTimer(timer);
+    services.loop.cancelTimer(callerTimer);
+    exchange->onGone(nullptr);
+    RequestOutcome outcome{
+            .code = code,
+            .ran = ran,
+            .status = answer.status,
+            .target = target,
+            .attempts = machine.attempts(),
+            .positions = relay.position(),
+            .usage = relay.usage(),
+            .answer = std::move(answer),
+    };
+    if (!outcome.usage.has_value() && spec.isCompletion && code == schema::OK) {
+        outcome.usage = usageOf(outcome.answer.body);
+    }
+    if (outcome.usage.has_value()) {
+        services.metrics.countPromptTokens(outcome.usage->promptTokens,
+                                           outcome.usage->cachedTokens);
+    }
+    services.metrics.countResult(code);
+    // The task may be destroyed by its owner from here on, so it goes last and from a message.
+    services.loop.post(
+            [handler = std::move(onDone), outcome = std::move(outcome)] { handler(outcome); });
+}
+
+/// The end marker of a stream comes a little before the end of the answer. Waiting for that lets
+/// the connection be used again.
+void RequestTask::Native::linger()
+{
+    if (paused) {
+        paused = false;
+        call->resume();
+    }
+    lingerTimer = services.loop.startTimer(
+            lingerTime, [keptAlive = self.lock()] { keptAlive->m_native->call.reset(); });
+}
+
+} // namespace teaseldrift::router
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/request_task_native.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "answer_reading.hpp"
+#include "teaseldrift/attempts/request_machine.hpp"
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
+#include "teaseldrift/router/refusal.hpp"
+#include "teaseldrift/router/request_task.hpp"
+#include "teaseldrift/router/router_metrics.hpp"
+
+namespace teaseldrift::router {
+
+inline constexpr int statusOk = 200;
+inline constexpr std::string_view eventStreamType = "text/event-stream";
+
+struct RequestTask::Native
+{
+    RequestServices services;
+    std::shared_ptr<http::Exchange> exchange;
+    RequestSpec spec;
+    std::function<void(const RequestOutcome &)> onDone;
+    RequestMachine machine;
+    StreamRelay relay;
+    std::weak_ptr<RequestTask> self;
+
+    /// The attempt under way.
+    AttemptId attempt = 0;
+    StartAttempt attemptPlan;
+    std::unique_ptr<http::Call> call;
+    std::optional<TargetPool::TicketId> ticket;
+    std::optional<uint64_t> useId;
+    std::string target;
+    std::string explanation;
+    /// Body of a continuation.
+    std::optional<std::string> continuation;
+    bool answersAsStream = false;
+    bool paused = false;
+    /// What a cancelled attempt tells about its target.
+    std::optional<HealthEvidence> cancelEvidence;
+
+    /// The answer as far as it is held back.
+    http::Response answer;
+    bool streamStarted = false;
+
+    Instant startedAt = http::EventLoop::now();
+    std::optional<Instant> lastTokenAt;
+    http::EventLoop::TimerId timer = 0;
+    Instant timerAt{};
+    http::EventLoop::TimerId callerTimer = 0;
+    http::EventLoop::TimerId lingerTimer = 0;
+    bool done = false;
+
+    Native(const RequestServices &requestServices, std::shared_ptr<http::Exchange> callerExchange,
+           RequestSpec requestSpec, RetryBudget &budget,
+           std::function<void(const RequestOutcome &)> doneHandler)
+        : services(requestServices), exchange(std::move(callerExchange)),
+          spec(std::move(requestSpec)), onDone(std::move(doneHandler)),
+          machine(machineOptions(spec), budget), relay(relayOptions(spec))
+    { }
+
+    void perform(const RequestActions &actions);
+    void perform(const StartAttempt &action);
+    void perform(const CancelAttempt &action);
+    void perform(const FinishCaller &action);
+    void perform(const RefuseCaller &action);
+    void perform(const EndStreamWithError &action);
+
+    void onAcquired(AttemptId id, const Acquired &acquired);
+    void send(AttemptId id, const http::Endpoint &endpoint);
+    [[nodiscard]] http::Request attemptRequest() const;
+    bool prepareAttempt();
+    void onHead(AttemptId id, const http::ResponseHead &head);
+    void onData(AttemptId id, std::string_view data);
+    void onStreamData(AttemptId id, std::string_view data);
+    void onEnd(AttemptId id, http::CallEnd end);
+    void passOn(const std::string &events, uint64_t count);
+    void startStream();
+    void onDrained();
+    void releaseTarget(std::optional<HealthEvidence> evidence);
+    void armTimer();
+    void onTimer();
+    void watchCaller();
+    void onCallerGone();
+    void refuse(const Refusal &refusal, schema::Ran ran);
+    void end(schema::ResultCode code, schema::Ran ran);
+    void linger();
+};
+
+} // namespace teaseldrift::router
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -7,10 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "teaseldrift/hashing/block_chain.hpp"
+#include "target_pool_parts.hpp"
 #include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/placement/target_chooser.hpp"
-#include "teaseldrift/queueing/fair_queue.hpp"
 #include "teaseldrift/router/router_metrics.hpp"
 #include "teaseldrift/schema/result.hpp"
 
@@ -20,74 +18,10 @@
 
 using nlohmann::json;
 
-constexpr uint32_t defaultSlots = 8;
 constexpr uint32_t defaultBlockTokens = 1024;
 constexpr Duration expiryInterval = 20ms;
-
-/// One target as this VM knows it.
-struct TargetState
-{
-    schema::Target target;
-    TargetLoad report;
-    bool hasReport = false;
-    uint32_t inFlight = 0;
-
-    [[nodiscard]] uint32_t slots() const
-    {
-        if (report.slots > 0) {
-            return report.slots;
-        }
-        return target.slots() > 0 ? target.slots() : defaultSlots;
-    }
-
-    [[nodiscard]] bool serves(const std::string &model) const
-    {
-        return report.models.empty() || report.models.contains(model);
-    }
-
-    [[nodiscard]] std::string_view versionOf(const std::string &model) const
-    {
-        const auto found = report.models.find(model);
-        return found == report.models.end() ? std::string_view() : found->second;
-    }
-};
-
-/// One request that waits for a target.
-struct Waiting
-{
-    std::shared_ptr<const TargetQuery> query;
-    AcquireOptions options;
-    std::vector<hashing::BlockHash> chain;
-    uint32_t promptTokens = 0;
-    TargetPool::Done done;
-    Instant since{};
-
-    [[nodiscard]] placement::RequestView view() const
-    {
-        return {.chain = chain, .promptTokens = promptTokens, .outputTokens = query->maxTokens};
-    }
-
-    [[nodiscard]] bool excludes(const std::string &target) const
-    {
-        if (!options.onlyTarget.empty()) {
-            return target != options.onlyTarget;
-        }
-        return std::find(options.excludedTargets.begin(), options.excludedTargets.end(), target)
-               != options.excludedTargets.end();
-    }
-};
-
-/// Targets that can stand in for one another, and the requests that wait for them.
-struct Pool
-{
-    queueing::FairQueue queue;
-    std::vector<TargetState *> targets;
-    std::map<TargetPool::TicketId, Waiting> waiting;
-    /// Only for engines.
-    std::optional<placement::TargetChooser> chooser;
-    hashing::ChainOptions chainOptions;
-    size_t nextPlain = 0;
-};
+/// Part of a request's time that is kept for computing its prompt, at most.
+constexpr Duration firstTokenReserve = 1500ms;
 
 /// A target in use by one attempt.
 struct Use
@@ -96,62 +30,11 @@
     std::string target;
 };
 
-struct Selection
-{
-    placement::ChoiceOutcome outcome = placement::ChoiceOutcome::NoTarget;
-    TargetState *target = nullptr;
-    std::string explanation;
-};
-
 std::string poolName(const TargetQuery &query)
 {
     return query.model.empty() ? "service:" + query.service : "model:" + query.model;
 }
 
-/// The plain targets with the least work; ties go round.
-Selection selectPlain(Pool &pool, const Waiting &waiting, const TargetHealth &health)
-{
-    Selection selection;
-    TargetState *best = nullptr;
-    for (size_t i = 0; i < pool.targets.size(); ++i) {
-        TargetState *state = pool.targets[(pool.nextPlain + i) % pool.targets.size()];
-        if (!health.isEligible(state->target.id()) || waiting.excludes(state->target.id())) {
-            continue;
-        }
-        selection.outcome = placement::ChoiceOutcome::NoRoom;
-        const bool hasRoom = state->target.slots() == 0 || state->inFlight < state->target.slots();
-        if (hasRoom && (best == nullptr || state->inFlight < best->inFlight)) {
-            best = state;
-        }
-    }
-    if (best != nullptr) {
-        ++pool.nextPlain;
-        selection = {.outcome = placement::ChoiceOutcome::Dispatch,
-                     .target = best,
-                     .explanation = "target=" + best->target.id() + " reason=least_in_flight"};
-    }
-    return selection;
-}
-
-placement::TargetView viewOf(const TargetState &state, const std::string &model, bool accepting)
-{
-    placement::TargetView view{
-            .id = state.target.id(),
-            .incarnation = state.report.incarnation,
-            .weightsVersion = state.versionOf(model),
-            .availabilityZone = state.target.availability_zone(),
-            .slots = state.slots(),
-            .accepting = accepting,
-    };
-    if (state.hasReport) {
-        view.load = {.running = state.report.running,
-                     .queued = state.report.queued,
-                     .prefillBacklogTokens = state.report.prefillBacklogTokens,
-                     .reportedAt = state.report.observedAt};
-    }
-    return view;
-}
-
 } // namespace
 
 struct TargetPool::Native
@@ -182,9 +65,13 @@
     void configurePools();
     Pool &poolOf(const TargetQuery &query);
     placement::ChooserOptions chooserOptions(uint32_t blockTokens) const;
-    std::vector<placement::TargetView> views(const Pool &pool, const Waiting &waiting) const;
-    Selection select(Pool &pool, const Waiting &waiting, placement::Choice &choice);
+    std::vector<placement::TargetView> views(const Pool &pool, const Waiting *waiting) const;
+    Selection selectEngine(Pool &pool, const Waiting &waiting, placement::Choice &choice);
     void pump(const std::string &name, Pool &pool);
+    void pumpPlain(const std::string &name, Pool &pool);
+    void pumpRetries(const std::string &name, Pool &pool);
+    void pumpEngines(const std::string &name, Pool &pool);
+    queueing::PushResult push(Pool &pool, TicketId ticket, const Waiting &waiting);
     void dispatch(const std::string &name, Pool &pool, TicketId ticket, const Selection &selection,
                   const placement::Choice &choice);
     void refuse(Pool &pool, TicketId ticket, schema::ResultCode code,
@@ -211,6 +98,7 @@
         return found->second;
     }
     Pool &pool = pools[name];
+    pool.model = query.model;
     if (!query.model.empty()) {
         const schema::Model *model = table == nullptr ? nullptr : table->findModel(query.model);
         const uint32_t configured = model == nullptr ? 0 : model->block_tokens();
@@ -260,25 +148,24 @@
 }
 
 std::vector<placement::TargetView> TargetPool::Native::views(const Pool &pool,
-                                                             const Waiting &waiting) const
+                                                             const Waiting *waiting) const
 {
     std::vector<placement::TargetView> list;
     list.reserve(pool.targets.size());
     for (const TargetState *state : pool.targets) {
         const std::string &id = state->target.id();
-        const bool accepting = health.isEligible(id) && !waiting.excludes(id)
-                               && state->serves(waiting.query->model);
-        list.push_back(viewOf(*state, waiting.query->model, accepting));
+        const bool accepting = health.isEligible(id) && state->serves(pool.model)
+                               && (waiting == nullptr || !waiting->excludes(id));
+        list.push_back(viewOf(*state, pool.model, accepting));
     }
     return list;
 }
 
-Selection TargetPool::Native::select(Pool &pool, const Waiting &waiting, placement::Choice &choice)
+/// The engine for one request with exclusions of its own.
+Selection TargetPool::Native::selectEngine(Pool &pool, const Waiting &waiting,
+                                           placement::Choice &choice)
 {
-    if (!pool.chooser.has_value()) {
-        return selectPlain(pool, waiting, health);
-    }
-    const std::vector<placement::TargetView> list = views(pool, waiting);
+    const std::vector<placement::TargetView> list = views(pool, &waiting);
     choice = pool.chooser->choose(waiting.view(), list, http::EventLoop::now(), generator);
     if (choice.outcome != placement::ChoiceOutcome::Dispatch) {
         return {.outcome = choice.outcome};
@@ -289,10 +176,19 @@
 }
 
 void TargetPool::Native::pump(const std::string &name, Pool &pool)
+{
+    if (pool.chooser.has_value()) {
+        pumpRetries(name, pool);
+        pumpEngines(name, pool);
+    } else {
+        pumpPlain(name, pool);
+    }
+}
+
+void TargetPool::Native::pumpPlain(const std::string &name, Pool &pool)
 {
     while (const std::optional<uint64_t> ticket = pool.queue.next()) {
-        placement::Choice choice;
-        const Selection selection = select(pool, pool.waiting.at(*ticket), choice);
+        const Selection selection = selectPlain(pool, pool.waiting.at(*ticket), health);
         if (selection.outcome == placement::ChoiceOutcome::NoRoom) {
             return;
         }
@@ -301,7 +197,50 @@
             refuse(pool, *ticket, schema::NO_TARGET, std::nullopt);
             continue;
         }
-        dispatch(name, pool, *ticket, selection, choice);
+        pool.queue.take(*ticket, http::EventLoop::now());
+        dispatch(name, pool, *ticket, selection, {});
+    }
+}
+
+void TargetPool::Native::pumpRetries(const std::string &name, Pool &pool)
+{
+    const std::deque<TicketId> tickets = pool.retries;
+    for (const TicketId ticket : tickets) {
+        placement::Choice choice;
+        const Selection selection = selectEngine(pool, pool.waiting.at(ticket), choice);
+        if (selection.outcome == placement::ChoiceOutcome::NoRoom) {
+            continue;
+        }
+        std::erase(pool.retries, ticket);
+        if (selection.outcome == placement::ChoiceOutcome::NoTarget) {
+            refuse(pool, ticket, schema::NO_TARGET, std::nullopt);
+        } else {
+            dispatch(name, pool, ticket, selection, choice);
+        }
+    }
+}
+
+void TargetPool::Native::pumpEngines(const std::string &name, Pool &pool)
+{
+    if (pool.dispatcher.queue().size() == 0) {
+        return;
+    }
+    const std::vector<placement::TargetView> list = views(pool, nullptr);
+    const bool hasTarget
+            = std::any_of(list.begin(), list.end(),
+                          [](const placement::TargetView &view) { return view.accepting; });
+    while (!hasTarget && pool.dispatcher.queue().size() > 0) {
+        const uint64_t ticket = *pool.dispatcher.queue().next();
+        pool.dispatcher.cancel(ticket);
+        refuse(pool, ticket, schema::NO_TARGET, std::nullopt);
+    }
+    const Instant now = http::EventLoop::now();
+    while (const std::optional<placement::Dispatch> next
+           = pool.dispatcher.next(*pool.chooser, list, now, generator)) {
+        const Selection selection{.outcome = placement::ChoiceOutcome::Dispatch,
+                                  .target = pool.targets[next->choice.target],
+                                  .explanation = placement::explain(next->choice, list)};
+        dispatch(name, pool, next->id, selection, next->choice);
     }
 }
 
@@ -309,7 +248,6 @@
                                   const Selection &selection, const placement::Choice &choice)
 {
     const Instant now = http::EventLoop::now();
-    pool.queue.take(ticket, now);
     const auto found = pool.waiting.find(ticket);
     const Waiting waiting = std::move(found->second);
     pool.waiting.erase(found);
@@ -351,13 +289,39 @@
     });
 }
 
+queueing::PushResult TargetPool::Native::push(Pool &pool, TicketId ticket, const Waiting &waiting)
+{
+    const Instant now = http::EventLoop::now();
+    const Duration left = std::max(Duration::zero(), waiting.query->deadline - now);
+    const queueing::QueuedRequest queued{
+            .id = ticket,
+            .organisation = waiting.query->organisation,
+            .weight = waiting.query->weight,
+            .costTokens = std::max(1.0, static_cast<double>(waiting.promptTokens)
+                                                + static_cast<double>(waiting.query->maxTokens)),
+            .priority = waiting.options.isRetry ? std::numeric_limits<int32_t>::max()
+                                                : waiting.query->priority,
+            .dispatchBy = waiting.query->deadline - std::min(firstTokenReserve, left / 2),
+    };
+    if (!pool.chooser.has_value()) {
+        return pool.queue.push(queued, now);
+    }
+    if (waiting.options.isRetry) {
+        pool.retries.push_back(ticket);
+        return {};
+    }
+    return pool.dispatcher.push(queued, waiting.view(), now);
+}
+
 void TargetPool::Native::expire()
 {
     expiryTimer = 0;
     const Instant now = http::EventLoop::now();
     for (auto it = pools.begin(); it != pools.end(); ++it) {
-        for (const queueing::Refusal &refusal : it->second.queue.expire(now)) {
-            refuse(it->second, refusal.id, refusal.code, refusal.retryAfter);
+        Pool &pool = it->second;
+        for (const queueing::Refusal &refusal :
+             pool.chooser.has_value() ? pool.dispatcher.expire(now) : pool.queue.expire(now)) {
+            refuse(pool, refusal.id, refusal.code, refusal.retryAfter);
         }
         pump(it->first, it->second);
     }
@@ -471,16 +435,7 @@
                                            waiting.query->prompt, pool.chainOptions);
         waiting.promptTokens = hashing::estimateTokens(waiting.query->prompt, pool.chainOptions);
     }
-    const queueing::PushResult pushed = pool.queue.push(
-            {.id = ticket,
-             .organisation = waiting.query->organisation,
-             .weight = waiting.query->weight,
-             .costTokens = std::max(1.0, static_cast<double>(waiting.promptTokens)
-                                                 + static_cast<double>(waiting.query->maxTokens)),
-             .priority = waiting.options.isRetry ? std::numeric_limits<int32_t>::max()
-                                                 : waiting.query->priority,
-             .dispatchBy = waiting.query->deadline},
-            now);
+    const queueing::PushResult pushed = m_native->push(pool, ticket, waiting);
     m_native->poolOfTicket[ticket] = name;
     pool.waiting[ticket] = std::move(waiting);
     if (pushed.displaced.has_value()) {
@@ -506,6 +461,8 @@
     }
     Pool &pool = m_native->pools.at(found->second);
     pool.queue.cancel(ticket);
+    pool.dispatcher.cancel(ticket);
+    std::erase(pool.retries, ticket);
     pool.waiting.erase(ticket);
     m_native->poolOfTicket.erase(found);
 }
@@ -574,11 +531,11 @@
             query.prompt, pool.chainOptions);
     waiting.promptTokens = hashing::estimateTokens(query.prompt, pool.chainOptions);
     placement::Choice choice;
-    const Selection selection = m_native->select(pool, waiting, choice);
+    const Selection selection = m_native->selectEngine(pool, waiting, choice);
     const json explained = {{"explanation", selection.explanation},
                             {"blocks", waiting.chain.size()},
                             {"prompt_tokens", waiting.promptTokens},
-                            {"waiting", pool.queue.size()}};
+                            {"waiting", pool.size()}};
     return explained.dump();
 }
 
--- /dev/null
+++ b/packages/router/src/teaseldrift/router/target_pool_parts.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "teaseldrift/hashing/block_chain.hpp"
+#include "teaseldrift/placement/dispatcher.hpp"
+#include "teaseldrift/placement/target_chooser.hpp"
+#include "teaseldrift/queueing/fair_queue.hpp"
+#include "teaseldrift/router/target_pool.hpp"
+
+namespace teaseldrift::router {
+
+/// Slots of a target that tells none.
+inline constexpr uint32_t defaultTargetSlots = 8;
+
+/// One target as this VM knows it.
+struct TargetState
+{
+    schema::Target target;
+    TargetLoad report;
+    bool hasReport = false;
+    uint32_t inFlight = 0;
+
+    [[nodiscard]] uint32_t slots() const
+    {
+        if (report.slots > 0) {
+            return report.slots;
+        }
+        return target.slots() > 0 ? target.slots() : defaultTargetSlots;
+    }
+
+    [[nodiscard]] bool serves(const std::string &model) const
+    {
+        return report.models.empty() || report.models.contains(model);
+    }
+
+    [[nodiscard]] std::string_view versionOf(const std::string &model) const
+    {
+        const auto found = report.models.find(model);
+        return found == report.models.end() ? std::string_view() : found->second;
+    }
+};
+
+/// One request that waits for a target.
+struct Waiting
+{
+    std::shared_ptr<const TargetQuery> query;
+    AcquireOptions options;
+    std::vector<hashing::BlockHash> chain;
+    uint32_t promptTokens = 0;
+    TargetPool::Done done;
+    Instant since{};
+
+    [[nodiscard]] placement::RequestView view() const
+    {
+        return {.chain = chain, .promptTokens = promptTokens, .outputTokens = query->maxTokens};
+    }
+
+    [[nodiscard]] bool excludes(const std::string &target) const
+    {
+        if (!options.onlyTarget.empty()) {
+            return target != options.onlyTarget;
+        }
+        return std::find(options.excludedTargets.begin(), options.excludedTargets.end(), target)
+               != options.excludedTargets.end();
+    }
+};
+
+/// Targets that can stand in for one another, and the requests that wait for them.
+struct Pool
+{
+    /// Requests for a plain service.
+    queueing::FairQueue queue;
+    /// First attempts for engines, bound to targets as late as possible.
+    placement::Dispatcher dispatcher;
+    /// Further attempts for engines, which exclude targets of their own; they go first.
+    std::deque<TargetPool::TicketId> retries;
+    std::vector<TargetState *> targets;
+    /// Empty for a plain service.
+    std::string model;
+    std::map<TargetPool::TicketId, Waiting> waiting;
+    /// Only for engines.
+    std::optional<placement::TargetChooser> chooser;
+    hashing::ChainOptions chainOptions;
+    size_t nextPlain = 0;
+
+    [[nodiscard]] size_t size() const { return waiting.size(); }
+};
+
+/// What was chosen for a request, and why.
+struct Selection
+{
+    placement::ChoiceOutcome outcome = placement::ChoiceOutcome::NoTarget;
+    TargetState *target = nullptr;
+    std::string explanation;
+};
+
+/// @brief The eligible target of a plain service with the least work; ties go round.
+Selection selectPlain(Pool &pool, const Waiting &waiting, const TargetHealth &health);
+
+/// @brief A target as the placement policy sees it.
+placement::TargetView viewOf(const TargetState &state, const std::string &model, bool accepting);
+
+} // namespace teaseldrift::router
--- a/packages/telemetry/src/teaseldrift/telemetry/metrics.cpp
+++ b/packages/telemetry/src/teaseldrift/telemetry/metrics.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <sstream>
+#include <tuple>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -32,7 +33,10 @@
     std::string label;
     std::string value;
 
-    auto operator<=>(const Key &) const = default;
+    bool operator<(const Key &other) const
+    {
+        return std::tie(name, label, value) < std::tie(other.name, other.label, other.value);
+    }
 };
 
 Key keyOf(const MetricId &id)
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -4,7 +4,7 @@
 capacity.py benchmark NAME   Google Benchmark CSV on stdin -> rows
 capacity.py control          measure-control rows on stdin -> rows
 capacity.py rates            measure-rates rows on stdin -> rows
-capacity.py page             fill docs/CAPACITY.md from docs/capacity/CAPACITY.md.in
+capacity.py page             fill docs/CAPACITY.md and docs/PERFORMANCE.md from their templates
 capacity.py plot             gnuplot commands for docs/capacity/slopes.png
 """
 import csv
@@ -15,8 +15,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SLOPES = f"{ROOT}/docs/capacity/slopes.csv"
-TEMPLATE = f"{ROOT}/docs/capacity/CAPACITY.md.in"
-PAGE = f"{ROOT}/docs/CAPACITY.md"
+PAGES = ("CAPACITY", "PERFORMANCE")
 
 UNITS = {"ns": 1.0, "us": 1e3, "ms": 1e6, "s": 1e9}
 
@@ -102,11 +101,11 @@
     return f"{value:,.{min(digits, 4)}f}"
 
 
-def fill_page():
+def fill_page(page):
     figures = Figures(load())
     names = {name: getattr(figures, name) for name in ("at", "largest", "line", "log_line")}
     names.update({"max": max, "min": min, "round": round, "math": math})
-    template = open(TEMPLATE).read()
+    template = open(f"{ROOT}/docs/capacity/{page}.md.in").read()
 
     def define(match):
         names[match[1]] = eval(match[2], {"__builtins__": {}}, names)
@@ -115,7 +114,7 @@
     text = re.sub(r"^\{%\s*(\w+)\s*=\s*(.*?)\s*%\}\n", define, template, flags=re.M)
     text = re.sub(r"\{\{(.*?)\}\}",
                   lambda match: shown(eval(match[1], {"__builtins__": {}}, names)), text)
-    open(PAGE, "w").write(text)
+    open(f"{ROOT}/docs/{page}.md", "w").write(text)
 
 
 def print_plot():
@@ -144,7 +143,8 @@
     elif command == "rates":
         convert_rates()
     elif command == "page":
-        fill_page()
+        for page in PAGES:
+            fill_page(page)
     elif command == "plot":
         print_plot()
     else:
--- a/testing/processes/process.cpp
+++ b/testing/processes/process.cpp
@@ -97,7 +97,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        throw std::runtime_error("no free port");
+    }
     socklen_t length = sizeof(address);
     ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
     ::close(descriptor);
