--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,13 +1,14 @@
 #!/usr/bin/env python3
 """Turns measurements into docs/capacity/slopes.csv and that into docs/CAPACITY.md.
 
-capacity.py benchmark NAME   Google Benchmark CSV on stdin -> rows
+capacity.py benchmark NAME   Google Benchmark JSON on stdin -> rows
 capacity.py control          measure-control rows on stdin -> rows
 capacity.py rates            measure-rates rows on stdin -> rows
 capacity.py page             fill docs/CAPACITY.md and docs/PERFORMANCE.md from their templates
 capacity.py plot             gnuplot commands for docs/capacity/slopes.png
 """
 import csv
+import json
 import math
 import os
 import re
@@ -20,21 +21,22 @@
 UNITS = {"ns": 1.0, "us": 1e3, "ms": 1e6, "s": 1e9}
 
 
+STANDARD_FIELDS = {"real_time", "cpu_time", "iterations", "items_per_second", "threads",
+                   "repetitions", "repetition_index", "family_index", "per_family_instance_index"}
+
+
 def convert_benchmark(name):
-    """Rows of cpu time in ns; the last number of a benchmark's name is its size."""
-    rows = csv.reader(line for line in sys.stdin if line.startswith(('"', "name,")))
-    header = next(rows)
-    counters = header[10:]
-    for fields in rows:
-        label, cpu, unit = fields[0], float(fields[3]), fields[4]
+    """Rows of cpu time in ns and of counters; the first number of a benchmark's name is its size."""
+    for run in json.load(sys.stdin)["benchmarks"]:
+        label = run["name"]
         numbers = re.findall(r"\d+", label)
         size = numbers[0] if numbers else "1"
         key = re.sub(r"[/:]+", "_", label)
         key = re.sub(rf"(?<!\d){size}(?!\d)", "N", key, count=1) if numbers else key
-        print(f"{name}_{key},{size},{cpu * UNITS[unit]:.6g},ns")
-        for counter, value in zip(counters, fields[10:]):
-            if value:
-                print(f"{name}_{key}_{counter},{size},{float(value):.6g},count")
+        print(f"{name}_{key},{size},{run['cpu_time'] * UNITS[run['time_unit']]:.6g},ns")
+        for counter, value in run.items():
+            if isinstance(value, (int, float)) and counter not in STANDARD_FIELDS:
+                print(f"{name}_{key}_{counter},{size},{value:.6g},count")
 
 
 def convert_control():
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -8,7 +8,7 @@
 {
   echo "name,size,value,unit"
   for bench in placement allowance configuration attempts; do
-    "build/bench/micro/bench-$bench" --benchmark_min_time=0.1 --benchmark_format=csv 2>/dev/null |
+    "build/bench/micro/bench-$bench" --benchmark_min_time=0.1 --benchmark_format=json 2>/dev/null |
       python3 scripts/capacity.py benchmark "$bench"
   done
   build/bench/control/measure-control | python3 scripts/capacity.py control
