Test a restarted VM within the rate and a thousand half-open connections

The router takes all the descriptors that it may have. The performance run now uses one engine: with four, prefix placement gathers the prompts on some of them, and the added time holds their load instead of the router's.

--- a/packages/router/src/teaseldrift/router/claim_task.cpp
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -1,10 +1,10 @@
 #include "teaseldrift/router/claim_task.hpp"
 
-#include <chrono>
 #include <map>
 
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/idempotency/claim_table.hpp"
+#include "wall_clock.hpp"
 
 namespace teaseldrift::router {
 
@@ -30,13 +30,6 @@
     }
 }
 
-int64_t nowUnixMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-            .count();
-}
-
 ClaimReadResult resultOf(std::error_code error, const platform::StoreSnapshot &snapshot,
                          const std::string &key)
 {
--- a/packages/router/src/teaseldrift/router/front.cpp
+++ b/packages/router/src/teaseldrift/router/front.cpp
@@ -28,6 +28,7 @@
 #include "teaseldrift/schema/fleet.pb.h"
 #include "teaseldrift/schema/result.hpp"
 #include "teaseldrift/telemetry/log.hpp"
+#include "wall_clock.hpp"
 
 namespace teaseldrift::router {
 
@@ -40,13 +41,6 @@
 constexpr double bytesPerToken = 4.0;
 constexpr Duration defaultsLifetime = 1s;
 
-int64_t nowUnixMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-            .count();
-}
-
 std::string hexText(std::span<const uint64_t> words)
 {
     constexpr std::string_view digits = "0123456789abcdef";
--- a/packages/router/tools/main.cpp
+++ b/packages/router/tools/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <sys/resource.h>
 #include <thread>
 
 #include <CLI/CLI.hpp>
@@ -58,6 +59,16 @@
     return valid;
 }
 
+/// Each caller and each target takes a descriptor, so the process takes all it may have.
+void raiseDescriptorLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 int serve(const schema::RouterSettings &settings, const sigset_t &signals)
 {
     router::Daemon daemon(settings, {.incarnation = randomNumber() | 1U, .seed = randomNumber()});
@@ -102,6 +113,7 @@
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    raiseDescriptorLimit();
     telemetry::startLog(settings.log_level());
     return serve(settings, signals);
 }
--- a/scripts/performance.py
+++ b/scripts/performance.py
@@ -15,7 +15,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 CTL = f"{ROOT}/build/packages/ctl/teaseldriftctl"
-ENGINES = 4
+ENGINES = 1
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
+# One test holds a thousand connections open.
+ulimit -n 4096 2>/dev/null || true
 ctest --test-dir build --output-on-failure --no-tests=error -j 4
--- a/testing/processes/fleet_test.cpp
+++ b/testing/processes/fleet_test.cpp
@@ -91,6 +91,23 @@
     fleet.storeProcess().signal(SIGCONT);
 }
 
+TEST_CASE("a restarted VM refuses nothing that is within the rate")
+{
+    FleetFixture fleet({.vms = 3, .engines = 1, .rateTokensPerS = 1e5, .burstTokens = 1e5});
+    for (size_t i = 0; i < 3; ++i) {
+        REQUIRE(fleet.caller.ask(fleet.vm(i), fleet.completion("before", 2)).status == 200);
+    }
+    fleet.vmProcess(1).signal(SIGKILL);
+    fleet.vmProcess(1).wait();
+    fleet.restartVm(1);
+    REQUIRE(fleet.waitReady(1));
+    for (int i = 0; i < 20; ++i) {
+        const Answer answer = fleet.caller.ask(fleet.vm(1), fleet.completion("after", 2));
+        CAPTURE(i, answer.body);
+        CHECK(answer.status == 200);
+    }
+}
+
 TEST_CASE("a leaving target gets no new work")
 {
     FleetFixture fleet({.vms = 1, .engines = 2});
--- a/testing/processes/process.cpp
+++ b/testing/processes/process.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <stdexcept>
+#include <string_view>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -91,6 +92,46 @@
     return m_pid > 0;
 }
 
+HalfOpenConnection::HalfOpenConnection(uint16_t port)
+    : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    constexpr std::string_view beginning = "POST /v1/completions HTTP/1.1\r\nhost: x\r\n";
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool sent
+            = ::connect(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0
+              && ::send(m_descriptor, beginning.data(), beginning.size(), MSG_NOSIGNAL) > 0;
+    if (!sent) {
+        ::close(std::exchange(m_descriptor, -1));
+    }
+}
+
+HalfOpenConnection::~HalfOpenConnection()
+{
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+    }
+}
+
+HalfOpenConnection::HalfOpenConnection(HalfOpenConnection &&other) noexcept
+    : m_descriptor(std::exchange(other.m_descriptor, -1))
+{ }
+
+std::vector<HalfOpenConnection> openHalf(uint16_t port, size_t count)
+{
+    std::vector<HalfOpenConnection> connections;
+    connections.reserve(count);
+    for (size_t i = 0; i < count; ++i) {
+        HalfOpenConnection connection(port);
+        if (connection.isConnected()) {
+            connections.push_back(std::move(connection));
+        }
+    }
+    return connections;
+}
+
 uint16_t freePort()
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/testing/processes/process.hpp
+++ b/testing/processes/process.hpp
@@ -40,6 +40,26 @@
     int m_status = 0;
 };
 
+/// @brief A connection that has sent the beginning of a request and nothing more.
+class HalfOpenConnection
+{
+public:
+    /// @brief Connects to a loopback port.
+    explicit HalfOpenConnection(uint16_t port);
+    ~HalfOpenConnection();
+    HalfOpenConnection(HalfOpenConnection &&other) noexcept;
+    HalfOpenConnection(const HalfOpenConnection &) = delete;
+    HalfOpenConnection &operator=(const HalfOpenConnection &) = delete;
+
+    [[nodiscard]] bool isConnected() const { return m_descriptor >= 0; }
+
+private:
+    int m_descriptor = -1;
+};
+
+/// @brief Opens as many as can be opened, up to `count`.
+std::vector<HalfOpenConnection> openHalf(uint16_t port, size_t count);
+
 /// @brief A loopback port that was free a moment ago.
 uint16_t freePort();
 
--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -216,6 +216,15 @@
     CHECK(fleet.caller.waitFor([&] { return busyEngine(fleet, 1) == 1; }));
 }
 
+TEST_CASE("a thousand half-open connections do not keep a caller out")
+{
+    constexpr size_t connections = 1000;
+    FleetFixture fleet({.vms = 1, .engines = 1});
+    const std::vector<HalfOpenConnection> halfOpen = openHalf(fleet.vm(0).port, connections);
+    REQUIRE(halfOpen.size() == connections);
+    CHECK(isWholeStream(fleet.caller.ask(fleet.vm(0), fleet.completion("Maha", 5)), 5));
+}
+
 TEST_CASE("a slow caller slows its engine down and gets the whole stream")
 {
     constexpr uint32_t tokens = 4000;
