--- a/testing/processes/conversation.cpp
+++ b/testing/processes/conversation.cpp
@@ -2,11 +2,12 @@
 
 namespace teaseldrift::testing {
 
-std::shared_ptr<Answer> Conversation::begin(const http::Endpoint &endpoint, http::Request request)
+std::shared_ptr<Answer> Conversation::begin(const http::Endpoint &endpoint, http::Request request,
+                                            http::ConnectionUse use)
 {
     const std::shared_ptr<Answer> answer = std::make_shared<Answer>();
     m_calls[answer.get()] = m_client.start(
-            endpoint, std::move(request), http::ConnectionUse::Fresh,
+            endpoint, std::move(request), use,
             {
                     .onHead =
                             [answer](const http::ResponseHead &head) {
@@ -31,6 +32,15 @@
     return *answer;
 }
 
+Answer Conversation::askKept(const http::Endpoint &endpoint, http::Request request)
+{
+    const std::shared_ptr<Answer> answer
+            = begin(endpoint, std::move(request), http::ConnectionUse::Pooled);
+    waitFor([answer] { return answer->ended; });
+    m_calls.erase(answer.get());
+    return *answer;
+}
+
 void Conversation::drop(const std::shared_ptr<Answer> &answer)
 {
     m_calls.erase(answer.get());
--- a/testing/processes/conversation.hpp
+++ b/testing/processes/conversation.hpp
@@ -30,8 +30,12 @@
     /// @brief Sends a request and waits for the end of the answer.
     Answer ask(const http::Endpoint &endpoint, http::Request request, Duration patience = 20s);
 
+    /// @brief The same over a connection that is kept between calls.
+    Answer askKept(const http::Endpoint &endpoint, http::Request request);
+
     /// @brief Sends a request; the answer fills up while the loop runs.
-    std::shared_ptr<Answer> begin(const http::Endpoint &endpoint, http::Request request);
+    std::shared_ptr<Answer> begin(const http::Endpoint &endpoint, http::Request request,
+                                  http::ConnectionUse use = http::ConnectionUse::Fresh);
 
     /// @brief Closes the connection of a request that was begun.
     void drop(const std::shared_ptr<Answer> &answer);
--- a/testing/processes/fleet_test.cpp
+++ b/testing/processes/fleet_test.cpp
@@ -70,6 +70,17 @@
     }
 }
 
+TEST_CASE("a withdrawn key stops on a connection that its caller keeps open")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1});
+    REQUIRE(fleet.caller.askKept(fleet.vm(0), fleet.completion("before", 2)).status == 200);
+    fleet.withdrawKey();
+    CHECK(fleet.caller.waitFor([&] {
+        const Answer answer = fleet.caller.askKept(fleet.vm(0), fleet.completion("after", 2));
+        return resultOf(answer) == std::to_string(schema::KEY_REFUSED);
+    }));
+}
+
 TEST_CASE("traffic goes on and a VM restarts while the store is down")
 {
     FleetFixture fleet({.vms = 3, .engines = 1});
