--- a/packages/ctl/include/teaseldrift/load/stream_check.hpp
+++ b/packages/ctl/include/teaseldrift/load/stream_check.hpp
@@ -16,9 +16,11 @@
     uint32_t tokens = 0;
     uint32_t promptTokens = 0;
     uint32_t cachedTokens = 0;
+    /// The token counts came, after which there are no more tokens.
+    bool hasUsage = false;
     /// The end marker came, and nothing after it.
     bool done = false;
-    /// A position was skipped, repeated or missing.
+    /// A position was skipped, repeated or missing, or a token came after the token counts.
     bool outOfOrder = false;
     /// The text differs from the stand-in's.
     bool wrongText = false;
--- a/packages/ctl/src/teaseldrift/load/stream_check.cpp
+++ b/packages/ctl/src/teaseldrift/load/stream_check.cpp
@@ -128,17 +128,17 @@
         m_state.errorCode = error.is_object() ? error.value("code", -1) : -1;
         return;
     }
-    if (contains(data, R"("usage":{)")) {
-        readUsage(data);
-    }
     if (!contains(data, R"("choices":[])")) {
         readToken(data);
     }
+    if (contains(data, R"("usage":{)")) {
+        readUsage(data);
+    }
 }
 
 void StreamCheck::readToken(std::string_view data)
 {
-    if (m_position != static_cast<int64_t>(m_state.tokens)) {
+    if (m_position != static_cast<int64_t>(m_state.tokens) || m_state.hasUsage) {
         m_state.outOfOrder = true;
     }
     ++m_state.tokens;
@@ -149,6 +149,7 @@
 
 void StreamCheck::readUsage(std::string_view data)
 {
+    m_state.hasUsage = true;
     m_state.promptTokens = numberAfter(data, R"("prompt_tokens":)");
     m_state.cachedTokens = numberAfter(data, R"("cached_tokens":)");
 }
