Say when events and continuations must be reported

Cause: reading the router's use of RequestMachine and StreamRelay showed two calls that the comments left open. Conclusion: no change of behaviour.

--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -122,6 +122,9 @@
     void progress(AttemptId id, Instant now);
 
     /// @brief Events of a stream arrived. Only if nothing is returned may they go to the caller.
+    ///
+    /// Must be reported for every event that goes to the caller, also with a count of 0, as for the
+    /// chunk with the role: from then on the caller cannot be refused any more.
     RequestActions data(AttemptId id, PositionRange range, Instant now);
 
     /// @brief All text of a stream is delivered, though its end marker has yet to come.
--- a/packages/policy/include/teaseldrift/streams/stream_relay.hpp
+++ b/packages/policy/include/teaseldrift/streams/stream_relay.hpp
@@ -81,7 +81,8 @@
     [[nodiscard]] bool canContinue() const { return m_canContinue; }
 
     /// @brief The request that makes another target continue where this stream stands.
-    /// @return empty if that cannot be asked for
+    /// @return empty if that cannot be asked for: then report RequestMachine::forbidContinuation()
+    /// and noTarget(), and send nothing
     [[nodiscard]] std::optional<std::string> continuationBody(std::string_view originalBody) const;
 
     /// @brief Token counts, once a finished answer has reported them.
