--- a/scripts/performance.py
+++ b/scripts/performance.py
@@ -55,6 +55,13 @@
 
     def __init__(self):
         self.processes = []
+        try:
+            self.open()
+        except BaseException:
+            self.close()
+            raise
+
+    def open(self):
         self.store, self.vm_list, self.router, self.peer, *self.engines = free_ports(4 + ENGINES)
         self.start("testing/standin-store", "--port", self.store)
         self.start("testing/standin-vm_list", "--port", self.vm_list)
