Explain a choice only when debug headers ask for it; read a prompt in one place

Found on reading the whole change again: each dispatch wrote an explanation that only debug headers show, and the pool hashed a prompt in two places with the same lines.

--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -59,7 +59,7 @@
     std::optional<Duration> retryAfter;
     std::string target;
     http::Endpoint endpoint;
-    /// Why this target was chosen, for debug headers.
+    /// Why this target was chosen, for debug headers; may be empty without setExplaining().
     std::string explanation;
     /// Identifies the use of the target in release().
     uint64_t useId = 0;
@@ -129,6 +129,9 @@
     /// @brief Targets to be probed now, because they are ejected or have been idle.
     std::vector<TargetAddress> takeProbes();
 
+    /// @brief Whether each choice is explained in Acquired::explanation, as debug headers need it.
+    void setExplaining(bool explains);
+
     /// @brief This VM's part of all requests, as VMs come and go.
     void setTrafficShare(double share);
 
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -295,6 +295,7 @@
         return error;
     }
     // Its handlers must be known to the network before that starts.
+    native.targets.setExplaining(native.settings.debug_headers());
     native.startConfiguration();
     error = native.peers.start();
     if (error) {
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -50,6 +50,7 @@
     std::map<TicketId, std::string> poolOfTicket;
     TargetHealth health;
     double trafficShare = 1.0;
+    bool explains = false;
     uint64_t lastId = 0;
     http::EventLoop::TimerId expiryTimer = 0;
     /// Tells posted messages whether the pool still exists.
@@ -239,7 +240,8 @@
            = pool.dispatcher.next(*pool.chooser, list, now, generator)) {
         const Selection selection{.outcome = placement::ChoiceOutcome::Dispatch,
                                   .target = pool.targets[next->choice.target],
-                                  .explanation = placement::explain(next->choice, list)};
+                                  .explanation = explains ? placement::explain(next->choice, list)
+                                                          : std::string()};
         dispatch(name, pool, next->id, selection, next->choice);
     }
 }
@@ -407,6 +409,11 @@
     return list;
 }
 
+void TargetPool::setExplaining(bool explains)
+{
+    m_native->explains = explains;
+}
+
 void TargetPool::setTrafficShare(double share)
 {
     m_native->trafficShare = share;
@@ -429,11 +436,7 @@
                     .done = std::move(done),
                     .since = now};
     if (pool.chooser.has_value()) {
-        waiting.chain = hashing::hashChain({.organisation = waiting.query->organisation,
-                                            .model = waiting.query->model,
-                                            .adapter = waiting.query->adapter},
-                                           waiting.query->prompt, pool.chainOptions);
-        waiting.promptTokens = hashing::estimateTokens(waiting.query->prompt, pool.chainOptions);
+        waiting.readPrompt(pool.chainOptions);
     }
     const queueing::PushResult pushed = m_native->push(pool, ticket, waiting);
     m_native->poolOfTicket[ticket] = name;
@@ -526,10 +529,7 @@
 {
     Pool &pool = m_native->poolOf(query);
     Waiting waiting{.query = std::make_shared<TargetQuery>(query)};
-    waiting.chain = hashing::hashChain(
-            {.organisation = query.organisation, .model = query.model, .adapter = query.adapter},
-            query.prompt, pool.chainOptions);
-    waiting.promptTokens = hashing::estimateTokens(query.prompt, pool.chainOptions);
+    waiting.readPrompt(pool.chainOptions);
     placement::Choice choice;
     const Selection selection = m_native->selectEngine(pool, waiting, choice);
     const json explained = {{"explanation", selection.explanation},
--- a/packages/router/src/teaseldrift/router/target_pool_parts.hpp
+++ b/packages/router/src/teaseldrift/router/target_pool_parts.hpp
@@ -61,6 +61,16 @@
         return {.chain = chain, .promptTokens = promptTokens, .outputTokens = query->maxTokens};
     }
 
+    /// Hashes the prompt's blocks and counts its tokens.
+    void readPrompt(const hashing::ChainOptions &chainOptions)
+    {
+        chain = hashing::hashChain({.organisation = query->organisation,
+                                    .model = query->model,
+                                    .adapter = query->adapter},
+                                   query->prompt, chainOptions);
+        promptTokens = hashing::estimateTokens(query->prompt, chainOptions);
+    }
+
     [[nodiscard]] bool excludes(const std::string &target) const
     {
         if (!options.onlyTarget.empty()) {
