--- a/packages/ctl/src/teaseldrift/ctl/configuration_store.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/configuration_store.cpp
@@ -4,7 +4,7 @@
 
 #include "teaseldrift/configuration/change_outcome.hpp"
 #include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
 
 namespace teaseldrift::ctl {
 
@@ -14,7 +14,7 @@
 constexpr int readTries = 5;
 constexpr Duration pauseBetweenTries = 300ms;
 
-platform::StoreWrite toWrite(const DocumentChange &change, const std::string &keyPrefix)
+store::StoreWrite toWrite(const DocumentChange &change, const std::string &keyPrefix)
 {
     return {
             .key = keyPrefix + change.name,
@@ -29,14 +29,14 @@
 struct ConfigurationStore::Native
 {
     http::EventLoop loop;
-    platform::EtcdStore store;
+    store::EtcdStore store;
     std::string keyPrefix;
 
     Native(http::Endpoint endpoint, const std::string &prefix)
         : store(loop, std::move(endpoint)), keyPrefix(prefix + std::string(configurationKeyPart))
     { }
 
-    platform::StoreWriteResult writeOnce(std::span<const DocumentChange> changes);
+    store::StoreWriteResult writeOnce(std::span<const DocumentChange> changes);
     ChangeReport settle(std::span<const DocumentChange> changes, std::string_view changeId,
                         const ConfigurationRead &read, bool wasRefused) const;
     void pause();
@@ -48,15 +48,15 @@
     loop.run();
 }
 
-platform::StoreWriteResult
+store::StoreWriteResult
 ConfigurationStore::Native::writeOnce(std::span<const DocumentChange> changes)
 {
-    std::vector<platform::StoreWrite> writes;
+    std::vector<store::StoreWrite> writes;
     for (const DocumentChange &change : changes) {
         writes.push_back(toWrite(change, keyPrefix));
     }
-    platform::StoreWriteResult result;
-    store.write(writes, [this, &result](platform::StoreWriteResult answer) {
+    store::StoreWriteResult result;
+    store.write(writes, [this, &result](store::StoreWriteResult answer) {
         result = answer;
         loop.stop();
     });
@@ -92,11 +92,11 @@
         if (i > 0) {
             m_native->pause();
         }
-        platform::StoreSnapshot snapshot;
+        store::StoreSnapshot snapshot;
         m_native->store.readPrefix(
                 m_native->keyPrefix,
                 [this, &result, &snapshot](std::error_code error,
-                                           const platform::StoreSnapshot &answer) {
+                                           const store::StoreSnapshot &answer) {
                     result.error = error;
                     snapshot = answer;
                     m_native->loop.stop();
@@ -106,7 +106,7 @@
             continue;
         }
         result.revision = snapshot.revision;
-        for (const platform::StoreEntry &entry : snapshot.entries) {
+        for (const store::StoreEntry &entry : snapshot.entries) {
             schema::VersionedDocument &document = result.documents.emplace_back();
             document.set_name(entry.key.substr(m_native->keyPrefix.size()));
             document.set_revision(entry.revision);
@@ -124,11 +124,11 @@
 {
     ChangeReport report{.result = ChangeResult::NotSent};
     for (int i = 0; i < writeTries; ++i) {
-        const platform::StoreWriteResult result = m_native->writeOnce(changes);
-        if (result.outcome == platform::StoreOutcome::Written) {
+        const store::StoreWriteResult result = m_native->writeOnce(changes);
+        if (result.outcome == store::StoreOutcome::Written) {
             return {.result = ChangeResult::Written, .revision = result.revision};
         }
-        if (result.outcome == platform::StoreOutcome::NotSent) {
+        if (result.outcome == store::StoreOutcome::NotSent) {
             m_native->pause();
             continue;
         }
@@ -137,7 +137,7 @@
         if (seen.error) {
             continue;
         }
-        const bool wasRefused = result.outcome == platform::StoreOutcome::Conflict;
+        const bool wasRefused = result.outcome == store::StoreOutcome::Conflict;
         report = m_native->settle(changes, changeId, seen, wasRefused);
         if (report.result != ChangeResult::Unclear) {
             return report;
--- a/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
+++ b/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
@@ -18,8 +18,8 @@
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/membership/membership_view.hpp"
-#include "teaseldrift/platform/store.hpp"
-#include "teaseldrift/platform/vm_list.hpp"
+#include "teaseldrift/store/store.hpp"
+#include "teaseldrift/store/vm_list.hpp"
 
 namespace teaseldrift::fleet {
 
@@ -68,7 +68,7 @@
 /// network.start();
 /// task.start();
 /// ```
-template <platform::KeyValueStore Store, platform::VmDirectory List>
+template <store::KeyValueStore Store, store::VmDirectory List>
 class ConfigurationTask
 {
 public:
@@ -200,7 +200,7 @@
                 m_random() % static_cast<uint64_t>(m_options.listInterval.count()));
         m_nextList = now + m_options.listInterval - Duration(jitter / jitterDivisor);
         m_list.read([this, alive = m_alive, now](std::error_code error,
-                                                 const std::vector<platform::VmRecord> &records) {
+                                                 const std::vector<store::VmRecord> &records) {
             if (*alive && !error) {
                 m_listReadAt = now;
                 onList(records);
@@ -208,18 +208,18 @@
         });
     }
 
-    void onList(const std::vector<platform::VmRecord> &records)
+    void onList(const std::vector<store::VmRecord> &records)
     {
         std::vector<ListedVm> vms;
         vms.reserve(records.size());
-        for (const platform::VmRecord &record : records) {
+        for (const store::VmRecord &record : records) {
             vms.push_back({
                     .id = record.id,
                     .address = record.address,
                     .callerPort = record.callerPort,
                     .peerPort = record.peerPort,
                     .availabilityZone = record.availabilityZone,
-                    .leaving = record.state == platform::VmState::Leaving,
+                    .leaving = record.state == store::VmState::Leaving,
                     .isTarget = record.isTarget,
             });
         }
@@ -299,11 +299,11 @@
         }
     }
 
-    std::function<void(std::error_code, const platform::StoreSnapshot &)> onRead(uint64_t callId,
+    std::function<void(std::error_code, const store::StoreSnapshot &)> onRead(uint64_t callId,
                                                                                  bool all)
     {
         return [this, alive = m_alive, callId, all](std::error_code error,
-                                                    const platform::StoreSnapshot &snapshot) {
+                                                    const store::StoreSnapshot &snapshot) {
             if (!*alive) {
                 return;
             }
@@ -328,7 +328,7 @@
         const uint64_t callId = action.callId;
         m_storeWatch = m_store.watchPrefix(
                 keyPrefix(), action.afterRevision,
-                [this, alive = m_alive, callId](std::span<const platform::StoreEntry> entries) {
+                [this, alive = m_alive, callId](std::span<const store::StoreEntry> entries) {
                     if (*alive) {
                         perform(m_sync.onWatchEvent(callId, documentsOf(entries),
                                                     http::EventLoop::now()));
@@ -343,11 +343,11 @@
     }
 
     [[nodiscard]] std::vector<schema::VersionedDocument>
-    documentsOf(std::span<const platform::StoreEntry> entries) const
+    documentsOf(std::span<const store::StoreEntry> entries) const
     {
         const std::string prefix = keyPrefix();
         std::vector<schema::VersionedDocument> documents;
-        for (const platform::StoreEntry &entry : entries) {
+        for (const store::StoreEntry &entry : entries) {
             if (!entry.key.starts_with(prefix)) {
                 continue;
             }
--- a/packages/fleet/src/teaseldrift/fleet/configuration_task_test.cpp
+++ b/packages/fleet/src/teaseldrift/fleet/configuration_task_test.cpp
@@ -8,21 +8,21 @@
 #include "standins/vm_list_service.hpp"
 #include "teaseldrift/configuration/change_outcome.hpp"
 #include "teaseldrift/keys/key.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
-#include "teaseldrift/platform/http_vm_list.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
+#include "teaseldrift/store/http_vm_list.hpp"
 
 namespace teaseldrift::fleet {
 
 namespace {
 
-using Task = ConfigurationTask<platform::EtcdStore, platform::HttpVmList>;
+using Task = ConfigurationTask<store::EtcdStore, store::HttpVmList>;
 
 constexpr const char *storePrefix = "/teaseldrift/";
 
 struct Vm
 {
-    platform::EtcdStore store;
-    platform::HttpVmList list;
+    store::EtcdStore store;
+    store::HttpVmList list;
     PeerNetwork network;
     KeyRing keys;
     schema::Configuration configuration;
@@ -68,7 +68,7 @@
     http::Server listServer{loop, {}, [this](const std::shared_ptr<http::Exchange> &exchange) {
                                 vmList.handle(exchange);
                             }};
-    std::unique_ptr<platform::EtcdStore> operatorStore;
+    std::unique_ptr<store::EtcdStore> operatorStore;
     std::vector<std::unique_ptr<Vm>> vms;
     uint64_t lastIncarnation = 1000;
 
@@ -76,7 +76,7 @@
     {
         REQUIRE_FALSE(storeServer.listen());
         REQUIRE_FALSE(listServer.listen());
-        operatorStore = std::make_unique<platform::EtcdStore>(
+        operatorStore = std::make_unique<store::EtcdStore>(
                 loop, http::Endpoint{.address = "127.0.0.1", .port = storeServer.port()}, 500ms);
     }
 
@@ -122,9 +122,9 @@
         std::vector<schema::VersionedDocument> documents;
         operatorStore->readPrefix(
                 std::string(storePrefix) + "config/",
-                [&](std::error_code error, const platform::StoreSnapshot &snapshot) {
+                [&](std::error_code error, const store::StoreSnapshot &snapshot) {
                     CHECK_FALSE(error);
-                    for (const platform::StoreEntry &entry : snapshot.entries) {
+                    for (const store::StoreEntry &entry : snapshot.entries) {
                         schema::VersionedDocument document;
                         document.set_name(
                                 entry.key.substr((std::string(storePrefix) + "config/").size()));
@@ -138,9 +138,9 @@
         return documents;
     }
 
-    platform::StoreWriteResult write(std::span<const DocumentChange> changes)
+    store::StoreWriteResult write(std::span<const DocumentChange> changes)
     {
-        std::vector<platform::StoreWrite> writes;
+        std::vector<store::StoreWrite> writes;
         for (const DocumentChange &change : changes) {
             writes.push_back({
                     .key = std::string(storePrefix) + "config/" + change.name,
@@ -149,8 +149,8 @@
                     .expectedRevision = change.expectedRevision,
             });
         }
-        platform::StoreWriteResult result;
-        operatorStore->write(writes, [&](platform::StoreWriteResult answered) {
+        store::StoreWriteResult result;
+        operatorStore->write(writes, [&](store::StoreWriteResult answered) {
             result = answered;
             loop.stop();
         });
@@ -161,7 +161,7 @@
     void apply(const schema::Configuration &wanted, std::string_view changeId)
     {
         const std::vector<DocumentChange> changes = plan(readAll(), wanted, changeId);
-        REQUIRE(write(changes).outcome == platform::StoreOutcome::Written);
+        REQUIRE(write(changes).outcome == store::StoreOutcome::Written);
     }
 
     bool allAdmit(std::string_view key)
@@ -248,9 +248,9 @@
     const std::vector<DocumentChange> firstPlan = plan(before, first, "first");
     const std::vector<DocumentChange> secondPlan = plan(before, second, "second");
     fleet.gateway.setFault("lose_answers");
-    CHECK(fleet.write(firstPlan).outcome == platform::StoreOutcome::Unknown);
+    CHECK(fleet.write(firstPlan).outcome == store::StoreOutcome::Unknown);
     fleet.gateway.setFault("none");
-    CHECK(fleet.write(secondPlan).outcome == platform::StoreOutcome::Conflict);
+    CHECK(fleet.write(secondPlan).outcome == store::StoreOutcome::Conflict);
     const std::vector<schema::VersionedDocument> after = fleet.readAll();
     CHECK(resolveUnclear(firstPlan, after, "first").outcome == ChangeOutcome::TookEffect);
     const ChangeResolution loser = resolveUnclear(secondPlan, after, "second");
--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -17,6 +17,8 @@
 {
     std::string method = "GET";
     std::string path = "/";
+    /// Value of the Host header; the endpoint if empty.
+    std::string authority;
     Headers headers;
     std::string body;
 };
@@ -90,6 +92,9 @@
     Duration ioTimeout = 60s;
     /// How long an idle connection is kept.
     Duration keepAlive = 5s;
+    /// Time in which a peer must acknowledge what was sent or answer a keep-alive probe; a
+    /// connection that has gone silent for good is closed after it. 0 leaves it to ioTimeout.
+    Duration silence{0};
 };
 
 /// @brief An HTTP/1.1 client on one event loop.
--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -24,6 +24,11 @@
     size_t maxBodyBytes = 8U << 20U;
     /// Longest time that a caller may take to send a request.
     Duration requestTimeout = 10s;
+    /// Refuses heads that two parsers may read differently (two lengths, folded lines, a space
+    /// before a colon), and reads no further request from a connection after a chunked body.
+    bool isStrict = false;
+    /// Time in which a caller's host must acknowledge data or keep-alive probes; 0 for no bound.
+    Duration silence{0};
     /// PEM files; both empty for plain HTTP.
     std::string certificateFile;
     std::string keyFile;
@@ -49,6 +54,9 @@
     [[nodiscard]] std::string_view body() const;
     [[nodiscard]] const Headers &headers() const;
 
+    /// @brief Announces with the answer that the connection closes after it.
+    void closeAfterAnswer();
+
     /// @brief Sends a whole answer.
     void respond(const Response &response);
 
@@ -115,6 +123,9 @@
     /// @brief The bound port.
     [[nodiscard]] uint16_t port() const;
 
+    /// @brief Changes the longest time that a connection may stay idle or take to send a request.
+    void setRequestTimeout(Duration timeout);
+
     /// @brief Accepts no further connections and lets open ones end after their current request.
     void stopAccepting();
 
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -14,6 +14,7 @@
     h2o_http1client_t *client = nullptr;
     h2o_socket_cb pausedReader = nullptr;
     std::string wire;
+    Duration silence{0};
     h2o_iovec_t wireVector{};
     CallHandlers handlers;
     EventLoop::TimerId connectTimer = 0;
@@ -35,7 +36,9 @@
 std::string serialize(const Endpoint &endpoint, const Request &request, ConnectionUse use)
 {
     std::string wire = request.method + " " + request.path
-                       + " HTTP/1.1\r\nhost: " + toString(endpoint) + "\r\n";
+                       + " HTTP/1.1\r\nhost: "
+                       + (request.authority.empty() ? toString(endpoint) : request.authority)
+                       + "\r\n";
     for (const Header &header : request.headers) {
         wire += header.name + ": " + header.value + "\r\n";
     }
@@ -116,6 +119,9 @@
         call.end(CallEnd::NotSent);
         return nullptr;
     }
+    if (call.silence > Duration(0)) {
+        boundSilence(h2o_socket_get_fd(client->sock), call.silence);
+    }
     call.sent = true;
     if (call.handlers.onSent) {
         call.handlers.onSent();
@@ -262,6 +268,7 @@
     Call::Native *call = native.get();
     call->loop = m_native->loop;
     call->handlers = std::move(handlers);
+    call->silence = m_native->options.silence;
     call->methodIsHead = request.method == "HEAD";
     call->wire = serialize(endpoint, request, use);
     std::unique_ptr<Call> result = std::make_unique<Call>(std::move(native));
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 #include "native.hpp"
@@ -59,6 +62,20 @@
 
 } // namespace
 
+void boundSilence(int descriptor, Duration silence)
+{
+    const int on = 1;
+    const unsigned int bound = static_cast<unsigned int>(toMilliseconds(silence));
+    // Keep-alive probes have a grain of a second.
+    const int probeSeconds = 1;
+    const int probes = std::max(1, static_cast<int>(toSeconds(silence)));
+    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+}
+
 EventLoop::EventLoop() : m_native(std::make_unique<Native>())
 {
     m_native->loop = h2o_evloop_create();
--- a/packages/http/src/teaseldrift/http/native.hpp
+++ b/packages/http/src/teaseldrift/http/native.hpp
@@ -69,4 +69,7 @@
     return static_cast<uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
+/// @brief Lets the kernel end a connection whose peer acknowledges nothing for `silence`.
+void boundSilence(int descriptor, Duration silence);
+
 } // namespace teaseldrift::http
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -1,6 +1,8 @@
 #include "teaseldrift/http/server.hpp"
 
 #include <arpa/inet.h>
+#include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
@@ -179,6 +181,13 @@
     return m_native->headers;
 }
 
+void Exchange::closeAfterAnswer()
+{
+    if (m_native->request != nullptr) {
+        m_native->request->http1_is_persistent = 0;
+    }
+}
+
 void Exchange::respond(const Response &response)
 {
     if (m_native->request == nullptr || m_native->streaming) {
@@ -318,6 +327,92 @@
 
 constexpr int listenBacklog = 4096;
 
+/// How a strict server takes a request.
+enum class HeadVerdict {
+    Sound,
+    /// The body is chunked: what follows it could be read as a request by mistake.
+    Chunked,
+    Ambiguous,
+};
+
+bool equalsIgnoringCase(std::string_view text, std::string_view lowerCase)
+{
+    return text.size() == lowerCase.size()
+           && std::equal(text.begin(), text.end(), lowerCase.begin(), [](char a, char b) {
+                  return std::tolower(static_cast<unsigned char>(a)) == b;
+              });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const size_t begin = text.find_first_not_of(" \t\r");
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(" \t\r") - begin + 1);
+}
+
+bool isNumber(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+        return std::isdigit(letter) != 0;
+    });
+}
+
+/// Reads the head's own bytes, since h2o keeps only the last of several length headers.
+HeadVerdict judgeHead(std::string_view bytes)
+{
+    size_t lengths = 0;
+    size_t encodings = 0;
+    size_t hosts = 0;
+    size_t line = bytes.find('\n');
+    while (line != std::string_view::npos) {
+        const size_t end = bytes.find('\n', line + 1);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        const std::string_view text = bytes.substr(line + 1, end - line - 1);
+        line = end;
+        if (text.empty() || text == "\r") {
+            break;
+        }
+        const size_t colon = text.find(':');
+        const std::string_view name = text.substr(0, colon);
+        if (colon == std::string_view::npos || name.empty()
+            || name.find_first_of(" \t\r") != std::string_view::npos
+            || text.substr(0, text.size() - 1).find('\r') != std::string_view::npos) {
+            return HeadVerdict::Ambiguous;
+        }
+        const std::string_view value = trimmed(text.substr(colon + 1));
+        if (equalsIgnoringCase(name, "content-length")) {
+            ++lengths;
+            if (!isNumber(value)) {
+                return HeadVerdict::Ambiguous;
+            }
+        } else if (equalsIgnoringCase(name, "transfer-encoding")) {
+            ++encodings;
+            if (!equalsIgnoringCase(value, "chunked")) {
+                return HeadVerdict::Ambiguous;
+            }
+        } else if (equalsIgnoringCase(name, "host")) {
+            ++hosts;
+        }
+    }
+    if (lengths + encodings > 1 || hosts > 1) {
+        return HeadVerdict::Ambiguous;
+    }
+    return encodings > 0 ? HeadVerdict::Chunked : HeadVerdict::Sound;
+}
+
+std::string_view inputBytes(h2o_req_t *request)
+{
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    if (socket == nullptr || socket->input == nullptr) {
+        return {};
+    }
+    return {socket->input->bytes, socket->input->size};
+}
+
 struct ExchangeHolder
 {
     RequestWatch watch;
@@ -382,6 +477,16 @@
     slot->owner = m_native.get();
     slot->base.on_req = [](h2o_handler_t *self, h2o_req_t *request) {
         Native &server = *reinterpret_cast<Native::HandlerSlot *>(self)->owner;
+        if (server.options.isStrict) {
+            const HeadVerdict verdict = judgeHead(inputBytes(request));
+            if (verdict != HeadVerdict::Sound) {
+                request->http1_is_persistent = 0;
+            }
+            if (verdict == HeadVerdict::Ambiguous) {
+                h2o_send_error_400(request, "Bad Request", "bad request", H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+                return 0;
+            }
+        }
         std::unique_ptr<Exchange::Native> native = std::make_unique<Exchange::Native>();
         native->request = request;
         native->headers = toHeaders(request->headers.entries, request->headers.size);
@@ -450,6 +555,9 @@
             if (socket == nullptr) {
                 return;
             }
+            if (server.options.silence > Duration(0)) {
+                boundSilence(h2o_socket_get_fd(socket), server.options.silence);
+            }
             h2o_accept(&server.acceptContext, socket);
         }
     });
@@ -461,6 +569,12 @@
     return m_native->port;
 }
 
+void Server::setRequestTimeout(Duration timeout)
+{
+    m_native->config.http1.req_timeout = toMilliseconds(timeout);
+    m_native->context.http1.req_timeout.timeout = toMilliseconds(timeout);
+}
+
 void Server::stopAccepting()
 {
     if (m_native->listener == nullptr) {
--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -60,6 +60,9 @@
     Duration progressTimeout = 5s;
     /// Attempts in all.
     uint32_t maxAttempts = 3;
+    /// Attempts after which a target may have run the request; 0 for no bound of their own. Attempts
+    /// that targets refused, or that reached none, count only against maxAttempts.
+    uint32_t maxRuns = 0;
     /// Targets resume a stream after a broken connection.
     bool targetsResume = true;
     /// Pause before targets that failed are tried again when there is no other.
@@ -206,6 +209,8 @@
     uint64_t m_delivered = 0;
     /// Failures since the last newly delivered position.
     uint32_t m_failures = 0;
+    /// Attempts given up after which a target may have run the request.
+    uint32_t m_runs = 0;
     uint32_t m_waits = 0;
     Duration m_retryAfter{0};
     schema::ResultCode m_lastCause = schema::NO_TARGET;
--- /dev/null
+++ b/packages/policy/include/teaseldrift/parts/prompt_parts.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace teaseldrift {
+
+/// @brief A named part of a prompt. Requests that begin with the same parts share their KV cache.
+struct PromptPart
+{
+    uint64_t id = 0;
+    uint32_t tokens = 0;
+};
+
+/// @brief A prefix of a prompt: all parts up to one of them.
+struct PromptPrefix
+{
+    /// Hash of the cache salt and of all parts of the prefix.
+    uint64_t key = 0;
+    /// Tokens of the prefix's last part.
+    uint32_t tokens = 0;
+};
+
+/// @brief The prefixes of a prompt, shortest first.
+/// @param salt what separates caches that must not be mixed
+std::vector<PromptPrefix> prefixesOf(std::span<const PromptPart> parts, std::string_view salt);
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/routing/route_table.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "teaseldrift/routing/fleet_definition.hpp"
+
+namespace teaseldrift {
+
+/// @brief Look-ups in one configuration.
+///
+/// ```cpp
+/// RouteTable table(definition);
+/// const Route *route = table.findRoute("rounds.example", "/books/7");
+/// ```
+class RouteTable
+{
+public:
+    explicit RouteTable(FleetDefinition definition = {});
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    /// @brief The route of the host with the longest prefix of the path; null if there is none.
+    /// @param host may carry a port, which does not count
+    [[nodiscard]] const Route *findRoute(std::string_view host, std::string_view path) const;
+
+    /// @brief The organisation that holds a key; null for an unknown key.
+    [[nodiscard]] const Organisation *findOrganisation(std::string_view key) const;
+
+    [[nodiscard]] const Service *findService(std::string_view name) const;
+
+    /// @brief The store of kept KV cache; null if there is none.
+    [[nodiscard]] const Service *cacheStore() const { return m_cacheStore; }
+
+    /// @brief Service of a route for a request.
+    /// @param key hash of the request, which decides between shares
+    [[nodiscard]] static std::string_view chooseService(const Route &route, uint64_t key);
+
+    [[nodiscard]] const FleetDefinition &definition() const { return m_definition; }
+
+private:
+    FleetDefinition m_definition;
+    /// Routes of a host, longest prefix first.
+    std::map<std::string, std::vector<const Route *>, std::less<>> m_hosts;
+    std::unordered_map<std::string_view, const Organisation *> m_keys;
+    std::map<std::string_view, const Service *> m_services;
+    const Service *m_cacheStore = nullptr;
+};
+
+} // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/streams/sse_parser.hpp
+++ b/packages/policy/include/teaseldrift/streams/sse_parser.hpp
@@ -15,6 +15,8 @@
     std::string_view type;
     /// Values of the `data` lines joined by newlines.
     std::string_view data;
+    /// The event's bytes as they arrived, blank line included.
+    std::string_view raw;
     bool hasId = false;
     /// False for comments and other events without a `data` line.
     bool hasData = false;
--- /dev/null
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/health/target_health.hpp"
+#include "teaseldrift/parts/part_cache.hpp"
+#include "teaseldrift/parts/prompt_parts.hpp"
+#include "teaseldrift/routing/fleet_definition.hpp"
+#include "teaseldrift/targets/target_directory.hpp"
+
+namespace teaseldrift {
+
+/// @brief What a target says of its own load, over all its callers.
+struct TargetLoadReport
+{
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    uint32_t slots = 0;
+};
+
+/// @brief Bounds of the choice of targets.
+struct TargetBookOptions
+{
+    /// This VM's availability zone.
+    std::string availabilityZone;
+    /// Prompt tokens that an engine reads in a millisecond, before any was measured.
+    double promptTokensPerMs = 100.0;
+    /// Cost of another availability zone: its delay there and back.
+    Duration zoneDelay = 3ms;
+    /// A target's word about its load is trusted for this long.
+    Duration reportAge = 1s;
+    /// Work that each running request adds to the first event of a new one.
+    Duration perRunningRequest = 1ms;
+    /// Work that each waiting request adds.
+    Duration perWaitingRequest = 40ms;
+    /// Cost of a prompt token that must be read though another target has read it, as time: it
+    /// spends the fleet's computing power. Four times the time of reading keeps a prefix at its
+    /// place until that place is well behind the others.
+    double rereadFactor = 4.0;
+    /// Part of an engine's KV cache counted as free for what this VM sends.
+    double cachePart = 0.5;
+    /// A target that refused work is avoided for this long.
+    Duration refusalPause = 250ms;
+    HealthOptions health;
+};
+
+/// @brief A request for which a target is sought.
+struct TargetQuery
+{
+    std::string_view service;
+    /// Empty for plain services.
+    std::string_view model;
+    std::span<const PromptPart> parts;
+    /// Organisation whose KV cache is kept apart; empty for the common one.
+    std::string_view wall;
+    std::span<const std::string> excluded;
+    /// Targets with older weights are passed over.
+    uint64_t minWeights = 0;
+    /// Spreads equal choices; any number.
+    uint64_t seed = 0;
+};
+
+/// @brief A chosen target and what to tell it.
+struct TargetChoice
+{
+    std::string id;
+    std::string address;
+    /// Weights version that the target is expected to have; 0 for plain services.
+    uint64_t weights = 0;
+    std::string cacheSalt;
+    std::vector<PromptPrefix> prefixes;
+    /// IP:port from which the target shall import KV cache; empty for none.
+    std::string importFrom;
+    /// IP:port of the store that shall keep the parts; empty for none.
+    std::string saveTo;
+    /// Tokens that the target is expected to read.
+    uint64_t tokensToRead = 0;
+    Duration expectedWait{0};
+};
+
+/// @brief Chooses targets by their load, their health and what their KV cache holds.
+///
+/// Every VM orders the targets for a prompt prefix in the same way without a message, so the
+/// requests of all VMs for that prefix meet at the same target until it falls behind.
+class TargetBook
+{
+public:
+    explicit TargetBook(TargetBookOptions options = {});
+
+    /// @brief Takes the facts of a service: room of its caches, link of its engines.
+    /// @param importTokensPerMs KV cache that a link carries, in tokens; 0 if it cannot be imported
+    void setService(const Service &service, double importTokensPerMs);
+
+    /// @brief The store of kept KV cache, none if empty.
+    void setCacheStore(std::string_view address, uint64_t roomTokens);
+
+    /// @brief Takes a change of the directory.
+    void update(const TargetEntry &target, TargetChange change, Instant now);
+    void remove(std::string_view id);
+
+    /// @brief Chooses a target.
+    /// @return empty if none may take the request now
+    [[nodiscard]] std::optional<TargetChoice> choose(const TargetDirectory &directory,
+                                                     const TargetQuery &query, Instant now) const;
+
+    /// @brief The request is on its way.
+    void sent(const TargetChoice &choice, Instant now);
+
+    /// @brief The target has read the prompt: its first event, or its whole answer, is here.
+    void promptRead(const TargetChoice &choice);
+
+    /// @brief The request is no longer at the target.
+    void ended(const TargetChoice &choice, bool promptWasRead);
+
+    void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
+
+    /// @brief The target did not take a request.
+    void refused(std::string_view id, Instant now);
+
+    TargetHealth &health() { return m_health; }
+
+private:
+    struct ServiceFacts
+    {
+        uint64_t cacheTokens = 0;
+        double importTokensPerMs = 0.0;
+        uint32_t slots = 0;
+    };
+
+    struct State
+    {
+        std::string service;
+        uint32_t inFlight = 0;
+        uint64_t tokensAhead = 0;
+        TargetLoadReport report;
+        Instant reportedAt;
+        /// Own requests in flight when the report came.
+        uint32_t inFlightAtReport = 0;
+        Instant avoidUntil;
+        PartCache cache;
+    };
+
+    struct Scored
+    {
+        const TargetEntry *target = nullptr;
+        const State *state = nullptr;
+        uint64_t weights = 0;
+        uint64_t held = 0;
+        double costMs = 0.0;
+    };
+
+    struct Places;
+
+    [[nodiscard]] Places placesOf(const std::vector<const TargetEntry *> &targets,
+                                  const TargetQuery &query) const;
+    [[nodiscard]] double waitMs(const State &state, Instant now) const;
+    [[nodiscard]] double zoneMs(const TargetEntry &target) const;
+    [[nodiscard]] std::string saltOf(uint64_t weights, std::string_view wall) const;
+    [[nodiscard]] const State *stateOf(std::string_view id) const;
+    State *mutableState(std::string_view id);
+    void addImport(TargetChoice &choice, const TargetDirectory &directory,
+                   const TargetQuery &query) const;
+
+    TargetBookOptions m_options;
+    TargetHealth m_health;
+    std::map<std::string, ServiceFacts, std::less<>> m_services;
+    std::map<std::string, State, std::less<>> m_states;
+    std::string m_cacheStoreAddress;
+    PartCache m_cacheStore;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/include/teaseldrift/usage/usage_share.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift {
+
+/// @brief An organisation's limit over all VMs.
+struct UsageLimit
+{
+    /// Units a second; 0 for no limit.
+    double unitsPerSecond = 0.0;
+    double burst = 0.0;
+
+    bool operator==(const UsageLimit &) const = default;
+};
+
+/// @brief One VM's share of an organisation's limit: a token bucket.
+///
+/// The shares of all VMs add up to the limit, so no message between VMs is needed on the way of a
+/// request. A share that grows or a VM that starts gains only by the rate, never by a jump of the
+/// bucket's level.
+class UsageShare
+{
+public:
+    /// @brief Sets limit and share; the level is kept, but never above the new room.
+    /// @param share part of the limit that this VM may use, from 0 to 1
+    void setLimit(const UsageLimit &limit, double share, Instant now);
+
+    /// @brief Takes units if they are there.
+    [[nodiscard]] bool tryTake(double units, Instant now);
+
+    /// @brief Returns units of a request that did not run.
+    void giveBack(double units);
+
+    /// @brief Time until `units` will be there.
+    [[nodiscard]] Duration timeUntil(double units, Instant now);
+
+    /// @brief Units asked for, whether granted or not, since the last call.
+    double takeDemand();
+
+private:
+    void refill(Instant now);
+
+    UsageLimit m_limit;
+    double m_share = 0.0;
+    double m_level = 0.0;
+    double m_demand = 0.0;
+    Instant m_refilled;
+    bool m_isSet = false;
+};
+
+} // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/attempts/request_machine.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_machine.cpp
@@ -73,7 +73,8 @@
         return fail(Failure::Broken, now);
     }
     // Without another attempt the caller is better served by the target's own words.
-    const bool canRetry = m_failures + 1 < m_options.maxAttempts && now < m_deadline
+    const bool mayRunAgain = m_options.maxRuns == 0 || m_runs + 1 < m_options.maxRuns;
+    const bool canRetry = m_failures + 1 < m_options.maxAttempts && mayRunAgain && now < m_deadline
                           && m_budget.available() >= 1.0;
     if (meaning == HeadMeaning::Failed && canRetry) {
         return fail(Failure::Broken, now);
@@ -259,6 +260,7 @@
     }
     m_lastRunCause = m_lastCause;
     m_mayHaveRun = true;
+    ++m_runs;
 }
 
 void RequestMachine::chooseNext(Failure failure)
@@ -289,6 +291,9 @@
     if (m_kind == AttemptKind::Continuation && !m_canContinue) {
         return false;
     }
+    if (m_options.maxRuns > 0 && m_runs >= m_options.maxRuns) {
+        return false;
+    }
     return m_failures < m_options.maxAttempts && (!isBoundByDeadline() || now < m_deadline);
 }
 
--- /dev/null
+++ b/packages/policy/src/teaseldrift/routing/route_table.cpp
@@ -0,0 +1,90 @@
+#include "teaseldrift/routing/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace teaseldrift {
+
+namespace {
+
+std::string lowerCaseHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(FleetDefinition definition) : m_definition(std::move(definition))
+{
+    for (const Route &route : m_definition.routes) {
+        m_hosts[lowerCaseHost(route.host)].push_back(&route);
+    }
+    for (auto it = m_hosts.begin(); it != m_hosts.end(); ++it) {
+        std::stable_sort(it->second.begin(), it->second.end(), [](const Route *a, const Route *b) {
+            return a->prefix.size() > b->prefix.size();
+        });
+    }
+    for (const Organisation &organisation : m_definition.organisations) {
+        for (const std::string &key : organisation.keys) {
+            m_keys.emplace(key, &organisation);
+        }
+    }
+    for (const Service &service : m_definition.services) {
+        m_services.emplace(service.name, &service);
+        if (!service.cacheStoreAddress.empty()) {
+            m_cacheStore = &service;
+        }
+    }
+}
+
+const Route *RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = m_hosts.find(lowerCaseHost(host));
+    if (found == m_hosts.end()) {
+        return nullptr;
+    }
+    const std::string_view pathOnly = path.substr(0, path.find('?'));
+    for (const Route *route : found->second) {
+        if (pathOnly.starts_with(route->prefix)) {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+const Organisation *RouteTable::findOrganisation(std::string_view key) const
+{
+    const auto found = m_keys.find(key);
+    return found == m_keys.end() ? nullptr : found->second;
+}
+
+const Service *RouteTable::findService(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+std::string_view RouteTable::chooseService(const Route &route, uint64_t key)
+{
+    uint64_t total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    if (total == 0) {
+        return route.services.empty() ? std::string_view() : route.services.front().service;
+    }
+    uint64_t position = key % total;
+    for (const ServiceShare &share : route.services) {
+        if (position < share.weight) {
+            return share.service;
+        }
+        position -= share.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/streams/sse_parser.cpp
+++ b/packages/policy/src/teaseldrift/streams/sse_parser.cpp
@@ -83,7 +83,7 @@
 
 void SseParser::readEvent(std::string_view lines, SseEvent &event)
 {
-    event = {};
+    event = {.raw = lines};
     while (!lines.empty()) {
         const size_t newline = lines.find('\n');
         const std::string_view line = withoutCarriageReturn(lines.substr(0, newline));
--- /dev/null
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -0,0 +1,330 @@
+#include "teaseldrift/targets/target_book.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+/// Wait that the agreed place of a prefix is worth: half of the time that an engine takes to read
+/// a prefix of some thousand tokens.
+constexpr double firstPlaceMs = 20.0;
+constexpr double secondPlaceMs = 10.0;
+
+double toMs(Duration duration)
+{
+    constexpr double perSecond = 1000.0;
+    return toSeconds(duration) * perSecond;
+}
+
+/// Prefixes that other requests may share: all but the last part, which is the request's own.
+std::span<const PromptPrefix> sharedOf(std::span<const PromptPrefix> prefixes)
+{
+    return prefixes.empty() ? prefixes : prefixes.first(prefixes.size() - 1);
+}
+
+uint64_t tokensOf(std::span<const PromptPrefix> prefixes)
+{
+    uint64_t tokens = 0;
+    for (const PromptPrefix &prefix : prefixes) {
+        tokens += prefix.tokens;
+    }
+    return tokens;
+}
+
+} // namespace
+
+TargetBook::TargetBook(TargetBookOptions options)
+    : m_options(std::move(options)), m_health(m_options.health)
+{ }
+
+void TargetBook::setService(const Service &service, double importTokensPerMs)
+{
+    m_services[service.name] = {.cacheTokens = service.cacheTokens,
+                                .importTokensPerMs = importTokensPerMs,
+                                .slots = service.slots};
+}
+
+void TargetBook::setCacheStore(std::string_view address, uint64_t roomTokens)
+{
+    if (m_cacheStoreAddress != address) {
+        m_cacheStoreAddress = address;
+        m_cacheStore = PartCache(roomTokens);
+    }
+}
+
+void TargetBook::update(const TargetEntry &target, TargetChange change, Instant now)
+{
+    const auto [found, isNew] = m_states.try_emplace(target.id);
+    State &state = found->second;
+    if (isNew || change == TargetChange::Restarted || state.service != target.service) {
+        state = State();
+        state.service = target.service;
+        const auto facts = m_services.find(target.service);
+        if (facts != m_services.end()) {
+            state.cache = PartCache(static_cast<uint64_t>(
+                    static_cast<double>(facts->second.cacheTokens) * m_options.cachePart));
+        }
+        m_health.removeTarget(target.id);
+    }
+    m_health.addTarget(target.id, target.service, now);
+    m_health.setLeaving(target.id, target.isLeaving);
+}
+
+void TargetBook::remove(std::string_view id)
+{
+    m_health.removeTarget(id);
+    const auto found = m_states.find(id);
+    if (found != m_states.end()) {
+        m_states.erase(found);
+    }
+}
+
+double TargetBook::waitMs(const State &state, Instant now) const
+{
+    double running = state.inFlight;
+    double waiting = 0.0;
+    if (state.reportedAt != Instant() && now - state.reportedAt < m_options.reportAge) {
+        const double since = static_cast<double>(state.inFlight)
+                             - static_cast<double>(state.inFlightAtReport);
+        const double all = std::max(0.0, static_cast<double>(state.report.running)
+                                                 + static_cast<double>(state.report.waiting)
+                                                 + since);
+        running = std::max(running, all);
+        const double slots = std::max<double>(1.0, state.report.slots);
+        waiting = std::max(0.0, running - slots);
+        running = std::min(running, slots);
+    }
+    return static_cast<double>(state.tokensAhead) / m_options.promptTokensPerMs
+           + running * toMs(m_options.perRunningRequest)
+           + waiting * toMs(m_options.perWaitingRequest);
+}
+
+double TargetBook::zoneMs(const TargetEntry &target) const
+{
+    return target.availabilityZone == m_options.availabilityZone ? 0.0 : toMs(m_options.zoneDelay);
+}
+
+std::string TargetBook::saltOf(uint64_t weights, std::string_view wall) const
+{
+    std::string salt = "w" + std::to_string(weights);
+    if (!wall.empty()) {
+        salt += '/';
+        salt += wall;
+    }
+    return salt;
+}
+
+const TargetBook::State *TargetBook::stateOf(std::string_view id) const
+{
+    const auto found = m_states.find(id);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+TargetBook::State *TargetBook::mutableState(std::string_view id)
+{
+    const auto found = m_states.find(id);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+/// The targets that all VMs put first and second for a prefix.
+struct TargetBook::Places
+{
+    std::string_view first;
+    std::string_view second;
+
+    [[nodiscard]] double bonusMs(std::string_view id) const
+    {
+        if (id == first) {
+            return firstPlaceMs;
+        }
+        return id == second ? secondPlaceMs : 0.0;
+    }
+};
+
+TargetBook::Places TargetBook::placesOf(const std::vector<const TargetEntry *> &targets,
+                                        const TargetQuery &query) const
+{
+    Places places;
+    if (query.model.empty()) {
+        return places;
+    }
+    // Without the weights version, so that a roll of weights moves no prefix.
+    const std::vector<PromptPrefix> prefixes = prefixesOf(query.parts, query.wall);
+    const std::span<const PromptPrefix> shared = sharedOf(prefixes);
+    const uint64_t key = shared.empty() ? query.seed : shared.back().key;
+    double firstScore = 0.0;
+    double secondScore = 0.0;
+    for (const TargetEntry *target : targets) {
+        const double score
+                = m_health.isEligible(target->id) ? rendezvousScore(key, target->id) : 0.0;
+        if (score > firstScore) {
+            secondScore = std::exchange(firstScore, score);
+            places.second = std::exchange(places.first, target->id);
+        } else if (score > secondScore) {
+            secondScore = score;
+            places.second = target->id;
+        }
+    }
+    return places;
+}
+
+std::optional<TargetChoice> TargetBook::choose(const TargetDirectory &directory,
+                                               const TargetQuery &query, Instant now) const
+{
+    const std::vector<const TargetEntry *> &targets = directory.ofService(query.service);
+    std::map<uint64_t, std::vector<PromptPrefix>> prefixesByWeights;
+    const auto facts = m_services.find(query.service);
+    const double importRate
+            = facts == m_services.end() ? 0.0 : facts->second.importTokensPerMs;
+    const Places places = placesOf(targets, query);
+    std::optional<Scored> best;
+    std::optional<Scored> avoided;
+    for (const TargetEntry *target : targets) {
+        const State *state = stateOf(target->id);
+        const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), target->id)
+                                != query.excluded.end();
+        if (state == nullptr || isExcluded || !m_health.isEligible(target->id)) {
+            continue;
+        }
+        Scored scored{.target = target, .state = state};
+        scored.costMs = waitMs(*state, now) + zoneMs(*target);
+        if (!query.model.empty()) {
+            const auto weights = target->weights.find(query.model);
+            if (weights == target->weights.end() || weights->second < query.minWeights) {
+                continue;
+            }
+            scored.weights = weights->second;
+            std::vector<PromptPrefix> &prefixes = prefixesByWeights[scored.weights];
+            if (prefixes.empty()) {
+                prefixes = prefixesOf(query.parts, saltOf(scored.weights, query.wall));
+            }
+            const std::span<const PromptPrefix> shared = sharedOf(prefixes);
+            scored.held = state->cache.heldTokens(shared);
+            const double missing = static_cast<double>(tokensOf(shared) - scored.held);
+            const double readMs = missing / m_options.promptTokensPerMs;
+            const double importMs = importRate > 0.0 ? missing / importRate : readMs;
+            scored.costMs += std::min(readMs * m_options.rereadFactor, importMs * 2.0);
+            scored.costMs -= places.bonusMs(target->id);
+        } else {
+            constexpr uint64_t jitterSteps = 1024;
+            scored.costMs += static_cast<double>((rendezvousKey(target->id) ^ query.seed)
+                                                 % jitterSteps)
+                             / static_cast<double>(jitterSteps);
+        }
+        std::optional<Scored> &slot = now < state->avoidUntil ? avoided : best;
+        if (!slot || scored.costMs < slot->costMs) {
+            slot = scored;
+        }
+    }
+    const std::optional<Scored> &chosen = best ? best : avoided;
+    if (!chosen) {
+        return std::nullopt;
+    }
+    TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
+    choice.expectedWait = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, now)));
+    if (!query.model.empty()) {
+        choice.weights = chosen->weights;
+        choice.cacheSalt = saltOf(chosen->weights, query.wall);
+        choice.prefixes = prefixesByWeights[chosen->weights];
+        choice.tokensToRead = tokensOf(choice.prefixes) - chosen->held;
+        addImport(choice, directory, query);
+    }
+    return choice;
+}
+
+void TargetBook::addImport(TargetChoice &choice, const TargetDirectory &directory,
+                           const TargetQuery &query) const
+{
+    const std::span<const PromptPrefix> shared = sharedOf(choice.prefixes);
+    const State *state = stateOf(choice.id);
+    const uint64_t total = tokensOf(shared);
+    const uint64_t held = state->cache.heldTokens(shared);
+    if (total == 0) {
+        return;
+    }
+    const uint64_t stored = m_cacheStore.heldTokens(shared);
+    if (!m_cacheStoreAddress.empty() && stored < total) {
+        choice.saveTo = m_cacheStoreAddress;
+    }
+    if (held >= total) {
+        return;
+    }
+    uint64_t most = std::max(held, stored);
+    if (!m_cacheStoreAddress.empty()) {
+        choice.importFrom = m_cacheStoreAddress;
+    }
+    for (const TargetEntry *other : directory.ofService(query.service)) {
+        const State *otherState = stateOf(other->id);
+        if (otherState == nullptr || other->id == choice.id || !m_health.isEligible(other->id)) {
+            continue;
+        }
+        const uint64_t otherHeld = otherState->cache.heldTokens(shared);
+        if (otherHeld > most) {
+            most = otherHeld;
+            choice.importFrom = other->address;
+        }
+    }
+}
+
+void TargetBook::sent(const TargetChoice &choice, Instant /*now*/)
+{
+    State *state = mutableState(choice.id);
+    if (state == nullptr) {
+        return;
+    }
+    ++state->inFlight;
+    state->tokensAhead += choice.tokensToRead;
+    state->cache.touch(choice.prefixes);
+}
+
+void TargetBook::promptRead(const TargetChoice &choice)
+{
+    State *state = mutableState(choice.id);
+    if (state != nullptr) {
+        state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
+    }
+    if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
+        m_cacheStore.touch(choice.prefixes);
+    }
+}
+
+void TargetBook::ended(const TargetChoice &choice, bool promptWasRead)
+{
+    State *state = mutableState(choice.id);
+    if (state == nullptr) {
+        return;
+    }
+    state->inFlight -= std::min<uint32_t>(state->inFlight, 1);
+    if (!promptWasRead) {
+        state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
+        for (const PromptPrefix &prefix : choice.prefixes) {
+            state->cache.forget(prefix.key);
+        }
+    }
+}
+
+void TargetBook::reportLoad(std::string_view id, const TargetLoadReport &report, Instant now)
+{
+    State *state = mutableState(id);
+    if (state != nullptr) {
+        state->report = report;
+        state->reportedAt = now;
+        state->inFlightAtReport = state->inFlight;
+    }
+}
+
+void TargetBook::refused(std::string_view id, Instant now)
+{
+    State *state = mutableState(id);
+    if (state != nullptr) {
+        state->avoidUntil = now + m_options.refusalPause;
+    }
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/targets/target_directory.cpp
@@ -0,0 +1,135 @@
+#include "teaseldrift/targets/target_directory.hpp"
+
+#include <utility>
+
+namespace teaseldrift {
+
+TargetDirectory::TargetDirectory(TargetDirectoryOptions options) : m_options(options) { }
+
+TargetChange TargetDirectory::put(const TargetEntry &entry)
+{
+    const bool wasLapsed = m_lapsed.erase(entry.id) > 0;
+    const auto known = m_targets.find(entry.id);
+    if (known == m_targets.end()) {
+        m_targets.emplace(entry.id, entry);
+        rebuild();
+        return TargetChange::Added;
+    }
+    TargetEntry &target = known->second;
+    const bool restarted = target.startedAtMs != entry.startedAtMs;
+    const bool changed = target.isLeaving != entry.isLeaving || target.address != entry.address
+                         || target.service != entry.service || target.weights != entry.weights;
+    target = entry;
+    if (restarted || changed || wasLapsed) {
+        rebuild();
+    }
+    if (restarted) {
+        return TargetChange::Restarted;
+    }
+    return changed ? TargetChange::Changed : TargetChange::None;
+}
+
+TargetChange TargetDirectory::remove(std::string_view id, Instant now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end()) {
+        return TargetChange::None;
+    }
+    if (!known->second.isLeaving && isInGrace(now)) {
+        std::optional<Instant> &goneAt = m_lapsed[known->first];
+        if (!m_isStoreAway && !goneAt) {
+            goneAt = *m_storeRegainedAt + m_options.lapseGrace;
+        }
+        return TargetChange::Lapsed;
+    }
+    m_lapsed.erase(known->first);
+    m_targets.erase(known);
+    rebuild();
+    return TargetChange::Removed;
+}
+
+bool TargetDirectory::isInGrace(Instant now) const
+{
+    return m_isStoreAway
+           || (m_storeRegainedAt && now < *m_storeRegainedAt + m_options.lapseGrace);
+}
+
+void TargetDirectory::storeLost(Instant /*now*/)
+{
+    m_isStoreAway = true;
+}
+
+void TargetDirectory::storeRegained(Instant now)
+{
+    if (!m_isStoreAway) {
+        return;
+    }
+    m_isStoreAway = false;
+    m_storeRegainedAt = now;
+    for (std::pair<const std::string, std::optional<Instant>> &lapsed : m_lapsed) {
+        lapsed.second = now + m_options.lapseGrace;
+    }
+}
+
+std::vector<std::string> TargetDirectory::expire(Instant now)
+{
+    std::vector<std::string> gone;
+    for (const std::pair<const std::string, std::optional<Instant>> &lapsed : m_lapsed) {
+        if (lapsed.second && now >= *lapsed.second) {
+            gone.push_back(lapsed.first);
+        }
+    }
+    for (const std::string &id : gone) {
+        m_lapsed.erase(id);
+        m_targets.erase(id);
+    }
+    if (!gone.empty()) {
+        rebuild();
+    }
+    return gone;
+}
+
+std::vector<std::string> TargetDirectory::missingFrom(
+        const std::map<std::string, TargetEntry, std::less<>> &present) const
+{
+    std::vector<std::string> missing;
+    for (const std::pair<const std::string, TargetEntry> &target : m_targets) {
+        if (!present.contains(target.first)) {
+            missing.push_back(target.first);
+        }
+    }
+    return missing;
+}
+
+const TargetEntry *TargetDirectory::find(std::string_view id) const
+{
+    const auto known = m_targets.find(id);
+    return known == m_targets.end() ? nullptr : &known->second;
+}
+
+const std::vector<const TargetEntry *> &TargetDirectory::ofService(std::string_view service) const
+{
+    static const std::vector<const TargetEntry *> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+void TargetDirectory::setWeights(std::string_view id, std::string_view model, uint64_t version)
+{
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end()) {
+        known->second.weights.insert_or_assign(std::string(model), version);
+    }
+}
+
+void TargetDirectory::rebuild()
+{
+    m_byService.clear();
+    for (const std::pair<const std::string, TargetEntry> &target : m_targets) {
+        if (!target.second.isLeaving) {
+            m_byService[target.second.service].push_back(&target.second);
+        }
+    }
+}
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "teaseldrift/relay/fleet_records.hpp"
+#include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/prefix_feed.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief How often a VM looks for changed registrations.
+struct FleetFeedOptions
+{
+    /// Registrations change with each heartbeat, so a call that waited for the next change would
+    /// return at once; a leaving target must be noticed within its drain time.
+    Duration targetPause = 900ms;
+};
+
+/// @brief Feeds the operators' records and the targets' registrations from a store into the state.
+template <store::PolledStore Store, FleetRecords Records>
+class FleetFeed
+{
+public:
+    FleetFeed(http::EventLoop &loop, Store &store, Records records, FleetState &fleet,
+              telemetry::EventLog &log, FleetFeedOptions options = {})
+        : m_records(std::move(records)),
+          m_fleet(fleet),
+          m_log(log),
+          m_operators(loop, store, {.prefix = std::string(m_records.operatorPrefix())},
+                      operatorHandlers()),
+          m_targets(loop, store,
+                    {.prefix = std::string(m_records.targetPrefix()),
+                     .wait = 1s,
+                     .pause = options.targetPause},
+                    targetHandlers())
+    { }
+
+    void start()
+    {
+        m_operators.start();
+        m_targets.start();
+    }
+
+    /// @brief Called when named weights have changed.
+    void onWeightsNamed(std::function<void()> callback) { m_onWeightsNamed = std::move(callback); }
+
+    [[nodiscard]] bool isConnected() const
+    {
+        return m_operators.isConnected() && m_targets.isConnected();
+    }
+
+private:
+    PrefixFeedHandlers operatorHandlers()
+    {
+        const auto take = [this](const store::StoreSnapshot &snapshot) {
+            for (const store::StoreEntry &entry : snapshot.entries) {
+                takeOperatorRecord(entry);
+            }
+        };
+        return {.onAll = take,
+                .onChanges = take,
+                .onLost = [this](std::error_code error) { logLost("operator_records", error); },
+                .onRegained = [this] { logRegained("operator_records"); }};
+    }
+
+    PrefixFeedHandlers targetHandlers()
+    {
+        return {.onAll = [this](const store::StoreSnapshot &snapshot) { takeAllTargets(snapshot); },
+                .onChanges =
+                        [this](const store::StoreSnapshot &snapshot) {
+                            for (const store::StoreEntry &entry : snapshot.entries) {
+                                takeTarget(entry);
+                            }
+                        },
+                .onLost =
+                        [this](std::error_code error) {
+                            logLost("target_registrations", error);
+                            m_fleet.storeLost(http::EventLoop::now());
+                        },
+                .onRegained =
+                        [this] {
+                            logRegained("target_registrations");
+                            m_fleet.storeRegained(http::EventLoop::now());
+                        }};
+    }
+
+    void takeOperatorRecord(const store::StoreEntry &entry)
+    {
+        if (entry.deleted) {
+            return;
+        }
+        const Instant now = http::EventLoop::now();
+        OperatorRecord record = m_records.readOperatorRecord(entry.key, entry.value);
+        if (DefinitionRecord *definition = std::get_if<DefinitionRecord>(&record)) {
+            m_fleet.applyDefinition(std::move(definition->definition), definition->importRates,
+                                    now);
+        } else if (const WeightsRecord *weights = std::get_if<WeightsRecord>(&record)) {
+            m_fleet.nameWeights(weights->model, weights->version, now);
+            if (m_onWeightsNamed) {
+                m_onWeightsNamed();
+            }
+        } else {
+            logUnreadable(entry);
+        }
+    }
+
+    void takeTarget(const store::StoreEntry &entry)
+    {
+        const Instant now = http::EventLoop::now();
+        const std::string_view prefix = m_records.targetPrefix();
+        const std::string_view id = std::string_view(entry.key).substr(prefix.size());
+        if (entry.deleted) {
+            m_fleet.removeTarget(id, now);
+            return;
+        }
+        if (const std::optional<TargetEntry> target
+            = m_records.readTarget(entry.key, entry.value)) {
+            m_fleet.applyTarget(*target, now);
+        } else {
+            logUnreadable(entry);
+            m_fleet.removeTarget(id, now);
+        }
+    }
+
+    void takeAllTargets(const store::StoreSnapshot &snapshot)
+    {
+        std::map<std::string, TargetEntry, std::less<>> entries;
+        for (const store::StoreEntry &entry : snapshot.entries) {
+            if (const std::optional<TargetEntry> target
+                = m_records.readTarget(entry.key, entry.value)) {
+                entries.emplace(target->id, *target);
+            } else {
+                logUnreadable(entry);
+            }
+        }
+        m_fleet.applyAllTargets(entries, http::EventLoop::now());
+    }
+
+    void logUnreadable(const store::StoreEntry &entry)
+    {
+        m_log.write(telemetry::EventWeight::Routine, "record_unreadable",
+                    {{"key", std::string_view(entry.key)},
+                     {"revision", static_cast<int64_t>(entry.revision)}});
+    }
+
+    void logLost(std::string_view feed, std::error_code error)
+    {
+        const std::string reason = error.message();
+        m_log.write(telemetry::EventWeight::Important, "feed_lost",
+                    {{"feed", feed}, {"reason", std::string_view(reason)}});
+    }
+
+    void logRegained(std::string_view feed)
+    {
+        m_log.write(telemetry::EventWeight::Important, "feed_regained", {{"feed", feed}});
+    }
+
+    Records m_records;
+    FleetState &m_fleet;
+    telemetry::EventLog &m_log;
+    std::function<void()> m_onWeightsNamed;
+    PrefixFeed<Store> m_operators;
+    PrefixFeed<Store> m_targets;
+};
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/attempts/retry_budget.hpp"
+#include "teaseldrift/base/time.hpp"
+#include "teaseldrift/routing/route_table.hpp"
+#include "teaseldrift/schema/vm_record.pb.h"
+#include "teaseldrift/targets/target_book.hpp"
+#include "teaseldrift/targets/target_directory.hpp"
+#include "teaseldrift/telemetry/event_log.hpp"
+#include "teaseldrift/usage/usage_share.hpp"
+#include "teaseldrift/weights/weight_roll.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief What this VM is, and the bounds that the deployment sets.
+struct FleetOptions
+{
+    std::string vmId;
+    std::string availabilityZone;
+    /// IP:port for callers.
+    std::string callerAddress;
+    /// Retries that the whole fleet may make in a window for each request in it.
+    double retryRatio = 0.2;
+    /// Further retries of the whole fleet in a window.
+    double retrySlack = 50.0;
+    Duration retryWindow = 10s;
+    /// Time from the naming of new weights after which nothing may begin on older ones.
+    Duration weightsBound = 6s;
+    /// A VM that has just started does not know yet how many there are; it takes part as if there
+    /// were at least as many as its settings name.
+    size_t leastVms = 3;
+    Duration settlingTime = 3s;
+};
+
+/// @brief What this VM believes about the fleet, and when it learned it.
+class FleetState
+{
+public:
+    FleetState(FleetOptions options, telemetry::EventLog &log, Instant now);
+
+    /// @brief Takes a configuration; an older one is ignored.
+    void applyDefinition(FleetDefinition definition,
+                         const std::map<std::string, double, std::less<>> &importRates,
+                         Instant now);
+
+    void applyTarget(const TargetEntry &entry, Instant now);
+    void removeTarget(std::string_view id, Instant now);
+
+    /// @brief Takes the targets of a whole read; those that are missing are removed.
+    void applyAllTargets(const std::map<std::string, TargetEntry, std::less<>> &entries,
+                         Instant now);
+
+    /// @brief Takes the named weights of a model.
+    void nameWeights(std::string_view model, uint64_t version, Instant now);
+
+    /// @brief Takes all VMs that are known to the store.
+    void applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now);
+
+    void storeLost(Instant now);
+    void storeRegained(Instant now);
+
+    /// @brief Regular work: ends targets whose grace is over.
+    void tick(Instant now);
+
+    /// @brief The configuration in force; null before the first.
+    [[nodiscard]] const std::shared_ptr<const RouteTable> &table() const { return m_table; }
+
+    [[nodiscard]] const TargetDirectory &directory() const { return m_directory; }
+    TargetBook &book() { return m_book; }
+    [[nodiscard]] const TargetBook &book() const { return m_book; }
+    RetryBudget &retryBudget() { return m_retryBudget; }
+    WeightRoll &weights() { return m_weights; }
+
+    /// @brief An organisation's share of its limit on this VM.
+    UsageShare &usage(std::string_view organisation) { return m_usage[std::string(organisation)]; }
+
+    /// @brief Oldest weights of a model on which a request may begin now.
+    [[nodiscard]] uint64_t minWeights(std::string_view model, Instant now) const;
+
+    /// @brief Learned from an answer.
+    void sawWeights(std::string_view target, std::string_view model, uint64_t version);
+
+    /// @brief Addresses for callers, this VM's first.
+    [[nodiscard]] std::vector<std::string> callerAddresses() const;
+
+    void setLeaving() { m_isLeaving = true; }
+    [[nodiscard]] bool isLeaving() const { return m_isLeaving; }
+    [[nodiscard]] const FleetOptions &options() const { return m_options; }
+
+private:
+    struct NamedWeights
+    {
+        uint64_t version = 0;
+        Instant namedAt;
+    };
+
+    void divideUsage(Instant now);
+    void logTarget(const TargetEntry &entry, TargetChange change);
+
+    FleetOptions m_options;
+    telemetry::EventLog &m_log;
+    Instant m_startedAt;
+    std::shared_ptr<const RouteTable> m_table;
+    TargetDirectory m_directory;
+    TargetBook m_book;
+    RetryBudget m_retryBudget;
+    WeightRoll m_weights;
+    std::map<std::string, std::vector<NamedWeights>, std::less<>> m_namedWeights;
+    std::map<std::string, UsageShare, std::less<>> m_usage;
+    std::map<std::string, schema::VmRecord, std::less<>> m_vms;
+    size_t m_dividedBy = 0;
+    bool m_isLeaving = false;
+};
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/front_impl.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "teaseldrift/relay/front.hpp"
+
+namespace teaseldrift::relay {
+
+/// Callers are looked after from this age of their request on: most are answered before.
+inline constexpr Duration callerCheckAge = 100ms;
+
+template <Dialect D>
+Front<D>::Front(RelayContext &context, D dialect) : m_context(context), m_dialect(std::move(dialect))
+{ }
+
+template <Dialect D>
+void Front<D>::handle(std::shared_ptr<http::Exchange> exchange)
+{
+    AdmittedRequest admitted{.request = m_dialect.readRequest(*exchange),
+                             .arrivedAt = http::EventLoop::now()};
+    if (m_context.fleet.isLeaving()) {
+        exchange->closeAfterAnswer();
+    }
+    if (!admit(*exchange, admitted)) {
+        return;
+    }
+    const uint64_t number = ++m_lastTask;
+    const std::shared_ptr<RequestTask<D>> task = std::make_shared<RequestTask<D>>(
+            m_context, m_dialect, std::move(exchange), std::move(admitted),
+            [this, number] { m_tasks.erase(number); });
+    m_tasks.emplace(number, task);
+    task->start();
+}
+
+template <Dialect D>
+bool Front<D>::admit(http::Exchange &exchange, AdmittedRequest &admitted)
+{
+    constexpr int unavailable = 503;
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int tooLarge = 413;
+    constexpr int tooMany = 429;
+    const CallerRequest &request = admitted.request;
+    admitted.table = m_context.fleet.table();
+    if (admitted.table == nullptr) {
+        constexpr Duration configurationWait = 300ms;
+        refuse(exchange, request,
+               {.status = unavailable,
+                .reason = "no_configuration",
+                .retryAfter = configurationWait});
+        return false;
+    }
+    const FleetDefinition &definition = admitted.table->definition();
+    if (request.host.empty()) {
+        refuse(exchange, request, {.status = badRequest, .reason = "no_host"});
+        return false;
+    }
+    admitted.route = admitted.table->findRoute(request.host, request.path);
+    if (admitted.route == nullptr) {
+        refuse(exchange, request, {.status = notFound, .reason = "no_route"});
+        return false;
+    }
+    if (exchange.body().size() > definition.limits.maxBodyBytes) {
+        refuse(exchange, request, {.status = tooLarge, .reason = "body_too_large"});
+        return false;
+    }
+    if (admitted.route->isOpen || definition.organisations.empty()) {
+        return true;
+    }
+    admitted.organisation = admitted.table->findOrganisation(request.key);
+    if (admitted.organisation == nullptr) {
+        refuse(exchange, request, {.status = unauthorized, .reason = "unknown_key"});
+        return false;
+    }
+    admitted.cost = costOf(request, *admitted.organisation);
+    UsageShare &usage = m_context.fleet.usage(admitted.organisation->name);
+    const Instant now = admitted.arrivedAt;
+    if (!usage.tryTake(admitted.cost, now)) {
+        refuse(exchange, request,
+               {.status = tooMany,
+                .reason = "over_limit",
+                .retryAfter = usage.timeUntil(admitted.cost, now)});
+        return false;
+    }
+    return true;
+}
+
+template <Dialect D>
+double Front<D>::costOf(const CallerRequest &request, const Organisation &organisation)
+{
+    if (!organisation.countsTokens) {
+        return 1.0;
+    }
+    return request.statesTokens
+                   ? static_cast<double>(request.promptTokens + request.maxOutputTokens)
+                   : static_cast<double>(organisation.plainTokens);
+}
+
+template <Dialect D>
+void Front<D>::refuse(http::Exchange &exchange, const CallerRequest &request,
+                      const Refusal &refusal)
+{
+    http::Headers headers;
+    if (refusal.retryAfter > Duration(0)) {
+        headers.push_back({"retry-after", std::to_string(toSeconds(refusal.retryAfter))});
+    }
+    exchange.respond({.status = refusal.status, .headers = std::move(headers)});
+    m_context.metrics.counter({"teaseldrift_refusals_total", "reason", refusal.reason}).add();
+    m_context.log.write(telemetry::EventWeight::Important, "request_refused",
+                        {{"request_id", std::string_view(request.id)},
+                         {"status", static_cast<int64_t>(refusal.status)},
+                         {"reason", refusal.reason},
+                         {"retry_after_s", toSeconds(refusal.retryAfter)},
+                         {"host", std::string_view(request.host)},
+                         {"path", std::string_view(request.path)},
+                         {"configuration",
+                          static_cast<int64_t>(m_context.fleet.table() == nullptr
+                                                       ? 0
+                                                       : m_context.fleet.table()
+                                                                 ->definition()
+                                                                 .version)}});
+}
+
+template <Dialect D>
+void Front<D>::checkCallers()
+{
+    const Instant now = http::EventLoop::now();
+    std::vector<std::shared_ptr<RequestTask<D>>> old;
+    for (const std::pair<const uint64_t, std::shared_ptr<RequestTask<D>>> &entry : m_tasks) {
+        if (now - entry.second->arrivedAt() >= callerCheckAge) {
+            old.push_back(entry.second);
+        }
+    }
+    for (const std::shared_ptr<RequestTask<D>> &task : old) {
+        task->checkCaller();
+    }
+}
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/store/store.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief This VM's record in the store, kept under a lease as long as the process lives.
+template <store::PolledStore Store>
+class LeasedRecord
+{
+public:
+    struct Options
+    {
+        std::string key;
+        Duration ttl = 2500ms;
+        Duration keepInterval = 700ms;
+        Duration retryPause = 300ms;
+    };
+
+    LeasedRecord(http::EventLoop &loop, Store &store, Options options)
+        : m_loop(loop), m_store(store), m_options(std::move(options))
+    { }
+
+    ~LeasedRecord() { m_loop.cancelTimer(m_timer); }
+    LeasedRecord(const LeasedRecord &) = delete;
+    LeasedRecord &operator=(const LeasedRecord &) = delete;
+
+    /// @brief Writes the record now and whenever its lease had to be renewed from the start.
+    void set(std::string value)
+    {
+        m_value = std::move(value);
+        m_isWritten = false;
+        m_loop.cancelTimer(m_timer);
+        step();
+    }
+
+private:
+    void step()
+    {
+        if (m_lease == 0) {
+            grant();
+        } else if (!m_isWritten) {
+            write();
+        } else {
+            keep();
+        }
+    }
+
+    void later(Duration pause)
+    {
+        m_loop.cancelTimer(m_timer);
+        m_timer = m_loop.startTimer(pause, [this] { step(); });
+    }
+
+    void grant()
+    {
+        m_store.grantLease(m_options.ttl, [this](std::error_code error, uint64_t lease) {
+            if (error) {
+                later(m_options.retryPause);
+                return;
+            }
+            m_lease = lease;
+            m_isWritten = false;
+            write();
+        });
+    }
+
+    void write()
+    {
+        // Without a condition: the key is this VM's own, and an older incarnation may have left it.
+        const std::array<store::StoreWrite, 1> writes{
+                store::StoreWrite{.key = m_options.key,
+                                  .value = m_value,
+                                  .isUnconditional = true,
+                                  .lease = m_lease}};
+        m_store.write(writes, [this](store::StoreWriteResult result) {
+            if (result.outcome == store::StoreOutcome::Written) {
+                m_isWritten = true;
+                later(m_options.keepInterval);
+                return;
+            }
+            if (result.outcome == store::StoreOutcome::LeaseGone) {
+                m_lease = 0;
+            }
+            later(m_options.retryPause);
+        });
+    }
+
+    void keep()
+    {
+        m_store.keepLease(m_lease, [this](std::error_code error) {
+            if (error == store::StoreError::LeaseGone) {
+                m_lease = 0;
+                step();
+                return;
+            }
+            later(error ? m_options.retryPause : m_options.keepInterval);
+        });
+    }
+
+    http::EventLoop &m_loop;
+    Store &m_store;
+    Options m_options;
+    std::string m_value;
+    uint64_t m_lease = 0;
+    bool m_isWritten = false;
+    http::EventLoop::TimerId m_timer = 0;
+};
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/leased_record.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief Makes this VM known to the others, and learns about them.
+template <store::PolledStore Store>
+class MembershipTask
+{
+public:
+    struct Options
+    {
+        /// Prefix of all VM records.
+        std::string prefix = "teaseldrift/vms/";
+        /// A stale read costs a tenth, and the directory's answers are kept for about as long.
+        Duration readInterval = 1s;
+    };
+
+    MembershipTask(http::EventLoop &loop, Store &store, FleetState &fleet, Options options = {})
+        : m_loop(loop),
+          m_store(store),
+          m_fleet(fleet),
+          m_options(std::move(options)),
+          m_own(loop, store, {.key = m_options.prefix + fleet.options().vmId})
+    { }
+
+    ~MembershipTask() { m_loop.cancelTimer(m_timer); }
+    MembershipTask(const MembershipTask &) = delete;
+    MembershipTask &operator=(const MembershipTask &) = delete;
+
+    void start()
+    {
+        announce(false);
+        read(store::ReadAge::Current);
+    }
+
+    /// @brief Tells the others that this VM takes no new callers.
+    void leave() { announce(true); }
+
+private:
+    void announce(bool isLeaving)
+    {
+        schema::VmRecord record;
+        record.set_vm_id(m_fleet.options().vmId);
+        record.set_caller_address(m_fleet.options().callerAddress);
+        record.set_availability_zone(m_fleet.options().availabilityZone);
+        record.set_is_leaving(isLeaving);
+        m_own.set(record.SerializeAsString());
+    }
+
+    void read(store::ReadAge age)
+    {
+        m_store.readPrefix(m_options.prefix, age,
+                           [this](std::error_code error, const store::StoreSnapshot &snapshot) {
+                               if (!error) {
+                                   take(snapshot);
+                               }
+                               m_timer = m_loop.startTimer(m_options.readInterval, [this] {
+                                   read(store::ReadAge::MayBeStale);
+                               });
+                           });
+    }
+
+    void take(const store::StoreSnapshot &snapshot)
+    {
+        std::map<std::string, schema::VmRecord, std::less<>> vms;
+        for (const store::StoreEntry &entry : snapshot.entries) {
+            schema::VmRecord record;
+            if (record.ParseFromString(entry.value) && !record.vm_id().empty()) {
+                vms[record.vm_id()] = std::move(record);
+            }
+        }
+        m_fleet.applyVms(std::move(vms), http::EventLoop::now());
+    }
+
+    http::EventLoop &m_loop;
+    Store &m_store;
+    FleetState &m_fleet;
+    Options m_options;
+    LeasedRecord<Store> m_own;
+    http::EventLoop::TimerId m_timer = 0;
+};
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/relay_context.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/telemetry/event_log.hpp"
+#include "teaseldrift/telemetry/metrics.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief What all requests of a process share.
+struct RelayContext
+{
+    http::EventLoop &loop;
+    http::Client &targets;
+    FleetState &fleet;
+    telemetry::EventLog &log;
+    telemetry::Metrics &metrics;
+};
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "teaseldrift/attempts/request_machine.hpp"
+#include "teaseldrift/relay/message.hpp"
+#include "teaseldrift/relay/relay_context.hpp"
+#include "teaseldrift/streams/sse_parser.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief What the front has found out about a request before it goes to a target.
+struct AdmittedRequest
+{
+    CallerRequest request;
+    /// Keeps `route` and `organisation` alive.
+    std::shared_ptr<const RouteTable> table;
+    const Route *route = nullptr;
+    /// Null on open routes.
+    const Organisation *organisation = nullptr;
+    /// Units taken from the organisation's limit.
+    double cost = 0.0;
+    Instant arrivedAt;
+};
+
+/// @brief One request from its admission to its end: attempts at targets and the caller's answer.
+///
+/// RequestMachine decides; this carries its actions out.
+template <Dialect D>
+class RequestTask : public std::enable_shared_from_this<RequestTask<D>>
+{
+public:
+    RequestTask(RelayContext &context, const D &dialect, std::shared_ptr<http::Exchange> exchange,
+                AdmittedRequest admitted, std::function<void()> onEnded);
+    ~RequestTask();
+    RequestTask(const RequestTask &) = delete;
+    RequestTask &operator=(const RequestTask &) = delete;
+
+    void start();
+
+    /// @brief Looks whether the caller is still there.
+    void checkCaller();
+
+    [[nodiscard]] Instant arrivedAt() const { return m_admitted.arrivedAt; }
+
+private:
+    void perform(const RequestActions &actions);
+    void startAttempt(const StartAttempt &action);
+    void send(const StartAttempt &action, Instant now);
+    void cancelAttempt();
+    void onHead(AttemptId id, const http::ResponseHead &head);
+    void onData(AttemptId id, std::string_view data);
+    void onEnd(AttemptId id, http::CallEnd end);
+    void readEvents(AttemptId id);
+    void learn(const AnswerFacts &facts, int status, Instant now);
+    void finishCaller();
+    void refuseCaller(const RefuseCaller &refusal);
+    void endStreamWithError();
+    void callerGone();
+    void armTimer();
+    void onTimer();
+    void endAttempt(bool promptWasRead);
+    void end(std::string_view outcome, int status);
+    [[nodiscard]] TargetOrder orderFor(Instant now) const;
+    [[nodiscard]] std::optional<uint32_t> priority() const;
+    [[nodiscard]] Instant deadline() const { return m_admitted.arrivedAt + m_timeAllowed; }
+    [[nodiscard]] bool isStreaming() const { return m_facts.isEventStream && m_status == statusOk; }
+
+    static constexpr int statusOk = 200;
+
+    RelayContext &m_context;
+    const D &m_dialect;
+    std::shared_ptr<http::Exchange> m_exchange;
+    AdmittedRequest m_admitted;
+    std::function<void()> m_onEnded;
+    Duration m_timeAllowed;
+    RequestMachine m_machine;
+    std::unique_ptr<http::Call> m_call;
+    std::optional<TargetChoice> m_choice;
+    bool m_promptRead = false;
+    AnswerFacts m_facts;
+    int m_status = 0;
+    http::Headers m_answerHeaders;
+    std::string m_body;
+    SseParser m_events;
+    /// Highest event id that the caller has; empty before the first.
+    std::optional<uint64_t> m_lastEvent;
+    bool m_callerHasHead = false;
+    bool m_isEnded = false;
+    http::EventLoop::TimerId m_timer = 0;
+    Instant m_firstEventAt;
+    std::string m_triedTargets;
+};
+
+} // namespace teaseldrift::relay
+
+#include "teaseldrift/relay/request_task_impl.hpp"
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -0,0 +1,554 @@
+#pragma once
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+#include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/relay/request_task.hpp"
+
+namespace teaseldrift::relay {
+
+/// Attempts that reach no target, or that targets refuse, beyond those that the route allows to run.
+inline constexpr uint32_t extraAttempts = 2;
+
+/// Bytes that wait for a slow caller before the target is no longer read.
+inline constexpr size_t maxPendingBytes = 256U << 10U;
+
+/// Largest answer that is held to be passed on as a whole.
+inline constexpr size_t maxAnswerBytes = 8U << 20U;
+
+/// Longest advice to come back after a refusal: a waiting caller is served sooner elsewhere.
+inline constexpr Duration longestRetryAfter = 1s;
+
+/// Part of the time left after which a refused caller is asked to come back.
+inline constexpr double retryAfterPart = 0.2;
+
+inline RequestOptions machineOptions(const Route &route, Duration timeAllowed)
+{
+    const bool repeats = route.kind == RouteKind::Idempotent
+                         || route.kind == RouteKind::ResumableStream;
+    const bool streams = route.kind == RouteKind::Stream
+                         || route.kind == RouteKind::ResumableStream;
+    return {
+            .routeClass = !repeats ? schema::NON_IDEMPOTENT
+                          : streams ? schema::GENERATION
+                                    : schema::IDEMPOTENT,
+            .answerMode = streams ? AnswerMode::Streamed : AnswerMode::Buffered,
+            .deadline = timeAllowed,
+            // Only the deadline ends the wait: a silent target may still be at work, and the
+            // kernel ends connections that are dead.
+            .firstByteTimeout = timeAllowed,
+            .progressTimeout = timeAllowed,
+            .maxAttempts = route.maxAttempts + extraAttempts,
+            .maxRuns = route.maxAttempts,
+            .targetsResume = false,
+            .retryDelay = 30ms,
+    };
+}
+
+inline Duration allowedTime(const CallerRequest &request, const Route &route)
+{
+    return request.deadline ? std::min(*request.deadline, route.timeout) : route.timeout;
+}
+
+template <Dialect D>
+RequestTask<D>::RequestTask(RelayContext &context, const D &dialect,
+                            std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
+                            std::function<void()> onEnded)
+    : m_context(context),
+      m_dialect(dialect),
+      m_exchange(std::move(exchange)),
+      m_admitted(std::move(admitted)),
+      m_onEnded(std::move(onEnded)),
+      m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
+      m_machine(machineOptions(*m_admitted.route, m_timeAllowed), context.fleet.retryBudget())
+{
+    const std::string &last = m_admitted.request.lastEventId;
+    uint64_t number = 0;
+    if (!last.empty()
+        && std::from_chars(last.data(), last.data() + last.size(), number).ec == std::errc()) {
+        m_lastEvent = number;
+    }
+}
+
+template <Dialect D>
+RequestTask<D>::~RequestTask()
+{
+    m_context.loop.cancelTimer(m_timer);
+}
+
+template <Dialect D>
+void RequestTask<D>::start()
+{
+    std::weak_ptr<RequestTask> weak = this->weak_from_this();
+    m_exchange->onGone([weak] {
+        if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+            task->callerGone();
+        }
+    });
+    m_exchange->onDrained([weak] {
+        const std::shared_ptr<RequestTask> task = weak.lock();
+        if (task && task->m_call) {
+            task->m_call->resume();
+        }
+    });
+    perform(m_machine.start(http::EventLoop::now()));
+}
+
+template <Dialect D>
+void RequestTask<D>::checkCaller()
+{
+    if (!m_isEnded && m_exchange->isCallerGone()) {
+        callerGone();
+    }
+}
+
+template <Dialect D>
+void RequestTask<D>::perform(const RequestActions &actions)
+{
+    for (const RequestAction &action : actions) {
+        if (const StartAttempt *start = std::get_if<StartAttempt>(&action)) {
+            startAttempt(*start);
+        } else if (std::holds_alternative<CancelAttempt>(action)) {
+            cancelAttempt();
+        } else if (std::holds_alternative<FinishCaller>(action)) {
+            finishCaller();
+        } else if (const RefuseCaller *refusal = std::get_if<RefuseCaller>(&action)) {
+            refuseCaller(*refusal);
+        } else {
+            endStreamWithError();
+        }
+    }
+    if (!m_isEnded) {
+        armTimer();
+    }
+}
+
+template <Dialect D>
+void RequestTask<D>::startAttempt(const StartAttempt &action)
+{
+    const Instant now = http::EventLoop::now();
+    const CallerRequest &request = m_admitted.request;
+    const Organisation *organisation = m_admitted.organisation;
+    const bool isWalled = organisation != nullptr && organisation->isIsolated;
+    const uint64_t seed = rendezvousKey(request.id);
+    m_choice = m_context.fleet.book().choose(
+            m_context.fleet.directory(),
+            {.service = RouteTable::chooseService(*m_admitted.route, seed),
+             .model = request.model,
+             .parts = request.parts,
+             .wall = isWalled ? std::string_view(organisation->name) : std::string_view(),
+             .excluded = action.excludedTargets,
+             .minWeights = m_context.fleet.minWeights(request.model, now),
+             .seed = seed},
+            now);
+    if (!m_choice) {
+        perform(m_machine.noTarget(action.id, now));
+        return;
+    }
+    m_machine.targetChosen(action.id, m_choice->id, now);
+    send(action, now);
+}
+
+template <Dialect D>
+std::optional<uint32_t> RequestTask<D>::priority() const
+{
+    constexpr uint32_t lowest = 9;
+    const uint32_t routePriority = m_admitted.route->priority;
+    if (m_admitted.organisation != nullptr && m_admitted.organisation->priority) {
+        return std::min(lowest, *m_admitted.organisation->priority);
+    }
+    return std::min(lowest, routePriority);
+}
+
+template <Dialect D>
+TargetOrder RequestTask<D>::orderFor(Instant now) const
+{
+    TargetOrder order{.timeLeft = deadline() - now,
+                      .instance = m_choice->id,
+                      .cacheSalt = m_choice->cacheSalt,
+                      .weights = m_choice->weights,
+                      .importFrom = m_choice->importFrom,
+                      .saveTo = m_choice->saveTo};
+    if (m_admitted.organisation != nullptr) {
+        order.organisation = m_admitted.organisation->name;
+    }
+    if (!m_admitted.request.model.empty()) {
+        order.priority = priority();
+    }
+    return order;
+}
+
+template <Dialect D>
+void RequestTask<D>::send(const StartAttempt &action, Instant now)
+{
+    http::Endpoint endpoint;
+    if (!http::parseEndpoint(m_choice->address, endpoint)) {
+        perform(m_machine.connectFailed(action.id, now));
+        return;
+    }
+    TargetOrder order = orderFor(now);
+    const std::string lastEvent = m_lastEvent ? std::to_string(*m_lastEvent) : std::string();
+    order.lastEventId = lastEvent;
+    const CallerRequest &request = m_admitted.request;
+    http::Request message{.method = request.method,
+                          .path = request.path,
+                          .authority = request.host,
+                          .headers = m_dialect.targetHeaders(request, order),
+                          .body = std::string(m_exchange->body())};
+    m_events.reset();
+    m_body.clear();
+    m_facts = {};
+    m_status = 0;
+    m_promptRead = false;
+    m_triedTargets += m_triedTargets.empty() ? "" : ",";
+    m_triedTargets += m_choice->id;
+    m_context.fleet.book().sent(*m_choice, now);
+    std::weak_ptr<RequestTask> weak = this->weak_from_this();
+    const AttemptId id = action.id;
+    m_call = m_context.targets.start(
+            endpoint, std::move(message),
+            action.useFreshConnection ? http::ConnectionUse::Fresh : http::ConnectionUse::Pooled,
+            {.onSent =
+                     [weak, id] {
+                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                             task->m_machine.sent(id, http::EventLoop::now());
+                         }
+                     },
+             .onHead =
+                     [weak, id](const http::ResponseHead &head) {
+                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                             task->onHead(id, head);
+                         }
+                     },
+             .onData =
+                     [weak, id](std::string_view data) {
+                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                             task->onData(id, data);
+                         }
+                     },
+             .onEnd =
+                     [weak, id](http::CallEnd end) {
+                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                             task->onEnd(id, end);
+                         }
+                     }});
+}
+
+template <Dialect D>
+void RequestTask<D>::endAttempt(bool promptWasRead)
+{
+    if (m_choice) {
+        m_context.fleet.book().ended(*m_choice, promptWasRead);
+        m_choice.reset();
+    }
+}
+
+template <Dialect D>
+void RequestTask<D>::cancelAttempt()
+{
+    m_call.reset();
+    endAttempt(m_promptRead);
+}
+
+template <Dialect D>
+void RequestTask<D>::learn(const AnswerFacts &facts, int status, Instant now)
+{
+    TargetBook &book = m_context.fleet.book();
+    if (facts.load) {
+        book.reportLoad(m_choice->id, *facts.load, now);
+    }
+    if (facts.weights && !m_admitted.request.model.empty()) {
+        m_context.fleet.sawWeights(m_choice->id, m_admitted.request.model, *facts.weights);
+    }
+    constexpr int misdirected = 421;
+    if (facts.saysNotRun) {
+        book.refused(m_choice->id, now);
+        if (status == misdirected && !facts.weights && m_choice->weights > 0) {
+            // The target has other weights than it said: most likely the newest.
+            const uint64_t wanted = m_context.fleet.weights().wanted(m_admitted.request.model);
+            m_context.fleet.sawWeights(m_choice->id, m_admitted.request.model,
+                                       std::max(wanted, m_choice->weights));
+        }
+        return;
+    }
+    constexpr int serverError = 500;
+    const bool failed = status >= serverError && m_admitted.request.model.empty() == false;
+    book.health().report(m_choice->id, failed ? HealthEvidence::Failed : HealthEvidence::Answered,
+                         now);
+}
+
+template <Dialect D>
+void RequestTask<D>::onHead(AttemptId id, const http::ResponseHead &head)
+{
+    const Instant now = http::EventLoop::now();
+    if (!m_machine.isCurrent(id) || !m_choice) {
+        return;
+    }
+    AnswerFacts facts = m_dialect.readAnswer(head);
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    const bool isSuccess = head.status >= firstSuccess && head.status < firstRedirect;
+    const bool isOfAnother = !facts.requestId.empty() && facts.requestId != m_admitted.request.id;
+    if (isOfAnother || (isSuccess && !facts.isSealed)) {
+        m_context.log.write(telemetry::EventWeight::Important, "answer_not_of_request",
+                            {{"request_id", std::string_view(m_admitted.request.id)},
+                             {"target", std::string_view(m_choice->id)},
+                             {"answered_id", std::string_view(facts.requestId)},
+                             {"status", static_cast<int64_t>(head.status)}});
+        m_context.fleet.book().health().report(m_choice->id, HealthEvidence::Broken, now);
+        perform(m_machine.broken(id, now));
+        return;
+    }
+    learn(facts, head.status, now);
+    m_facts = std::move(facts);
+    m_status = head.status;
+    const RequestActions actions
+            = m_machine.headReceived(id,
+                                     {.status = head.status,
+                                      .retryAfter = m_facts.retryAfter,
+                                      .saysNotRun = m_facts.saysNotRun},
+                                     now);
+    if (!actions.empty()) {
+        perform(actions);
+        return;
+    }
+    if (!m_callerHasHead) {
+        m_answerHeaders = m_dialect.answerHeaders(head);
+    }
+    armTimer();
+}
+
+template <Dialect D>
+void RequestTask<D>::onData(AttemptId id, std::string_view data)
+{
+    if (!m_machine.isCurrent(id)) {
+        return;
+    }
+    if (isStreaming()) {
+        m_events.append(data);
+        readEvents(id);
+        return;
+    }
+    m_machine.progress(id, http::EventLoop::now());
+    m_body.append(data);
+    if (m_body.size() > maxAnswerBytes) {
+        perform(m_machine.broken(id, http::EventLoop::now()));
+    }
+}
+
+template <Dialect D>
+void RequestTask<D>::readEvents(AttemptId id)
+{
+    const Instant now = http::EventLoop::now();
+    std::string out;
+    SseEvent event;
+    while (m_events.next(event)) {
+        uint64_t number = 0;
+        const bool isNumbered
+                = event.hasId
+                  && std::from_chars(event.id.data(), event.id.data() + event.id.size(), number).ec
+                             == std::errc();
+        if (isNumbered && m_lastEvent && number <= *m_lastEvent) {
+            continue;
+        }
+        const RequestActions actions
+                = m_machine.data(id, {.first = m_machine.delivered(), .count = 1}, now);
+        if (!actions.empty()) {
+            perform(actions);
+            return;
+        }
+        if (isNumbered) {
+            m_lastEvent = number;
+        }
+        out += event.raw;
+    }
+    if (m_events.isOverfull()) {
+        perform(m_machine.broken(id, now));
+        return;
+    }
+    if (out.empty()) {
+        return;
+    }
+    if (!m_promptRead) {
+        m_promptRead = true;
+        m_firstEventAt = m_firstEventAt == Instant() ? now : m_firstEventAt;
+        m_context.fleet.book().promptRead(*m_choice);
+    }
+    if (!m_callerHasHead) {
+        m_callerHasHead = true;
+        m_exchange->startStream(m_status, m_answerHeaders);
+    }
+    if (m_exchange->write(out) > maxPendingBytes && m_call) {
+        m_call->pause();
+    }
+    armTimer();
+}
+
+template <Dialect D>
+void RequestTask<D>::onEnd(AttemptId id, http::CallEnd end)
+{
+    const Instant now = http::EventLoop::now();
+    if (!m_machine.isCurrent(id) || !m_choice) {
+        return;
+    }
+    const std::string target = m_choice->id;
+    TargetHealth &health = m_context.fleet.book().health();
+    if (end == http::CallEnd::NotSent) {
+        health.report(target, HealthEvidence::ConnectFailed, now);
+        perform(m_machine.connectFailed(id, now));
+        return;
+    }
+    if (end == http::CallEnd::Broken || m_events.hasPartialEvent()) {
+        health.report(target, HealthEvidence::Broken, now);
+        perform(m_machine.broken(id, now));
+        return;
+    }
+    const RouteKind kind = m_admitted.route->kind;
+    const bool isStreamRoute = kind == RouteKind::Stream || kind == RouteKind::ResumableStream;
+    perform(isStreamRoute && m_status == statusOk ? m_machine.endMarker(id, now)
+                                                  : m_machine.answerComplete(id, now));
+}
+
+template <Dialect D>
+void RequestTask<D>::finishCaller()
+{
+    m_promptRead = true;
+    if (m_choice) {
+        m_context.fleet.book().promptRead(*m_choice);
+    }
+    if (m_callerHasHead) {
+        m_exchange->finish();
+    } else if (isStreaming()) {
+        m_exchange->startStream(m_status, m_answerHeaders);
+        m_exchange->finish();
+    } else {
+        m_exchange->respond(
+                {.status = m_status, .headers = m_answerHeaders, .body = std::move(m_body)});
+    }
+    end("answered", m_status);
+}
+
+template <Dialect D>
+void RequestTask<D>::refuseCaller(const RefuseCaller &refusal)
+{
+    constexpr int unavailable = 503;
+    constexpr int badGateway = 502;
+    constexpr int gatewayTimeout = 504;
+    const Instant now = http::EventLoop::now();
+    int status = unavailable;
+    http::Headers headers;
+    if (refusal.ran == schema::RAN_NO) {
+        if (m_admitted.organisation != nullptr) {
+            m_context.fleet.usage(m_admitted.organisation->name).giveBack(m_admitted.cost);
+        }
+        const double left = std::max(0.0, toSeconds(deadline() - now));
+        const double after = std::min(toSeconds(longestRetryAfter), left * retryAfterPart);
+        headers.push_back({"retry-after", std::to_string(after)});
+    } else {
+        status = now >= deadline() ? gatewayTimeout : badGateway;
+    }
+    m_exchange->respond({.status = status, .headers = std::move(headers)});
+    end(schema::ResultCode_Name(refusal.code), status);
+}
+
+template <Dialect D>
+void RequestTask<D>::endStreamWithError()
+{
+    m_exchange->abortAfterWrites();
+    end("stream_cut", m_status);
+}
+
+template <Dialect D>
+void RequestTask<D>::callerGone()
+{
+    if (m_isEnded) {
+        return;
+    }
+    const RequestActions actions = m_machine.callerGone(http::EventLoop::now());
+    const RouteKind kind = m_admitted.route->kind;
+    if (actions.empty() && kind == RouteKind::NonIdempotent
+        && m_machine.phase() != RequestPhase::Finished) {
+        return;
+    }
+    cancelAttempt();
+    m_exchange->abort();
+    end("caller_gone", 0);
+}
+
+template <Dialect D>
+void RequestTask<D>::armTimer()
+{
+    m_context.loop.cancelTimer(m_timer);
+    m_timer = 0;
+    Instant due = deadline();
+    if (const std::optional<Instant> next = m_machine.nextDeadline()) {
+        due = std::min(due, *next);
+    }
+    std::weak_ptr<RequestTask> weak = this->weak_from_this();
+    m_timer = m_context.loop.startTimer(due - http::EventLoop::now(), [weak] {
+        if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+            task->m_timer = 0;
+            task->onTimer();
+        }
+    });
+}
+
+template <Dialect D>
+void RequestTask<D>::onTimer()
+{
+    const Instant now = http::EventLoop::now();
+    if (m_isEnded) {
+        return;
+    }
+    if (now >= deadline() && m_callerHasHead) {
+        cancelAttempt();
+        m_exchange->abortAfterWrites();
+        end("deadline_in_stream", m_status);
+        return;
+    }
+    perform(m_machine.timer(now));
+}
+
+template <Dialect D>
+void RequestTask<D>::end(std::string_view outcome, int status)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_isEnded = true;
+    const Instant now = http::EventLoop::now();
+    m_context.loop.cancelTimer(m_timer);
+    const bool isPlainSuccess = status == statusOk && outcome == "answered";
+    const double firstMs = m_firstEventAt == Instant()
+                                   ? 0.0
+                                   : toSeconds(m_firstEventAt - m_admitted.arrivedAt) * 1e3;
+    const std::string_view route = m_admitted.route->name;
+    m_context.log.write(
+            isPlainSuccess ? telemetry::EventWeight::Routine : telemetry::EventWeight::Important,
+            "request_ended",
+            {{"request_id", std::string_view(m_admitted.request.id)},
+             {"route", route},
+             {"outcome", outcome},
+             {"status", static_cast<int64_t>(status)},
+             {"targets", std::string_view(m_triedTargets)},
+             {"attempts", static_cast<int64_t>(m_machine.attempts())},
+             {"events", static_cast<int64_t>(m_machine.delivered())},
+             {"tokens_to_read", static_cast<int64_t>(m_choice ? m_choice->tokensToRead : 0)},
+             {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
+             {"import_from", m_choice ? std::string_view(m_choice->importFrom) : std::string_view()},
+             {"first_event_ms", firstMs},
+             {"total_ms", toSeconds(now - m_admitted.arrivedAt) * 1e3},
+             {"configuration",
+              static_cast<int64_t>(m_admitted.table->definition().version)}});
+    m_context.metrics.counter({"teaseldrift_requests_total", "outcome", outcome}).add();
+    m_context.metrics.distribution({"teaseldrift_request_seconds", "route", route})
+            .observe(toSeconds(now - m_admitted.arrivedAt));
+    endAttempt(m_promptRead);
+    // The call may be the one whose handler runs now; it is destroyed with this task, later.
+    m_context.loop.post([ended = m_onEnded] { ended(); });
+}
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -0,0 +1,275 @@
+#pragma once
+
+#include <array>
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "teaseldrift/orders/controller_lease.hpp"
+#include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/store/store.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief What a target says before it is given an order.
+struct TargetWeights
+{
+    uint64_t version = 0;
+    /// Orders that the target has accepted; the next one names it, so that an order that arrives
+    /// late changes nothing.
+    uint64_t ordersAccepted = 0;
+    bool isBusy = false;
+};
+
+/// @brief An order to load weights.
+struct WeightsOrder
+{
+    std::string target;
+    std::string address;
+    std::string model;
+    uint64_t version = 0;
+    std::string controller;
+    uint64_t fencing = 0;
+    uint64_t ordersAccepted = 0;
+};
+
+/// @brief Carries orders and questions for reports to targets.
+template <typename C>
+concept OrderChannel
+        = requires(C &channel, const WeightsOrder &order,
+                   std::function<void(std::optional<TargetWeights>)> onReport,
+                   std::function<void(WeightOrderEnd)> onEnd)
+{
+    channel.askReport(order, onReport);
+    channel.giveOrder(order, onEnd);
+};
+
+/// @brief Competes for the controller's lease and, while it holds it, rolls new weights out.
+template <store::PolledStore Store, OrderChannel Channel>
+class WeightsTask
+{
+public:
+    struct Options
+    {
+        std::string key = "teaseldrift/controller";
+        OrderOptions orders{.leaseTtl = 3s, .maxOrderLife = 3s};
+        Duration tick = 100ms;
+    };
+
+    WeightsTask(http::EventLoop &loop, Store &store, Channel &channel, FleetState &fleet,
+                telemetry::EventLog &log, Options options = {})
+        : m_loop(loop),
+          m_store(store),
+          m_channel(channel),
+          m_fleet(fleet),
+          m_log(log),
+          m_options(std::move(options)),
+          m_lease(m_options.orders)
+    { }
+
+    ~WeightsTask() { m_loop.cancelTimer(m_timer); }
+    WeightsTask(const WeightsTask &) = delete;
+    WeightsTask &operator=(const WeightsTask &) = delete;
+
+    void start() { tick(); }
+
+    /// @brief Gives no further orders; the lease runs out by itself.
+    void stop() { m_isStopped = true; }
+
+    /// @brief Looks for work at once.
+    void plan()
+    {
+        const Instant now = http::EventLoop::now();
+        if (m_isStopped || !m_lease.mayOrder(now)) {
+            return;
+        }
+        for (const std::pair<const std::string, uint64_t> &wanted : m_fleet.weights().allWanted()) {
+            planModel(wanted.first, now);
+        }
+    }
+
+private:
+    void tick()
+    {
+        if (!m_isStopped && !m_isAsking) {
+            const LeaseStep step = m_lease.nextStep(http::EventLoop::now());
+            if (step == LeaseStep::Acquire) {
+                acquire();
+            } else if (step == LeaseStep::Keep) {
+                keep();
+            }
+        }
+        plan();
+        m_timer = m_loop.startTimer(m_options.tick, [this] { tick(); });
+    }
+
+    void acquire()
+    {
+        m_isAsking = true;
+        m_store.readPrefix(m_options.key, store::ReadAge::MayBeStale,
+                           [this](std::error_code error, const store::StoreSnapshot &snapshot) {
+                               if (error || !snapshot.entries.empty()) {
+                                   m_isAsking = false;
+                                   m_lease.unanswered(http::EventLoop::now());
+                                   return;
+                               }
+                               grant();
+                           });
+    }
+
+    void grant()
+    {
+        const Instant askedAt = http::EventLoop::now();
+        m_store.grantLease(m_options.orders.leaseTtl,
+                           [this, askedAt](std::error_code error, uint64_t lease) {
+                               if (error) {
+                                   m_isAsking = false;
+                                   m_lease.unanswered(http::EventLoop::now());
+                                   return;
+                               }
+                               m_leaseId = lease;
+                               create(askedAt);
+                           });
+    }
+
+    void create(Instant askedAt)
+    {
+        const std::array<store::StoreWrite, 1> writes{
+                store::StoreWrite{.key = m_options.key,
+                                  .value = m_fleet.options().vmId,
+                                  .expectedRevision = 0,
+                                  .lease = m_leaseId}};
+        m_store.write(writes, [this, askedAt](store::StoreWriteResult result) {
+            m_isAsking = false;
+            const Instant now = http::EventLoop::now();
+            if (result.outcome != store::StoreOutcome::Written) {
+                // After a lost answer the key may be held under this lease: it runs out unkept.
+                m_lease.lost(now);
+                return;
+            }
+            m_lease.acquired(askedAt, result.revision, now);
+            m_fleet.weights().reset();
+            m_log.write(telemetry::EventWeight::Important, "controller_acquired",
+                        {{"fencing", static_cast<int64_t>(result.revision)}});
+        });
+    }
+
+    void keep()
+    {
+        m_isAsking = true;
+        const Instant askedAt = http::EventLoop::now();
+        m_store.keepLease(m_leaseId, [this, askedAt](std::error_code error) {
+            m_isAsking = false;
+            if (!error) {
+                m_lease.kept(askedAt);
+                return;
+            }
+            const Instant now = http::EventLoop::now();
+            if (error == store::StoreError::LeaseGone) {
+                lose(now);
+                return;
+            }
+            m_lease.unanswered(now);
+            if (!m_lease.isHeld(now)) {
+                lose(now);
+            }
+        });
+    }
+
+    void lose(Instant now)
+    {
+        m_lease.lost(now);
+        m_log.write(telemetry::EventWeight::Important, "controller_lost", {});
+    }
+
+    void planModel(const std::string &model, Instant now)
+    {
+        std::vector<WeightTarget> targets;
+        for (const std::pair<const std::string, TargetEntry> &entry : m_fleet.directory().all()) {
+            const auto weights = entry.second.weights.find(model);
+            if (!entry.second.isLeaving && weights != entry.second.weights.end()) {
+                targets.push_back({.id = entry.first,
+                                   .version = weights->second,
+                                   .startedAtMs = entry.second.startedAtMs});
+            }
+        }
+        for (const std::string &id : m_fleet.weights().due(model, targets, now)) {
+            ask(model, *m_fleet.directory().find(id));
+        }
+    }
+
+    void ask(const std::string &model, const TargetEntry &target)
+    {
+        const WeightsOrder order{.target = target.id,
+                                 .address = target.address,
+                                 .model = model,
+                                 .version = m_fleet.weights().wanted(model),
+                                 .controller = m_fleet.options().vmId,
+                                 .fencing = m_lease.fencing()};
+        m_channel.askReport(order, [this, order](std::optional<TargetWeights> report) {
+            judgeReport(order, report);
+        });
+    }
+
+    void judgeReport(WeightsOrder order, const std::optional<TargetWeights> &report)
+    {
+        if (!report) {
+            ended(order, WeightOrderEnd::Unknown);
+            return;
+        }
+        m_fleet.sawWeights(order.target, order.model, report->version);
+        if (report->version >= order.version) {
+            ended(order, WeightOrderEnd::Holds);
+            return;
+        }
+        if (report->isBusy) {
+            ended(order, WeightOrderEnd::Busy);
+            return;
+        }
+        order.ordersAccepted = report->ordersAccepted;
+        const Instant now = http::EventLoop::now();
+        if (!m_lease.mayOrder(now) || order.fencing != m_lease.fencing() || m_isStopped) {
+            ended(order, WeightOrderEnd::Unknown);
+            return;
+        }
+        m_log.write(telemetry::EventWeight::Important, "weights_ordered",
+                    {{"target", std::string_view(order.target)},
+                     {"model", std::string_view(order.model)},
+                     {"version", static_cast<int64_t>(order.version)},
+                     {"reported", static_cast<int64_t>(report->version)},
+                     {"fencing", static_cast<int64_t>(order.fencing)}});
+        m_channel.giveOrder(order, [this, order](WeightOrderEnd end) { ended(order, end); });
+    }
+
+    void ended(const WeightsOrder &order, WeightOrderEnd end)
+    {
+        const Instant now = http::EventLoop::now();
+        m_fleet.weights().ended(order.model, order.target, end, now);
+        if (end == WeightOrderEnd::Fenced && order.fencing == m_lease.fencing()) {
+            lose(now);
+        }
+        if (end == WeightOrderEnd::Holds) {
+            m_fleet.sawWeights(order.target, order.model, order.version);
+            plan();
+        }
+    }
+
+    http::EventLoop &m_loop;
+    Store &m_store;
+    Channel &m_channel;
+    FleetState &m_fleet;
+    telemetry::EventLog &m_log;
+    Options m_options;
+    ControllerLease m_lease;
+    uint64_t m_leaseId = 0;
+    bool m_isAsking = false;
+    bool m_isStopped = false;
+    http::EventLoop::TimerId m_timer = 0;
+};
+
+} // namespace teaseldrift::relay
--- a/packages/router/include/teaseldrift/router/allowance_task.hpp
+++ b/packages/router/include/teaseldrift/router/allowance_task.hpp
@@ -16,7 +16,7 @@
 class EventLoop;
 }
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 class EtcdStore;
 }
 
@@ -48,7 +48,7 @@
 class AllowanceTask
 {
 public:
-    AllowanceTask(http::EventLoop &loop, platform::EtcdStore &store, fleet::PeerNetwork &peers,
+    AllowanceTask(http::EventLoop &loop, store::EtcdStore &store, fleet::PeerNetwork &peers,
                   allowance::SelfView self, std::string storePrefix);
     ~AllowanceTask();
     AllowanceTask(const AllowanceTask &) = delete;
--- a/packages/router/include/teaseldrift/router/claim_task.hpp
+++ b/packages/router/include/teaseldrift/router/claim_task.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "teaseldrift/idempotency/claim_types.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
 
 namespace teaseldrift::http {
 class EventLoop;
@@ -26,7 +26,7 @@
 class ClaimTask
 {
 public:
-    ClaimTask(http::EventLoop &loop, platform::EtcdStore &store, std::string storePrefix);
+    ClaimTask(http::EventLoop &loop, store::EtcdStore &store, std::string storePrefix);
     ~ClaimTask();
     ClaimTask(const ClaimTask &) = delete;
     ClaimTask &operator=(const ClaimTask &) = delete;
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -7,7 +7,7 @@
 
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
 
 namespace teaseldrift::router {
 
@@ -25,14 +25,14 @@
     return static_cast<MicroTokens>(std::ceil(tokens * microTokensPerToken));
 }
 
-allowance::RecordWriteOutcome outcomeOf(platform::StoreOutcome outcome)
+allowance::RecordWriteOutcome outcomeOf(store::StoreOutcome outcome)
 {
     switch (outcome) {
-    case platform::StoreOutcome::Written:
+    case store::StoreOutcome::Written:
         return allowance::RecordWriteOutcome::Written;
-    case platform::StoreOutcome::Conflict:
+    case store::StoreOutcome::Conflict:
         return allowance::RecordWriteOutcome::Conflict;
-    case platform::StoreOutcome::NotSent:
+    case store::StoreOutcome::NotSent:
         return allowance::RecordWriteOutcome::NotSent;
     default:
         return allowance::RecordWriteOutcome::Unknown;
@@ -61,7 +61,7 @@
     using Done = std::function<void(const AdmissionAnswer &)>;
 
     http::EventLoop &loop;
-    platform::EtcdStore &store;
+    store::EtcdStore &store;
     fleet::PeerNetwork &peers;
     std::string prefix;
     allowance::Options options;
@@ -73,7 +73,7 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     AllowanceTask *task = nullptr;
 
-    Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore,
+    Native(http::EventLoop &eventLoop, store::EtcdStore &etcdStore,
            fleet::PeerNetwork &peerNetwork, allowance::SelfView self, std::string storePrefix)
         : loop(eventLoop), store(etcdStore), peers(peerNetwork),
           prefix(std::move(storePrefix) + "allowance/"), book(std::move(self), options)
@@ -111,12 +111,12 @@
 {
     const std::string key = prefix + organisation;
     store.readPrefix(key, [this, stillAlive = alive, organisation,
-                           key](std::error_code error, const platform::StoreSnapshot &snapshot) {
+                           key](std::error_code error, const store::StoreSnapshot &snapshot) {
         if (!*stillAlive) {
             return;
         }
         allowance::RecordState state{.failed = static_cast<bool>(error)};
-        for (const platform::StoreEntry &entry : snapshot.entries) {
+        for (const store::StoreEntry &entry : snapshot.entries) {
             schema::DivisionRecord record;
             if (entry.key == key && record.ParseFromString(entry.value)) {
                 state.record = std::move(record);
@@ -130,13 +130,13 @@
 
 void AllowanceTask::Native::write(const allowance::RecordWrite &wanted)
 {
-    const platform::StoreWrite write{
+    const store::StoreWrite write{
             .key = prefix + wanted.organisation,
             .value = wanted.record.SerializeAsString(),
             .expectedRevision = wanted.expectedRevision,
     };
     store.write({&write, 1}, [this, stillAlive = alive, organisation = wanted.organisation](
-                                     platform::StoreWriteResult result) {
+                                     store::StoreWriteResult result) {
         if (!*stillAlive) {
             return;
         }
@@ -185,7 +185,7 @@
     });
 }
 
-AllowanceTask::AllowanceTask(http::EventLoop &loop, platform::EtcdStore &store,
+AllowanceTask::AllowanceTask(http::EventLoop &loop, store::EtcdStore &store,
                              fleet::PeerNetwork &peers, allowance::SelfView self,
                              std::string storePrefix)
     : m_native(
--- a/packages/router/src/teaseldrift/router/claim_task.cpp
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -16,25 +16,25 @@
 constexpr Duration leaseInterval = std::chrono::hours(1);
 constexpr Duration leaseRetry = 5s;
 
-ClaimWriteOutcome outcomeOf(platform::StoreOutcome outcome)
+ClaimWriteOutcome outcomeOf(store::StoreOutcome outcome)
 {
     switch (outcome) {
-    case platform::StoreOutcome::Written:
+    case store::StoreOutcome::Written:
         return ClaimWriteOutcome::Written;
-    case platform::StoreOutcome::Conflict:
+    case store::StoreOutcome::Conflict:
         return ClaimWriteOutcome::Conflict;
-    case platform::StoreOutcome::NotSent:
+    case store::StoreOutcome::NotSent:
         return ClaimWriteOutcome::NotSent;
     default:
         return ClaimWriteOutcome::Unknown;
     }
 }
 
-ClaimReadResult resultOf(std::error_code error, const platform::StoreSnapshot &snapshot,
+ClaimReadResult resultOf(std::error_code error, const store::StoreSnapshot &snapshot,
                          const std::string &key)
 {
     ClaimReadResult result{.isAnswered = !error};
-    for (const platform::StoreEntry &entry : snapshot.entries) {
+    for (const store::StoreEntry &entry : snapshot.entries) {
         schema::ClaimRecord record;
         if (entry.key == key && record.ParseFromString(entry.value)) {
             result.record = std::move(record);
@@ -49,7 +49,7 @@
 struct ClaimTask::Native
 {
     http::EventLoop &loop;
-    platform::EtcdStore &store;
+    store::EtcdStore &store;
     std::string prefix;
     ClaimTable table;
     std::map<std::string, std::function<void(const ClaimAnswer &)>> waiting;
@@ -57,12 +57,12 @@
     uint64_t lease = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    Native(http::EventLoop &eventLoop, platform::EtcdStore &etcdStore, std::string storePrefix)
+    Native(http::EventLoop &eventLoop, store::EtcdStore &etcdStore, std::string storePrefix)
         : loop(eventLoop), store(etcdStore), prefix(std::move(storePrefix))
     { }
 
     void perform(const std::string &claimId, const ClaimStep &step);
-    void write(const std::string &claimId, platform::StoreWrite write);
+    void write(const std::string &claimId, store::StoreWrite write);
     void read(const std::string &claimId, const std::string &key);
     void answer(const std::string &claimId, const ClaimAnswer &answer);
     void scheduleExpiry();
@@ -93,10 +93,10 @@
     }
 }
 
-void ClaimTask::Native::write(const std::string &claimId, platform::StoreWrite write)
+void ClaimTask::Native::write(const std::string &claimId, store::StoreWrite write)
 {
     store.write({&write, 1},
-                [this, stillAlive = alive, claimId](platform::StoreWriteResult result) {
+                [this, stillAlive = alive, claimId](store::StoreWriteResult result) {
                     if (*stillAlive) {
                         perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome),
                                                          result.revision, http::EventLoop::now()));
@@ -107,7 +107,7 @@
 void ClaimTask::Native::read(const std::string &claimId, const std::string &key)
 {
     store.readPrefix(key, [this, stillAlive = alive, claimId,
-                           key](std::error_code error, const platform::StoreSnapshot &snapshot) {
+                           key](std::error_code error, const store::StoreSnapshot &snapshot) {
         if (*stillAlive) {
             perform(claimId, table.readDone(claimId, resultOf(error, snapshot, key),
                                             http::EventLoop::now(), nowUnixMs()));
@@ -156,7 +156,7 @@
                      });
 }
 
-ClaimTask::ClaimTask(http::EventLoop &loop, platform::EtcdStore &store, std::string storePrefix)
+ClaimTask::ClaimTask(http::EventLoop &loop, store::EtcdStore &store, std::string storePrefix)
     : m_native(std::make_unique<Native>(loop, store, std::move(storePrefix)))
 {
     m_native->scheduleExpiry();
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -8,8 +8,8 @@
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
-#include "teaseldrift/platform/http_vm_list.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
+#include "teaseldrift/store/http_vm_list.hpp"
 #include "teaseldrift/router/allowance_task.hpp"
 #include "teaseldrift/router/claim_task.hpp"
 #include "teaseldrift/router/entry_book.hpp"
@@ -79,14 +79,14 @@
 
 struct Daemon::Native
 {
-    using ConfigurationTask = fleet::ConfigurationTask<platform::EtcdStore, platform::HttpVmList>;
+    using ConfigurationTask = fleet::ConfigurationTask<store::EtcdStore, store::HttpVmList>;
 
     schema::RouterSettings settings;
     DaemonIdentity identity;
     http::EventLoop loop;
     RouterMetrics metrics;
-    platform::EtcdStore store;
-    platform::HttpVmList vmList;
+    store::EtcdStore store;
+    store::HttpVmList vmList;
     fleet::PeerNetwork peers;
     TargetPool targets;
     EntryBook entries;
--- a/packages/platform/include/teaseldrift/platform/etcd_store.hpp
+++ b/packages/store/include/teaseldrift/store/etcd_store.hpp
@@ -8,13 +8,13 @@
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/message.hpp"
-#include "teaseldrift/platform/store.hpp"
+#include "teaseldrift/store/store.hpp"
 
 namespace teaseldrift::http {
 class EventLoop;
 }
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 /// @brief A key-value service that speaks the etcd v3 JSON gateway.
 ///
@@ -65,4 +65,4 @@
 
 static_assert(KeyValueStore<EtcdStore>);
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/packages/platform/include/teaseldrift/platform/http_vm_list.hpp
+++ b/packages/store/include/teaseldrift/store/http_vm_list.hpp
@@ -7,13 +7,13 @@
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/message.hpp"
-#include "teaseldrift/platform/vm_list.hpp"
+#include "teaseldrift/store/vm_list.hpp"
 
 namespace teaseldrift::http {
 class EventLoop;
 }
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 /// @brief The platform's list of VMs as a JSON array at `GET /vms`.
 ///
@@ -37,4 +37,4 @@
 
 static_assert(VmDirectory<HttpVmList>);
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/packages/platform/include/teaseldrift/platform/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -12,7 +12,7 @@
 
 #include "teaseldrift/base/time.hpp"
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 /// @brief One key of the platform's key-value service.
 struct StoreEntry
@@ -41,6 +41,8 @@
     std::string key;
     std::string value;
     bool deletes = false;
+    /// The write holds whatever the key's revision is.
+    bool isUnconditional = false;
     /// The write holds only while the key's revision is this one; 0 if it must not exist.
     uint64_t expectedRevision = 0;
     /// Lease that removes the key when it ends; 0 for none.
@@ -55,6 +57,8 @@
     Conflict,
     /// Nothing was sent, so nothing took effect.
     NotSent,
+    /// The lease named has ended; nothing took effect.
+    LeaseGone,
     /// The answer was lost; the writes may have taken effect. Read back before saying anything.
     Unknown,
 };
@@ -85,4 +89,45 @@
     store.keepLease(revision, std::function<void(std::error_code, Duration)>());
 };
 
-} // namespace teaseldrift::platform
+/// @brief How old a read may be.
+enum class ReadAge {
+    Current,
+    /// May be some seconds old, and costs the store less.
+    MayBeStale,
+};
+
+/// @brief Why a call to a store had no result.
+enum class StoreError {
+    /// No answer, or the store said that nothing was done.
+    Unavailable = 1,
+    /// Changes after the revision asked for are no longer kept: read the prefix anew.
+    HistoryGone,
+    /// The lease has ended.
+    LeaseGone,
+    /// The store could not read the call, or its answer could not be read.
+    Malformed,
+};
+
+std::error_code make_error_code(StoreError error);
+
+/// @brief A store whose changes are asked for one waiting call at a time, so that the caller sets
+/// the pace and with it the price.
+template <typename Store>
+concept PolledStore = requires(Store &store, std::string_view prefix, uint64_t number,
+                               Duration duration, std::span<const StoreWrite> writes)
+{
+    store.readPrefix(prefix, ReadAge::Current,
+                     std::function<void(std::error_code, const StoreSnapshot &)>());
+    store.waitForChanges(prefix, number, duration,
+                         std::function<void(std::error_code, const StoreSnapshot &)>());
+    store.write(writes, std::function<void(StoreWriteResult)>());
+    store.grantLease(duration, std::function<void(std::error_code, uint64_t)>());
+    store.keepLease(number, std::function<void(std::error_code)>());
+    store.endLease(number);
+};
+
+} // namespace teaseldrift::store
+
+template <>
+struct std::is_error_code_enum<teaseldrift::store::StoreError> : std::true_type
+{ };
--- a/packages/platform/include/teaseldrift/platform/vm_list.hpp
+++ b/packages/store/include/teaseldrift/store/vm_list.hpp
@@ -6,7 +6,7 @@
 #include <system_error>
 #include <vector>
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 enum class VmState {
     Live,
@@ -35,4 +35,4 @@
     list.read(std::function<void(std::error_code, const std::vector<VmRecord> &)>());
 };
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/packages/platform/src/teaseldrift/platform/etcd_store.cpp
+++ b/packages/store/src/teaseldrift/store/etcd_store.cpp
@@ -1,48 +1,21 @@
-#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
 
 #include <charconv>
 #include <map>
 #include <string>
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/store/base64.hpp"
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 namespace {
 
 using nlohmann::json;
 
-std::string encodeBase64(std::string_view text)
-{
-    std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(encoded.data()),
-                                       reinterpret_cast<const unsigned char *>(text.data()),
-                                       static_cast<int>(text.size()));
-    encoded.resize(static_cast<size_t>(length));
-    return encoded;
-}
-
-std::string decodeBase64(std::string_view text)
-{
-    std::string decoded(text.size() / 4 * 3 + 3, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
-                                       reinterpret_cast<const unsigned char *>(text.data()),
-                                       static_cast<int>(text.size()));
-    if (length < 0) {
-        return {};
-    }
-    size_t padding = 0;
-    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=') {
-        ++padding;
-    }
-    decoded.resize(static_cast<size_t>(length) - padding);
-    return decoded;
-}
-
 /// The gateway writes 64-bit numbers as strings, and leaves zero out.
 uint64_t number(const json &object, const char *field)
 {
@@ -303,7 +276,9 @@
 {
     json body = {{"compare", json::array()}, {"success", json::array()}};
     for (const StoreWrite &write : writes) {
-        body["compare"].push_back(compareOf(write));
+        if (!write.isUnconditional) {
+            body["compare"].push_back(compareOf(write));
+        }
         body["success"].push_back(putOf(write));
     }
     m_native->post(
@@ -381,4 +356,4 @@
                    });
 }
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/packages/platform/src/teaseldrift/platform/http_vm_list.cpp
+++ b/packages/store/src/teaseldrift/store/http_vm_list.cpp
@@ -1,4 +1,4 @@
-#include "teaseldrift/platform/http_vm_list.hpp"
+#include "teaseldrift/store/http_vm_list.hpp"
 
 #include <string>
 
@@ -7,7 +7,7 @@
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 namespace {
 
@@ -130,4 +130,4 @@
             });
 }
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/packages/platform/src/teaseldrift/platform/platform_test.cpp
+++ b/packages/store/src/teaseldrift/store/store_test.cpp
@@ -3,10 +3,10 @@
 #include "standins/store_gateway.hpp"
 #include "standins/vm_list_service.hpp"
 #include "teaseldrift/http/event_loop.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
-#include "teaseldrift/platform/http_vm_list.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
+#include "teaseldrift/store/http_vm_list.hpp"
 
-namespace teaseldrift::platform {
+namespace teaseldrift::store {
 
 namespace {
 
@@ -179,4 +179,4 @@
     CHECK(failed);
 }
 
-} // namespace teaseldrift::platform
+} // namespace teaseldrift::store
--- a/testing/processes/fleet_fixture.cpp
+++ b/testing/processes/fleet_fixture.cpp
@@ -8,7 +8,7 @@
 
 #include "teaseldrift/configuration/documents.hpp"
 #include "teaseldrift/keys/key.hpp"
-#include "teaseldrift/platform/etcd_store.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
 
 namespace teaseldrift::testing {
 
@@ -165,19 +165,19 @@
 
 void FleetFixture::put(const schema::Document &document)
 {
-    platform::EtcdStore etcd(caller.loop(), store());
+    store::EtcdStore etcd(caller.loop(), store());
     const std::string key
             = std::string(storePrefix) + std::string(configurationKeyPart) + nameOf(document);
     bool done = false;
-    etcd.readPrefix(key, [&](std::error_code, const platform::StoreSnapshot &snapshot) {
+    etcd.readPrefix(key, [&](std::error_code, const store::StoreSnapshot &snapshot) {
         uint64_t revision = 0;
-        for (const platform::StoreEntry &entry : snapshot.entries) {
+        for (const store::StoreEntry &entry : snapshot.entries) {
             revision = entry.key == key ? entry.revision : revision;
         }
-        const platform::StoreWrite write{
+        const store::StoreWrite write{
                 .key = key, .value = document.SerializeAsString(), .expectedRevision = revision};
-        etcd.write({&write, 1}, [&done](platform::StoreWriteResult result) {
-            done = result.outcome == platform::StoreOutcome::Written;
+        etcd.write({&write, 1}, [&done](store::StoreWriteResult result) {
+            done = result.outcome == store::StoreOutcome::Written;
         });
     });
     if (!caller.waitFor([&done] { return done; })) {
