Read targets' answers with Beast's parser on h2o's sockets

Connections are watched while idle, and stray answers are read over by request id. Weights: targets with the oldest version come first, and the first naming seen live counts as news.

--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -27,7 +27,7 @@
 enum class ConnectionUse {
     /// A kept connection if one is idle.
     Pooled,
-    /// A new connection, closed afterwards. An idle one may have gone silent for good.
+    /// A new connection. An idle one may have been closed, or have gone silent for good.
     Fresh,
 };
 
@@ -54,6 +54,9 @@
     /// Optional; runs just before the first byte is handed to the connection. It must not destroy
     /// the call. Unlike the others it may run inside start().
     std::function<void()> onSent;
+    /// Optional; tells whether an answer is that of this request. Targets may send a stray answer
+    /// before it, which is read over.
+    std::function<bool(const ResponseHead &)> isOfRequest;
     std::function<void(const ResponseHead &)> onHead;
     std::function<void(std::string_view)> onData;
     std::function<void(CallEnd)> onEnd;
@@ -88,10 +91,12 @@
 struct ClientOptions
 {
     Duration connectTimeout = 1s;
-    /// Longest silence on a connection in use.
+    /// Longest time without a byte of the answer; 0 for no bound.
     Duration ioTimeout = 60s;
-    /// How long an idle connection is kept.
+    /// How long an idle connection is kept, unless the target announces a shorter time.
     Duration keepAlive = 5s;
+    /// Idle connections kept for each endpoint.
+    size_t maxIdle = 64;
     /// Time in which a peer must acknowledge what was sent or answer a keep-alive probe; a
     /// connection that has gone silent for good is closed after it. 0 leaves it to ioTimeout.
     Duration silence{0};
@@ -114,9 +119,11 @@
     /// @brief Drops the kept connections of an endpoint.
     void forget(const Endpoint &endpoint);
 
-private:
+    /// Access for the calls.
     struct Native;
-    std::unique_ptr<Native> m_native;
+
+private:
+    std::shared_ptr<Native> m_native;
 };
 
 } // namespace teaseldrift::http
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -1,157 +1,264 @@
 #include "teaseldrift/http/client.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <utility>
 
+#include "connection.hpp"
 #include "native.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
 namespace teaseldrift::http {
 
+namespace {
+
+/// Pace at which idle connections are looked through.
+constexpr Duration idleCheckInterval = 250ms;
+
+/// Part of the announced idle time after which a connection is not used any more: the target may
+/// count from an earlier moment.
+constexpr double announcedIdlePart = 0.6;
+
+std::string serialize(const Endpoint &endpoint, const Request &request)
+{
+    std::string wire;
+    constexpr size_t headEstimate = 1024;
+    wire.reserve(headEstimate + request.body.size());
+    wire += request.method;
+    wire += ' ';
+    wire += request.path;
+    wire += " HTTP/1.1\r\nhost: ";
+    wire += request.authority.empty() ? toString(endpoint) : request.authority;
+    wire += "\r\n";
+    for (const Header &header : request.headers) {
+        wire += header.name;
+        wire += ": ";
+        wire += header.value;
+        wire += "\r\n";
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        wire += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    wire += "\r\n";
+    wire += request.body;
+    return wire;
+}
+
+} // namespace
+
+struct Client::Native : std::enable_shared_from_this<Client::Native>
+{
+    struct IdleConnection
+    {
+        std::shared_ptr<Connection> connection;
+        Instant until;
+    };
+
+    EventLoop *loop = nullptr;
+    ClientOptions options;
+    std::map<Endpoint, std::vector<IdleConnection>> idle;
+    EventLoop::TimerId idleTimer = 0;
+
+    std::shared_ptr<Connection> takeIdle(const Endpoint &endpoint);
+    void keep(const Endpoint &endpoint, const std::shared_ptr<Connection> &connection);
+    void remove(const Endpoint &endpoint, const Connection *connection);
+    void closeOld();
+};
+
 struct Call::Native
 {
     EventLoop *loop = nullptr;
-    h2o_http1client_t *client = nullptr;
-    h2o_socket_cb pausedReader = nullptr;
+    std::weak_ptr<Client::Native> client;
+    Endpoint endpoint;
     std::string wire;
-    Duration silence{0};
-    h2o_iovec_t wireVector{};
+    bool isHead = false;
     CallHandlers handlers;
-    EventLoop::TimerId connectTimer = 0;
-    bool methodIsHead = false;
+    ClientOptions options;
+    h2o_socket_t *connecting = nullptr;
+    std::shared_ptr<Connection> connection;
+    EventLoop::TimerId timer = 0;
+    Instant lastByte;
     bool sent = false;
-    bool starting = true;
-    bool inCallback = false;
-    bool cancelled = false;
     bool ended = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    void connect();
+    void connected(const char *error);
+    void send();
+    void watchSilence();
+    void endLater(CallEnd how);
     void end(CallEnd how);
     void cancel();
-    bool deliverInput();
+    ConnectionHandlers connectionHandlers();
 };
 
-namespace {
-
-std::string serialize(const Endpoint &endpoint, const Request &request, ConnectionUse use)
+std::shared_ptr<Connection> Client::Native::takeIdle(const Endpoint &endpoint)
 {
-    std::string wire = request.method + " " + request.path
-                       + " HTTP/1.1\r\nhost: "
-                       + (request.authority.empty() ? toString(endpoint) : request.authority)
-                       + "\r\n";
-    for (const Header &header : request.headers) {
-        wire += header.name + ": " + header.value + "\r\n";
-    }
-    if (use == ConnectionUse::Fresh) {
-        wire += "connection: close\r\n";
+    const auto found = idle.find(endpoint);
+    if (found == idle.end()) {
+        return nullptr;
     }
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-        wire += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    const Instant now = EventLoop::now();
+    while (!found->second.empty()) {
+        const IdleConnection last = found->second.back();
+        found->second.pop_back();
+        if (now < last.until) {
+            return last.connection;
+        }
+        last.connection->close();
     }
-    wire += "\r\n";
-    wire += request.body;
-    return wire;
+    return nullptr;
 }
 
-Call::Native &nativeOf(h2o_http1client_t *client)
+void Client::Native::keep(const Endpoint &endpoint, const std::shared_ptr<Connection> &connection)
 {
-    return *static_cast<Call::Native *>(client->data);
+    std::vector<IdleConnection> &kept = idle[endpoint];
+    Duration time = options.keepAlive;
+    if (const std::optional<Duration> announced = connection->announcedIdleTime()) {
+        time = std::min(time, Duration(static_cast<Duration::rep>(
+                                      static_cast<double>(announced->count()) * announcedIdlePart)));
+    }
+    if (kept.size() >= options.maxIdle || time <= Duration(0)) {
+        connection->close();
+        return;
+    }
+    const std::weak_ptr<Native> weak = weak_from_this();
+    connection->idle([weak, endpoint, raw = connection.get()] {
+        if (const std::shared_ptr<Native> self = weak.lock()) {
+            self->remove(endpoint, raw);
+        }
+    });
+    kept.push_back({.connection = connection, .until = EventLoop::now() + time});
+    if (idleTimer == 0) {
+        idleTimer = loop->startTimer(idleCheckInterval, [this] { closeOld(); });
+    }
 }
 
-bool isError(const char *error)
+void Client::Native::remove(const Endpoint &endpoint, const Connection *connection)
 {
-    return error != nullptr && error != h2o_http1client_error_is_eos;
+    const auto found = idle.find(endpoint);
+    if (found != idle.end()) {
+        std::erase_if(found->second, [connection](const IdleConnection &candidate) {
+            return candidate.connection.get() == connection;
+        });
+    }
 }
 
-int onBody(h2o_http1client_t *client, const char *error)
+void Client::Native::closeOld()
 {
-    constexpr int closeConnection = -1;
-    Call::Native &call = nativeOf(client);
-    if (isError(error)) {
-        // What is left in the buffer may be raw chunk framing, so it is dropped.
-        call.client = nullptr;
-        call.end(CallEnd::Broken);
-        return closeConnection;
+    idleTimer = 0;
+    const Instant now = EventLoop::now();
+    for (auto it = idle.begin(); it != idle.end();) {
+        std::erase_if(it->second,
+                      [now](const IdleConnection &candidate) { return now >= candidate.until; });
+        it = it->second.empty() ? idle.erase(it) : std::next(it);
     }
-    if (!call.deliverInput()) {
-        return closeConnection;
+    if (!idle.empty()) {
+        idleTimer = loop->startTimer(idleCheckInterval, [this] { closeOld(); });
     }
-    if (error == h2o_http1client_error_is_eos) {
-        call.client = nullptr;
-        call.end(CallEnd::Complete);
-    }
-    return 0;
 }
 
-h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int /*minorVersion*/,
-                               int status, h2o_iovec_t /*reason*/, h2o_header_t *headers,
-                               size_t headerCount, int /*headLength*/)
+ConnectionHandlers Call::Native::connectionHandlers()
 {
-    Call::Native &call = nativeOf(client);
-    if (isError(error)) {
-        call.client = nullptr;
-        call.end(CallEnd::Broken);
-        return nullptr;
-    }
-    const ResponseHead head{.status = status, .headers = toHeaders(headers, headerCount)};
-    const std::shared_ptr<bool> alive = call.alive;
-    call.inCallback = true;
-    call.handlers.onHead(head);
-    if (!*alive) {
-        return nullptr;
-    }
-    call.inCallback = false;
-    if (error == h2o_http1client_error_is_eos) {
-        call.client = nullptr;
-        call.end(CallEnd::Complete);
-        return nullptr;
+    return {.isOfRequest = handlers.isOfRequest,
+            .onHead =
+                    [this](const ResponseHead &head) {
+                        lastByte = EventLoop::now();
+                        handlers.onHead(head);
+                    },
+            .onData =
+                    [this](std::string_view data) {
+                        lastByte = EventLoop::now();
+                        handlers.onData(data);
+                    },
+            .onEnd =
+                    [this](ConnectionEnd end) {
+                        const std::shared_ptr<Connection> used = std::move(connection);
+                        const std::shared_ptr<Client::Native> pool = client.lock();
+                        if (end == ConnectionEnd::Reusable && pool) {
+                            pool->keep(endpoint, used);
+                        }
+                        this->end(end == ConnectionEnd::Broken ? CallEnd::Broken
+                                                               : CallEnd::Complete);
+                    }};
+}
+
+void Call::Native::connect()
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    connecting = h2o_socket_connect(
+            loop->native().loop, reinterpret_cast<sockaddr *>(&address), sizeof(address),
+            [](h2o_socket_t *socket, const char *error) {
+                static_cast<Call::Native *>(socket->data)->connected(error);
+            });
+    if (connecting == nullptr) {
+        endLater(CallEnd::NotSent);
+        return;
     }
-    return onBody;
+    connecting->data = this;
+    timer = loop->startTimer(options.connectTimeout, [this] {
+        timer = 0;
+        h2o_socket_close(std::exchange(connecting, nullptr));
+        end(CallEnd::NotSent);
+    });
 }
 
-h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error,
-                                  h2o_iovec_t **buffers, size_t *bufferCount, int *methodIsHead)
+void Call::Native::connected(const char *error)
 {
-    Call::Native &call = nativeOf(client);
-    call.loop->cancelTimer(call.connectTimer);
+    loop->cancelTimer(timer);
+    timer = 0;
+    h2o_socket_t *socket = std::exchange(connecting, nullptr);
     if (error != nullptr) {
-        call.client = nullptr;
-        call.end(CallEnd::NotSent);
-        return nullptr;
-    }
-    if (call.silence > Duration(0)) {
-        boundSilence(h2o_socket_get_fd(client->sock), call.silence);
+        h2o_socket_close(socket);
+        end(CallEnd::NotSent);
+        return;
     }
-    call.sent = true;
-    if (call.handlers.onSent) {
-        call.handlers.onSent();
+    if (options.silence > Duration(0)) {
+        boundSilence(h2o_socket_get_fd(socket), options.silence);
     }
-    call.wireVector = toIovec(call.wire);
-    *buffers = &call.wireVector;
-    *bufferCount = 1;
-    *methodIsHead = call.methodIsHead ? 1 : 0;
-    return onHead;
+    connection = std::make_shared<Connection>(socket);
+    send();
 }
 
-} // namespace
-
-/// @return false if the call was destroyed by its handler, and the connection must be closed
-bool Call::Native::deliverInput()
+void Call::Native::send()
 {
-    h2o_buffer_t **input = &client->sock->input;
-    if ((*input)->size == 0) {
-        return true;
+    sent = true;
+    lastByte = EventLoop::now();
+    if (handlers.onSent) {
+        handlers.onSent();
     }
-    const size_t size = (*input)->size;
-    const std::shared_ptr<bool> stillAlive = alive;
-    inCallback = true;
-    handlers.onData({(*input)->bytes, size});
-    if (!*stillAlive) {
-        return false;
+    connection->exchange(std::move(wire), isHead, connectionHandlers());
+    watchSilence();
+}
+
+void Call::Native::watchSilence()
+{
+    if (options.ioTimeout <= Duration(0)) {
+        return;
     }
-    inCallback = false;
-    h2o_buffer_consume(input, size);
-    return true;
+    const Instant due = lastByte + options.ioTimeout;
+    timer = loop->startTimer(due - EventLoop::now(), [this] {
+        timer = 0;
+        if (EventLoop::now() < lastByte + options.ioTimeout) {
+            watchSilence();
+            return;
+        }
+        std::exchange(connection, nullptr)->close();
+        end(CallEnd::Broken);
+    });
+}
+
+void Call::Native::endLater(CallEnd how)
+{
+    loop->post([stillAlive = alive, this, how] {
+        if (*stillAlive) {
+            end(how);
+        }
+    });
 }
 
 void Call::Native::end(CallEnd how)
@@ -160,15 +267,7 @@
         return;
     }
     ended = true;
-    if (starting) {
-        // Handlers never run inside start().
-        loop->post([stillAlive = alive, this, how] {
-            if (*stillAlive) {
-                handlers.onEnd(how);
-            }
-        });
-        return;
-    }
+    loop->cancelTimer(timer);
     // The handler may destroy this call, so it runs from a copy.
     const std::function<void(CallEnd)> onEnd = handlers.onEnd;
     onEnd(how);
@@ -177,11 +276,14 @@
 void Call::Native::cancel()
 {
     *alive = false;
-    loop->cancelTimer(connectTimer);
-    if (client != nullptr && !inCallback) {
-        h2o_http1client_cancel(client);
+    ended = true;
+    loop->cancelTimer(timer);
+    if (connecting != nullptr) {
+        h2o_socket_close(std::exchange(connecting, nullptr));
+    }
+    if (connection != nullptr) {
+        std::exchange(connection, nullptr)->close();
     }
-    client = nullptr;
 }
 
 Call::Call(std::unique_ptr<Native> native) : m_native(std::move(native)) { }
@@ -193,21 +295,16 @@
 
 void Call::pause()
 {
-    if (m_native->client == nullptr || m_native->client->sock == nullptr
-        || !h2o_socket_is_reading(m_native->client->sock)) {
-        return;
+    if (m_native->connection != nullptr) {
+        m_native->connection->pause();
     }
-    m_native->pausedReader = m_native->client->sock->_cb.read;
-    h2o_socket_read_stop(m_native->client->sock);
 }
 
 void Call::resume()
 {
-    if (m_native->client == nullptr || m_native->pausedReader == nullptr) {
-        return;
+    if (m_native->connection != nullptr) {
+        m_native->connection->resume();
     }
-    h2o_socket_read_start(m_native->client->sock, m_native->pausedReader);
-    m_native->pausedReader = nullptr;
 }
 
 bool Call::maybeSent() const
@@ -215,50 +312,15 @@
     return m_native->sent;
 }
 
-struct Client::Native
-{
-    EventLoop *loop = nullptr;
-    ClientOptions options;
-    h2o_timeout_t ioTimeout{};
-    h2o_http1client_ctx_t context{};
-    std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> pools;
-
-    h2o_socketpool_t *poolFor(const Endpoint &endpoint);
-};
-
-h2o_socketpool_t *Client::Native::poolFor(const Endpoint &endpoint)
-{
-    std::unique_ptr<h2o_socketpool_t> &pool = pools[endpoint];
-    if (pool == nullptr) {
-        pool = std::make_unique<h2o_socketpool_t>();
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint.port);
-        inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-        h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr *>(&address),
-                                       sizeof(address), 0, SIZE_MAX);
-        h2o_socketpool_set_timeout(pool.get(), loop->native().loop,
-                                   toMilliseconds(options.keepAlive));
-    }
-    return pool.get();
-}
-
-Client::Client(EventLoop &loop, ClientOptions options) : m_native(std::make_unique<Native>())
+Client::Client(EventLoop &loop, ClientOptions options) : m_native(std::make_shared<Native>())
 {
     m_native->loop = &loop;
     m_native->options = options;
-    h2o_timeout_init(loop.native().loop, &m_native->ioTimeout, toMilliseconds(options.ioTimeout));
-    m_native->context.loop = loop.native().loop;
-    m_native->context.getaddr_receiver = &loop.native().resolver;
-    m_native->context.io_timeout = &m_native->ioTimeout;
 }
 
 Client::~Client()
 {
-    for (auto it = m_native->pools.begin(); it != m_native->pools.end(); ++it) {
-        h2o_socketpool_dispose(it->second.get());
-    }
-    h2o_timeout_dispose(m_native->loop->native().loop, &m_native->ioTimeout);
+    m_native->loop->cancelTimer(m_native->idleTimer);
 }
 
 std::unique_ptr<Call> Client::start(const Endpoint &endpoint, Request request, ConnectionUse use,
@@ -267,38 +329,27 @@
     std::unique_ptr<Call::Native> native = std::make_unique<Call::Native>();
     Call::Native *call = native.get();
     call->loop = m_native->loop;
+    call->client = m_native;
+    call->endpoint = endpoint;
     call->handlers = std::move(handlers);
-    call->silence = m_native->options.silence;
-    call->methodIsHead = request.method == "HEAD";
-    call->wire = serialize(endpoint, request, use);
+    call->options = m_native->options;
+    call->isHead = request.method == "HEAD";
+    call->wire = serialize(endpoint, request);
     std::unique_ptr<Call> result = std::make_unique<Call>(std::move(native));
-    call->connectTimer = m_native->loop->startTimer(m_native->options.connectTimeout, [call] {
-        if (call->client == nullptr) {
-            return;
-        }
-        h2o_http1client_cancel(call->client);
-        call->client = nullptr;
-        call->end(CallEnd::NotSent);
-    });
     if (use == ConnectionUse::Pooled) {
-        h2o_http1client_connect_with_pool(&call->client, call, &m_native->context,
-                                          m_native->poolFor(endpoint), onConnect);
+        call->connection = m_native->takeIdle(endpoint);
+    }
+    if (call->connection != nullptr) {
+        call->send();
     } else {
-        h2o_http1client_connect(&call->client, call, &m_native->context, toIovec(endpoint.address),
-                                endpoint.port, 0, onConnect);
+        call->connect();
     }
-    call->starting = false;
     return result;
 }
 
 void Client::forget(const Endpoint &endpoint)
 {
-    const auto found = m_native->pools.find(endpoint);
-    if (found == m_native->pools.end()) {
-        return;
-    }
-    h2o_socketpool_dispose(found->second.get());
-    m_native->pools.erase(found);
+    m_native->idle.erase(endpoint);
 }
 
 } // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -0,0 +1,196 @@
+#include "connection.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace teaseldrift::http {
+
+namespace {
+
+/// Reads `timeout=SECONDS` of a Keep-Alive header.
+std::optional<Duration> readIdleTime(std::string_view text)
+{
+    constexpr std::string_view name = "timeout=";
+    const size_t begin = text.find(name);
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    text.remove_prefix(begin + name.size());
+    int64_t seconds = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return Duration(std::chrono::seconds(seconds));
+}
+
+} // namespace
+
+Connection::Connection(h2o_socket_t *socket) : m_socket(socket)
+{
+    m_socket->data = this;
+}
+
+Connection::~Connection()
+{
+    close();
+}
+
+Connection &Connection::of(h2o_socket_t *socket)
+{
+    return *static_cast<Connection *>(socket->data);
+}
+
+void Connection::exchange(std::string request, bool isHead, ConnectionHandlers handlers)
+{
+    m_request = std::move(request);
+    m_isHead = isHead;
+    m_handlers = std::move(handlers);
+    m_onUseless = nullptr;
+    m_isBusy = true;
+    m_isWriting = true;
+    beginAnswer();
+    h2o_iovec_t buffer = toIovec(m_request);
+    h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char *error) {
+        const std::shared_ptr<Connection> self = of(socket).shared_from_this();
+        self->read(error);
+    });
+    h2o_socket_write(m_socket, &buffer, 1, [](h2o_socket_t *socket, const char *error) {
+        const std::shared_ptr<Connection> self = of(socket).shared_from_this();
+        self->m_isWriting = false;
+        if (error != nullptr && self->m_isBusy) {
+            self->finish(ConnectionEnd::Broken);
+        }
+    });
+}
+
+void Connection::beginAnswer()
+{
+    m_isSkipping = false;
+    m_parser.emplace(
+            m_isHead,
+            AnswerParser::Handlers{
+                    .onHead =
+                            [this](const ResponseHead &head) {
+                                m_idleTime = readIdleTime(findHeader(head.headers, "keep-alive"));
+                                m_isSkipping
+                                        = m_handlers.isOfRequest && !m_handlers.isOfRequest(head);
+                                if (!m_isSkipping) {
+                                    m_handlers.onHead(head);
+                                }
+                            },
+                    .onData =
+                            [this](std::string_view data) {
+                                if (!m_isSkipping && m_isBusy) {
+                                    m_handlers.onData(data);
+                                }
+                            }});
+}
+
+void Connection::read(const char *error)
+{
+    if (!m_isBusy) {
+        const std::function<void()> callback = std::move(m_onUseless);
+        close();
+        if (callback) {
+            callback();
+        }
+        return;
+    }
+    if (error != nullptr) {
+        readEnd(error);
+        return;
+    }
+    while (m_isBusy && !isClosed() && m_socket->input->size > 0) {
+        boost::beast::error_code failure;
+        const size_t used = m_parser->put(
+                boost::asio::const_buffer(m_socket->input->bytes, m_socket->input->size), failure);
+        if (isClosed() || !m_isBusy) {
+            return;
+        }
+        h2o_buffer_consume(&m_socket->input, used);
+        if (failure == boost::beast::http::error::need_more) {
+            return;
+        }
+        if (failure) {
+            finish(ConnectionEnd::Broken);
+            return;
+        }
+        if (!m_parser->is_done()) {
+            if (used == 0) {
+                return;
+            }
+            continue;
+        }
+        if (m_isSkipping || m_parser->isInterim()) {
+            beginAnswer();
+            continue;
+        }
+        // Bytes beyond the answer belong to no request.
+        const bool isClean = m_socket->input->size == 0 && !m_isWriting;
+        finish(isClean && !m_parser->mustClose() ? ConnectionEnd::Reusable
+                                                 : ConnectionEnd::Closing);
+    }
+}
+
+void Connection::readEnd(const char *error)
+{
+    boost::beast::error_code failure;
+    // An answer without a length ends with its connection, unless that was reset.
+    if (error == h2o_socket_error_closed && m_parser->got_some() && !m_isSkipping) {
+        m_parser->put_eof(failure);
+        if (!failure && m_parser->is_done()) {
+            finish(ConnectionEnd::Closing);
+            return;
+        }
+    }
+    finish(ConnectionEnd::Broken);
+}
+
+void Connection::finish(ConnectionEnd end)
+{
+    m_isBusy = false;
+    if (end != ConnectionEnd::Reusable) {
+        close();
+    }
+    const std::function<void(ConnectionEnd)> callback = std::move(m_handlers.onEnd);
+    callback(end);
+}
+
+void Connection::idle(std::function<void()> onUseless)
+{
+    m_onUseless = std::move(onUseless);
+    m_parser.reset();
+    m_handlers = {};
+    m_request.clear();
+}
+
+void Connection::pause()
+{
+    if (!isClosed()) {
+        h2o_socket_read_stop(m_socket);
+    }
+}
+
+void Connection::resume()
+{
+    if (isClosed() || !m_isBusy || h2o_socket_is_reading(m_socket)) {
+        return;
+    }
+    h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char *error) {
+        const std::shared_ptr<Connection> self = of(socket).shared_from_this();
+        self->read(error);
+    });
+}
+
+void Connection::close()
+{
+    m_isBusy = false;
+    if (m_socket != nullptr) {
+        h2o_socket_close(std::exchange(m_socket, nullptr));
+    }
+}
+
+} // namespace teaseldrift::http
--- /dev/null
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "answer_parser.hpp"
+#include "native.hpp"
+#include "teaseldrift/http/client.hpp"
+
+namespace teaseldrift::http {
+
+/// @brief How an exchange on a connection ended.
+enum class ConnectionEnd {
+    /// The answer is whole, and the connection can be used again.
+    Reusable,
+    /// The answer is whole, and the connection is of no further use.
+    Closing,
+    Broken,
+};
+
+/// @brief What a connection tells the call that uses it.
+struct ConnectionHandlers
+{
+    /// Whether an answer is that of the request; others are read over.
+    std::function<bool(const ResponseHead &)> isOfRequest;
+    std::function<void(const ResponseHead &)> onHead;
+    std::function<void(std::string_view)> onData;
+    std::function<void(ConnectionEnd)> onEnd;
+};
+
+/// @brief One connection to a target. Closing it while it is told something is allowed.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    explicit Connection(h2o_socket_t *socket);
+    ~Connection();
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    /// @brief Sends a request and reads its answer.
+    void exchange(std::string request, bool isHead, ConnectionHandlers handlers);
+
+    /// @brief Watches the idle connection.
+    /// @param onUseless the other end closed it, or sent something that nobody asked for
+    void idle(std::function<void()> onUseless);
+
+    void pause();
+    void resume();
+    void close();
+
+    /// @brief Longest idle time that the target has announced; empty if it did not.
+    [[nodiscard]] std::optional<Duration> announcedIdleTime() const { return m_idleTime; }
+
+private:
+    static Connection &of(h2o_socket_t *socket);
+    void beginAnswer();
+    void read(const char *error);
+    void readEnd(const char *error);
+    void finish(ConnectionEnd end);
+    [[nodiscard]] bool isClosed() const { return m_socket == nullptr; }
+
+    h2o_socket_t *m_socket;
+    std::string m_request;
+    bool m_isHead = false;
+    bool m_isWriting = false;
+    bool m_isSkipping = false;
+    bool m_isBusy = false;
+    std::optional<AnswerParser> m_parser;
+    ConnectionHandlers m_handlers;
+    std::function<void()> m_onUseless;
+    std::optional<Duration> m_idleTime;
+};
+
+} // namespace teaseldrift::http
--- a/packages/policy/include/teaseldrift/weights/weight_roll.hpp
+++ b/packages/policy/include/teaseldrift/weights/weight_roll.hpp
@@ -23,7 +23,7 @@
     /// Pause before a target is asked again after an order that had no effect or no answer.
     Duration retryPause = 700ms;
     /// Time from an accepted order to the first look at the target's report.
-    Duration firstCheck = 350ms;
+    Duration firstCheck = 250ms;
     /// A load that is not confirmed for this long is ordered again.
     Duration loadTimeout = 8s;
 };
--- a/packages/policy/src/teaseldrift/weights/weight_roll.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll.cpp
@@ -53,7 +53,12 @@
             std::count_if(works.begin(), works.end(), [](const std::pair<const std::string, Work> &w) {
                 return w.second.isAsking || w.second.isLoading;
             }));
-    for (const WeightTarget &target : targets) {
+    // Requests may begin on old weights for a limited time only, so the oldest come first.
+    std::vector<WeightTarget> oldestFirst(targets.begin(), targets.end());
+    std::stable_sort(
+            oldestFirst.begin(), oldestFirst.end(),
+            [](const WeightTarget &a, const WeightTarget &b) { return a.version < b.version; });
+    for (const WeightTarget &target : oldestFirst) {
         if (target.version >= wantedVersion) {
             continue;
         }
--- a/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -57,13 +57,15 @@
 private:
     PrefixFeedHandlers operatorHandlers()
     {
-        const auto take = [this](const store::StoreSnapshot &snapshot) {
-            for (const store::StoreEntry &entry : snapshot.entries) {
-                takeOperatorRecord(entry);
-            }
-        };
-        return {.onAll = take,
-                .onChanges = take,
+        return {.onAll =
+                        [this](const store::StoreSnapshot &snapshot) {
+                            takeOperatorRecords(snapshot, m_hasOperatorRecords);
+                            m_hasOperatorRecords = true;
+                        },
+                .onChanges =
+                        [this](const store::StoreSnapshot &snapshot) {
+                            takeOperatorRecords(snapshot, true);
+                        },
                 .onLost = [this](std::error_code error) { logLost("operator_records", error); },
                 .onRegained = [this] { logRegained("operator_records"); }};
     }
@@ -89,7 +91,15 @@
                         }};
     }
 
-    void takeOperatorRecord(const store::StoreEntry &entry)
+    /// @param isNews whether the records changed while this VM was following them
+    void takeOperatorRecords(const store::StoreSnapshot &snapshot, bool isNews)
+    {
+        for (const store::StoreEntry &entry : snapshot.entries) {
+            takeOperatorRecord(entry, isNews);
+        }
+    }
+
+    void takeOperatorRecord(const store::StoreEntry &entry, bool isNews)
     {
         if (entry.deleted) {
             return;
@@ -100,7 +110,7 @@
             m_fleet.applyDefinition(std::move(definition->definition), definition->importRates,
                                     now);
         } else if (const WeightsRecord *weights = std::get_if<WeightsRecord>(&record)) {
-            m_fleet.nameWeights(weights->model, weights->version, now);
+            m_fleet.nameWeights(weights->model, weights->version, isNews, now);
             if (m_onWeightsNamed) {
                 m_onWeightsNamed();
             }
@@ -164,6 +174,7 @@
     FleetState &m_fleet;
     telemetry::EventLog &m_log;
     std::function<void()> m_onWeightsNamed;
+    bool m_hasOperatorRecords = false;
     PrefixFeed<Store> m_operators;
     PrefixFeed<Store> m_targets;
 };
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -59,7 +59,8 @@
                          Instant now);
 
     /// @brief Takes the named weights of a model.
-    void nameWeights(std::string_view model, uint64_t version, Instant now);
+    /// @param isNews false if the name was found by a first read, and may be of any age
+    void nameWeights(std::string_view model, uint64_t version, bool isNews, Instant now);
 
     /// @brief Takes all VMs that are known to the store.
     void applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now);
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -52,6 +52,7 @@
     void startAttempt(const StartAttempt &action);
     void send(const StartAttempt &action, Instant now);
     void cancelAttempt();
+    [[nodiscard]] bool isOfRequest(const http::ResponseHead &head) const;
     void onHead(AttemptId id, const http::ResponseHead &head);
     void onData(AttemptId id, std::string_view data);
     void onEnd(AttemptId id, http::CallEnd end);
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -217,6 +217,11 @@
                              task->m_machine.sent(id, http::EventLoop::now());
                          }
                      },
+             .isOfRequest =
+                     [weak](const http::ResponseHead &head) {
+                         const std::shared_ptr<RequestTask> task = weak.lock();
+                         return task == nullptr || task->isOfRequest(head);
+                     },
              .onHead =
                      [weak, id](const http::ResponseHead &head) {
                          if (const std::shared_ptr<RequestTask> task = weak.lock()) {
@@ -280,6 +285,20 @@
                          now);
 }
 
+template <Dialect D>
+bool RequestTask<D>::isOfRequest(const http::ResponseHead &head) const
+{
+    const std::string answeredId = m_dialect.readAnswer(head).requestId;
+    if (answeredId.empty() || answeredId == m_admitted.request.id) {
+        return true;
+    }
+    m_context.log.write(telemetry::EventWeight::Important, "stray_answer_read_over",
+                        {{"request_id", std::string_view(m_admitted.request.id)},
+                         {"answered_id", std::string_view(answeredId)},
+                         {"status", static_cast<int64_t>(head.status)}});
+    return false;
+}
+
 template <Dialect D>
 void RequestTask<D>::onHead(AttemptId id, const http::ResponseHead &head)
 {
@@ -291,12 +310,10 @@
     constexpr int firstSuccess = 200;
     constexpr int firstRedirect = 300;
     const bool isSuccess = head.status >= firstSuccess && head.status < firstRedirect;
-    const bool isOfAnother = !facts.requestId.empty() && facts.requestId != m_admitted.request.id;
-    if (isOfAnother || (isSuccess && !facts.isSealed)) {
-        m_context.log.write(telemetry::EventWeight::Important, "answer_not_of_request",
+    if (isSuccess && !facts.isSealed) {
+        m_context.log.write(telemetry::EventWeight::Important, "answer_without_seal",
                             {{"request_id", std::string_view(m_admitted.request.id)},
                              {"target", std::string_view(m_choice->id)},
-                             {"answered_id", std::string_view(facts.requestId)},
                              {"status", static_cast<int64_t>(head.status)}});
         m_context.fleet.book().health().report(m_choice->id, HealthEvidence::Broken, now);
         perform(m_machine.broken(id, now));
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -121,15 +121,14 @@
     }
 }
 
-void FleetState::nameWeights(std::string_view model, uint64_t version, Instant now)
+void FleetState::nameWeights(std::string_view model, uint64_t version, bool isNews, Instant now)
 {
     if (!m_weights.setWanted(model, version)) {
         return;
     }
-    std::vector<NamedWeights> &named = m_namedWeights[std::string(model)];
-    // The version found at the start may have been named long ago; only later ones have an age.
-    const bool isFirst = named.empty();
-    named.push_back({.version = version, .namedAt = isFirst ? Instant::max() : now});
+    // A name found by a first read may have been given just before, or long ago.
+    const Duration age = isNews ? Duration(0) : m_options.weightsBound / 2;
+    m_namedWeights[std::string(model)].push_back({.version = version, .namedAt = now - age});
     m_log.write(EventWeight::Important, "weights_named",
                 {{"model", model}, {"version", static_cast<int64_t>(version)}});
 }
@@ -144,7 +143,7 @@
     }
     uint64_t least = 0;
     for (const NamedWeights &named : found->second) {
-        if (named.namedAt != Instant::max() && now - named.namedAt + margin > m_options.weightsBound) {
+        if (now - named.namedAt + margin > m_options.weightsBound) {
             least = named.version;
         }
     }
