--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -129,6 +129,9 @@
     /// @brief Accepts no further connections and lets open ones end after their current request.
     void stopAccepting();
 
+    /// @brief Closes connections on which no request is under way.
+    void closeIdle();
+
     /// @brief Requests whose answer is not complete.
     [[nodiscard]] size_t openExchanges() const;
 
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -586,6 +586,12 @@
     h2o_context_request_shutdown(&m_native->context);
 }
 
+void Server::closeIdle()
+{
+    // Idle connections are those that wait for a request within this time.
+    m_native->context.http1.req_timeout.timeout = 1;
+}
+
 size_t Server::openExchanges() const
 {
     return m_native->openExchanges;
--- a/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
+++ b/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
@@ -41,6 +41,9 @@
 public:
     explicit RetryBudget(RetryBudgetOptions options = {});
 
+    /// @brief Changes the bounds; what is left is kept, but never above the new capacity.
+    void setOptions(const RetryBudgetOptions &options);
+
     /// @brief A first attempt was made.
     void countRequest();
 
--- a/packages/policy/include/teaseldrift/orders/controller_lease.hpp
+++ b/packages/policy/include/teaseldrift/orders/controller_lease.hpp
@@ -47,8 +47,8 @@
     /// @brief The store said that the lease is gone, or that another holds the key.
     void lost(Instant now);
 
-    /// @brief The store did not answer; asks again later.
-    void unanswered(Instant now);
+    /// @brief The store did not answer, or there is nothing to be had; asks again after `pause`.
+    void unanswered(Instant now, Duration pause = 1s);
 
     /// @brief Whether the lease is held, as far as this process can know.
     [[nodiscard]] bool isHeld(Instant now) const;
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -48,8 +48,9 @@
     double rereadFactor = 4.0;
     /// Part of an engine's KV cache counted as free for what this VM sends.
     double cachePart = 0.5;
-    /// A target that refused work is avoided for this long.
+    /// A target that refused work is avoided for this long; doubles with each refusal in a row.
     Duration refusalPause = 250ms;
+    Duration longestRefusalPause = 1500ms;
     HealthOptions health;
 };
 
@@ -123,6 +124,9 @@
 
     void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
 
+    /// @brief The target takes requests.
+    void accepted(std::string_view id);
+
     /// @brief The target did not take a request.
     void refused(std::string_view id, Instant now);
 
@@ -146,6 +150,7 @@
         /// Own requests in flight when the report came.
         uint32_t inFlightAtReport = 0;
         Instant avoidUntil;
+        uint32_t refusalsInRow = 0;
         PartCache cache;
     };
 
--- a/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -7,6 +7,12 @@
 RetryBudget::RetryBudget(RetryBudgetOptions options) : m_options(options), m_tokens(options.floor)
 { }
 
+void RetryBudget::setOptions(const RetryBudgetOptions &options)
+{
+    m_options = options;
+    m_tokens = std::min(m_tokens, m_options.capacity);
+}
+
 void RetryBudget::countRequest()
 {
     m_tokens = std::min(m_options.capacity, m_tokens + m_options.ratio);
--- a/packages/policy/src/teaseldrift/orders/controller_lease.cpp
+++ b/packages/policy/src/teaseldrift/orders/controller_lease.cpp
@@ -53,9 +53,9 @@
     m_nextAsk = now + askInterval;
 }
 
-void ControllerLease::unanswered(Instant now)
+void ControllerLease::unanswered(Instant now, Duration pause)
 {
-    m_nextAsk = now + askInterval;
+    m_nextAsk = now + pause;
 }
 
 bool ControllerLease::isHeld(Instant now) const
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -71,6 +71,10 @@
         }
         m_health.removeTarget(target.id);
     }
+    if (change == TargetChange::Changed) {
+        state.refusalsInRow = 0;
+        state.avoidUntil = Instant();
+    }
     m_health.addTarget(target.id, target.service, now);
     m_health.setLeaving(target.id, target.isLeaving);
 }
@@ -319,12 +323,27 @@
     }
 }
 
-void TargetBook::refused(std::string_view id, Instant now)
+void TargetBook::accepted(std::string_view id)
 {
     State *state = mutableState(id);
     if (state != nullptr) {
-        state->avoidUntil = now + m_options.refusalPause;
+        state->refusalsInRow = 0;
+        state->avoidUntil = Instant();
+    }
+}
+
+void TargetBook::refused(std::string_view id, Instant now)
+{
+    State *state = mutableState(id);
+    if (state == nullptr || now < state->avoidUntil) {
+        return;
+    }
+    Duration pause = m_options.refusalPause;
+    for (uint32_t i = 0; i < state->refusalsInRow && pause < m_options.longestRefusalPause; ++i) {
+        pause *= 2;
     }
+    ++state->refusalsInRow;
+    state->avoidUntil = now + std::min(pause, m_options.longestRefusalPause);
 }
 
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -46,8 +46,12 @@
         m_targets.start();
     }
 
-    /// @brief Called when named weights have changed.
-    void onWeightsNamed(std::function<void()> callback) { m_onWeightsNamed = std::move(callback); }
+    /// @brief Called with named weights, and whether they were named while this VM was following;
+    /// set before start().
+    void onWeightsNamed(std::function<void(const WeightsRecord &, bool isNews)> callback)
+    {
+        m_onWeightsNamed = std::move(callback);
+    }
 
     [[nodiscard]] bool isConnected() const
     {
@@ -110,10 +114,7 @@
             m_fleet.applyDefinition(std::move(definition->definition), definition->importRates,
                                     now);
         } else if (const WeightsRecord *weights = std::get_if<WeightsRecord>(&record)) {
-            m_fleet.nameWeights(weights->model, weights->version, isNews, now);
-            if (m_onWeightsNamed) {
-                m_onWeightsNamed();
-            }
+            m_onWeightsNamed(*weights, isNews);
         } else {
             logUnreadable(entry);
         }
@@ -173,7 +174,7 @@
     Records m_records;
     FleetState &m_fleet;
     telemetry::EventLog &m_log;
-    std::function<void()> m_onWeightsNamed;
+    std::function<void(const WeightsRecord &, bool)> m_onWeightsNamed;
     bool m_hasOperatorRecords = false;
     PrefixFeed<Store> m_operators;
     PrefixFeed<Store> m_targets;
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -59,8 +59,8 @@
                          Instant now);
 
     /// @brief Takes the named weights of a model.
-    /// @param isNews false if the name was found by a first read, and may be of any age
-    void nameWeights(std::string_view model, uint64_t version, bool isNews, Instant now);
+    /// @param age time since they were named
+    void nameWeights(std::string_view model, uint64_t version, Duration age, Instant now);
 
     /// @brief Takes all VMs that are known to the store.
     void applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now);
@@ -89,6 +89,9 @@
     /// @brief Learned from an answer.
     void sawWeights(std::string_view target, std::string_view model, uint64_t version);
 
+    /// @brief Place of this VM among all by name; spreads work that one of them must do.
+    [[nodiscard]] size_t rank() const;
+
     /// @brief Addresses for callers, this VM's first.
     [[nodiscard]] std::vector<std::string> callerAddresses() const;
 
--- a/packages/relay/include/teaseldrift/relay/front.hpp
+++ b/packages/relay/include/teaseldrift/relay/front.hpp
@@ -33,6 +33,8 @@
         int status = 503;
         std::string_view reason;
         Duration retryAfter{0};
+        std::string_view organisation;
+        double cost = 0.0;
     };
 
     void refuse(http::Exchange &exchange, const CallerRequest &request, const Refusal &refusal);
--- a/packages/relay/include/teaseldrift/relay/front_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/front_impl.hpp
@@ -81,7 +81,9 @@
         refuse(exchange, request,
                {.status = tooMany,
                 .reason = "over_limit",
-                .retryAfter = usage.timeUntil(admitted.cost, now)});
+                .retryAfter = usage.timeUntil(admitted.cost, now),
+                .organisation = admitted.organisation->name,
+                .cost = admitted.cost});
         return false;
     }
     return true;
@@ -113,6 +115,8 @@
                          {"status", static_cast<int64_t>(refusal.status)},
                          {"reason", refusal.reason},
                          {"retry_after_s", toSeconds(refusal.retryAfter)},
+                         {"organisation", refusal.organisation},
+                         {"cost", refusal.cost},
                          {"host", std::string_view(request.host)},
                          {"path", std::string_view(request.path)},
                          {"configuration",
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -279,8 +279,9 @@
         }
         return;
     }
+    book.accepted(m_choice->id);
     constexpr int serverError = 500;
-    const bool failed = status >= serverError && m_admitted.request.model.empty() == false;
+    const bool failed = status >= serverError && !m_admitted.request.model.empty();
     book.health().report(m_choice->id, failed ? HealthEvidence::Failed : HealthEvidence::Answered,
                          now);
 }
--- a/packages/relay/include/teaseldrift/relay/weights_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -11,6 +11,7 @@
 
 #include "teaseldrift/orders/controller_lease.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/prefix_feed.hpp"
 #include "teaseldrift/store/store.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
@@ -57,8 +58,10 @@
     struct Options
     {
         std::string key = "teaseldrift/controller";
-        OrderOptions orders{.leaseTtl = 3s, .maxOrderLife = 3s};
+        OrderOptions orders{.leaseTtl = 3s, .maxOrderLife = 1s};
         Duration tick = 100ms;
+        /// How long a question whether the controller has changed may wait for an answer.
+        Duration watchWait = 5s;
     };
 
     WeightsTask(http::EventLoop &loop, Store &store, Channel &channel, FleetState &fleet,
@@ -69,17 +72,30 @@
           m_fleet(fleet),
           m_log(log),
           m_options(std::move(options)),
-          m_lease(m_options.orders)
+          m_lease(m_options.orders),
+          m_feed(loop, store, {.prefix = m_options.key, .wait = m_options.watchWait},
+                 feedHandlers())
     { }
 
     ~WeightsTask() { m_loop.cancelTimer(m_timer); }
     WeightsTask(const WeightsTask &) = delete;
     WeightsTask &operator=(const WeightsTask &) = delete;
 
-    void start() { tick(); }
+    void start()
+    {
+        m_feed.start();
+        tick();
+    }
 
-    /// @brief Gives no further orders; the lease runs out by itself.
-    void stop() { m_isStopped = true; }
+    /// @brief Gives no further orders and lets another VM take over.
+    void stop()
+    {
+        m_isStopped = true;
+        if (m_lease.isHeld(http::EventLoop::now())) {
+            m_store.endLease(m_leaseId);
+            lose(http::EventLoop::now());
+        }
+    }
 
     /// @brief Looks for work at once.
     void plan()
@@ -108,22 +124,29 @@
         m_timer = m_loop.startTimer(m_options.tick, [this] { tick(); });
     }
 
-    void acquire()
+    PrefixFeedHandlers feedHandlers()
     {
-        m_isAsking = true;
-        m_store.readPrefix(m_options.key, store::ReadAge::MayBeStale,
-                           [this](std::error_code error, const store::StoreSnapshot &snapshot) {
-                               if (error || !snapshot.entries.empty()) {
-                                   m_isAsking = false;
-                                   m_lease.unanswered(http::EventLoop::now());
-                                   return;
-                               }
-                               grant();
-                           });
+        const auto take = [this](const store::StoreSnapshot &snapshot) {
+            for (const store::StoreEntry &entry : snapshot.entries) {
+                m_isKeyFree = entry.deleted;
+            }
+        };
+        return {.onAll =
+                        [this](const store::StoreSnapshot &snapshot) {
+                            m_isKeyFree = snapshot.entries.empty();
+                        },
+                .onChanges = take,
+                .onLost = [](std::error_code) {},
+                .onRegained = [] {}};
     }
 
-    void grant()
+    void acquire()
     {
+        if (!m_isKeyFree || !m_feed.isConnected()) {
+            m_lease.unanswered(http::EventLoop::now(), m_options.tick);
+            return;
+        }
+        m_isAsking = true;
         const Instant askedAt = http::EventLoop::now();
         m_store.grantLease(m_options.orders.leaseTtl,
                            [this, askedAt](std::error_code error, uint64_t lease) {
@@ -148,6 +171,7 @@
             m_isAsking = false;
             const Instant now = http::EventLoop::now();
             if (result.outcome != store::StoreOutcome::Written) {
+                m_isKeyFree = m_isKeyFree && result.outcome != store::StoreOutcome::Conflict;
                 // After a lost answer the key may be held under this lease: it runs out unkept.
                 m_lease.lost(now);
                 return;
@@ -266,6 +290,9 @@
     telemetry::EventLog &m_log;
     Options m_options;
     ControllerLease m_lease;
+    /// Tells as soon as the controller's key is free.
+    PrefixFeed<Store> m_feed;
+    bool m_isKeyFree = false;
     uint64_t m_leaseId = 0;
     bool m_isAsking = false;
     bool m_isStopped = false;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/relay/fleet_state.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace teaseldrift::relay {
@@ -9,16 +10,23 @@
 
 namespace {
 
-RetryBudgetOptions retryOptions(const FleetOptions &options)
-{
-    // Half of the ratio leaves room for retries whose requests were counted by another VM.
-    constexpr double ratioPart = 0.5;
-    const double floor = options.retrySlack / static_cast<double>(2 * options.leastVms);
+/// This VM's part of the fleet's retries. In one window all VMs together may spend what they have
+/// saved up (capacity and reserve), what they regain up to the floor, and the ratio of the window's
+/// requests.
+RetryBudgetOptions retryOptions(const FleetOptions &options, size_t vms)
+{
+    // Leaves room for requests that are counted in another window than their retries.
+    constexpr double ratioPart = 0.75;
+    // Of this VM's part of the slack: saved up, regained within a window, and kept for streams.
+    constexpr double capacityPart = 0.5;
+    constexpr double floorPart = 0.25;
+    constexpr double reservePart = 0.2;
+    const double slack = options.retrySlack / static_cast<double>(vms);
     return {.ratio = options.retryRatio * ratioPart,
-            .floor = floor,
-            .capacity = 2.0 * floor,
-            .streamReserve = floor / 2.0,
-            .floorPerSecond = floor / toSeconds(options.retryWindow)};
+            .floor = slack * floorPart,
+            .capacity = std::max(1.0, slack * capacityPart),
+            .streamReserve = slack * reservePart,
+            .floorPerSecond = slack * floorPart / toSeconds(options.retryWindow)};
 }
 
 std::string_view nameOf(TargetChange change)
@@ -46,7 +54,7 @@
       m_log(log),
       m_startedAt(now),
       m_book({.availabilityZone = m_options.availabilityZone}),
-      m_retryBudget(retryOptions(m_options))
+      m_retryBudget(retryOptions(m_options, m_options.leastVms))
 { }
 
 void FleetState::applyDefinition(FleetDefinition definition,
@@ -121,22 +129,20 @@
     }
 }
 
-void FleetState::nameWeights(std::string_view model, uint64_t version, bool isNews, Instant now)
+void FleetState::nameWeights(std::string_view model, uint64_t version, Duration age, Instant now)
 {
     if (!m_weights.setWanted(model, version)) {
         return;
     }
-    // A name found by a first read may have been given just before, or long ago.
-    const Duration age = isNews ? Duration(0) : m_options.weightsBound / 2;
     m_namedWeights[std::string(model)].push_back({.version = version, .namedAt = now - age});
     m_log.write(EventWeight::Important, "weights_named",
-                {{"model", model}, {"version", static_cast<int64_t>(version)}});
+                {{"model", model}, {"version", static_cast<int64_t>(version)}, {"age_ms", toSeconds(age) * 1e3}});
 }
 
 uint64_t FleetState::minWeights(std::string_view model, Instant now) const
 {
-    // Leaves time for the request's way to the target.
-    constexpr Duration margin = 400ms;
+    // Leaves time for the way to the target and for its queue.
+    constexpr Duration margin = 800ms;
     const auto found = m_namedWeights.find(model);
     if (found == m_namedWeights.end()) {
         return 0;
@@ -200,11 +206,18 @@
     }
     if (vms != m_dividedBy) {
         m_dividedBy = vms;
+        m_retryBudget.setOptions(retryOptions(m_options, vms));
         m_log.write(EventWeight::Important, "usage_divided",
                     {{"vms", static_cast<int64_t>(vms)}});
     }
 }
 
+size_t FleetState::rank() const
+{
+    return static_cast<size_t>(
+            std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
+}
+
 std::vector<std::string> FleetState::callerAddresses() const
 {
     std::vector<std::string> addresses;
