--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -66,6 +66,8 @@
     std::span<const std::string> excluded;
     /// Targets with older weights are passed over.
     uint64_t minWeights = 0;
+    /// The newest weights named; targets that are about to load them are avoided.
+    uint64_t newestWeights = 0;
     /// Spreads equal choices; any number.
     uint64_t seed = 0;
 };
@@ -167,6 +169,8 @@
 
     [[nodiscard]] Places placesOf(const std::vector<const TargetEntry *> &targets,
                                   const TargetQuery &query) const;
+    [[nodiscard]] std::map<std::string_view, double>
+    rollPenalties(const std::vector<const TargetEntry *> &targets, const TargetQuery &query) const;
     [[nodiscard]] double waitMs(const State &state, Instant now) const;
     [[nodiscard]] double zoneMs(const TargetEntry &target) const;
     [[nodiscard]] std::string saltOf(uint64_t weights, std::string_view wall) const;
--- a/packages/policy/include/teaseldrift/usage/usage_share.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_share.hpp
@@ -12,6 +12,8 @@
     /// Units a second; 0 for no limit.
     double unitsPerSecond = 0.0;
     double burst = 0.0;
+    /// Units by which the fleet may exceed the limit for a while, because its VMs count apart.
+    double slack = 0.0;
 
     bool operator==(const UsageLimit &) const = default;
 };
@@ -42,6 +44,7 @@
 
 private:
     void refill(Instant now);
+    [[nodiscard]] double capacity() const { return (m_limit.burst + m_limit.slack) * m_share; }
 
     UsageLimit m_limit;
     double m_share = 0.0;
--- a/packages/policy/include/teaseldrift/weights/weight_roll.hpp
+++ b/packages/policy/include/teaseldrift/weights/weight_roll.hpp
@@ -12,14 +12,13 @@
 
 namespace teaseldrift {
 
+/// @brief How many of a model's targets load new weights at once: a third, so that two thirds serve,
+/// and at least one.
+size_t concurrentLoads(size_t targets);
+
 /// @brief Bounds of a roll of weights.
 struct WeightRollOptions
 {
-    /// Part of the targets that may be out of service for new weights at once. A third keeps two
-    /// thirds serving while the others finish their runs.
-    double concurrentPart = 0.34;
-    /// Targets may always load one at a time, however few there are.
-    uint32_t minConcurrent = 1;
     /// Pause before a target is asked again after an order that had no effect or no answer.
     Duration retryPause = 700ms;
     /// Time from an accepted order to the first look at the target's report.
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/weights/weight_roll.hpp"
 
 namespace teaseldrift {
 
@@ -15,6 +16,13 @@
 constexpr double firstPlaceMs = 20.0;
 constexpr double secondPlaceMs = 10.0;
 
+/// Cost of a target that is about to load weights, or does so now: only better than none.
+constexpr double loadingMs = 2000.0;
+/// Cost of a target that is next to load weights: its runs should be few by then.
+constexpr double nextToLoadMs = 60.0;
+/// Cost of another target with older weights: its answers are worth less to the operators.
+constexpr double oldWeightsMs = 20.0;
+
 double toMs(Duration duration)
 {
     constexpr double perSecond = 1000.0;
@@ -177,6 +185,30 @@
     return places;
 }
 
+/// Costs of targets with older weights. The controller rolls them in the order of versions and ids,
+/// so every VM knows without a message which ones are out of service or will be soon.
+std::map<std::string_view, double>
+TargetBook::rollPenalties(const std::vector<const TargetEntry *> &targets,
+                          const TargetQuery &query) const
+{
+    std::vector<std::pair<uint64_t, std::string_view>> old;
+    for (const TargetEntry *target : targets) {
+        const auto weights = target->weights.find(query.model);
+        if (weights != target->weights.end() && weights->second < query.newestWeights) {
+            old.emplace_back(weights->second, target->id);
+        }
+    }
+    std::sort(old.begin(), old.end());
+    const size_t group = concurrentLoads(targets.size());
+    std::map<std::string_view, double> penalties;
+    for (size_t i = 0; i < old.size(); ++i) {
+        penalties[old[i].second] = i < group       ? loadingMs
+                                   : i < 2 * group ? nextToLoadMs
+                                                   : oldWeightsMs;
+    }
+    return penalties;
+}
+
 std::optional<TargetChoice> TargetBook::choose(const TargetDirectory &directory,
                                                const TargetQuery &query, Instant now) const
 {
@@ -186,6 +218,7 @@
     const double importRate
             = facts == m_services.end() ? 0.0 : facts->second.importTokensPerMs;
     const Places places = placesOf(targets, query);
+    const std::map<std::string_view, double> penalties = rollPenalties(targets, query);
     std::optional<Scored> best;
     std::optional<Scored> avoided;
     for (const TargetEntry *target : targets) {
@@ -214,6 +247,8 @@
             const double importMs = importRate > 0.0 ? missing / importRate : readMs;
             scored.costMs += std::min(readMs * m_options.rereadFactor, importMs * 2.0);
             scored.costMs -= places.bonusMs(target->id);
+            const auto penalty = penalties.find(target->id);
+            scored.costMs += penalty == penalties.end() ? 0.0 : penalty->second;
         } else {
             constexpr uint64_t jitterSteps = 1024;
             scored.costMs += static_cast<double>((rendezvousKey(target->id) ^ query.seed)
--- a/packages/policy/src/teaseldrift/usage/usage_share.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_share.cpp
@@ -6,23 +6,23 @@
 
 namespace {
 
-/// Part of the burst that a VM starts with: VMs that all restart together must not grant a whole
+/// Part of the bucket that a VM starts with: VMs that all restart together must not grant a whole
 /// burst again.
-constexpr double initialBurstPart = 0.25;
+constexpr double initialPart = 0.25;
 
 } // namespace
 
 void UsageShare::setLimit(const UsageLimit &limit, double share, Instant now)
 {
+    refill(now);
+    m_limit = limit;
+    m_share = share;
     if (!m_isSet) {
         m_isSet = true;
         m_refilled = now;
-        m_level = limit.burst * share * initialBurstPart;
+        m_level = capacity() * initialPart;
     }
-    refill(now);
-    m_limit = limit;
-    m_share = share;
-    m_level = std::min(m_level, limit.burst * share);
+    m_level = std::min(m_level, capacity());
 }
 
 bool UsageShare::tryTake(double units, Instant now)
@@ -34,7 +34,7 @@
     refill(now);
     // One request may be larger than a VM's share of the burst: the level then goes below zero and
     // is paid back by the rate.
-    const double needed = std::min(units, m_limit.burst * m_share);
+    const double needed = std::min(units, capacity());
     if (m_level < needed) {
         return false;
     }
@@ -44,13 +44,13 @@
 
 void UsageShare::giveBack(double units)
 {
-    m_level = std::min(m_level + units, m_limit.burst * m_share);
+    m_level = std::min(m_level + units, capacity());
 }
 
 Duration UsageShare::timeUntil(double units, Instant now)
 {
     refill(now);
-    const double needed = std::min(units, m_limit.burst * m_share);
+    const double needed = std::min(units, capacity());
     const double rate = m_limit.unitsPerSecond * m_share;
     if (m_level >= needed || rate <= 0.0) {
         return Duration(0);
@@ -72,7 +72,7 @@
         return;
     }
     const double gained = toSeconds(now - m_refilled) * m_limit.unitsPerSecond * m_share;
-    m_level = std::min(m_level + gained, m_limit.burst * m_share);
+    m_level = std::min(m_level + gained, capacity());
     m_refilled = now;
 }
 
--- a/packages/policy/src/teaseldrift/weights/weight_roll.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll.cpp
@@ -1,10 +1,15 @@
 #include "teaseldrift/weights/weight_roll.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace teaseldrift {
 
+size_t concurrentLoads(size_t targets)
+{
+    constexpr size_t groups = 3;
+    return std::max<size_t>(1, targets / groups);
+}
+
 WeightRoll::WeightRoll(WeightRollOptions options) : m_options(options) { }
 
 bool WeightRoll::setWanted(std::string_view model, uint64_t version)
@@ -45,10 +50,7 @@
     const uint64_t wantedVersion = wanted(model);
     Works &works = m_works[std::string(model)];
     settle(works, targets, wantedVersion);
-    const size_t allowed = std::max<size_t>(
-            m_options.minConcurrent,
-            static_cast<size_t>(std::floor(static_cast<double>(targets.size())
-                                           * m_options.concurrentPart)));
+    const size_t allowed = concurrentLoads(targets.size());
     size_t underWay = static_cast<size_t>(
             std::count_if(works.begin(), works.end(), [](const std::pair<const std::string, Work> &w) {
                 return w.second.isAsking || w.second.isLoading;
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -32,6 +32,8 @@
     /// Further retries of the whole fleet in a window.
     double retrySlack = 50.0;
     Duration retryWindow = 10s;
+    /// Units by which all VMs together may exceed an organisation's limit for a while.
+    double usageSlack = 0.0;
     /// Time from the naming of new weights after which nothing may begin on older ones.
     Duration weightsBound = 6s;
     /// A VM that has just started does not know yet how many there are; it takes part as if there
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -142,6 +142,7 @@
              .wall = isWalled ? std::string_view(organisation->name) : std::string_view(),
              .excluded = action.excludedTargets,
              .minWeights = m_context.fleet.minWeights(request.model, now),
+             .newestWeights = m_context.fleet.weights().wanted(request.model),
              .seed = seed},
             now);
     if (!m_choice) {
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -201,8 +201,10 @@
     const double share = 1.0 / static_cast<double>(vms);
     for (const Organisation &organisation : m_table->definition().organisations) {
         m_usage[organisation.name].setLimit(
-                {.unitsPerSecond = organisation.unitsPerSecond, .burst = organisation.burst}, share,
-                now);
+                {.unitsPerSecond = organisation.unitsPerSecond,
+                 .burst = organisation.burst,
+                 .slack = m_options.usageSlack},
+                share, now);
     }
     if (vms != m_dividedBy) {
         m_dividedBy = vms;
