--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -15,6 +15,7 @@
 #include "teaseldrift/parts/part_cache.hpp"
 #include "teaseldrift/parts/prompt_parts.hpp"
 #include "teaseldrift/routing/fleet_definition.hpp"
+#include "teaseldrift/targets/queue_delay.hpp"
 #include "teaseldrift/targets/target_directory.hpp"
 
 namespace teaseldrift {
@@ -38,6 +39,8 @@
     Duration zoneDelay = 3ms;
     /// A target's word about its load is trusted for this long.
     Duration reportAge = 1s;
+    /// Time to the first event of a request that meets no queue, beside the reading of its prompt.
+    Duration firstEventTime = 60ms;
     /// Work that each running request adds to the first event of a new one.
     Duration perRunningRequest = 1ms;
     /// Work that each waiting request adds.
@@ -68,6 +71,8 @@
     uint64_t minWeights = 0;
     /// The newest weights named; targets that are about to load them are avoided.
     uint64_t newestWeights = 0;
+    /// 0 is the most urgent.
+    uint32_t priority = 0;
     /// Spreads equal choices; any number.
     uint64_t seed = 0;
 };
@@ -87,7 +92,11 @@
     std::string saveTo;
     /// Tokens that the target is expected to read.
     uint64_t tokensToRead = 0;
+    /// Expected time in the target's queue.
     Duration expectedWait{0};
+    uint32_t priority = 0;
+    /// Set by TargetBook::sent().
+    uint64_t ticket = 0;
 };
 
 /// @brief Chooses targets by their load, their health and what their KV cache holds.
@@ -116,10 +125,10 @@
                                                      const TargetQuery &query, Instant now) const;
 
     /// @brief The request is on its way.
-    void sent(const TargetChoice &choice, Instant now);
+    void sent(TargetChoice &choice, Instant now);
 
     /// @brief The target has read the prompt: its first event, or its whole answer, is here.
-    void promptRead(const TargetChoice &choice);
+    void promptRead(const TargetChoice &choice, Instant now);
 
     /// @brief The request is no longer at the target.
     void ended(const TargetChoice &choice, bool promptWasRead);
@@ -154,6 +163,9 @@
         Instant avoidUntil;
         uint32_t refusalsInRow = 0;
         PartCache cache;
+        QueueDelay queue;
+        /// Its registration ended while the store was away.
+        bool isDoubtful = false;
     };
 
     struct Scored
@@ -171,7 +183,7 @@
                                   const TargetQuery &query) const;
     [[nodiscard]] std::map<std::string_view, double>
     rollPenalties(const std::vector<const TargetEntry *> &targets, const TargetQuery &query) const;
-    [[nodiscard]] double waitMs(const State &state, Instant now) const;
+    [[nodiscard]] double waitMs(const State &state, uint32_t priority, Instant now) const;
     [[nodiscard]] double zoneMs(const TargetEntry &target) const;
     [[nodiscard]] std::string saltOf(uint64_t weights, std::string_view wall) const;
     [[nodiscard]] const State *stateOf(std::string_view id) const;
--- a/packages/policy/include/teaseldrift/weights/weight_roll.hpp
+++ b/packages/policy/include/teaseldrift/weights/weight_roll.hpp
@@ -12,8 +12,8 @@
 
 namespace teaseldrift {
 
-/// @brief How many of a model's targets load new weights at once: a third, so that two thirds serve,
-/// and at least one.
+/// @brief How many of a model's targets load new weights at once: a quarter, so that the others
+/// can carry its load, and at least one.
 size_t concurrentLoads(size_t targets);
 
 /// @brief Bounds of a roll of weights.
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -18,6 +18,8 @@
 
 /// Cost of a target that is about to load weights, or does so now: only better than none.
 constexpr double loadingMs = 2000.0;
+/// Cost of a target whose registration ended while the store was away.
+constexpr double doubtfulMs = 500.0;
 /// Cost of a target that is next to load weights: its runs should be few by then.
 constexpr double nextToLoadMs = 60.0;
 /// Cost of another target with older weights: its answers are worth less to the operators.
@@ -79,6 +81,7 @@
         }
         m_health.removeTarget(target.id);
     }
+    state.isDoubtful = change == TargetChange::Lapsed;
     if (change == TargetChange::Changed) {
         state.refusalsInRow = 0;
         state.avoidUntil = Instant();
@@ -96,7 +99,7 @@
     }
 }
 
-double TargetBook::waitMs(const State &state, Instant now) const
+double TargetBook::waitMs(const State &state, uint32_t priority, Instant now) const
 {
     double running = state.inFlight;
     double waiting = 0.0;
@@ -111,7 +114,9 @@
         waiting = std::max(0.0, running - slots);
         running = std::min(running, slots);
     }
-    return static_cast<double>(state.tokensAhead) / m_options.promptTokensPerMs
+    const double doubtMs = state.isDoubtful ? doubtfulMs : 0.0;
+    const double readMs = static_cast<double>(state.tokensAhead) / m_options.promptTokensPerMs;
+    return doubtMs + std::max(readMs, toMs(state.queue.expected(priority, now)))
            + running * toMs(m_options.perRunningRequest)
            + waiting * toMs(m_options.perWaitingRequest);
 }
@@ -229,7 +234,7 @@
             continue;
         }
         Scored scored{.target = target, .state = state};
-        scored.costMs = waitMs(*state, now) + zoneMs(*target);
+        scored.costMs = waitMs(*state, query.priority, now) + zoneMs(*target);
         if (!query.model.empty()) {
             const auto weights = target->weights.find(query.model);
             if (weights == target->weights.end() || weights->second < query.minWeights) {
@@ -266,7 +271,8 @@
     }
     TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
     choice.expectedWait = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, now)));
+            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, query.priority, now)));
+    choice.priority = query.priority;
     if (!query.model.empty()) {
         choice.weights = chosen->weights;
         choice.cacheSalt = saltOf(chosen->weights, query.wall);
@@ -311,22 +317,32 @@
     }
 }
 
-void TargetBook::sent(const TargetChoice &choice, Instant /*now*/)
+void TargetBook::sent(TargetChoice &choice, Instant now)
 {
     State *state = mutableState(choice.id);
     if (state == nullptr) {
         return;
     }
     ++state->inFlight;
+    const double ownMs
+            = choice.prefixes.empty()
+                      ? 0.0
+                      : static_cast<double>(choice.tokensToRead) / m_options.promptTokensPerMs
+                                + toMs(m_options.firstEventTime);
+    choice.ticket = state->queue.sent(
+            choice.priority,
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ownMs)),
+            now);
     state->tokensAhead += choice.tokensToRead;
     state->cache.touch(choice.prefixes);
 }
 
-void TargetBook::promptRead(const TargetChoice &choice)
+void TargetBook::promptRead(const TargetChoice &choice, Instant now)
 {
     State *state = mutableState(choice.id);
     if (state != nullptr) {
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
+        state->queue.read(choice.ticket, now);
     }
     if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
         m_cacheStore.touch(choice.prefixes);
@@ -340,6 +356,7 @@
         return;
     }
     state->inFlight -= std::min<uint32_t>(state->inFlight, 1);
+    state->queue.dropped(choice.ticket);
     if (!promptWasRead) {
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
         for (const PromptPrefix &prefix : choice.prefixes) {
--- a/packages/policy/src/teaseldrift/weights/weight_roll.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll.cpp
@@ -6,7 +6,7 @@
 
 size_t concurrentLoads(size_t targets)
 {
-    constexpr size_t groups = 3;
+    constexpr size_t groups = 4;
     return std::max<size_t>(1, targets / groups);
 }
 
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -67,7 +67,8 @@
     void endAttempt(bool promptWasRead);
     void end(std::string_view outcome, int status);
     [[nodiscard]] TargetOrder orderFor(Instant now) const;
-    [[nodiscard]] std::optional<uint32_t> priority() const;
+    [[nodiscard]] uint32_t priority() const;
+    [[nodiscard]] bool isTooLate(Duration expectedWait, Instant now) const;
     [[nodiscard]] Instant deadline() const { return m_admitted.arrivedAt + m_timeAllowed; }
     [[nodiscard]] bool isStreaming() const { return m_facts.isEventStream && m_status == statusOk; }
 
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -16,6 +16,9 @@
 /// Bytes that wait for a slow caller before the target is no longer read.
 inline constexpr size_t maxPendingBytes = 256U << 10U;
 
+/// Part of a route's latency objective that a request may be expected to wait in a target's queue.
+inline constexpr double longestWaitPart = 1.0;
+
 /// Largest answer that is held to be passed on as a whole.
 inline constexpr size_t maxAnswerBytes = 8U << 20U;
 
@@ -143,25 +146,43 @@
              .excluded = action.excludedTargets,
              .minWeights = m_context.fleet.minWeights(request.model, now),
              .newestWeights = m_context.fleet.weights().wanted(request.model),
+             .priority = priority(),
              .seed = seed},
             now);
     if (!m_choice) {
         perform(m_machine.noTarget(action.id, now));
         return;
     }
+    if (!request.model.empty() && isTooLate(m_choice->expectedWait, now)) {
+        m_choice.reset();
+        perform(m_machine.noTarget(action.id, now));
+        return;
+    }
     m_machine.targetChosen(action.id, m_choice->id, now);
     send(action, now);
 }
 
 template <Dialect D>
-std::optional<uint32_t> RequestTask<D>::priority() const
+uint32_t RequestTask<D>::priority() const
 {
     constexpr uint32_t lowest = 9;
-    const uint32_t routePriority = m_admitted.route->priority;
-    if (m_admitted.organisation != nullptr && m_admitted.organisation->priority) {
-        return std::min(lowest, *m_admitted.organisation->priority);
-    }
-    return std::min(lowest, routePriority);
+    // The organisation decides; among its own requests the route does.
+    constexpr uint32_t routeLevels = 3;
+    const uint32_t routePriority = std::min(m_admitted.route->priority, routeLevels - 1);
+    const Organisation *organisation = m_admitted.organisation;
+    const uint32_t first = organisation == nullptr ? 0 : organisation->priority.value_or(0);
+    return std::min(lowest, first * routeLevels + routePriority);
+}
+
+template <Dialect D>
+bool RequestTask<D>::isTooLate(Duration expectedWait, Instant now) const
+{
+    // Only the wait counts, not the reading of the request's own prompt, so that long prompts are
+    // not refused for their length. While callers wait for longer than the objective, everyone's
+    // answer is late; refusing some keeps the others on time.
+    const Duration objective = m_admitted.route->latencyObjective;
+    const bool isOverObjective = toSeconds(expectedWait) > toSeconds(objective) * longestWaitPart;
+    return isOverObjective || now + expectedWait >= deadline();
 }
 
 template <Dialect D>
@@ -394,7 +415,7 @@
     if (!m_promptRead) {
         m_promptRead = true;
         m_firstEventAt = m_firstEventAt == Instant() ? now : m_firstEventAt;
-        m_context.fleet.book().promptRead(*m_choice);
+        m_context.fleet.book().promptRead(*m_choice, http::EventLoop::now());
     }
     if (!m_callerHasHead) {
         m_callerHasHead = true;
@@ -436,7 +457,7 @@
 {
     m_promptRead = true;
     if (m_choice) {
-        m_context.fleet.book().promptRead(*m_choice);
+        m_context.fleet.book().promptRead(*m_choice, http::EventLoop::now());
     }
     if (m_callerHasHead) {
         m_exchange->finish();
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -114,6 +114,8 @@
     const TargetChange change = m_directory.remove(id, now);
     if (change == TargetChange::Removed) {
         m_book.remove(entry.id);
+    } else if (change == TargetChange::Lapsed) {
+        m_book.update(entry, change, now);
     }
     logTarget(entry, change);
 }
