--- a/packages/policy/include/teaseldrift/parts/part_cache.hpp
+++ b/packages/policy/include/teaseldrift/parts/part_cache.hpp
@@ -3,38 +3,82 @@
 #include <cstdint>
 #include <list>
 #include <span>
+#include <string>
 #include <unordered_map>
 
+#include "teaseldrift/base/time.hpp"
 #include "teaseldrift/parts/prompt_parts.hpp"
 
 namespace teaseldrift {
 
-/// @brief What one target's KV cache is expected to hold, by what was sent to it.
+/// @brief A change of what a cache holds.
+struct PartEvent
+{
+    std::string salt;
+    uint64_t partId = 0;
+    /// Tokens of the part that are held now; 0 if it is gone.
+    uint32_t tokens = 0;
+};
+
+/// @brief How certain a part must be to count as held.
+enum class PartCertainty {
+    /// The cache itself has said so.
+    Confirmed,
+    /// It was sent there a moment ago.
+    Expected,
+};
+
+/// @brief What one cache holds: a target's, or that of the kept store.
 ///
-/// Least recently used parts yield when the target's room is used up. Other VMs send to the same
-/// target too, so only a part of its room counts.
+/// Until the cache's own events are followed, what was sent to it is all that is known; least
+/// recently used parts then yield when its room is used up. With events, a part that was sent counts
+/// as expected until an event confirms it or its time is over.
 class PartCache
 {
 public:
     PartCache() = default;
+
+    /// @param roomTokens part of the room that is filled by what this VM sends
     explicit PartCache(uint64_t roomTokens);
 
-    /// @brief The target has read, imported or used these prefixes.
-    void touch(std::span<const PromptPrefix> prefixes);
+    /// @brief The cache has been asked to read, import or use these prefixes.
+    void expect(std::span<const PromptPrefix> prefixes, Instant now);
+
+    /// @brief Takes what the cache says of itself.
+    void apply(const PartEvent &event);
+
+    /// @brief The cache's events are followed from now on, or are lost.
+    void setFollowed(bool isFollowed);
 
     /// @brief Tokens of the leading prefixes that are held without a gap.
-    [[nodiscard]] uint64_t heldTokens(std::span<const PromptPrefix> prefixes) const;
+    [[nodiscard]] uint64_t heldTokens(std::span<const PromptPrefix> prefixes,
+                                      PartCertainty certainty, Instant now) const;
 
-    [[nodiscard]] bool holds(const PromptPrefix &prefix) const;
+    /// @brief What was expected will not come; what the cache has confirmed stays.
+    void dropExpected(std::span<const PromptPrefix> prefixes);
 
-    void forget(uint64_t key);
     void clear();
 
 private:
-    using Order = std::list<PromptPrefix>;
+    struct Held
+    {
+        uint64_t partKey = 0;
+        uint32_t tokens = 0;
+        bool isConfirmed = false;
+        Instant expectedAt;
+    };
+
+    using Order = std::list<Held>;
+
+    [[nodiscard]] bool holds(const PromptPrefix &prefix, PartCertainty certainty,
+                             Instant now) const;
+    Held &use(uint64_t partKey);
+    void forget(uint64_t partKey);
+    void trim(Instant now);
 
     uint64_t m_roomTokens = 0;
     uint64_t m_usedTokens = 0;
+    bool m_isFollowed = false;
     /// Most recently used first.
     Order m_order;
     std::unordered_map<uint64_t, Order::iterator> m_held;
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -45,9 +45,9 @@
     Duration perRunningRequest = 1ms;
     /// Work that each waiting request adds.
     Duration perWaitingRequest = 40ms;
-    /// Cost of a prompt token that must be read though another target has read it, as time: it
-    /// spends the fleet's computing power. Four times the time of reading keeps a prefix at its
-    /// place until that place is well behind the others.
+    /// Cost of reading a prompt token that another target reads or has read, against the time that it
+    /// takes: it spends the fleet's computing power a second time. Keeps a prefix at its place until
+    /// that place is well behind the others.
     double rereadFactor = 4.0;
     /// Part of an engine's KV cache counted as free for what this VM sends.
     double cachePart = 0.5;
@@ -133,6 +133,12 @@
     /// @brief The request is no longer at the target.
     void ended(const TargetChoice &choice, bool promptWasRead);
 
+    /// @brief Takes what a target's cache, or with an empty id the kept store's, says of itself.
+    void applyEvents(std::string_view id, std::span<const PartEvent> events);
+
+    /// @brief The cache has restarted, or some of its events are lost.
+    void forgetCache(std::string_view id);
+
     void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
 
     /// @brief The target takes requests.
@@ -177,6 +183,24 @@
         double costMs = 0.0;
     };
 
+    /// A prompt's prefixes under one weights version, and who holds them for sure.
+    struct Prompt
+    {
+        std::vector<PromptPrefix> prefixes;
+        uint64_t sharedTokens = 0;
+        /// Most tokens that one source holds, and that source; empty if none holds any.
+        uint64_t importableTokens = 0;
+        std::string source;
+        /// Tokens that the kept store holds.
+        uint64_t storedTokens = 0;
+        /// The kept store holds all shared parts, or will soon.
+        bool isStored = false;
+        /// Some target is reading the prefix now.
+        bool isBeingRead = false;
+
+        [[nodiscard]] std::span<const PromptPrefix> shared() const;
+    };
+
     struct Places;
 
     [[nodiscard]] Places placesOf(const std::vector<const TargetEntry *> &targets,
@@ -185,11 +209,15 @@
     rollPenalties(const std::vector<const TargetEntry *> &targets, const TargetQuery &query) const;
     [[nodiscard]] double waitMs(const State &state, uint32_t priority, Instant now) const;
     [[nodiscard]] double zoneMs(const TargetEntry &target) const;
-    [[nodiscard]] std::string saltOf(uint64_t weights, std::string_view wall) const;
+    static std::string saltOf(const TargetQuery &query, uint64_t weights);
     [[nodiscard]] const State *stateOf(std::string_view id) const;
     State *mutableState(std::string_view id);
-    void addImport(TargetChoice &choice, const TargetDirectory &directory,
-                   const TargetQuery &query) const;
+    [[nodiscard]] Prompt promptOf(const std::vector<const TargetEntry *> &targets,
+                                  const TargetQuery &query, uint64_t weights, Instant now) const;
+    [[nodiscard]] double cacheMs(const Prompt &prompt, uint64_t held, double importRate,
+                                 bool isFirstPlace) const;
+    void addImport(TargetChoice &choice, const Prompt &prompt, uint64_t held) const;
+    PartCache *cacheOf(std::string_view id);
 
     TargetBookOptions m_options;
     TargetHealth m_health;
--- a/packages/policy/src/teaseldrift/parts/prompt_parts.cpp
+++ b/packages/policy/src/teaseldrift/parts/prompt_parts.cpp
@@ -6,6 +6,11 @@
 
 namespace teaseldrift {
 
+uint64_t partKeyOf(std::string_view salt, uint64_t partId)
+{
+    return XXH3_64bits_withSeed(salt.data(), salt.size(), partId);
+}
+
 std::vector<PromptPrefix> prefixesOf(std::span<const PromptPart> parts, std::string_view salt)
 {
     std::vector<PromptPrefix> prefixes;
@@ -14,7 +19,9 @@
     for (const PromptPart &part : parts) {
         const std::array<uint64_t, 3> link{key, part.id, part.tokens};
         key = XXH3_64bits(link.data(), sizeof(link));
-        prefixes.push_back({.key = key, .tokens = part.tokens});
+        prefixes.push_back({.key = key,
+                            .partKey = partKeyOf(salt, part.id),
+                            .tokens = part.tokens});
     }
     return prefixes;
 }
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -126,12 +126,14 @@
     return target.availabilityZone == m_options.availabilityZone ? 0.0 : toMs(m_options.zoneDelay);
 }
 
-std::string TargetBook::saltOf(uint64_t weights, std::string_view wall) const
+std::string TargetBook::saltOf(const TargetQuery &query, uint64_t weights)
 {
-    std::string salt = "w" + std::to_string(weights);
-    if (!wall.empty()) {
+    std::string salt(query.model);
+    salt += '/';
+    salt += std::to_string(weights);
+    if (!query.wall.empty()) {
         salt += '/';
-        salt += wall;
+        salt += query.wall;
     }
     return salt;
 }
@@ -214,14 +216,67 @@
     return penalties;
 }
 
+std::span<const PromptPrefix> TargetBook::Prompt::shared() const
+{
+    return sharedOf(prefixes);
+}
+
+TargetBook::Prompt TargetBook::promptOf(const std::vector<const TargetEntry *> &targets,
+                                        const TargetQuery &query, uint64_t weights,
+                                        Instant now) const
+{
+    Prompt prompt{.prefixes = prefixesOf(query.parts, saltOf(query, weights))};
+    const std::span<const PromptPrefix> shared = prompt.shared();
+    prompt.sharedTokens = tokensOf(shared);
+    if (!m_cacheStoreAddress.empty()) {
+        prompt.storedTokens = m_cacheStore.heldTokens(shared, PartCertainty::Confirmed, now);
+        prompt.importableTokens = prompt.storedTokens;
+        prompt.source = prompt.storedTokens > 0 ? m_cacheStoreAddress : "";
+        prompt.isStored = m_cacheStore.heldTokens(shared, PartCertainty::Expected, now)
+                          == prompt.sharedTokens;
+    }
+    for (const TargetEntry *target : targets) {
+        const State *state = stateOf(target->id);
+        if (state == nullptr || !m_health.isEligible(target->id)) {
+            continue;
+        }
+        const uint64_t confirmed
+                = state->cache.heldTokens(shared, PartCertainty::Confirmed, now);
+        const uint64_t expected = state->cache.heldTokens(shared, PartCertainty::Expected, now);
+        prompt.isBeingRead = prompt.isBeingRead || expected > confirmed;
+        // A target near by rather than the store, which serves all.
+        const bool isNear = target->availabilityZone == m_options.availabilityZone;
+        if (confirmed > prompt.importableTokens
+            || (isNear && confirmed == prompt.importableTokens && confirmed > 0)) {
+            prompt.importableTokens = confirmed;
+            prompt.source = target->address;
+        }
+    }
+    return prompt;
+}
+
+/// Time that a target needs to get hold of the shared prefix, with the cost of reading it twice.
+double TargetBook::cacheMs(const Prompt &prompt, uint64_t held, double importRate,
+                           bool isFirstPlace) const
+{
+    const uint64_t importable = importRate > 0.0 && prompt.importableTokens > held
+                                        ? prompt.importableTokens - held
+                                        : 0;
+    const double importMs
+            = importable == 0 ? 0.0 : 1.0 + static_cast<double>(importable) / importRate;
+    const double unread = static_cast<double>(prompt.sharedTokens - held - importable);
+    const double readMs = unread / m_options.promptTokensPerMs;
+    const bool isReadElsewhere = prompt.isBeingRead || !isFirstPlace;
+    return importMs + readMs * (isReadElsewhere ? m_options.rereadFactor : 1.0);
+}
+
 std::optional<TargetChoice> TargetBook::choose(const TargetDirectory &directory,
                                                const TargetQuery &query, Instant now) const
 {
     const std::vector<const TargetEntry *> &targets = directory.ofService(query.service);
-    std::map<uint64_t, std::vector<PromptPrefix>> prefixesByWeights;
+    std::map<uint64_t, Prompt> prompts;
     const auto facts = m_services.find(query.service);
-    const double importRate
-            = facts == m_services.end() ? 0.0 : facts->second.importTokensPerMs;
+    const double importRate = facts == m_services.end() ? 0.0 : facts->second.importTokensPerMs;
     const Places places = placesOf(targets, query);
     const std::map<std::string_view, double> penalties = rollPenalties(targets, query);
     std::optional<Scored> best;
@@ -241,16 +296,16 @@
                 continue;
             }
             scored.weights = weights->second;
-            std::vector<PromptPrefix> &prefixes = prefixesByWeights[scored.weights];
-            if (prefixes.empty()) {
-                prefixes = prefixesOf(query.parts, saltOf(scored.weights, query.wall));
+            auto prompt = prompts.find(scored.weights);
+            if (prompt == prompts.end()) {
+                prompt = prompts.emplace(scored.weights,
+                                         promptOf(targets, query, scored.weights, now))
+                                 .first;
             }
-            const std::span<const PromptPrefix> shared = sharedOf(prefixes);
-            scored.held = state->cache.heldTokens(shared);
-            const double missing = static_cast<double>(tokensOf(shared) - scored.held);
-            const double readMs = missing / m_options.promptTokensPerMs;
-            const double importMs = importRate > 0.0 ? missing / importRate : readMs;
-            scored.costMs += std::min(readMs * m_options.rereadFactor, importMs * 2.0);
+            scored.held = state->cache.heldTokens(prompt->second.shared(),
+                                                  PartCertainty::Expected, now);
+            scored.costMs += cacheMs(prompt->second, scored.held, importRate,
+                                     target->id == places.first);
             scored.costMs -= places.bonusMs(target->id);
             const auto penalty = penalties.find(target->id);
             scored.costMs += penalty == penalties.end() ? 0.0 : penalty->second;
@@ -270,50 +325,39 @@
         return std::nullopt;
     }
     TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
-    choice.expectedWait = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, query.priority, now)));
+    choice.expectedWait = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+            waitMs(*chosen->state, query.priority, now)));
     choice.priority = query.priority;
     if (!query.model.empty()) {
+        const Prompt &prompt = prompts.at(chosen->weights);
         choice.weights = chosen->weights;
-        choice.cacheSalt = saltOf(chosen->weights, query.wall);
-        choice.prefixes = prefixesByWeights[chosen->weights];
-        choice.tokensToRead = tokensOf(choice.prefixes) - chosen->held;
-        addImport(choice, directory, query);
+        choice.cacheSalt = saltOf(query, chosen->weights);
+        choice.prefixes = prompt.prefixes;
+        addImport(choice, prompt, chosen->held);
     }
     return choice;
 }
 
-void TargetBook::addImport(TargetChoice &choice, const TargetDirectory &directory,
-                           const TargetQuery &query) const
+void TargetBook::addImport(TargetChoice &choice, const Prompt &prompt, uint64_t held) const
 {
-    const std::span<const PromptPrefix> shared = sharedOf(choice.prefixes);
-    const State *state = stateOf(choice.id);
-    const uint64_t total = tokensOf(shared);
-    const uint64_t held = state->cache.heldTokens(shared);
-    if (total == 0) {
+    if (prompt.sharedTokens == 0) {
+        choice.tokensToRead = tokensOf(choice.prefixes);
         return;
     }
-    const uint64_t stored = m_cacheStore.heldTokens(shared);
-    if (!m_cacheStoreAddress.empty() && stored < total) {
-        choice.saveTo = m_cacheStoreAddress;
-    }
-    if (held >= total) {
-        return;
-    }
-    uint64_t most = std::max(held, stored);
-    if (!m_cacheStoreAddress.empty()) {
+    const uint64_t importable = prompt.source.empty() ? 0 : prompt.importableTokens;
+    choice.tokensToRead = tokensOf(choice.prefixes) - std::max(held, importable);
+    // The store is asked also when nobody is known to hold the prefix: the question costs a
+    // millisecond at most.
+    if (prompt.source != choice.address && importable > 0) {
+        choice.importFrom = prompt.source;
+    } else if (!m_cacheStoreAddress.empty()) {
         choice.importFrom = m_cacheStoreAddress;
     }
-    for (const TargetEntry *other : directory.ofService(query.service)) {
-        const State *otherState = stateOf(other->id);
-        if (otherState == nullptr || other->id == choice.id || !m_health.isEligible(other->id)) {
-            continue;
-        }
-        const uint64_t otherHeld = otherState->cache.heldTokens(shared);
-        if (otherHeld > most) {
-            most = otherHeld;
-            choice.importFrom = other->address;
-        }
+    // The whole prompt is kept, so that a long part of the request's own would drive others out.
+    const uint64_t ownTokens = choice.prefixes.back().tokens;
+    if (!m_cacheStoreAddress.empty() && !prompt.isStored
+        && ownTokens <= prompt.sharedTokens) {
+        choice.saveTo = m_cacheStoreAddress;
     }
 }
 
@@ -334,7 +378,10 @@
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ownMs)),
             now);
     state->tokensAhead += choice.tokensToRead;
-    state->cache.touch(choice.prefixes);
+    state->cache.expect(choice.prefixes, now);
+    if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
+        m_cacheStore.expect(sharedOf(choice.prefixes), now);
+    }
 }
 
 void TargetBook::promptRead(const TargetChoice &choice, Instant now)
@@ -344,9 +391,6 @@
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
         state->queue.read(choice.ticket, now);
     }
-    if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
-        m_cacheStore.touch(choice.prefixes);
-    }
 }
 
 void TargetBook::ended(const TargetChoice &choice, bool promptWasRead)
@@ -359,9 +403,35 @@
     state->queue.dropped(choice.ticket);
     if (!promptWasRead) {
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
-        for (const PromptPrefix &prefix : choice.prefixes) {
-            state->cache.forget(prefix.key);
-        }
+        state->cache.dropExpected(choice.prefixes);
+    }
+}
+
+PartCache *TargetBook::cacheOf(std::string_view id)
+{
+    if (id.empty()) {
+        return &m_cacheStore;
+    }
+    State *state = mutableState(id);
+    return state == nullptr ? nullptr : &state->cache;
+}
+
+void TargetBook::applyEvents(std::string_view id, std::span<const PartEvent> events)
+{
+    PartCache *cache = cacheOf(id);
+    if (cache == nullptr) {
+        return;
+    }
+    cache->setFollowed(true);
+    for (const PartEvent &event : events) {
+        cache->apply(event);
+    }
+}
+
+void TargetBook::forgetCache(std::string_view id)
+{
+    if (PartCache *cache = cacheOf(id)) {
+        cache->clear();
     }
 }
 
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -91,6 +92,9 @@
     /// @brief Learned from an answer.
     void sawWeights(std::string_view target, std::string_view model, uint64_t version);
 
+    /// @brief VMs among which limits are divided now.
+    [[nodiscard]] size_t vmCount() const { return std::max<size_t>(1, m_dividedBy); }
+
     /// @brief Place of this VM among all by name; spreads work that one of them must do.
     [[nodiscard]] size_t rank() const;
 
