Resume a cut continuation with its own body; format

processes-test 'a cut stream goes on where it stopped' failed with the new client: a Resume after a Continuation sent the original body with the continuation's event id, so text came twice.

--- a/packages/ctl/src/teaseldrift/ctl/configuration_store.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/configuration_store.cpp
@@ -93,14 +93,13 @@
             m_native->pause();
         }
         store::StoreSnapshot snapshot;
-        m_native->store.readPrefix(
-                m_native->keyPrefix,
-                [this, &result, &snapshot](std::error_code error,
-                                           const store::StoreSnapshot &answer) {
-                    result.error = error;
-                    snapshot = answer;
-                    m_native->loop.stop();
-                });
+        m_native->store.readPrefix(m_native->keyPrefix,
+                                   [this, &result, &snapshot](std::error_code error,
+                                                              const store::StoreSnapshot &answer) {
+                                       result.error = error;
+                                       snapshot = answer;
+                                       m_native->loop.stop();
+                                   });
         m_native->loop.run();
         if (result.error) {
             continue;
--- a/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
+++ b/packages/fleet/include/teaseldrift/fleet/configuration_task.hpp
@@ -300,7 +300,7 @@
     }
 
     std::function<void(std::error_code, const store::StoreSnapshot &)> onRead(uint64_t callId,
-                                                                                 bool all)
+                                                                              bool all)
     {
         return [this, alive = m_alive, callId, all](std::error_code error,
                                                     const store::StoreSnapshot &snapshot) {
--- a/packages/http/src/teaseldrift/http/answer_parser.hpp
+++ b/packages/http/src/teaseldrift/http/answer_parser.hpp
@@ -37,8 +37,7 @@
 
     void on_request_impl(boost::beast::http::verb, View, View, int, ErrorCode &) override { }
     void on_response_impl(int status, View reason, int version, ErrorCode &error) override;
-    void on_field_impl(boost::beast::http::field, View name, View value,
-                       ErrorCode &error) override;
+    void on_field_impl(boost::beast::http::field, View name, View value, ErrorCode &error) override;
     void on_header_impl(ErrorCode &error) override;
     void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &) override { }
     std::size_t on_body_impl(View body, ErrorCode &error) override;
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -116,8 +116,9 @@
     std::vector<IdleConnection> &kept = idle[endpoint];
     Duration time = options.keepAlive;
     if (const std::optional<Duration> announced = connection->announcedIdleTime()) {
-        time = std::min(time, Duration(static_cast<Duration::rep>(
-                                      static_cast<double>(announced->count()) * announcedIdlePart)));
+        time = std::min(time,
+                        Duration(static_cast<Duration::rep>(static_cast<double>(announced->count())
+                                                            * announcedIdlePart)));
     }
     if (kept.size() >= options.maxIdle || time <= Duration(0)) {
         connection->close();
@@ -190,11 +191,10 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
     inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-    connecting = h2o_socket_connect(
-            loop->native().loop, reinterpret_cast<sockaddr *>(&address), sizeof(address),
-            [](h2o_socket_t *socket, const char *error) {
-                static_cast<Call::Native *>(socket->data)->connected(error);
-            });
+    connecting = h2o_socket_connect(loop->native().loop, reinterpret_cast<sockaddr *>(&address),
+                                    sizeof(address), [](h2o_socket_t *socket, const char *error) {
+                                        static_cast<Call::Native *>(socket->data)->connected(error);
+                                    });
     if (connecting == nullptr) {
         endLater(CallEnd::NotSent);
         return;
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -69,24 +69,23 @@
 void Connection::beginAnswer()
 {
     m_isSkipping = false;
-    m_parser.emplace(
-            m_isHead,
-            AnswerParser::Handlers{
-                    .onHead =
-                            [this](const ResponseHead &head) {
-                                m_idleTime = readIdleTime(findHeader(head.headers, "keep-alive"));
-                                m_isSkipping
-                                        = m_handlers.isOfRequest && !m_handlers.isOfRequest(head);
-                                if (!m_isSkipping) {
-                                    m_handlers.onHead(head);
-                                }
-                            },
-                    .onData =
-                            [this](std::string_view data) {
-                                if (!m_isSkipping && m_isBusy) {
-                                    m_handlers.onData(data);
-                                }
-                            }});
+    m_parser.emplace(m_isHead, AnswerParser::Handlers{
+                                       .onHead =
+                                               [this](const ResponseHead &head) {
+                                                   m_idleTime = readIdleTime(
+                                                           findHeader(head.headers, "keep-alive"));
+                                                   m_isSkipping = m_handlers.isOfRequest
+                                                                  && !m_handlers.isOfRequest(head);
+                                                   if (!m_isSkipping) {
+                                                       m_handlers.onHead(head);
+                                                   }
+                                               },
+                                       .onData =
+                                               [this](std::string_view data) {
+                                                   if (!m_isSkipping && m_isBusy) {
+                                                       m_handlers.onData(data);
+                                                   }
+                                               }});
 }
 
 void Connection::read(const char *error)
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -1,7 +1,7 @@
 #include "teaseldrift/http/server.hpp"
 
-#include <arpa/inet.h>
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cctype>
 #include <cerrno>
 #include <cstring>
@@ -483,7 +483,8 @@
                 request->http1_is_persistent = 0;
             }
             if (verdict == HeadVerdict::Ambiguous) {
-                h2o_send_error_400(request, "Bad Request", "bad request", H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+                h2o_send_error_400(request, "Bad Request", "bad request",
+                                   H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
                 return 0;
             }
         }
--- a/packages/policy/include/teaseldrift/attempts/request_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_machine.hpp
@@ -60,8 +60,8 @@
     Duration progressTimeout = 5s;
     /// Attempts in all.
     uint32_t maxAttempts = 3;
-    /// Attempts after which a target may have run the request; 0 for no bound of their own. Attempts
-    /// that targets refused, or that reached none, count only against maxAttempts.
+    /// Attempts after which a target may have run the request; 0 for no bound of their own.
+    /// Attempts that targets refused, or that reached none, count only against maxAttempts.
     uint32_t maxRuns = 0;
     /// Targets resume a stream after a broken connection.
     bool targetsResume = true;
--- a/packages/policy/include/teaseldrift/parts/part_cache.hpp
+++ b/packages/policy/include/teaseldrift/parts/part_cache.hpp
@@ -31,8 +31,8 @@
 /// @brief What one cache holds: a target's, or that of the kept store.
 ///
 /// Until the cache's own events are followed, what was sent to it is all that is known; least
-/// recently used parts then yield when its room is used up. With events, a part that was sent counts
-/// as expected until an event confirms it or its time is over.
+/// recently used parts then yield when its room is used up. With events, a part that was sent
+/// counts as expected until an event confirms it or its time is over.
 class PartCache
 {
 public:
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -45,9 +45,9 @@
     Duration perRunningRequest = 1ms;
     /// Work that each waiting request adds.
     Duration perWaitingRequest = 40ms;
-    /// Cost of reading a prompt token that another target reads or has read, against the time that it
-    /// takes: it spends the fleet's computing power a second time. Keeps a prefix at its place until
-    /// that place is well behind the others.
+    /// Cost of reading a prompt token that another target reads or has read, against the time that
+    /// it takes: it spends the fleet's computing power a second time. Keeps a prefix at its place
+    /// until that place is well behind the others.
     double rereadFactor = 4.0;
     /// Part of an engine's KV cache counted as free for what this VM sends.
     double cachePart = 0.5;
--- a/packages/policy/src/teaseldrift/parts/part_cache.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache.cpp
@@ -44,8 +44,8 @@
 {
     while (!m_order.empty()) {
         const Held &last = m_order.back();
-        const bool isOverdue = m_isFollowed && !last.isConfirmed
-                               && now - last.expectedAt >= confirmationTime;
+        const bool isOverdue
+                = m_isFollowed && !last.isConfirmed && now - last.expectedAt >= confirmationTime;
         const bool isOverRoom = !m_isFollowed && m_usedTokens > m_roomTokens;
         if (!isOverdue && !isOverRoom) {
             return;
--- a/packages/policy/src/teaseldrift/parts/prompt_parts.cpp
+++ b/packages/policy/src/teaseldrift/parts/prompt_parts.cpp
@@ -19,9 +19,8 @@
     for (const PromptPart &part : parts) {
         const std::array<uint64_t, 3> link{key, part.id, part.tokens};
         key = XXH3_64bits(link.data(), sizeof(link));
-        prefixes.push_back({.key = key,
-                            .partKey = partKeyOf(salt, part.id),
-                            .tokens = part.tokens});
+        prefixes.push_back(
+                {.key = key, .partKey = partKeyOf(salt, part.id), .tokens = part.tokens});
     }
     return prefixes;
 }
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -104,11 +104,11 @@
     double running = state.inFlight;
     double waiting = 0.0;
     if (state.reportedAt != Instant() && now - state.reportedAt < m_options.reportAge) {
-        const double since = static_cast<double>(state.inFlight)
-                             - static_cast<double>(state.inFlightAtReport);
-        const double all = std::max(0.0, static_cast<double>(state.report.running)
-                                                 + static_cast<double>(state.report.waiting)
-                                                 + since);
+        const double since
+                = static_cast<double>(state.inFlight) - static_cast<double>(state.inFlightAtReport);
+        const double all
+                = std::max(0.0, static_cast<double>(state.report.running)
+                                        + static_cast<double>(state.report.waiting) + since);
         running = std::max(running, all);
         const double slots = std::max<double>(1.0, state.report.slots);
         waiting = std::max(0.0, running - slots);
@@ -240,8 +240,7 @@
         if (state == nullptr || !m_health.isEligible(target->id)) {
             continue;
         }
-        const uint64_t confirmed
-                = state->cache.heldTokens(shared, PartCertainty::Confirmed, now);
+        const uint64_t confirmed = state->cache.heldTokens(shared, PartCertainty::Confirmed, now);
         const uint64_t expected = state->cache.heldTokens(shared, PartCertainty::Expected, now);
         prompt.isBeingRead = prompt.isBeingRead || expected > confirmed;
         // A target near by rather than the store, which serves all.
@@ -302,18 +301,18 @@
                                          promptOf(targets, query, scored.weights, now))
                                  .first;
             }
-            scored.held = state->cache.heldTokens(prompt->second.shared(),
-                                                  PartCertainty::Expected, now);
-            scored.costMs += cacheMs(prompt->second, scored.held, importRate,
-                                     target->id == places.first);
+            scored.held = state->cache.heldTokens(prompt->second.shared(), PartCertainty::Expected,
+                                                  now);
+            scored.costMs
+                    += cacheMs(prompt->second, scored.held, importRate, target->id == places.first);
             scored.costMs -= places.bonusMs(target->id);
             const auto penalty = penalties.find(target->id);
             scored.costMs += penalty == penalties.end() ? 0.0 : penalty->second;
         } else {
             constexpr uint64_t jitterSteps = 1024;
-            scored.costMs += static_cast<double>((rendezvousKey(target->id) ^ query.seed)
-                                                 % jitterSteps)
-                             / static_cast<double>(jitterSteps);
+            scored.costMs
+                    += static_cast<double>((rendezvousKey(target->id) ^ query.seed) % jitterSteps)
+                       / static_cast<double>(jitterSteps);
         }
         std::optional<Scored> &slot = now < state->avoidUntil ? avoided : best;
         if (!slot || scored.costMs < slot->costMs) {
@@ -325,8 +324,8 @@
         return std::nullopt;
     }
     TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
-    choice.expectedWait = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-            waitMs(*chosen->state, query.priority, now)));
+    choice.expectedWait = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, query.priority, now)));
     choice.priority = query.priority;
     if (!query.model.empty()) {
         const Prompt &prompt = prompts.at(chosen->weights);
@@ -355,8 +354,7 @@
     }
     // The whole prompt is kept, so that a long part of the request's own would drive others out.
     const uint64_t ownTokens = choice.prefixes.back().tokens;
-    if (!m_cacheStoreAddress.empty() && !prompt.isStored
-        && ownTokens <= prompt.sharedTokens) {
+    if (!m_cacheStoreAddress.empty() && !prompt.isStored && ownTokens <= prompt.sharedTokens) {
         choice.saveTo = m_cacheStoreAddress;
     }
 }
@@ -368,11 +366,10 @@
         return;
     }
     ++state->inFlight;
-    const double ownMs
-            = choice.prefixes.empty()
-                      ? 0.0
-                      : static_cast<double>(choice.tokensToRead) / m_options.promptTokensPerMs
-                                + toMs(m_options.firstEventTime);
+    const double ownMs = choice.prefixes.empty() ? 0.0
+                                                 : static_cast<double>(choice.tokensToRead)
+                                                                   / m_options.promptTokensPerMs
+                                                           + toMs(m_options.firstEventTime);
     choice.ticket = state->queue.sent(
             choice.priority,
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ownMs)),
--- a/packages/policy/src/teaseldrift/targets/target_directory.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory.cpp
@@ -50,8 +50,7 @@
 
 bool TargetDirectory::isInGrace(Instant now) const
 {
-    return m_isStoreAway
-           || (m_storeRegainedAt && now < *m_storeRegainedAt + m_options.lapseGrace);
+    return m_isStoreAway || (m_storeRegainedAt && now < *m_storeRegainedAt + m_options.lapseGrace);
 }
 
 void TargetDirectory::storeLost(Instant /*now*/)
@@ -89,8 +88,8 @@
     return gone;
 }
 
-std::vector<std::string> TargetDirectory::missingFrom(
-        const std::map<std::string, TargetEntry, std::less<>> &present) const
+std::vector<std::string>
+TargetDirectory::missingFrom(const std::map<std::string, TargetEntry, std::less<>> &present) const
 {
     std::vector<std::string> missing;
     for (const std::pair<const std::string, TargetEntry> &target : m_targets) {
--- a/packages/policy/src/teaseldrift/weights/weight_roll.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll.cpp
@@ -51,8 +51,8 @@
     Works &works = m_works[std::string(model)];
     settle(works, targets, wantedVersion);
     const size_t allowed = concurrentLoads(targets.size());
-    size_t underWay = static_cast<size_t>(
-            std::count_if(works.begin(), works.end(), [](const std::pair<const std::string, Work> &w) {
+    size_t underWay = static_cast<size_t>(std::count_if(
+            works.begin(), works.end(), [](const std::pair<const std::string, Work> &w) {
                 return w.second.isAsking || w.second.isLoading;
             }));
     // Requests may begin on old weights for a limited time only, so the oldest come first.
--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -11,8 +11,8 @@
 #include <utility>
 #include <vector>
 
-#include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/relay/fleet_state.hpp"
 
 namespace teaseldrift::relay {
 
@@ -121,11 +121,11 @@
     {
         cache.isAsking = true;
         cache.nextAsk = now + interval();
-        m_channel.askCacheEvents(cache.address, cache.next,
-                                 [this, id, address = cache.address](
-                                         const std::optional<CacheEvents> &answer) {
-                                     take(id, address, answer);
-                                 });
+        m_channel.askCacheEvents(
+                cache.address, cache.next,
+                [this, id, address = cache.address](const std::optional<CacheEvents> &answer) {
+                    take(id, address, answer);
+                });
     }
 
     void take(const std::string &id, const std::string &address,
--- a/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -28,9 +28,7 @@
 public:
     FleetFeed(http::EventLoop &loop, Store &store, Records records, FleetState &fleet,
               telemetry::EventLog &log, FleetFeedOptions options = {})
-        : m_records(std::move(records)),
-          m_fleet(fleet),
-          m_log(log),
+        : m_records(std::move(records)), m_fleet(fleet), m_log(log),
           m_operators(loop, store, {.prefix = std::string(m_records.operatorPrefix())},
                       operatorHandlers()),
           m_targets(loop, store,
--- a/packages/relay/include/teaseldrift/relay/fleet_records.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_records.hpp
@@ -36,10 +36,18 @@
 template <typename R>
 concept FleetRecords = requires(const R &records, std::string_view text)
 {
-    { records.operatorPrefix() } -> std::convertible_to<std::string_view>;
-    { records.targetPrefix() } -> std::convertible_to<std::string_view>;
-    { records.readOperatorRecord(text, text) } -> std::same_as<OperatorRecord>;
-    { records.readTarget(text, text) } -> std::same_as<std::optional<TargetEntry>>;
+    {
+        records.operatorPrefix()
+        } -> std::convertible_to<std::string_view>;
+    {
+        records.targetPrefix()
+        } -> std::convertible_to<std::string_view>;
+    {
+        records.readOperatorRecord(text, text)
+        } -> std::same_as<OperatorRecord>;
+    {
+        records.readTarget(text, text)
+        } -> std::same_as<std::optional<TargetEntry>>;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/front_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/front_impl.hpp
@@ -11,7 +11,8 @@
 inline constexpr Duration callerCheckAge = 100ms;
 
 template <Dialect D>
-Front<D>::Front(RelayContext &context, D dialect) : m_context(context), m_dialect(std::move(dialect))
+Front<D>::Front(RelayContext &context, D dialect)
+    : m_context(context), m_dialect(std::move(dialect))
 { }
 
 template <Dialect D>
@@ -110,21 +111,20 @@
     }
     exchange.respond({.status = refusal.status, .headers = std::move(headers)});
     m_context.metrics.counter({"teaseldrift_refusals_total", "reason", refusal.reason}).add();
-    m_context.log.write(telemetry::EventWeight::Important, "request_refused",
-                        {{"request_id", std::string_view(request.id)},
-                         {"status", static_cast<int64_t>(refusal.status)},
-                         {"reason", refusal.reason},
-                         {"retry_after_s", toSeconds(refusal.retryAfter)},
-                         {"organisation", refusal.organisation},
-                         {"cost", refusal.cost},
-                         {"host", std::string_view(request.host)},
-                         {"path", std::string_view(request.path)},
-                         {"configuration",
-                          static_cast<int64_t>(m_context.fleet.table() == nullptr
-                                                       ? 0
-                                                       : m_context.fleet.table()
-                                                                 ->definition()
-                                                                 .version)}});
+    m_context.log.write(
+            telemetry::EventWeight::Important, "request_refused",
+            {{"request_id", std::string_view(request.id)},
+             {"status", static_cast<int64_t>(refusal.status)},
+             {"reason", refusal.reason},
+             {"retry_after_s", toSeconds(refusal.retryAfter)},
+             {"organisation", refusal.organisation},
+             {"cost", refusal.cost},
+             {"host", std::string_view(request.host)},
+             {"path", std::string_view(request.path)},
+             {"configuration",
+              static_cast<int64_t>(m_context.fleet.table() == nullptr
+                                           ? 0
+                                           : m_context.fleet.table()->definition().version)}});
 }
 
 template <Dialect D>
--- a/packages/relay/include/teaseldrift/relay/leased_record.hpp
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -75,11 +75,8 @@
     void write()
     {
         // Without a condition: the key is this VM's own, and an older incarnation may have left it.
-        const std::array<store::StoreWrite, 1> writes{
-                store::StoreWrite{.key = m_options.key,
-                                  .value = m_value,
-                                  .isUnconditional = true,
-                                  .lease = m_lease}};
+        const std::array<store::StoreWrite, 1> writes{store::StoreWrite{
+                .key = m_options.key, .value = m_value, .isUnconditional = true, .lease = m_lease}};
         m_store.write(writes, [this](store::StoreWriteResult result) {
             if (result.outcome == store::StoreOutcome::Written) {
                 m_isWritten = true;
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -23,10 +23,7 @@
     };
 
     MembershipTask(http::EventLoop &loop, Store &store, FleetState &fleet, Options options = {})
-        : m_loop(loop),
-          m_store(store),
-          m_fleet(fleet),
-          m_options(std::move(options)),
+        : m_loop(loop), m_store(store), m_fleet(fleet), m_options(std::move(options)),
           m_own(loop, store, {.key = m_options.prefix + fleet.options().vmId})
     { }
 
--- a/packages/relay/include/teaseldrift/relay/message.hpp
+++ b/packages/relay/include/teaseldrift/relay/message.hpp
@@ -70,14 +70,22 @@
 
 /// @brief Reads and writes the messages of one interface.
 template <typename D>
-concept Dialect = requires(const D &dialect, const http::Exchange &exchange,
-                           const http::ResponseHead &head, const CallerRequest &request,
-                           const TargetOrder &order)
+concept Dialect
+        = requires(const D &dialect, const http::Exchange &exchange, const http::ResponseHead &head,
+                   const CallerRequest &request, const TargetOrder &order)
 {
-    { dialect.readRequest(exchange) } -> std::same_as<CallerRequest>;
-    { dialect.targetHeaders(request, order) } -> std::same_as<http::Headers>;
-    { dialect.readAnswer(head) } -> std::same_as<AnswerFacts>;
-    { dialect.answerHeaders(head) } -> std::same_as<http::Headers>;
+    {
+        dialect.readRequest(exchange)
+        } -> std::same_as<CallerRequest>;
+    {
+        dialect.targetHeaders(request, order)
+        } -> std::same_as<http::Headers>;
+    {
+        dialect.readAnswer(head)
+        } -> std::same_as<AnswerFacts>;
+    {
+        dialect.answerHeaders(head)
+        } -> std::same_as<http::Headers>;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
@@ -46,9 +46,7 @@
 public:
     PrefixFeed(http::EventLoop &loop, Store &store, PrefixFeedOptions options,
                PrefixFeedHandlers handlers)
-        : m_loop(loop),
-          m_store(store),
-          m_options(std::move(options)),
+        : m_loop(loop), m_store(store), m_options(std::move(options)),
           m_handlers(std::move(handlers))
     { }
 
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -10,7 +10,8 @@
 
 namespace teaseldrift::relay {
 
-/// Attempts that reach no target, or that targets refuse, beyond those that the route allows to run.
+/// Attempts that reach no target, or that targets refuse, beyond those that the route allows to
+/// run.
 inline constexpr uint32_t extraAttempts = 2;
 
 /// Bytes that wait for a slow caller before the target is no longer read.
@@ -30,12 +31,12 @@
 
 inline RequestOptions machineOptions(const Route &route, Duration timeAllowed)
 {
-    const bool repeats = route.kind == RouteKind::Idempotent
-                         || route.kind == RouteKind::ResumableStream;
-    const bool streams = route.kind == RouteKind::Stream
-                         || route.kind == RouteKind::ResumableStream;
+    const bool repeats
+            = route.kind == RouteKind::Idempotent || route.kind == RouteKind::ResumableStream;
+    const bool streams
+            = route.kind == RouteKind::Stream || route.kind == RouteKind::ResumableStream;
     return {
-            .routeClass = !repeats ? schema::NON_IDEMPOTENT
+            .routeClass = !repeats  ? schema::NON_IDEMPOTENT
                           : streams ? schema::GENERATION
                                     : schema::IDEMPOTENT,
             .answerMode = streams ? AnswerMode::Streamed : AnswerMode::Buffered,
@@ -60,11 +61,8 @@
 RequestTask<D>::RequestTask(RelayContext &context, const D &dialect,
                             std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
                             std::function<void()> onEnded)
-    : m_context(context),
-      m_dialect(dialect),
-      m_exchange(std::move(exchange)),
-      m_admitted(std::move(admitted)),
-      m_onEnded(std::move(onEnded)),
+    : m_context(context), m_dialect(dialect), m_exchange(std::move(exchange)),
+      m_admitted(std::move(admitted)), m_onEnded(std::move(onEnded)),
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
       m_machine(machineOptions(*m_admitted.route, m_timeAllowed), context.fleet.retryBudget())
 {
@@ -345,12 +343,11 @@
     learn(facts, head.status, now);
     m_facts = std::move(facts);
     m_status = head.status;
-    const RequestActions actions
-            = m_machine.headReceived(id,
-                                     {.status = head.status,
-                                      .retryAfter = m_facts.retryAfter,
-                                      .saysNotRun = m_facts.saysNotRun},
-                                     now);
+    const RequestActions actions = m_machine.headReceived(id,
+                                                          {.status = head.status,
+                                                           .retryAfter = m_facts.retryAfter,
+                                                           .saysNotRun = m_facts.saysNotRun},
+                                                          now);
     if (!actions.empty()) {
         perform(actions);
         return;
@@ -578,11 +575,11 @@
              {"events", static_cast<int64_t>(m_machine.delivered())},
              {"tokens_to_read", static_cast<int64_t>(m_choice ? m_choice->tokensToRead : 0)},
              {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
-             {"import_from", m_choice ? std::string_view(m_choice->importFrom) : std::string_view()},
+             {"import_from",
+              m_choice ? std::string_view(m_choice->importFrom) : std::string_view()},
              {"first_event_ms", firstMs},
              {"total_ms", toSeconds(now - m_admitted.arrivedAt) * 1e3},
-             {"configuration",
-              static_cast<int64_t>(m_admitted.table->definition().version)}});
+             {"configuration", static_cast<int64_t>(m_admitted.table->definition().version)}});
     m_context.metrics.counter({"teaseldrift_requests_total", "outcome", outcome}).add();
     m_context.metrics.distribution({"teaseldrift_request_seconds", "route", route})
             .observe(toSeconds(now - m_admitted.arrivedAt));
--- a/packages/relay/include/teaseldrift/relay/weights_names.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_names.hpp
@@ -52,14 +52,13 @@
                               [this, name, namedAt] { keep(name, namedAt); });
             return;
         }
-        m_store.readPrefix(m_options.prefix + name.model, store::ReadAge::Current,
-                           [this, name, onTaken](std::error_code error,
-                                                 const store::StoreSnapshot &snapshot) {
-                               m_fleet.nameWeights(name.model, name.version,
-                                                   ageOf(name, error, snapshot),
-                                                   http::EventLoop::now());
-                               onTaken();
-                           });
+        m_store.readPrefix(
+                m_options.prefix + name.model, store::ReadAge::Current,
+                [this, name, onTaken](std::error_code error, const store::StoreSnapshot &snapshot) {
+                    m_fleet.nameWeights(name.model, name.version, ageOf(name, error, snapshot),
+                                        http::EventLoop::now());
+                    onTaken();
+                });
     }
 
 private:
@@ -84,18 +83,17 @@
 
     void keep(const WeightsRecord &name, int64_t namedAt)
     {
-        m_store.readPrefix(m_options.prefix + name.model, store::ReadAge::MayBeStale,
-                           [this, name, namedAt](std::error_code error,
-                                                 const store::StoreSnapshot &snapshot) {
-                               schema::WeightsNaming kept;
-                               const bool isKept = !error && !snapshot.entries.empty()
-                                                   && kept.ParseFromString(
-                                                           snapshot.entries.front().value)
-                                                   && kept.version() >= name.version;
-                               if (!isKept && m_fleet.weights().wanted(name.model) == name.version) {
-                                   write(name, namedAt);
-                               }
-                           });
+        m_store.readPrefix(
+                m_options.prefix + name.model, store::ReadAge::MayBeStale,
+                [this, name, namedAt](std::error_code error, const store::StoreSnapshot &snapshot) {
+                    schema::WeightsNaming kept;
+                    const bool isKept = !error && !snapshot.entries.empty()
+                                        && kept.ParseFromString(snapshot.entries.front().value)
+                                        && kept.version() >= name.version;
+                    if (!isKept && m_fleet.weights().wanted(name.model) == name.version) {
+                        write(name, namedAt);
+                    }
+                });
     }
 
     void write(const WeightsRecord &name, int64_t namedAt)
--- a/packages/relay/include/teaseldrift/relay/weights_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -9,11 +9,11 @@
 #include <utility>
 #include <vector>
 
+#include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/orders/controller_lease.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/relay/prefix_feed.hpp"
 #include "teaseldrift/store/store.hpp"
-#include "teaseldrift/http/event_loop.hpp"
 
 namespace teaseldrift::relay {
 
@@ -41,10 +41,9 @@
 
 /// @brief Carries orders and questions for reports to targets.
 template <typename C>
-concept OrderChannel
-        = requires(C &channel, const WeightsOrder &order,
-                   std::function<void(std::optional<TargetWeights>)> onReport,
-                   std::function<void(WeightOrderEnd)> onEnd)
+concept OrderChannel = requires(C &channel, const WeightsOrder &order,
+                                std::function<void(std::optional<TargetWeights>)> onReport,
+                                std::function<void(WeightOrderEnd)> onEnd)
 {
     channel.askReport(order, onReport);
     channel.giveOrder(order, onEnd);
@@ -66,13 +65,8 @@
 
     WeightsTask(http::EventLoop &loop, Store &store, Channel &channel, FleetState &fleet,
                 telemetry::EventLog &log, Options options = {})
-        : m_loop(loop),
-          m_store(store),
-          m_channel(channel),
-          m_fleet(fleet),
-          m_log(log),
-          m_options(std::move(options)),
-          m_lease(m_options.orders),
+        : m_loop(loop), m_store(store), m_channel(channel), m_fleet(fleet), m_log(log),
+          m_options(std::move(options)), m_lease(m_options.orders),
           m_feed(loop, store, {.prefix = m_options.key, .wait = m_options.watchWait},
                  feedHandlers())
     { }
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -50,9 +50,7 @@
 } // namespace
 
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
-    : m_options(std::move(options)),
-      m_log(log),
-      m_startedAt(now),
+    : m_options(std::move(options)), m_log(log), m_startedAt(now),
       m_book({.availabilityZone = m_options.availabilityZone}),
       m_retryBudget(retryOptions(m_options, m_options.leastVms))
 { }
@@ -138,7 +136,9 @@
     }
     m_namedWeights[std::string(model)].push_back({.version = version, .namedAt = now - age});
     m_log.write(EventWeight::Important, "weights_named",
-                {{"model", model}, {"version", static_cast<int64_t>(version)}, {"age_ms", toSeconds(age) * 1e3}});
+                {{"model", model},
+                 {"version", static_cast<int64_t>(version)},
+                 {"age_ms", toSeconds(age) * 1e3}});
 }
 
 uint64_t FleetState::minWeights(std::string_view model, Instant now) const
@@ -202,24 +202,21 @@
     }
     const double share = 1.0 / static_cast<double>(vms);
     for (const Organisation &organisation : m_table->definition().organisations) {
-        m_usage[organisation.name].setLimit(
-                {.unitsPerSecond = organisation.unitsPerSecond,
-                 .burst = organisation.burst,
-                 .slack = m_options.usageSlack},
-                share, now);
+        m_usage[organisation.name].setLimit({.unitsPerSecond = organisation.unitsPerSecond,
+                                             .burst = organisation.burst,
+                                             .slack = m_options.usageSlack},
+                                            share, now);
     }
     if (vms != m_dividedBy) {
         m_dividedBy = vms;
         m_retryBudget.setOptions(retryOptions(m_options, vms));
-        m_log.write(EventWeight::Important, "usage_divided",
-                    {{"vms", static_cast<int64_t>(vms)}});
+        m_log.write(EventWeight::Important, "usage_divided", {{"vms", static_cast<int64_t>(vms)}});
     }
 }
 
 size_t FleetState::rank() const
 {
-    return static_cast<size_t>(
-            std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
+    return static_cast<size_t>(std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
 }
 
 std::vector<std::string> FleetState::callerAddresses() const
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -73,8 +73,8 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     AllowanceTask *task = nullptr;
 
-    Native(http::EventLoop &eventLoop, store::EtcdStore &etcdStore,
-           fleet::PeerNetwork &peerNetwork, allowance::SelfView self, std::string storePrefix)
+    Native(http::EventLoop &eventLoop, store::EtcdStore &etcdStore, fleet::PeerNetwork &peerNetwork,
+           allowance::SelfView self, std::string storePrefix)
         : loop(eventLoop), store(etcdStore), peers(peerNetwork),
           prefix(std::move(storePrefix) + "allowance/"), book(std::move(self), options)
     { }
@@ -135,8 +135,8 @@
             .value = wanted.record.SerializeAsString(),
             .expectedRevision = wanted.expectedRevision,
     };
-    store.write({&write, 1}, [this, stillAlive = alive, organisation = wanted.organisation](
-                                     store::StoreWriteResult result) {
+    store.write({&write, 1}, [this, stillAlive = alive,
+                              organisation = wanted.organisation](store::StoreWriteResult result) {
         if (!*stillAlive) {
             return;
         }
--- a/packages/router/src/teaseldrift/router/claim_task.cpp
+++ b/packages/router/src/teaseldrift/router/claim_task.cpp
@@ -95,13 +95,12 @@
 
 void ClaimTask::Native::write(const std::string &claimId, store::StoreWrite write)
 {
-    store.write({&write, 1},
-                [this, stillAlive = alive, claimId](store::StoreWriteResult result) {
-                    if (*stillAlive) {
-                        perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome),
-                                                         result.revision, http::EventLoop::now()));
-                    }
-                });
+    store.write({&write, 1}, [this, stillAlive = alive, claimId](store::StoreWriteResult result) {
+        if (*stillAlive) {
+            perform(claimId, table.writeDone(claimId, outcomeOf(result.outcome), result.revision,
+                                             http::EventLoop::now()));
+        }
+    });
 }
 
 void ClaimTask::Native::read(const std::string &claimId, const std::string &key)
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -8,8 +8,6 @@
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
-#include "teaseldrift/store/etcd_store.hpp"
-#include "teaseldrift/store/http_vm_list.hpp"
 #include "teaseldrift/router/allowance_task.hpp"
 #include "teaseldrift/router/claim_task.hpp"
 #include "teaseldrift/router/entry_book.hpp"
@@ -17,6 +15,8 @@
 #include "teaseldrift/router/router_metrics.hpp"
 #include "teaseldrift/router/target_poller.hpp"
 #include "teaseldrift/router/target_pool.hpp"
+#include "teaseldrift/store/etcd_store.hpp"
+#include "teaseldrift/store/http_vm_list.hpp"
 #include "teaseldrift/telemetry/log.hpp"
 
 namespace teaseldrift::router {
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -112,10 +112,11 @@
 /// @return false if the rest of the stream cannot be asked for in the way that was planned
 bool RequestTask::Native::prepareAttempt()
 {
-    continuation.reset();
     if (attemptPlan.kind == AttemptKind::Resume) {
+        // The event id counts within the request that was cut, which may be a continuation.
         return !relay.lastEventId().empty();
     }
+    continuation.reset();
     if (attemptPlan.kind == AttemptKind::Continuation) {
         continuation = relay.continuationBody(spec.body);
         if (!continuation.has_value()) {
--- a/packages/store/include/teaseldrift/store/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -108,6 +108,8 @@
     Malformed,
 };
 
+// The standard library looks for this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 std::error_code make_error_code(StoreError error);
 
 /// @brief A store whose changes are asked for one waiting call at a time, so that the caller sets
--- a/packages/telemetry/src/teaseldrift/telemetry/event_log.cpp
+++ b/packages/telemetry/src/teaseldrift/telemetry/event_log.cpp
@@ -129,8 +129,7 @@
     for (std::pair<const std::string, uint32_t> &kind : m_routineLines) {
         if (kind.second > m_options.routineLinesPerSecond) {
             const int64_t folded = kind.second - m_options.routineLinesPerSecond;
-            append("lines_folded",
-                   {{"kind", std::string_view(kind.first)}, {"count", folded}});
+            append("lines_folded", {{"kind", std::string_view(kind.first)}, {"count", folded}});
         }
         kind.second = 0;
     }
