--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -28,6 +28,8 @@
     std::string availabilityZone;
     /// IP:port for callers.
     std::string callerAddress;
+    /// IP:port for other VMs.
+    std::string peerAddress;
     /// Retries that the whole fleet may make in a window for each request in it.
     double retryRatio = 0.2;
     /// Further retries of the whole fleet in a window.
@@ -83,8 +85,17 @@
     RetryBudget &retryBudget() { return m_retryBudget; }
     WeightRoll &weights() { return m_weights; }
 
-    /// @brief An organisation's share of its limit on this VM.
-    UsageShare &usage(std::string_view organisation) { return m_usage[std::string(organisation)]; }
+    /// @brief Whether an organisation's use is bounded.
+    [[nodiscard]] bool hasLimit(std::string_view organisation) const;
+
+    /// @brief The VM that keeps an organisation's limit; null if it is this one.
+    [[nodiscard]] const schema::VmRecord *usageKeeper(std::string_view organisation) const;
+
+    /// @brief An organisation's whole limit, as this VM keeps it.
+    UsageShare &keptUsage(std::string_view organisation);
+
+    /// @brief This VM's part of a limit while its keeper does not answer.
+    UsageShare &ownUsage(std::string_view organisation);
 
     /// @brief Oldest weights of a model on which a request may begin now.
     [[nodiscard]] uint64_t minWeights(std::string_view model, Instant now) const;
@@ -113,6 +124,7 @@
     };
 
     void divideUsage(Instant now);
+    [[nodiscard]] UsageLimit limitOf(std::string_view organisation) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
 
     FleetOptions m_options;
@@ -124,7 +136,8 @@
     RetryBudget m_retryBudget;
     WeightRoll m_weights;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> m_namedWeights;
-    std::map<std::string, UsageShare, std::less<>> m_usage;
+    std::map<std::string, UsageShare, std::less<>> m_keptUsage;
+    std::map<std::string, UsageShare, std::less<>> m_ownUsage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
     size_t m_dividedBy = 0;
     bool m_isLeaving = false;
--- a/packages/relay/include/teaseldrift/relay/front.hpp
+++ b/packages/relay/include/teaseldrift/relay/front.hpp
@@ -39,6 +39,10 @@
 
     void refuse(http::Exchange &exchange, const CallerRequest &request, const Refusal &refusal);
 
+    void takeUsageAnswer(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
+                         UsageAnswer answer);
+    void begin(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted);
+
     /// @return whether the request may go on; otherwise it is answered
     bool admit(http::Exchange &exchange, AdmittedRequest &admitted);
     static double costOf(const CallerRequest &request, const Organisation &organisation);
--- a/packages/relay/include/teaseldrift/relay/front_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/front_impl.hpp
@@ -26,6 +26,39 @@
     if (!admit(*exchange, admitted)) {
         return;
     }
+    if (admitted.organisation == nullptr) {
+        begin(std::move(exchange), std::move(admitted));
+        return;
+    }
+    const std::string organisation = admitted.organisation->name;
+    const double cost = admitted.cost;
+    m_context.usage.take(organisation, cost,
+                         [this, exchange = std::move(exchange),
+                          admitted = std::move(admitted)](UsageAnswer answer) mutable {
+                             takeUsageAnswer(std::move(exchange), std::move(admitted), answer);
+                         });
+}
+
+template <Dialect D>
+void Front<D>::takeUsageAnswer(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
+                               UsageAnswer answer)
+{
+    if (answer.isGranted) {
+        begin(std::move(exchange), std::move(admitted));
+        return;
+    }
+    constexpr int tooMany = 429;
+    refuse(*exchange, admitted.request,
+           {.status = tooMany,
+            .reason = "over_limit",
+            .retryAfter = answer.retryAfter,
+            .organisation = admitted.organisation->name,
+            .cost = admitted.cost});
+}
+
+template <Dialect D>
+void Front<D>::begin(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted)
+{
     const uint64_t number = ++m_lastTask;
     const std::shared_ptr<RequestTask<D>> task = std::make_shared<RequestTask<D>>(
             m_context, m_dialect, std::move(exchange), std::move(admitted),
@@ -42,7 +75,6 @@
     constexpr int unauthorized = 401;
     constexpr int notFound = 404;
     constexpr int tooLarge = 413;
-    constexpr int tooMany = 429;
     const CallerRequest &request = admitted.request;
     admitted.table = m_context.fleet.table();
     if (admitted.table == nullptr) {
@@ -76,17 +108,6 @@
         return false;
     }
     admitted.cost = costOf(request, *admitted.organisation);
-    UsageShare &usage = m_context.fleet.usage(admitted.organisation->name);
-    const Instant now = admitted.arrivedAt;
-    if (!usage.tryTake(admitted.cost, now)) {
-        refuse(exchange, request,
-               {.status = tooMany,
-                .reason = "over_limit",
-                .retryAfter = usage.timeUntil(admitted.cost, now),
-                .organisation = admitted.organisation->name,
-                .cost = admitted.cost});
-        return false;
-    }
     return true;
 }
 
--- a/packages/relay/include/teaseldrift/relay/leased_record.hpp
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -19,8 +19,8 @@
     struct Options
     {
         std::string key;
-        Duration ttl = 2500ms;
-        Duration keepInterval = 700ms;
+        Duration ttl = 3s;
+        Duration keepInterval = 900ms;
         Duration retryPause = 300ms;
     };
 
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -47,6 +47,7 @@
         record.set_vm_id(m_fleet.options().vmId);
         record.set_caller_address(m_fleet.options().callerAddress);
         record.set_availability_zone(m_fleet.options().availabilityZone);
+        record.set_peer_address(m_fleet.options().peerAddress);
         record.set_is_leaving(isLeaving);
         m_own.set(record.SerializeAsString());
     }
--- a/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
@@ -16,7 +16,7 @@
 {
     std::string prefix;
     /// Longest time that the store holds a call back for a change.
-    Duration wait = 3s;
+    Duration wait = 10s;
     /// Pause between an answer and the next call; bounds the price of prefixes that change often.
     Duration pause{0};
     /// Pause after a failed call; doubles with each further one.
--- a/packages/relay/include/teaseldrift/relay/relay_context.hpp
+++ b/packages/relay/include/teaseldrift/relay/relay_context.hpp
@@ -5,6 +5,7 @@
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/usage_task.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/telemetry/metrics.hpp"
 
@@ -16,6 +17,7 @@
     http::EventLoop &loop;
     http::Client &targets;
     FleetState &fleet;
+    UsageTask &usage;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
 };
--- a/packages/relay/include/teaseldrift/relay/weights_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -60,7 +60,7 @@
         OrderOptions orders{.leaseTtl = 3s, .maxOrderLife = 1s};
         Duration tick = 100ms;
         /// How long a question whether the controller has changed may wait for an answer.
-        Duration watchWait = 5s;
+        Duration watchWait = 20s;
     };
 
     WeightsTask(http::EventLoop &loop, Store &store, Channel &channel, FleetState &fleet,
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -4,6 +4,9 @@
 #include <iterator>
 #include <utility>
 
+#include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+
 namespace teaseldrift::relay {
 
 using telemetry::EventWeight;
@@ -29,6 +32,10 @@
             .floorPerSecond = slack * floorPart / toSeconds(options.retryWindow)};
 }
 
+/// Part of a VM's equal share of a limit that it uses while the keeper does not answer: the keeper
+/// goes on granting the whole limit to others.
+constexpr double ownPart = 0.5;
+
 std::string_view nameOf(TargetChange change)
 {
     switch (change) {
@@ -200,12 +207,13 @@
     if (now - m_startedAt < m_options.settlingTime) {
         vms = std::max(vms, m_options.leastVms);
     }
-    const double share = 1.0 / static_cast<double>(vms);
     for (const Organisation &organisation : m_table->definition().organisations) {
-        m_usage[organisation.name].setLimit({.unitsPerSecond = organisation.unitsPerSecond,
-                                             .burst = organisation.burst,
-                                             .slack = m_options.usageSlack},
-                                            share, now);
+        const UsageLimit limit = limitOf(organisation.name);
+        const auto kept = m_keptUsage.find(organisation.name);
+        if (kept != m_keptUsage.end()) {
+            kept->second.setLimit(limit, 1.0, now);
+        }
+        m_ownUsage[organisation.name].setLimit(limit, ownPart / static_cast<double>(vms), now);
     }
     if (vms != m_dividedBy) {
         m_dividedBy = vms;
@@ -214,6 +222,55 @@
     }
 }
 
+UsageLimit FleetState::limitOf(std::string_view organisation) const
+{
+    if (m_table == nullptr) {
+        return {};
+    }
+    for (const Organisation &candidate : m_table->definition().organisations) {
+        if (candidate.name == organisation) {
+            return {.unitsPerSecond = candidate.unitsPerSecond,
+                    .burst = candidate.burst,
+                    .slack = m_options.usageSlack};
+        }
+    }
+    return {};
+}
+
+bool FleetState::hasLimit(std::string_view organisation) const
+{
+    return limitOf(organisation).unitsPerSecond > 0.0;
+}
+
+const schema::VmRecord *FleetState::usageKeeper(std::string_view organisation) const
+{
+    const schema::VmRecord *keeper = nullptr;
+    const uint64_t key = rendezvousKey(organisation);
+    double best = m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
+    for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
+        const double score = vm.second.is_leaving() ? 0.0 : rendezvousScore(key, vm.first);
+        if (vm.first != m_options.vmId && score > best) {
+            best = score;
+            keeper = &vm.second;
+        }
+    }
+    return keeper;
+}
+
+UsageShare &FleetState::keptUsage(std::string_view organisation)
+{
+    const auto [kept, isNew] = m_keptUsage.try_emplace(std::string(organisation));
+    if (isNew) {
+        kept->second.setLimit(limitOf(organisation), 1.0, http::EventLoop::now());
+    }
+    return kept->second;
+}
+
+UsageShare &FleetState::ownUsage(std::string_view organisation)
+{
+    return m_ownUsage[std::string(organisation)];
+}
+
 size_t FleetState::rank() const
 {
     return static_cast<size_t>(std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -0,0 +1,194 @@
+#include "teaseldrift/relay/usage_task.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "teaseldrift/schema/vm_record.pb.h"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+
+} // namespace
+
+struct UsageTask::Native
+{
+    struct Question
+    {
+        std::unique_ptr<http::Call> call;
+        http::EventLoop::TimerId timer = 0;
+        int status = 0;
+        std::string body;
+        std::string keeper;
+        std::string organisation;
+        double units = 0.0;
+        Handler handler;
+    };
+
+    http::EventLoop &loop;
+    http::Client &peers;
+    FleetState &fleet;
+    telemetry::EventLog &log;
+    telemetry::Metrics &metrics;
+    UsageTaskOptions options;
+    uint64_t lastQuestion = 0;
+    std::map<uint64_t, Question> questions;
+    /// Keepers that did not answer, and until when they are not asked.
+    std::map<std::string, Instant, std::less<>> silent;
+    /// Units of requests that did not run, by organisation.
+    std::map<std::string, double, std::less<>> returned;
+
+    void ask(const schema::VmRecord &keeper, const http::Endpoint &endpoint,
+             const std::string &organisation, double units, Handler handler);
+    void finish(uint64_t number, bool isWhole);
+    void takeOwnPart(const std::string &organisation, double units, const Handler &handler);
+
+    /// @return null once the question has ended
+    Question *find(uint64_t number)
+    {
+        const auto found = questions.find(number);
+        return found == questions.end() ? nullptr : &found->second;
+    }
+};
+
+UsageTask::UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
+                     telemetry::EventLog &log, telemetry::Metrics &metrics,
+                     UsageTaskOptions options)
+    : m_native(new Native{.loop = loop,
+                          .peers = peers,
+                          .fleet = fleet,
+                          .log = log,
+                          .metrics = metrics,
+                          .options = options})
+{ }
+
+UsageTask::~UsageTask() = default;
+
+void UsageTask::take(const std::string &organisation, double units, Handler handler)
+{
+    Native &native = *m_native;
+    double &returned = native.returned[organisation];
+    if (returned >= units) {
+        returned -= units;
+        handler({.isGranted = true});
+        return;
+    }
+    const Instant now = http::EventLoop::now();
+    if (!native.fleet.hasLimit(organisation)) {
+        handler({.isGranted = true});
+        return;
+    }
+    const schema::VmRecord *keeper = native.fleet.usageKeeper(organisation);
+    if (keeper == nullptr) {
+        UsageShare &kept = native.fleet.keptUsage(organisation);
+        const bool isGranted = kept.tryTake(units, now);
+        handler({.isGranted = isGranted,
+                 .retryAfter = isGranted ? Duration(0) : kept.timeUntil(units, now)});
+        return;
+    }
+    http::Endpoint endpoint;
+    const auto silent = native.silent.find(keeper->vm_id());
+    const bool isSilent = silent != native.silent.end() && now < silent->second;
+    if (isSilent || !http::parseEndpoint(keeper->peer_address(), endpoint)) {
+        native.takeOwnPart(organisation, units, handler);
+        return;
+    }
+    native.ask(*keeper, endpoint, organisation, units, std::move(handler));
+}
+
+void UsageTask::Native::takeOwnPart(const std::string &organisation, double units,
+                                    const Handler &handler)
+{
+    const Instant now = http::EventLoop::now();
+    UsageShare &part = fleet.ownUsage(organisation);
+    const bool isGranted = part.tryTake(units, now);
+    metrics.counter({"teaseldrift_usage_without_keeper_total"}).add();
+    handler({.isGranted = isGranted,
+             .retryAfter = isGranted ? Duration(0) : part.timeUntil(units, now)});
+}
+
+void UsageTask::Native::ask(const schema::VmRecord &keeper, const http::Endpoint &endpoint,
+                            const std::string &organisation, double units, Handler handler)
+{
+    schema::UsageAsk ask;
+    ask.set_organisation(organisation);
+    ask.set_units(units);
+    const uint64_t number = ++lastQuestion;
+    Question &question = questions[number];
+    question.keeper = keeper.vm_id();
+    question.organisation = organisation;
+    question.units = units;
+    question.handler = std::move(handler);
+    question.timer
+            = loop.startTimer(options.answerTimeout, [this, number] { finish(number, false); });
+    question.call = peers.start(
+            endpoint, {.method = "POST", .path = std::string(path), .body = ask.SerializeAsString()},
+            http::ConnectionUse::Pooled,
+            {.onHead =
+                     [this, number](const http::ResponseHead &head) {
+                         if (Question *open = find(number)) {
+                             open->status = head.status;
+                         }
+                     },
+             .onData =
+                     [this, number](std::string_view data) {
+                         if (Question *open = find(number)) {
+                             open->body.append(data);
+                         }
+                     },
+             .onEnd = [this, number](http::CallEnd end) {
+                 finish(number, end == http::CallEnd::Complete);
+             }});
+}
+
+void UsageTask::Native::finish(uint64_t number, bool isWhole)
+{
+    const auto found = questions.find(number);
+    if (found == questions.end()) {
+        return;
+    }
+    // The call's own handler may be running, so the call is destroyed later.
+    const std::shared_ptr<Question> ended = std::make_shared<Question>(std::move(found->second));
+    questions.erase(found);
+    loop.cancelTimer(ended->timer);
+    loop.post([ended] {});
+    schema::UsageGrant grant;
+    if (isWhole && ended->status == statusOk && grant.ParseFromString(ended->body)) {
+        silent.erase(ended->keeper);
+        ended->handler({.isGranted = grant.is_granted(),
+                        .retryAfter = Duration(grant.retry_after_us())});
+        return;
+    }
+    silent[ended->keeper] = http::EventLoop::now() + options.pauseAfterSilence;
+    log.write(telemetry::EventWeight::Routine, "usage_keeper_silent",
+              {{"keeper", std::string_view(ended->keeper)},
+               {"organisation", std::string_view(ended->organisation)}});
+    takeOwnPart(ended->organisation, ended->units, ended->handler);
+}
+
+void UsageTask::giveBack(const std::string &organisation, double units)
+{
+    m_native->returned[organisation] += units;
+}
+
+void UsageTask::answer(http::Exchange &exchange)
+{
+    schema::UsageAsk ask;
+    if (!ask.ParseFromArray(exchange.body().data(), static_cast<int>(exchange.body().size()))) {
+        exchange.respond({.status = statusBadRequest});
+        return;
+    }
+    const Instant now = http::EventLoop::now();
+    UsageShare &kept = m_native->fleet.keptUsage(ask.organisation());
+    schema::UsageGrant grant;
+    grant.set_is_granted(kept.tryTake(ask.units(), now));
+    if (!grant.is_granted()) {
+        grant.set_retry_after_us(kept.timeUntil(ask.units(), now).count());
+    }
+    exchange.respond({.body = grant.SerializeAsString()});
+}
+
+} // namespace teaseldrift::relay
