--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -129,7 +129,16 @@
 
 void Exchange::Native::end(h2o_send_state_t state)
 {
+    constexpr int http2 = 0x200;
     ended = true;
+    if (state == H2O_SEND_STATE_ERROR && request->version < http2) {
+        // h2o marks the error by a chunk that no parser takes. A connection that just ends is
+        // enough, and is an answer in the protocol.
+        const int descriptor = connectionDescriptor(request);
+        if (descriptor >= 0) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
     h2o_send(request, nullptr, 0, state);
 }
 
--- a/packages/http/src/teaseldrift/http/wire_test.cpp
+++ b/packages/http/src/teaseldrift/http/wire_test.cpp
@@ -232,13 +232,10 @@
 namespace {
 
 /// Sends bytes to a strict server and returns all that comes back.
-std::string exchangeBytes(const std::string &request, int &handled)
+std::string exchangeBytes(const std::string &request, const Server::Handler &handler)
 {
     EventLoop loop;
-    Server server(loop, {.isStrict = true}, [&handled](const std::shared_ptr<Exchange> &exchange) {
-        ++handled;
-        exchange->respond({.body = "ok"});
-    });
+    Server server(loop, {.isStrict = true}, handler);
     REQUIRE_FALSE(server.listen());
     std::string answer;
     std::thread caller([&] {
@@ -262,8 +259,28 @@
     return answer;
 }
 
+/// Counts the requests that reach the handler.
+std::string exchangeBytes(const std::string &request, int &handled)
+{
+    return exchangeBytes(request, [&handled](const std::shared_ptr<Exchange> &exchange) {
+        ++handled;
+        exchange->respond({.body = "ok"});
+    });
+}
+
 } // namespace
 
+TEST_CASE("a stream that is broken off ends with its connection, and with nothing else")
+{
+    const std::string answer = exchangeBytes("GET / HTTP/1.1\r\nhost: a\r\n\r\n",
+                                             [](const std::shared_ptr<Exchange> &exchange) {
+                                                 exchange->startStream(200, {});
+                                                 exchange->write("hello");
+                                                 exchange->abortAfterWrites();
+                                             });
+    CHECK(answer.substr(answer.find("\r\n\r\n") + 4) == "5\r\nhello\r\n");
+}
+
 TEST_CASE("a request hidden behind two lengths is not run")
 {
     const std::string hidden = "GET /hidden HTTP/1.1\r\nhost: a\r\n\r\n";
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -35,8 +35,9 @@
     std::string availabilityZone;
     /// Prompt tokens that an engine reads in a millisecond, before any was measured.
     double promptTokensPerMs = 100.0;
-    /// Cost of another availability zone: its delay there and back.
-    Duration zoneDelay = 3ms;
+    /// Cost of another availability zone: its delay, and what its bytes are charged. More than an
+    /// import of KV cache takes, less than a queue.
+    Duration zoneDelay = 25ms;
     /// A target's word about its load is trusted for this long.
     Duration reportAge = 1s;
     /// Time to the first event of a request that meets no queue, beside the reading of its prompt.
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -109,8 +109,9 @@
     /// @brief Place of this VM among all by name; spreads work that one of them must do.
     [[nodiscard]] size_t rank() const;
 
-    /// @brief Addresses for callers, this VM's first.
-    [[nodiscard]] std::vector<std::string> callerAddresses() const;
+    /// @brief Addresses for callers of an availability zone: the VMs of that zone and some others,
+    /// so that its loss leaves callers somewhere to go.
+    [[nodiscard]] std::vector<std::string> callerAddresses(std::string_view availabilityZone) const;
 
     void setLeaving() { m_isLeaving = true; }
     [[nodiscard]] bool isLeaving() const { return m_isLeaving; }
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -36,6 +36,10 @@
 /// goes on granting the whole limit to others.
 constexpr double ownPart = 0.5;
 
+/// Addresses that a caller gets at least, and those in other availability zones among them.
+constexpr size_t fewestAddresses = 3;
+constexpr size_t fewestFarAddresses = 1;
+
 std::string_view nameOf(TargetChange change)
 {
     switch (change) {
@@ -151,7 +155,7 @@
 uint64_t FleetState::minWeights(std::string_view model, Instant now) const
 {
     // Leaves time for the way to the target and for its queue.
-    constexpr Duration margin = 800ms;
+    constexpr Duration margin = 1500ms;
     const auto found = m_namedWeights.find(model);
     if (found == m_namedWeights.end()) {
         return 0;
@@ -276,18 +280,29 @@
     return static_cast<size_t>(std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
 }
 
-std::vector<std::string> FleetState::callerAddresses() const
+std::vector<std::string> FleetState::callerAddresses(std::string_view availabilityZone) const
 {
-    std::vector<std::string> addresses;
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto add = [&](const std::string &zone, const std::string &address) {
+        (zone == availabilityZone ? near : far).push_back(address);
+    };
     if (!m_isLeaving) {
-        addresses.push_back(m_options.callerAddress);
+        add(m_options.availabilityZone, m_options.callerAddress);
     }
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
         if (vm.first != m_options.vmId && !vm.second.is_leaving()) {
-            addresses.push_back(vm.second.caller_address());
+            add(vm.second.availability_zone(), vm.second.caller_address());
         }
     }
-    return addresses;
+    // Each VM begins elsewhere among the others, so that they share the callers of this zone.
+    const size_t wanted = std::max(fewestFarAddresses,
+                                   fewestAddresses - std::min(fewestAddresses, near.size()));
+    const size_t first = far.empty() ? 0 : rank() % far.size();
+    for (size_t i = 0; i < std::min(wanted, far.size()); ++i) {
+        near.push_back(far[(first + i) % far.size()]);
+    }
+    return near;
 }
 
 } // namespace teaseldrift::relay
