--- a/packages/policy/include/teaseldrift/parts/part_cache.hpp
+++ b/packages/policy/include/teaseldrift/parts/part_cache.hpp
@@ -14,8 +14,8 @@
 /// @brief A change of what a cache holds.
 struct PartEvent
 {
-    std::string salt;
-    uint64_t partId = 0;
+    /// Of partKeyOf().
+    uint64_t partKey = 0;
     /// Tokens of the part that are held now; 0 if it is gone.
     uint32_t tokens = 0;
 };
--- a/packages/policy/src/teaseldrift/parts/part_cache.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache.cpp
@@ -66,12 +66,11 @@
 
 void PartCache::apply(const PartEvent &event)
 {
-    const uint64_t key = partKeyOf(event.salt, event.partId);
     if (event.tokens == 0) {
-        forget(key);
+        forget(event.partKey);
         return;
     }
-    Held &held = use(key);
+    Held &held = use(event.partKey);
     m_usedTokens += event.tokens;
     m_usedTokens -= held.tokens;
     held.tokens = event.tokens;
--- a/packages/policy/src/teaseldrift/parts/part_cache_test.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache_test.cpp
@@ -29,12 +29,12 @@
     PartCache cache(10000);
     cache.setFollowed(true);
     const std::vector<PromptPrefix> prefixes = prefixesOf(parts, "s");
-    cache.apply({.salt = "s", .partId = 7, .tokens = 496});
+    cache.apply({.partKey = partKeyOf("s", 7), .tokens = 496});
     CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start) == 500);
-    cache.apply({.salt = "s", .partId = 8, .tokens = 300});
+    cache.apply({.partKey = partKeyOf("s", 8), .tokens = 300});
     CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start) == 800);
     // A part without those before it is of no use.
-    cache.apply({.salt = "s", .partId = 7, .tokens = 0});
+    cache.apply({.partKey = partKeyOf("s", 7), .tokens = 0});
     CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start) == 0);
 }
 
@@ -42,14 +42,14 @@
 {
     PartCache cache(10000);
     const std::vector<PromptPrefix> prefixes = prefixesOf(parts, "s");
-    cache.apply({.salt = "s", .partId = 7, .tokens = 128});
+    cache.apply({.partKey = partKeyOf("s", 7), .tokens = 128});
     CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start) == 0);
 }
 
 TEST_CASE("parts under another salt are never found")
 {
     PartCache cache(10000);
-    cache.apply({.salt = "s", .partId = 7, .tokens = 500});
+    cache.apply({.partKey = partKeyOf("s", 7), .tokens = 500});
     CHECK(cache.heldTokens(prefixesOf(parts, "t"), PartCertainty::Expected, start) == 0);
 }
 
@@ -69,7 +69,7 @@
     PartCache cache(10000);
     cache.setFollowed(true);
     const std::vector<PromptPrefix> prefixes = prefixesOf(parts, "s");
-    cache.apply({.salt = "s", .partId = 7, .tokens = 500});
+    cache.apply({.partKey = partKeyOf("s", 7), .tokens = 500});
     cache.expect(prefixes, start);
     cache.dropExpected(prefixes);
     CHECK(cache.heldTokens(prefixes, PartCertainty::Expected, start) == 500);
--- a/packages/policy/src/teaseldrift/targets/target_book_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book_test.cpp
@@ -103,7 +103,7 @@
     const std::string first = engines.send(promptOf(7, 100)).id;
     // It is being read: elsewhere it would be read a second time.
     CHECK(engines.send(promptOf(7, 101)).id == first);
-    const std::array<PartEvent, 1> read{{{.salt = "m/1", .partId = 7, .tokens = 5000}}};
+    const std::array<PartEvent, 1> read{{{.partKey = partKeyOf("m/1", 7), .tokens = 5000}}};
     engines.book().applyEvents(first, read);
     std::set<std::string> used;
     for (uint64_t own = 200; own < 240; ++own) {
@@ -190,7 +190,7 @@
     // Nobody has confirmed anything yet, so the kept store is asked and told to keep.
     CHECK(first.importFrom == cacheStore);
     CHECK(first.saveTo == cacheStore);
-    const std::array<PartEvent, 1> kept{{{.salt = "m/1", .partId = 7, .tokens = 5000}}};
+    const std::array<PartEvent, 1> kept{{{.partKey = partKeyOf("m/1", 7), .tokens = 5000}}};
     engines.book().applyEvents("", kept);
     const TargetChoice second = engines.send(promptOf(7, 101));
     CHECK(second.saveTo.empty());
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/cache_event_exchange.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/http/client.hpp"
+#include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
+#include "teaseldrift/parts/part_event_log.hpp"
+#include "teaseldrift/schema/vm_record.pb.h"
+
+namespace teaseldrift::relay {
+
+/// @brief Passes cache events on between VMs, so that in a large fleet not every VM asks every
+/// cache.
+class CacheEventExchange
+{
+public:
+    using Handler = std::function<void(const schema::CacheEventsAnswer &)>;
+
+    CacheEventExchange(http::EventLoop &loop, http::Client &peers);
+    ~CacheEventExchange();
+    CacheEventExchange(const CacheEventExchange &) = delete;
+    CacheEventExchange &operator=(const CacheEventExchange &) = delete;
+
+    /// @brief Keeps events of a cache that this VM reads.
+    void keep(const std::string &cache, std::span<const PartEvent> events);
+
+    /// @brief The cache begins anew, or is read by another VM from now on.
+    void drop(const std::string &cache);
+
+    /// @brief Asks another VM. The handler gets an empty answer if none comes in time.
+    void ask(const http::Endpoint &reader, const schema::CacheEventsAsk &ask, Handler handler);
+
+    /// @brief Answers another VM's question.
+    void answer(http::Exchange &exchange);
+
+    /// Path of the questions between VMs.
+    static constexpr std::string_view path = "/teaseldrift/cache-events";
+
+private:
+    struct Native;
+    std::unique_ptr<Native> m_native;
+};
+
+} // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/relay/cache_event_exchange.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 
 namespace teaseldrift::relay {
@@ -37,6 +38,9 @@
 };
 
 /// @brief Follows the caches of all engines and of the kept store.
+///
+/// In a small fleet each VM asks each cache. Where that would be too many questions, one VM of each
+/// availability zone asks a cache, and the others ask that VM.
 template <CacheEventChannel Channel>
 class CacheEventsTask
 {
@@ -45,14 +49,15 @@
     {
         /// Pace of questions to one cache. Events come late anyway.
         Duration interval = 1s;
-        /// Questions a second of all VMs together: they cost the targets work.
+        /// Questions a second of all VMs together up to which each VM asks for itself: they cost
+        /// the targets work.
         double fleetRate = 150.0;
         Duration tick = 100ms;
     };
 
-    CacheEventsTask(http::EventLoop &loop, Channel &channel, FleetState &fleet,
-                    Options options = {})
-        : m_loop(loop), m_channel(channel), m_fleet(fleet), m_options(options)
+    CacheEventsTask(http::EventLoop &loop, Channel &channel, CacheEventExchange &exchange,
+                    FleetState &fleet, Options options = {})
+        : m_loop(loop), m_channel(channel), m_exchange(exchange), m_fleet(fleet), m_options(options)
     { }
 
     ~CacheEventsTask() { m_loop.cancelTimer(m_timer); }
@@ -70,26 +75,94 @@
         uint64_t next = 0;
         Instant nextAsk;
         bool isAsking = false;
+        /// The VM that the numbers are of; empty for the cache itself.
+        std::string reader;
     };
 
     void tick()
     {
         const Instant now = http::EventLoop::now();
         updateCaches(now);
+        std::map<std::string, std::vector<std::string>> byReader;
         for (std::pair<const std::string, Followed> &cache : m_caches) {
-            if (!cache.second.isAsking && now >= cache.second.nextAsk) {
+            if (cache.second.isAsking || now < cache.second.nextAsk) {
+                continue;
+            }
+            const schema::VmRecord *reader
+                    = isShared() ? m_fleet.cacheReader(cache.first) : nullptr;
+            setReader(cache.first, cache.second,
+                      reader == nullptr ? std::string() : reader->peer_address());
+            if (reader == nullptr) {
                 ask(cache.first, cache.second, now);
+            } else {
+                byReader[cache.second.reader].push_back(cache.first);
             }
         }
+        for (const std::pair<const std::string, std::vector<std::string>> &reader : byReader) {
+            askReader(reader.first, reader.second, now);
+        }
         m_timer = m_loop.startTimer(m_options.tick, [this] { tick(); });
     }
 
-    [[nodiscard]] Duration interval() const
+    [[nodiscard]] bool isShared() const
     {
         const double calls = static_cast<double>(m_caches.size() * m_fleet.vmCount());
-        const Duration paced = std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(calls / m_options.fleetRate));
-        return std::max(m_options.interval, paced);
+        return calls > m_options.fleetRate * toSeconds(m_options.interval);
+    }
+
+    /// Another source counts from anew.
+    void setReader(const std::string &id, Followed &cache, const std::string &reader)
+    {
+        if (cache.reader == reader) {
+            return;
+        }
+        cache.reader = reader;
+        cache.incarnation = 0;
+        cache.next = 0;
+        m_exchange.drop(id);
+    }
+
+    void askReader(const std::string &reader, const std::vector<std::string> &ids, Instant now)
+    {
+        http::Endpoint endpoint;
+        if (!http::parseEndpoint(reader, endpoint)) {
+            return;
+        }
+        schema::CacheEventsAsk question;
+        for (const std::string &id : ids) {
+            Followed &cache = m_caches[id];
+            cache.isAsking = true;
+            cache.nextAsk = now + m_options.interval;
+            schema::CacheEventsAsk::Cache &asked = *question.add_caches();
+            asked.set_cache(id);
+            asked.set_since(cache.next);
+        }
+        m_exchange.ask(endpoint, question,
+                       [this, reader, ids](const schema::CacheEventsAnswer &answer) {
+                           for (const std::string &id : ids) {
+                               const auto found = m_caches.find(id);
+                               if (found != m_caches.end() && found->second.reader == reader) {
+                                   found->second.isAsking = false;
+                               }
+                           }
+                           for (const schema::CacheEventsAnswer::Cache &cache : answer.caches()) {
+                               takeFromReader(reader, cache);
+                           }
+                       });
+    }
+
+    void takeFromReader(const std::string &reader, const schema::CacheEventsAnswer::Cache &answer)
+    {
+        CacheEvents events{.incarnation = answer.incarnation(),
+                           .next = answer.next(),
+                           .hasGap = answer.has_gap()};
+        for (int i = 0; i < std::min(answer.part_keys_size(), answer.tokens_size()); ++i) {
+            events.events.push_back({.partKey = answer.part_keys(i), .tokens = answer.tokens(i)});
+        }
+        const auto found = m_caches.find(answer.cache());
+        if (found != m_caches.end() && found->second.reader == reader) {
+            apply(answer.cache(), found->second, events);
+        }
     }
 
     /// Brings the list of caches in line with the directory. The kept store has an empty id.
@@ -120,7 +193,7 @@
     void ask(const std::string &id, Followed &cache, Instant now)
     {
         cache.isAsking = true;
-        cache.nextAsk = now + interval();
+        cache.nextAsk = now + m_options.interval;
         m_channel.askCacheEvents(
                 cache.address, cache.next,
                 [this, id, address = cache.address](const std::optional<CacheEvents> &answer) {
@@ -132,30 +205,38 @@
               const std::optional<CacheEvents> &answer)
     {
         const auto found = m_caches.find(id);
-        if (found == m_caches.end() || found->second.address != address) {
+        if (found == m_caches.end() || found->second.address != address
+            || !found->second.reader.empty()) {
             return;
         }
-        Followed &cache = found->second;
-        cache.isAsking = false;
-        if (!answer) {
-            return;
+        found->second.isAsking = false;
+        if (answer && apply(id, found->second, *answer) && isShared()) {
+            m_exchange.keep(id, answer->events);
         }
-        const bool isOther = cache.incarnation != 0 && cache.incarnation != answer->incarnation;
-        if (isOther || (answer->hasGap && cache.next != 0)) {
+    }
+
+    /// @return false if the events are of an incarnation that has to be asked from its beginning
+    bool apply(const std::string &id, Followed &cache, const CacheEvents &answer)
+    {
+        const bool isOther = cache.incarnation != 0 && cache.incarnation != answer.incarnation;
+        if (isOther || (answer.hasGap && cache.next != 0)) {
             m_fleet.book().forgetCache(id);
+            m_exchange.drop(id);
         }
-        cache.incarnation = answer->incarnation;
+        cache.incarnation = answer.incarnation;
         if (isOther) {
             // The numbers of the new incarnation begin anew.
             cache.next = 0;
-            return;
+            return false;
         }
-        cache.next = answer->next;
-        m_fleet.book().applyEvents(id, answer->events);
+        cache.next = answer.next;
+        m_fleet.book().applyEvents(id, answer.events);
+        return true;
     }
 
     http::EventLoop &m_loop;
     Channel &m_channel;
+    CacheEventExchange &m_exchange;
     FleetState &m_fleet;
     Options m_options;
     std::map<std::string, Followed> m_caches;
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -91,6 +91,10 @@
     /// @brief The VM that keeps an organisation's limit; null if it is this one.
     [[nodiscard]] const schema::VmRecord *usageKeeper(std::string_view organisation) const;
 
+    /// @brief The VM of this availability zone that reads a cache for the others; null if it is
+    /// this one.
+    [[nodiscard]] const schema::VmRecord *cacheReader(std::string_view cache) const;
+
     /// @brief An organisation's whole limit, as this VM keeps it.
     UsageShare &keptUsage(std::string_view organisation);
 
@@ -125,6 +129,10 @@
     };
 
     void divideUsage(Instant now);
+    /// @return null if this VM comes first by rendezvous hashing among those that `isCandidate`
+    /// takes
+    [[nodiscard]] const schema::VmRecord *
+    firstVm(uint64_t key, const std::function<bool(const schema::VmRecord &)> &isCandidate) const;
     [[nodiscard]] UsageLimit limitOf(std::string_view organisation) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -246,19 +246,35 @@
     return limitOf(organisation).unitsPerSecond > 0.0;
 }
 
-const schema::VmRecord *FleetState::usageKeeper(std::string_view organisation) const
+const schema::VmRecord *
+FleetState::firstVm(uint64_t key,
+                    const std::function<bool(const schema::VmRecord &)> &isCandidate) const
 {
-    const schema::VmRecord *keeper = nullptr;
-    const uint64_t key = rendezvousKey(organisation);
+    const schema::VmRecord *first = nullptr;
     double best = m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
-        const double score = vm.second.is_leaving() ? 0.0 : rendezvousScore(key, vm.first);
-        if (vm.first != m_options.vmId && score > best) {
+        if (vm.first == m_options.vmId || vm.second.is_leaving() || !isCandidate(vm.second)) {
+            continue;
+        }
+        const double score = rendezvousScore(key, vm.first);
+        if (score > best) {
             best = score;
-            keeper = &vm.second;
+            first = &vm.second;
         }
     }
-    return keeper;
+    return first;
+}
+
+const schema::VmRecord *FleetState::usageKeeper(std::string_view organisation) const
+{
+    return firstVm(rendezvousKey(organisation), [](const schema::VmRecord &) { return true; });
+}
+
+const schema::VmRecord *FleetState::cacheReader(std::string_view cache) const
+{
+    return firstVm(rendezvousKey(cache), [this](const schema::VmRecord &vm) {
+        return vm.availability_zone() == m_options.availabilityZone;
+    });
 }
 
 UsageShare &FleetState::keptUsage(std::string_view organisation)
