--- a/packages/policy/include/teaseldrift/usage/usage_share.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_share.hpp
@@ -39,9 +39,6 @@
     /// @brief Time until `units` will be there.
     [[nodiscard]] Duration timeUntil(double units, Instant now);
 
-    /// @brief Units asked for, whether granted or not, since the last call.
-    double takeDemand();
-
 private:
     void refill(Instant now);
     [[nodiscard]] double capacity() const { return (m_limit.burst + m_limit.slack) * m_share; }
@@ -49,7 +46,6 @@
     UsageLimit m_limit;
     double m_share = 0.0;
     double m_level = 0.0;
-    double m_demand = 0.0;
     Instant m_refilled;
     bool m_isSet = false;
 };
--- a/packages/policy/src/teaseldrift/usage/usage_share.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_share.cpp
@@ -27,7 +27,6 @@
 
 bool UsageShare::tryTake(double units, Instant now)
 {
-    m_demand += units;
     if (m_limit.unitsPerSecond <= 0.0) {
         return true;
     }
@@ -59,13 +58,6 @@
             std::chrono::duration<double>((needed - m_level) / rate));
 }
 
-double UsageShare::takeDemand()
-{
-    const double demand = m_demand;
-    m_demand = 0.0;
-    return demand;
-}
-
 void UsageShare::refill(Instant now)
 {
     if (now <= m_refilled) {
