--- a/packages/relay/src/teaseldrift/relay/cache_event_exchange.cpp
+++ b/packages/relay/src/teaseldrift/relay/cache_event_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "teaseldrift/http/whole_calls.hpp"
+
 namespace teaseldrift::relay {
 
 namespace {
@@ -16,33 +18,12 @@
 
 struct CacheEventExchange::Native
 {
-    struct Question
-    {
-        std::unique_ptr<http::Call> call;
-        http::EventLoop::TimerId timer = 0;
-        int status = 0;
-        std::string body;
-        Handler handler;
-    };
-
-    http::EventLoop &loop;
-    http::Client &peers;
-    uint64_t lastQuestion = 0;
-    std::map<uint64_t, Question> questions;
+    http::WholeCalls calls;
     std::map<std::string, PartEventLog, std::less<>> logs;
-
-    void finish(uint64_t number, bool isWhole);
-
-    /// @return null once the question has ended
-    Question *find(uint64_t number)
-    {
-        const auto found = questions.find(number);
-        return found == questions.end() ? nullptr : &found->second;
-    }
 };
 
 CacheEventExchange::CacheEventExchange(http::EventLoop &loop, http::Client &peers)
-    : m_native(new Native{.loop = loop, .peers = peers})
+    : m_native(new Native{.calls = http::WholeCalls(loop, peers)})
 { }
 
 CacheEventExchange::~CacheEventExchange() = default;
@@ -67,49 +48,15 @@
 void CacheEventExchange::ask(const http::Endpoint &reader, const schema::CacheEventsAsk &ask,
                              Handler handler)
 {
-    Native &native = *m_native;
-    const uint64_t number = ++native.lastQuestion;
-    Native::Question &question = native.questions[number];
-    question.handler = std::move(handler);
-    question.timer = native.loop.startTimer(answerTimeout,
-                                            [&native, number] { native.finish(number, false); });
-    question.call = native.peers.start(
+    m_native->calls.start(
             reader, {.method = "POST", .path = std::string(path), .body = ask.SerializeAsString()},
-            http::ConnectionUse::Pooled,
-            {.onHead =
-                     [&native, number](const http::ResponseHead &head) {
-                         if (Native::Question *open = native.find(number)) {
-                             open->status = head.status;
-                         }
-                     },
-             .onData =
-                     [&native, number](std::string_view data) {
-                         if (Native::Question *open = native.find(number)) {
-                             open->body.append(data);
-                         }
-                     },
-             .onEnd =
-                     [&native, number](http::CallEnd end) {
-                         native.finish(number, end == http::CallEnd::Complete);
-                     }});
-}
-
-void CacheEventExchange::Native::finish(uint64_t number, bool isWhole)
-{
-    const auto found = questions.find(number);
-    if (found == questions.end()) {
-        return;
-    }
-    // The call's own handler may be running, so the call is destroyed later.
-    const std::shared_ptr<Question> ended = std::make_shared<Question>(std::move(found->second));
-    questions.erase(found);
-    loop.cancelTimer(ended->timer);
-    loop.post([ended] {});
-    schema::CacheEventsAnswer answer;
-    if (!isWhole || ended->status != statusOk || !answer.ParseFromString(ended->body)) {
-        answer.Clear();
-    }
-    ended->handler(answer);
+            answerTimeout, [handler = std::move(handler)](const http::WholeAnswer &answer) {
+                schema::CacheEventsAnswer events;
+                if (answer.status != statusOk || !events.ParseFromString(answer.body)) {
+                    events.Clear();
+                }
+                handler(events);
+            });
 }
 
 void CacheEventExchange::answer(http::Exchange &exchange)
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "teaseldrift/http/whole_calls.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 
 namespace teaseldrift::relay {
@@ -16,26 +17,11 @@
 
 struct UsageTask::Native
 {
-    struct Question
-    {
-        std::unique_ptr<http::Call> call;
-        http::EventLoop::TimerId timer = 0;
-        int status = 0;
-        std::string body;
-        std::string keeper;
-        std::string organisation;
-        double units = 0.0;
-        Handler handler;
-    };
-
-    http::EventLoop &loop;
-    http::Client &peers;
+    http::WholeCalls calls;
     FleetState &fleet;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
-    uint64_t lastQuestion = 0;
-    std::map<uint64_t, Question> questions;
     /// Keepers that did not answer, and until when they are not asked.
     std::map<std::string, Instant, std::less<>> silent;
     /// Units of requests that did not run, by organisation.
@@ -43,22 +29,13 @@
 
     void ask(const schema::VmRecord &keeper, const http::Endpoint &endpoint,
              const std::string &organisation, double units, Handler handler);
-    void finish(uint64_t number, bool isWhole);
     void takeOwnPart(const std::string &organisation, double units, const Handler &handler);
-
-    /// @return null once the question has ended
-    Question *find(uint64_t number)
-    {
-        const auto found = questions.find(number);
-        return found == questions.end() ? nullptr : &found->second;
-    }
 };
 
 UsageTask::UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                      telemetry::EventLog &log, telemetry::Metrics &metrics,
                      UsageTaskOptions options)
-    : m_native(new Native{.loop = loop,
-                          .peers = peers,
+    : m_native(new Native{.calls = http::WholeCalls(loop, peers),
                           .fleet = fleet,
                           .log = log,
                           .metrics = metrics,
@@ -116,58 +93,24 @@
     schema::UsageAsk ask;
     ask.set_organisation(organisation);
     ask.set_units(units);
-    const uint64_t number = ++lastQuestion;
-    Question &question = questions[number];
-    question.keeper = keeper.vm_id();
-    question.organisation = organisation;
-    question.units = units;
-    question.handler = std::move(handler);
-    question.timer
-            = loop.startTimer(options.answerTimeout, [this, number] { finish(number, false); });
-    question.call = peers.start(
-            endpoint,
-            {.method = "POST", .path = std::string(path), .body = ask.SerializeAsString()},
-            http::ConnectionUse::Pooled,
-            {.onHead =
-                     [this, number](const http::ResponseHead &head) {
-                         if (Question *open = find(number)) {
-                             open->status = head.status;
-                         }
-                     },
-             .onData =
-                     [this, number](std::string_view data) {
-                         if (Question *open = find(number)) {
-                             open->body.append(data);
-                         }
-                     },
-             .onEnd
-             = [this,
-                number](http::CallEnd end) { finish(number, end == http::CallEnd::Complete); }});
-}
-
-void UsageTask::Native::finish(uint64_t number, bool isWhole)
-{
-    const auto found = questions.find(number);
-    if (found == questions.end()) {
-        return;
-    }
-    // The call's own handler may be running, so the call is destroyed later.
-    const std::shared_ptr<Question> ended = std::make_shared<Question>(std::move(found->second));
-    questions.erase(found);
-    loop.cancelTimer(ended->timer);
-    loop.post([ended] {});
-    schema::UsageGrant grant;
-    if (isWhole && ended->status == statusOk && grant.ParseFromString(ended->body)) {
-        silent.erase(ended->keeper);
-        ended->handler(
-                {.isGranted = grant.is_granted(), .retryAfter = Duration(grant.retry_after_us())});
-        return;
-    }
-    silent[ended->keeper] = http::EventLoop::now() + options.pauseAfterSilence;
-    log.write(telemetry::EventWeight::Routine, "usage_keeper_silent",
-              {{"keeper", std::string_view(ended->keeper)},
-               {"organisation", std::string_view(ended->organisation)}});
-    takeOwnPart(ended->organisation, ended->units, ended->handler);
+    calls.start(endpoint,
+                {.method = "POST", .path = std::string(path), .body = ask.SerializeAsString()},
+                options.answerTimeout,
+                [this, organisation, units, keeperId = keeper.vm_id(),
+                 handler = std::move(handler)](const http::WholeAnswer &answer) {
+                    schema::UsageGrant grant;
+                    if (answer.status == statusOk && grant.ParseFromString(answer.body)) {
+                        silent.erase(keeperId);
+                        handler({.isGranted = grant.is_granted(),
+                                 .retryAfter = Duration(grant.retry_after_us())});
+                        return;
+                    }
+                    silent[keeperId] = http::EventLoop::now() + options.pauseAfterSilence;
+                    log.write(telemetry::EventWeight::Routine, "usage_keeper_silent",
+                              {{"keeper", std::string_view(keeperId)},
+                               {"organisation", std::string_view(organisation)}});
+                    takeOwnPart(organisation, units, handler);
+                });
 }
 
 void UsageTask::giveBack(const std::string &organisation, double units)
