--- a/packages/policy/include/teaseldrift/targets/queue_delay.hpp
+++ b/packages/policy/include/teaseldrift/targets/queue_delay.hpp
@@ -42,6 +42,9 @@
     /// @brief The request ended without its prompt being read.
     void dropped(uint64_t ticket);
 
+    /// @brief How long the longest of the unread requests has waited: a lower bound for a new one.
+    [[nodiscard]] Duration overdue(uint32_t priority, Instant now) const;
+
     /// @brief Expected wait of a new request.
     [[nodiscard]] Duration expected(uint32_t priority, Instant now) const;
 
@@ -60,6 +63,7 @@
         Instant at;
     };
 
+    [[nodiscard]] double overdueMs(size_t level, Instant now) const;
     [[nodiscard]] double decayed(const Estimate &estimate, Instant now) const;
 
     QueueDelayOptions m_options;
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -16,7 +16,9 @@
 #include "teaseldrift/parts/prompt_parts.hpp"
 #include "teaseldrift/routing/fleet_definition.hpp"
 #include "teaseldrift/targets/queue_delay.hpp"
+#include "teaseldrift/targets/shared_load.hpp"
 #include "teaseldrift/targets/target_directory.hpp"
+#include "teaseldrift/weights/roll_plan.hpp"
 
 namespace teaseldrift {
 
@@ -40,6 +42,13 @@
     Duration zoneDelay = 25ms;
     /// A target's word about its load is trusted for this long.
     Duration reportAge = 1s;
+    /// What other VMs have under way at the targets is counted for this long after they told it.
+    Duration othersAge = 500ms;
+    /// A controller's plan is followed for this long after it was stated: several turns of telling.
+    Duration planAge = 1500ms;
+    /// Time from one order of the controller to the next at the same place in its plan: a load of
+    /// weights without what still runs.
+    Duration turnTime = 1s;
     /// Time to the first event of a request that meets no queue, beside the reading of its prompt.
     Duration firstEventTime = 60ms;
     /// Work that each running request adds to the first event of a new one.
@@ -74,6 +83,8 @@
     uint64_t newestWeights = 0;
     /// 0 is the most urgent.
     uint32_t priority = 0;
+    /// How long the request is expected to run once its prompt is read.
+    Duration expectedRun{0};
     /// Spreads equal choices; any number.
     uint64_t seed = 0;
 };
@@ -95,6 +106,8 @@
     uint64_t tokensToRead = 0;
     /// Expected time in the target's queue.
     Duration expectedWait{0};
+    /// Age of what other VMs said of their work; none if it did not count.
+    std::optional<Duration> loadAge;
     uint32_t priority = 0;
     /// Set by TargetBook::sent().
     uint64_t ticket = 0;
@@ -148,6 +161,19 @@
     /// @brief The target did not take a request.
     void refused(std::string_view id, Instant now);
 
+    /// @brief What this VM has under way at all targets.
+    [[nodiscard]] WorkTable work() const;
+
+    /// @brief Takes what all other VMs together have under way at the targets.
+    void setOthersWork(WorkTable work, Instant now);
+
+    /// @brief Requests that all VMs together have at a target, as far as it is known.
+    [[nodiscard]] uint32_t requestsAt(std::string_view id, Instant now) const;
+
+    /// @brief Takes the controller's plan for a model.
+    /// @param statedAt when the controller last stated it
+    void setRollPlan(const RollPlan &plan, Instant statedAt);
+
     TargetHealth &health() { return m_health; }
 
 private:
@@ -161,6 +187,8 @@
     struct State
     {
         std::string service;
+        /// The target's name in tables of work.
+        uint32_t workKey = 0;
         uint32_t inFlight = 0;
         uint64_t tokensAhead = 0;
         TargetLoadReport report;
@@ -206,8 +234,9 @@
 
     [[nodiscard]] Places placesOf(const std::vector<const TargetEntry *> &targets,
                                   const TargetQuery &query) const;
-    [[nodiscard]] std::map<std::string_view, double>
-    rollPenalties(const std::vector<const TargetEntry *> &targets, const TargetQuery &query) const;
+    [[nodiscard]] double rollMs(const State &state, uint64_t weights, const TargetQuery &query,
+                                Instant now) const;
+    [[nodiscard]] const TargetWork *othersWork(const State &state, Instant now) const;
     [[nodiscard]] double waitMs(const State &state, uint32_t priority, Instant now) const;
     [[nodiscard]] double zoneMs(const TargetEntry &target) const;
     static std::string saltOf(const TargetQuery &query, uint64_t weights);
@@ -226,6 +255,15 @@
     std::map<std::string, State, std::less<>> m_states;
     std::string m_cacheStoreAddress;
     PartCache m_cacheStore;
+    struct KnownPlan
+    {
+        RollPlan plan;
+        Instant statedAt;
+    };
+
+    std::map<std::string, KnownPlan, std::less<>> m_rollPlans;
+    WorkTable m_othersWork;
+    Instant m_othersWorkAt;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/weights/weight_roll.hpp
+++ b/packages/policy/include/teaseldrift/weights/weight_roll.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/weights/roll_plan.hpp"
 
 namespace teaseldrift {
 
@@ -35,6 +36,8 @@
     uint64_t version = 0;
     /// Start of the target's incarnation: a restart forgets orders.
     uint64_t startedAtMs = 0;
+    /// Requests that the target has: it loads once they have ended.
+    uint32_t requests = 0;
 };
 
 /// @brief What became of an order or of a question for a report.
@@ -43,6 +46,9 @@
     Accepted,
     /// The target has the weights.
     Holds,
+    /// The target has the weights that it was ordered to load, but newer ones have been named
+    /// meanwhile: other targets may be further behind.
+    HoldsOlder,
     /// The target is at another order, or its state had changed.
     Busy,
     /// The target has seen a newer controller.
@@ -51,6 +57,9 @@
     Unknown,
 };
 
+/// @brief The outcome as it stands in logs.
+[[nodiscard]] std::string_view name(WeightOrderEnd end);
+
 /// @brief Brings all targets of a model to the newest named weights, a part of them at a time.
 ///
 /// ```cpp
@@ -80,6 +89,14 @@
     std::vector<std::string> due(std::string_view model, std::span<const WeightTarget> targets,
                                  Instant now);
 
+    /// @brief What is under way, for the other VMs. Without its controller and number.
+    [[nodiscard]] RollPlan plan(std::string_view model,
+                                std::span<const WeightTarget> targets) const;
+
+    /// @brief Whether the target was ordered to load these or older weights.
+    [[nodiscard]] bool wasOrdered(std::string_view model, std::string_view target,
+                                  uint64_t version) const;
+
     /// @brief What became of the target's question or order.
     void ended(std::string_view model, std::string_view target, WeightOrderEnd end, Instant now);
 
@@ -89,17 +106,26 @@
 private:
     struct Work
     {
+        /// Version of the question or order under way.
         uint64_t version = 0;
+        uint64_t loadingVersion = 0;
+        /// Requests at the target when it was first seen; its place does not change with them.
+        uint32_t requestsAtFirst = 0;
         uint64_t startedAtMs = 0;
         bool isAsking = false;
         bool isLoading = false;
         Instant nextAsk;
         Instant acceptedAt;
+
+        [[nodiscard]] bool isUnderWay() const { return isAsking || isLoading; }
     };
 
     using Works = std::map<std::string, Work, std::less<>>;
 
     void settle(Works &works, std::span<const WeightTarget> targets, uint64_t wantedVersion) const;
+    static void rank(Works &works, std::span<const WeightTarget> targets, uint64_t wantedVersion);
+    static std::vector<WeightTarget>
+    inOrder(const Works &works, std::span<const WeightTarget> targets, uint64_t wantedVersion);
 
     WeightRollOptions m_options;
     std::map<std::string, uint64_t, std::less<>> m_wanted;
--- a/packages/policy/src/teaseldrift/targets/queue_delay.cpp
+++ b/packages/policy/src/teaseldrift/targets/queue_delay.cpp
@@ -13,6 +13,11 @@
     return toSeconds(duration) * perSecond;
 }
 
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 size_t levelOf(uint32_t priority)
 {
     return std::min<size_t>(priority, QueueDelay::levels - 1);
@@ -59,12 +64,23 @@
     for (size_t i = 0; i <= level; ++i) {
         ms = std::max(ms, decayed(m_estimates[i], now));
     }
+    return fromMs(std::max(ms, overdueMs(level, now)));
+}
+
+Duration QueueDelay::overdue(uint32_t priority, Instant now) const
+{
+    return fromMs(overdueMs(levelOf(priority), now));
+}
+
+double QueueDelay::overdueMs(size_t level, Instant now) const
+{
+    double ms = 0.0;
     for (const Unread &unread : m_unread) {
         if (unread.level <= level) {
             ms = std::max(ms, toMs(now - unread.sentAt - unread.ownTime));
         }
     }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+    return ms;
 }
 
 double QueueDelay::decayed(const Estimate &estimate, Instant now) const
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "teaseldrift/base/rendezvous.hpp"
-#include "teaseldrift/weights/weight_roll.hpp"
 
 namespace teaseldrift {
 
@@ -20,8 +19,8 @@
 constexpr double loadingMs = 2000.0;
 /// Cost of a target whose registration ended while the store was away.
 constexpr double doubtfulMs = 500.0;
-/// Cost of a target that is next to load weights: its runs should be few by then.
-constexpr double nextToLoadMs = 60.0;
+/// Cost of holding up a load, as a part of that time: others could read prompts there.
+constexpr double holdUpPart = 0.02;
 /// Cost of another target with older weights: its answers are worth less to the operators.
 constexpr double oldWeightsMs = 20.0;
 
@@ -74,6 +73,7 @@
     if (isNew || change == TargetChange::Restarted || state.service != target.service) {
         state = State();
         state.service = target.service;
+        state.workKey = targetWorkKey(target.id);
         const auto facts = m_services.find(target.service);
         if (facts != m_services.end()) {
             state.cache = PartCache(static_cast<uint64_t>(
@@ -99,25 +99,44 @@
     }
 }
 
+/// @return null if it is not known now
+const TargetWork *TargetBook::othersWork(const State &state, Instant now) const
+{
+    static constexpr TargetWork none;
+    if (m_othersWorkAt == Instant() || now - m_othersWorkAt > m_options.othersAge) {
+        return nullptr;
+    }
+    const WorkTable::const_iterator found = m_othersWork.find(state.workKey);
+    return found == m_othersWork.end() ? &none : &found->second;
+}
+
 double TargetBook::waitMs(const State &state, uint32_t priority, Instant now) const
 {
     double running = state.inFlight;
     double waiting = 0.0;
-    if (state.reportedAt != Instant() && now - state.reportedAt < m_options.reportAge) {
+    double unread = static_cast<double>(state.tokensAhead);
+    // Past waits tell of work that this VM cannot see.
+    Duration queue = state.queue.expected(priority, now);
+    const double slots = std::max<double>(1.0, state.report.slots);
+    if (const TargetWork *others = othersWork(state, now)) {
+        queue = state.queue.overdue(priority, now);
+        running += others->requests;
+        unread += others->unreadTokens;
+        waiting = state.report.slots == 0 ? 0.0 : std::max(0.0, running - slots);
+        running -= waiting;
+    } else if (state.reportedAt != Instant() && now - state.reportedAt < m_options.reportAge) {
         const double since
                 = static_cast<double>(state.inFlight) - static_cast<double>(state.inFlightAtReport);
         const double all
                 = std::max(0.0, static_cast<double>(state.report.running)
                                         + static_cast<double>(state.report.waiting) + since);
         running = std::max(running, all);
-        const double slots = std::max<double>(1.0, state.report.slots);
         waiting = std::max(0.0, running - slots);
         running = std::min(running, slots);
     }
     const double doubtMs = state.isDoubtful ? doubtfulMs : 0.0;
-    const double readMs = static_cast<double>(state.tokensAhead) / m_options.promptTokensPerMs;
-    return doubtMs + std::max(readMs, toMs(state.queue.expected(priority, now)))
-           + running * toMs(m_options.perRunningRequest)
+    const double readMs = unread / m_options.promptTokensPerMs;
+    return doubtMs + std::max(readMs, toMs(queue)) + running * toMs(m_options.perRunningRequest)
            + waiting * toMs(m_options.perWaitingRequest);
 }
 
@@ -192,28 +211,28 @@
     return places;
 }
 
-/// Costs of targets with older weights. The controller rolls them in the order of versions and ids,
-/// so every VM knows without a message which ones are out of service or will be soon.
-std::map<std::string_view, double>
-TargetBook::rollPenalties(const std::vector<const TargetEntry *> &targets,
-                          const TargetQuery &query) const
+/// Cost of a target's older weights. What still runs when its turn to load comes holds it up, and
+/// nothing else may begin there meanwhile.
+double TargetBook::rollMs(const State &state, uint64_t weights, const TargetQuery &query,
+                          Instant now) const
 {
-    std::vector<std::pair<uint64_t, std::string_view>> old;
-    for (const TargetEntry *target : targets) {
-        const auto weights = target->weights.find(query.model);
-        if (weights != target->weights.end() && weights->second < query.newestWeights) {
-            old.emplace_back(weights->second, target->id);
-        }
+    if (weights >= query.newestWeights) {
+        return 0.0;
     }
-    std::sort(old.begin(), old.end());
-    const size_t group = concurrentLoads(targets.size());
-    std::map<std::string_view, double> penalties;
-    for (size_t i = 0; i < old.size(); ++i) {
-        penalties[old[i].second] = i < group       ? loadingMs
-                                   : i < 2 * group ? nextToLoadMs
-                                                   : oldWeightsMs;
+    const auto known = m_rollPlans.find(query.model);
+    if (known == m_rollPlans.end() || now - known->second.statedAt > m_options.planAge) {
+        return oldWeightsMs;
     }
-    return penalties;
+    const std::optional<size_t> turns = known->second.plan.turnsUntil(state.workKey);
+    if (!turns) {
+        return oldWeightsMs;
+    }
+    if (*turns == 0) {
+        return loadingMs;
+    }
+    const Duration untilOrder = m_options.turnTime * (static_cast<int64_t>(*turns) - 1);
+    const Duration holdUp = std::max(Duration(0), query.expectedRun - untilOrder);
+    return oldWeightsMs + toMs(holdUp) * holdUpPart;
 }
 
 std::span<const PromptPrefix> TargetBook::Prompt::shared() const
@@ -277,7 +296,6 @@
     const auto facts = m_services.find(query.service);
     const double importRate = facts == m_services.end() ? 0.0 : facts->second.importTokensPerMs;
     const Places places = placesOf(targets, query);
-    const std::map<std::string_view, double> penalties = rollPenalties(targets, query);
     std::optional<Scored> best;
     std::optional<Scored> avoided;
     for (const TargetEntry *target : targets) {
@@ -306,8 +324,7 @@
             scored.costMs
                     += cacheMs(prompt->second, scored.held, importRate, target->id == places.first);
             scored.costMs -= places.bonusMs(target->id);
-            const auto penalty = penalties.find(target->id);
-            scored.costMs += penalty == penalties.end() ? 0.0 : penalty->second;
+            scored.costMs += rollMs(*state, scored.weights, query, now);
         } else {
             constexpr uint64_t jitterSteps = 1024;
             scored.costMs
@@ -326,6 +343,9 @@
     TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
     choice.expectedWait = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double, std::milli>(waitMs(*chosen->state, query.priority, now)));
+    if (othersWork(*chosen->state, now) != nullptr) {
+        choice.loadAge = now - m_othersWorkAt;
+    }
     choice.priority = query.priority;
     if (!query.model.empty()) {
         const Prompt &prompt = prompts.at(chosen->weights);
@@ -442,6 +462,41 @@
     }
 }
 
+WorkTable TargetBook::work() const
+{
+    WorkTable work;
+    for (const std::pair<const std::string, State> &state : m_states) {
+        if (state.second.inFlight > 0) {
+            work[state.second.workKey]
+                    += {.unreadTokens = static_cast<uint32_t>(std::min<uint64_t>(
+                                state.second.tokensAhead, std::numeric_limits<uint32_t>::max())),
+                        .requests = state.second.inFlight};
+        }
+    }
+    return work;
+}
+
+void TargetBook::setOthersWork(WorkTable work, Instant now)
+{
+    m_othersWork = std::move(work);
+    m_othersWorkAt = now;
+}
+
+uint32_t TargetBook::requestsAt(std::string_view id, Instant now) const
+{
+    const State *state = stateOf(id);
+    if (state == nullptr) {
+        return 0;
+    }
+    const TargetWork *others = othersWork(*state, now);
+    return state->inFlight + (others == nullptr ? 0 : others->requests);
+}
+
+void TargetBook::setRollPlan(const RollPlan &plan, Instant statedAt)
+{
+    m_rollPlans.insert_or_assign(plan.model, KnownPlan{.plan = plan, .statedAt = statedAt});
+}
+
 void TargetBook::accepted(std::string_view id)
 {
     State *state = mutableState(id);
--- a/packages/policy/src/teaseldrift/weights/weight_roll.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll.cpp
@@ -1,6 +1,9 @@
 #include "teaseldrift/weights/weight_roll.hpp"
 
 #include <algorithm>
+#include <tuple>
+
+#include "teaseldrift/targets/shared_load.hpp"
 
 namespace teaseldrift {
 
@@ -10,6 +13,25 @@
     return std::max<size_t>(1, targets / groups);
 }
 
+std::string_view name(WeightOrderEnd end)
+{
+    switch (end) {
+    case WeightOrderEnd::Accepted:
+        return "accepted";
+    case WeightOrderEnd::Holds:
+        return "holds";
+    case WeightOrderEnd::HoldsOlder:
+        return "holds_older";
+    case WeightOrderEnd::Busy:
+        return "busy";
+    case WeightOrderEnd::Fenced:
+        return "fenced";
+    case WeightOrderEnd::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 WeightRoll::WeightRoll(WeightRollOptions options) : m_options(options) { }
 
 bool WeightRoll::setWanted(std::string_view model, uint64_t version)
@@ -43,6 +65,37 @@
     }
 }
 
+/// Gives new targets their places.
+void WeightRoll::rank(Works &works, std::span<const WeightTarget> targets, uint64_t wantedVersion)
+{
+    for (const WeightTarget &target : targets) {
+        if (target.version < wantedVersion) {
+            works.try_emplace(std::string(target.id), Work{.requestsAtFirst = target.requests,
+                                                           .startedAtMs = target.startedAtMs});
+        }
+    }
+}
+
+/// Targets with older weights, in the order in which they load. Requests may begin on old weights
+/// for a limited time only, so the oldest come first; then those with the least to finish.
+std::vector<WeightTarget> WeightRoll::inOrder(const Works &works,
+                                              std::span<const WeightTarget> targets,
+                                              uint64_t wantedVersion)
+{
+    std::vector<WeightTarget> ordered;
+    for (const WeightTarget &target : targets) {
+        if (target.version < wantedVersion && works.contains(target.id)) {
+            ordered.push_back(target);
+        }
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [&works](const WeightTarget &a, const WeightTarget &b) {
+                  return std::tuple(a.version, works.find(a.id)->second.requestsAtFirst, a.id)
+                         < std::tuple(b.version, works.find(b.id)->second.requestsAtFirst, b.id);
+              });
+    return ordered;
+}
+
 std::vector<std::string> WeightRoll::due(std::string_view model,
                                          std::span<const WeightTarget> targets, Instant now)
 {
@@ -50,22 +103,15 @@
     const uint64_t wantedVersion = wanted(model);
     Works &works = m_works[std::string(model)];
     settle(works, targets, wantedVersion);
+    rank(works, targets, wantedVersion);
     const size_t allowed = concurrentLoads(targets.size());
     size_t underWay = static_cast<size_t>(std::count_if(
-            works.begin(), works.end(), [](const std::pair<const std::string, Work> &w) {
-                return w.second.isAsking || w.second.isLoading;
+            works.begin(), works.end(), [](const std::pair<const std::string, Work> &work) {
+                return work.second.isUnderWay();
             }));
-    // Requests may begin on old weights for a limited time only, so the oldest come first.
-    std::vector<WeightTarget> oldestFirst(targets.begin(), targets.end());
-    std::stable_sort(
-            oldestFirst.begin(), oldestFirst.end(),
-            [](const WeightTarget &a, const WeightTarget &b) { return a.version < b.version; });
-    for (const WeightTarget &target : oldestFirst) {
-        if (target.version >= wantedVersion) {
-            continue;
-        }
-        Work &work = works[std::string(target.id)];
-        const bool isCounted = work.isAsking || work.isLoading;
+    for (const WeightTarget &target : inOrder(works, targets, wantedVersion)) {
+        Work &work = works.find(target.id)->second;
+        const bool isCounted = work.isUnderWay();
         const bool isStuck = work.isLoading && now >= work.acceptedAt + m_options.loadTimeout;
         if (work.isAsking || (now < work.nextAsk && !isStuck)
             || (!isCounted && underWay >= allowed)) {
@@ -80,6 +126,38 @@
     return asked;
 }
 
+RollPlan WeightRoll::plan(std::string_view model, std::span<const WeightTarget> targets) const
+{
+    RollPlan plan{.model = std::string(model),
+                  .version = wanted(model),
+                  .together = concurrentLoads(targets.size())};
+    const auto works = m_works.find(model);
+    if (works == m_works.end()) {
+        return plan;
+    }
+    for (const WeightTarget &target : inOrder(works->second, targets, plan.version)) {
+        const bool isLoading = works->second.find(target.id)->second.isLoading;
+        (isLoading ? plan.loading : plan.waiting).push_back(targetWorkKey(target.id));
+    }
+    for (const WeightTarget &target : targets) {
+        if (target.version >= plan.version) {
+            plan.loaded.push_back(targetWorkKey(target.id));
+        }
+    }
+    return plan;
+}
+
+bool WeightRoll::wasOrdered(std::string_view model, std::string_view target, uint64_t version) const
+{
+    const auto works = m_works.find(model);
+    if (works == m_works.end()) {
+        return false;
+    }
+    const Works::const_iterator work = works->second.find(target);
+    return work != works->second.end() && work->second.isLoading
+           && work->second.loadingVersion <= version;
+}
+
 void WeightRoll::ended(std::string_view model, std::string_view target, WeightOrderEnd end,
                        Instant now)
 {
@@ -96,10 +174,12 @@
     switch (end) {
     case WeightOrderEnd::Accepted:
         work.isLoading = true;
+        work.loadingVersion = work.version;
         work.acceptedAt = now;
         work.nextAsk = now + m_options.firstCheck;
         return;
     case WeightOrderEnd::Holds:
+    case WeightOrderEnd::HoldsOlder:
         works->second.erase(found);
         return;
     case WeightOrderEnd::Busy:
--- a/packages/policy/src/teaseldrift/weights/weight_roll_test.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_roll_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "teaseldrift/targets/shared_load.hpp"
+
 namespace teaseldrift {
 
 namespace {
@@ -87,4 +89,60 @@
     CHECK(concurrentLoads(18) == 4);
 }
 
+TEST_CASE("targets with the fewest requests come first, and keep their places")
+{
+    WeightRoll roll;
+    roll.setWanted("m", 2);
+    std::vector<WeightTarget> targets = eightTargets({1, 1, 1, 1, 1, 1, 1, 1});
+    for (WeightTarget &target : targets) {
+        target.requests = 9;
+    }
+    targets[6].requests = 0;
+    targets[3].requests = 1;
+    CHECK(roll.due("m", targets, start) == Ids{"g", "d"});
+    targets[7].requests = 0;
+    roll.ended("m", "g", WeightOrderEnd::Holds, start);
+    targets[6].version = 2;
+    CHECK(roll.due("m", targets, start) == Ids{"a"});
+}
+
+TEST_CASE("pattern, named again during a load: the target that is done waits behind older ones")
+{
+    WeightRoll roll;
+    roll.setWanted("m", 2);
+    std::vector<WeightTarget> targets = eightTargets({1, 1, 1, 1, 1, 1, 1, 1});
+    REQUIRE(roll.due("m", targets, start) == Ids{"a", "b"});
+    roll.ended("m", "a", WeightOrderEnd::Accepted, start);
+    roll.ended("m", "b", WeightOrderEnd::Accepted, start);
+    CHECK_FALSE(roll.wasOrdered("m", "a", 1));
+    CHECK(roll.wasOrdered("m", "a", 2));
+    CHECK_FALSE(roll.wasOrdered("m", "c", 2));
+    roll.setWanted("m", 3);
+    // Both are asked while they load, by the newest version; "a" is done with the one before.
+    REQUIRE(roll.due("m", targets, start + 1s) == Ids{"a", "b"});
+    CHECK(roll.wasOrdered("m", "a", 2));
+    roll.ended("m", "a", WeightOrderEnd::HoldsOlder, start + 1s);
+    roll.ended("m", "b", WeightOrderEnd::Busy, start + 1s);
+    targets[0].version = 2;
+    CHECK(roll.due("m", targets, start + 1s) == Ids{"c"});
+}
+
+TEST_CASE("the plan names what loads, what waits in order, and what is done")
+{
+    WeightRoll roll;
+    roll.setWanted("m", 2);
+    const std::vector<WeightTarget> targets = eightTargets({1, 1, 2, 1, 1, 1, 1, 1});
+    REQUIRE(roll.due("m", targets, start) == Ids{"a", "b"});
+    roll.ended("m", "a", WeightOrderEnd::Accepted, start);
+    const RollPlan plan = roll.plan("m", targets);
+    CHECK(plan.version == 2);
+    CHECK(plan.together == 2);
+    CHECK(plan.loading == std::vector<uint32_t>{targetWorkKey("a")});
+    REQUIRE(plan.waiting.size() == 6);
+    // An order without an answer yet is not taken for a load.
+    CHECK(plan.waiting[0] == targetWorkKey("b"));
+    CHECK(plan.waiting[1] == targetWorkKey("d"));
+    CHECK(plan.loaded == std::vector<uint32_t>{targetWorkKey("c")});
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -95,6 +96,16 @@
     /// this one.
     [[nodiscard]] const schema::VmRecord *cacheReader(std::string_view cache) const;
 
+    /// @brief The VM that gathers the load of an availability zone; null if it is this one, or if
+    /// there is none.
+    /// @param isPassedOver VMs that cannot be asked now
+    [[nodiscard]] const schema::VmRecord *
+    loadGatherer(std::string_view availabilityZone,
+                 const std::function<bool(const std::string &)> &isPassedOver) const;
+
+    /// @brief Availability zones of the other VMs, but this VM's own.
+    [[nodiscard]] std::set<std::string> otherZones() const;
+
     /// @brief An organisation's whole limit, as this VM keeps it.
     UsageShare &keptUsage(std::string_view organisation);
 
@@ -104,6 +115,20 @@
     /// @brief Oldest weights of a model on which a request may begin now.
     [[nodiscard]] uint64_t minWeights(std::string_view model, Instant now) const;
 
+    /// @brief Takes a controller's plan; one that another has replaced is ignored.
+    /// @param statedAt when the controller last stated it
+    void takeRollPlan(const RollPlan &plan, Instant statedAt);
+
+    /// @brief A controller's plan and when it was last stated.
+    struct StatedPlan
+    {
+        RollPlan plan;
+        Instant statedAt;
+    };
+
+    /// @brief The plans that are still in force, for other VMs.
+    [[nodiscard]] std::vector<StatedPlan> rollPlans(Instant now) const;
+
     /// @brief Learned from an answer.
     void sawWeights(std::string_view target, std::string_view model, uint64_t version);
 
@@ -129,10 +154,13 @@
     };
 
     void divideUsage(Instant now);
+    /// @param ownScore rendezvous score of this VM; 0 if it does not take part
     /// @return null if this VM comes first by rendezvous hashing among those that `isCandidate`
     /// takes
     [[nodiscard]] const schema::VmRecord *
-    firstVm(uint64_t key, const std::function<bool(const schema::VmRecord &)> &isCandidate) const;
+    firstVm(uint64_t key, double ownScore,
+            const std::function<bool(const schema::VmRecord &)> &isCandidate) const;
+    [[nodiscard]] double ownScore(uint64_t key) const;
     [[nodiscard]] UsageLimit limitOf(std::string_view organisation) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
 
@@ -145,6 +173,7 @@
     RetryBudget m_retryBudget;
     WeightRoll m_weights;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> m_namedWeights;
+    std::map<std::string, StatedPlan, std::less<>> m_rollPlans;
     std::map<std::string, UsageShare, std::less<>> m_keptUsage;
     std::map<std::string, UsageShare, std::less<>> m_ownUsage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
--- a/packages/relay/include/teaseldrift/relay/message.hpp
+++ b/packages/relay/include/teaseldrift/relay/message.hpp
@@ -33,6 +33,8 @@
     std::string model;
     uint64_t promptTokens = 0;
     uint64_t maxOutputTokens = 0;
+    /// The caller's own estimate of what will be generated; none if it gave none.
+    std::optional<uint64_t> expectedOutputTokens;
     bool statesTokens = false;
     std::vector<PromptPart> parts;
     /// Last event that the caller has of a stream it resumes; empty otherwise.
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -96,6 +96,9 @@
     http::EventLoop::TimerId m_timer = 0;
     Instant m_firstEventAt;
     std::string m_triedTargets;
+    /// Of the last choice of a target, also if the request was refused for it.
+    Duration m_expectedWait{0};
+    std::optional<Duration> m_loadAge;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -29,6 +29,17 @@
 /// Part of the time left after which a refused caller is asked to come back.
 inline constexpr double retryAfterPart = 0.2;
 
+/// Time that an engine with some requests takes for an output token, by the gaps of the streams
+/// that the platform's sheets describe.
+inline constexpr Duration outputTokenTime = 30ms;
+
+inline Duration expectedRun(const CallerRequest &request)
+{
+    const uint64_t most = request.maxOutputTokens;
+    return outputTokenTime
+           * static_cast<int64_t>(std::min(request.expectedOutputTokens.value_or(most), most));
+}
+
 inline RequestOptions machineOptions(const Route &route, Duration timeAllowed)
 {
     const bool repeats
@@ -145,12 +156,15 @@
              .minWeights = m_context.fleet.minWeights(request.model, now),
              .newestWeights = m_context.fleet.weights().wanted(request.model),
              .priority = priority(),
+             .expectedRun = expectedRun(request),
              .seed = seed},
             now);
     if (!m_choice) {
         perform(m_machine.noTarget(action.id, now));
         return;
     }
+    m_expectedWait = m_choice->expectedWait;
+    m_loadAge = m_choice->loadAge;
     if (!request.model.empty() && isTooLate(m_choice->expectedWait, now)) {
         m_choice.reset();
         perform(m_machine.noTarget(action.id, now));
@@ -577,6 +591,8 @@
              {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
              {"import_from",
               m_choice ? std::string_view(m_choice->importFrom) : std::string_view()},
+             {"expected_wait_ms", toSeconds(m_expectedWait) * 1e3},
+             {"load_age_ms", m_loadAge ? toSeconds(*m_loadAge) * 1e3 : -1.0},
              {"first_event_ms", firstMs},
              {"total_ms", toSeconds(now - m_admitted.arrivedAt) * 1e3},
              {"configuration", static_cast<int64_t>(m_admitted.table->definition().version)}});
--- a/packages/relay/include/teaseldrift/relay/weights_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <concepts>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -213,12 +214,28 @@
             if (!entry.second.isLeaving && weights != entry.second.weights.end()) {
                 targets.push_back({.id = entry.first,
                                    .version = weights->second,
-                                   .startedAtMs = entry.second.startedAtMs});
+                                   .startedAtMs = entry.second.startedAtMs,
+                                   .requests = m_fleet.book().requestsAt(entry.first, now)});
             }
         }
         for (const std::string &id : m_fleet.weights().due(model, targets, now)) {
             ask(model, *m_fleet.directory().find(id));
         }
+        state(m_fleet.weights().plan(model, targets), now);
+    }
+
+    /// Tells the other VMs what is under way.
+    void state(RollPlan plan, Instant now)
+    {
+        RollPlan &last = m_plans[plan.model];
+        const bool isNew = last.fencing != m_lease.fencing() || !plan.saysTheSame(last);
+        if (!isNew && plan.loading.empty() && plan.waiting.empty()) {
+            return;
+        }
+        plan.fencing = m_lease.fencing();
+        plan.number = isNew ? ++m_planNumber : last.number;
+        last = plan;
+        m_fleet.takeRollPlan(plan, now);
     }
 
     void ask(const std::string &model, const TargetEntry &target)
@@ -249,6 +266,10 @@
             ended(order, WeightOrderEnd::Busy);
             return;
         }
+        if (m_fleet.weights().wasOrdered(order.model, order.target, report->version)) {
+            ended(order, WeightOrderEnd::HoldsOlder);
+            return;
+        }
         order.ordersAccepted = report->ordersAccepted;
         const Instant now = http::EventLoop::now();
         if (!m_lease.mayOrder(now) || order.fencing != m_lease.fencing() || m_isStopped) {
@@ -268,11 +289,19 @@
     {
         const Instant now = http::EventLoop::now();
         m_fleet.weights().ended(order.model, order.target, end, now);
+        m_log.write(telemetry::EventWeight::Important, "weights_answered",
+                    {{"target", std::string_view(order.target)},
+                     {"model", std::string_view(order.model)},
+                     {"version", static_cast<int64_t>(order.version)},
+                     {"fencing", static_cast<int64_t>(order.fencing)},
+                     {"outcome", name(end)}});
         if (end == WeightOrderEnd::Fenced && order.fencing == m_lease.fencing()) {
             lose(now);
         }
         if (end == WeightOrderEnd::Holds) {
             m_fleet.sawWeights(order.target, order.model, order.version);
+        }
+        if (end == WeightOrderEnd::Holds || end == WeightOrderEnd::HoldsOlder) {
             plan();
         }
     }
@@ -288,6 +317,9 @@
     PrefixFeed<Store> m_feed;
     bool m_isKeyFree = false;
     uint64_t m_leaseId = 0;
+    /// The last plan of each model.
+    std::map<std::string, RollPlan> m_plans;
+    uint64_t m_planNumber = 0;
     bool m_isAsking = false;
     bool m_isStopped = false;
     http::EventLoop::TimerId m_timer = 0;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -174,6 +174,42 @@
     m_directory.setWeights(target, model, version);
 }
 
+void FleetState::takeRollPlan(const RollPlan &plan, Instant statedAt)
+{
+    StatedPlan &known = m_rollPlans[plan.model];
+    const bool isNew = plan.replaces(known.plan);
+    if (!isNew && (known.plan.replaces(plan) || statedAt <= known.statedAt)) {
+        return;
+    }
+    known = {.plan = plan, .statedAt = statedAt};
+    m_book.setRollPlan(plan, statedAt);
+    if (!isNew) {
+        return;
+    }
+    for (const std::pair<const std::string, TargetEntry> &target : m_directory.all()) {
+        const auto weights = target.second.weights.find(plan.model);
+        const uint32_t key = targetWorkKey(target.first);
+        const bool isLoaded
+                = std::find(plan.loaded.begin(), plan.loaded.end(), key) != plan.loaded.end();
+        if (isLoaded && weights != target.second.weights.end() && weights->second < plan.version) {
+            sawWeights(target.first, plan.model, plan.version);
+        }
+    }
+}
+
+std::vector<FleetState::StatedPlan> FleetState::rollPlans(Instant now) const
+{
+    // As long as choices go by them.
+    const Duration longest = TargetBookOptions().planAge;
+    std::vector<StatedPlan> plans;
+    for (const std::pair<const std::string, StatedPlan> &plan : m_rollPlans) {
+        if (now - plan.second.statedAt <= longest) {
+            plans.push_back(plan.second);
+        }
+    }
+    return plans;
+}
+
 void FleetState::applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now)
 {
     m_vms = std::move(vms);
@@ -247,11 +283,11 @@
 }
 
 const schema::VmRecord *
-FleetState::firstVm(uint64_t key,
+FleetState::firstVm(uint64_t key, double ownScore,
                     const std::function<bool(const schema::VmRecord &)> &isCandidate) const
 {
     const schema::VmRecord *first = nullptr;
-    double best = m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
+    double best = ownScore;
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
         if (vm.first == m_options.vmId || vm.second.is_leaving() || !isCandidate(vm.second)) {
             continue;
@@ -265,18 +301,48 @@
     return first;
 }
 
+double FleetState::ownScore(uint64_t key) const
+{
+    return m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
+}
+
 const schema::VmRecord *FleetState::usageKeeper(std::string_view organisation) const
 {
-    return firstVm(rendezvousKey(organisation), [](const schema::VmRecord &) { return true; });
+    const uint64_t key = rendezvousKey(organisation);
+    return firstVm(key, ownScore(key), [](const schema::VmRecord &) { return true; });
 }
 
 const schema::VmRecord *FleetState::cacheReader(std::string_view cache) const
 {
-    return firstVm(rendezvousKey(cache), [this](const schema::VmRecord &vm) {
+    const uint64_t key = rendezvousKey(cache);
+    return firstVm(key, ownScore(key), [this](const schema::VmRecord &vm) {
         return vm.availability_zone() == m_options.availabilityZone;
     });
 }
 
+const schema::VmRecord *
+FleetState::loadGatherer(std::string_view availabilityZone,
+                         const std::function<bool(const std::string &)> &isPassedOver) const
+{
+    const uint64_t key = rendezvousKey(availabilityZone);
+    const bool isOwn = availabilityZone == m_options.availabilityZone;
+    return firstVm(key, isOwn ? ownScore(key) : 0.0, [&](const schema::VmRecord &vm) {
+        return vm.availability_zone() == availabilityZone && !isPassedOver(vm.vm_id());
+    });
+}
+
+std::set<std::string> FleetState::otherZones() const
+{
+    std::set<std::string> zones;
+    for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
+        if (!vm.second.is_leaving()) {
+            zones.insert(vm.second.availability_zone());
+        }
+    }
+    zones.erase(m_options.availabilityZone);
+    return zones;
+}
+
 UsageShare &FleetState::keptUsage(std::string_view organisation)
 {
     const auto [kept, isNew] = m_keptUsage.try_emplace(std::string(organisation));
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -0,0 +1,244 @@
+#include "teaseldrift/relay/load_task.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "teaseldrift/http/whole_calls.hpp"
+#include "teaseldrift/schema/vm_record.pb.h"
+#include "teaseldrift/targets/shared_load.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+
+void write(const WorkTable &work, schema::FleetLoad &load)
+{
+    for (const std::pair<const uint32_t, TargetWork> &target : work) {
+        load.add_target_keys(target.first);
+        load.add_unread_tokens(target.second.unreadTokens);
+        load.add_requests(target.second.requests);
+    }
+}
+
+WorkTable read(const schema::FleetLoad &load)
+{
+    WorkTable work;
+    const int count
+            = std::min({load.target_keys_size(), load.unread_tokens_size(), load.requests_size()});
+    for (int i = 0; i < count; ++i) {
+        work[load.target_keys(i)]
+                += {.unreadTokens = load.unread_tokens(i), .requests = load.requests(i)};
+    }
+    return work;
+}
+
+void write(const std::vector<FleetState::StatedPlan> &plans, Instant now, schema::FleetLoad &load)
+{
+    for (const FleetState::StatedPlan &stated : plans) {
+        schema::WeightsPlan &plan = *load.add_plans();
+        plan.set_model(stated.plan.model);
+        plan.set_version(stated.plan.version);
+        plan.set_fencing(stated.plan.fencing);
+        plan.set_number(stated.plan.number);
+        plan.set_age_ms(static_cast<uint32_t>((now - stated.statedAt) / 1ms));
+        plan.mutable_loading()->Add(stated.plan.loading.begin(), stated.plan.loading.end());
+        plan.mutable_waiting()->Add(stated.plan.waiting.begin(), stated.plan.waiting.end());
+        plan.mutable_loaded()->Add(stated.plan.loaded.begin(), stated.plan.loaded.end());
+        plan.set_together(static_cast<uint32_t>(stated.plan.together));
+    }
+}
+
+void takePlans(const schema::FleetLoad &load, FleetState &fleet, Instant now)
+{
+    for (const schema::WeightsPlan &plan : load.plans()) {
+        fleet.takeRollPlan({.model = plan.model(),
+                            .version = plan.version(),
+                            .fencing = plan.fencing(),
+                            .number = plan.number(),
+                            .loading = {plan.loading().begin(), plan.loading().end()},
+                            .waiting = {plan.waiting().begin(), plan.waiting().end()},
+                            .loaded = {plan.loaded().begin(), plan.loaded().end()},
+                            .together = plan.together()},
+                           now - plan.age_ms() * 1ms);
+    }
+}
+
+bool hasUnread(const WorkTable &work)
+{
+    return std::any_of(work.begin(), work.end(),
+                       [](const std::pair<const uint32_t, TargetWork> &w) {
+                           return w.second.unreadTokens > 0;
+                       });
+}
+
+} // namespace
+
+struct LoadTask::Native
+{
+    using Handler = std::function<void(const schema::FleetLoad &)>;
+
+    http::EventLoop &loop;
+    http::WholeCalls calls;
+    FleetState &fleet;
+    telemetry::EventLog &log;
+    telemetry::Metrics &metrics;
+    LoadTaskOptions options;
+    SharedLoad load;
+    /// VMs that did not answer, and until when they are not asked.
+    std::map<std::string, Instant, std::less<>> silent;
+    bool isBusy = false;
+    http::EventLoop::TimerId timer = 0;
+
+    [[nodiscard]] Duration interval() const;
+    void tick();
+    void tellZones(const WorkTable &own, const std::vector<FleetState::StatedPlan> &plans,
+                   Instant now);
+    void ask(const schema::VmRecord &vm, const schema::FleetLoad &told, Handler handler);
+    [[nodiscard]] const schema::VmRecord *gatherer(std::string_view availabilityZone,
+                                                   Instant now) const;
+};
+
+LoadTask::LoadTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
+                   telemetry::EventLog &log, telemetry::Metrics &metrics, LoadTaskOptions options)
+    : m_native(new Native{.loop = loop,
+                          .calls = http::WholeCalls(loop, peers),
+                          .fleet = fleet,
+                          .log = log,
+                          .metrics = metrics,
+                          .options = options})
+{ }
+
+LoadTask::~LoadTask()
+{
+    m_native->loop.cancelTimer(m_native->timer);
+}
+
+void LoadTask::start()
+{
+    m_native->tick();
+}
+
+const schema::VmRecord *LoadTask::Native::gatherer(std::string_view availabilityZone,
+                                                   Instant now) const
+{
+    return fleet.loadGatherer(availabilityZone, [&](const std::string &vmId) {
+        const auto found = silent.find(vmId);
+        return found != silent.end() && now < found->second;
+    });
+}
+
+Duration LoadTask::Native::interval() const
+{
+    return options.interval + options.intervalPerVm * static_cast<int64_t>(fleet.vmCount());
+}
+
+void LoadTask::Native::tick()
+{
+    const Instant now = http::EventLoop::now();
+    load.expire(now);
+    const WorkTable own = fleet.book().work();
+    const std::vector<FleetState::StatedPlan> plans = fleet.rollPlans(now);
+    isBusy = isBusy || hasUnread(own) || !plans.empty();
+    if (const schema::VmRecord *vm = gatherer(fleet.options().availabilityZone, now)) {
+        schema::FleetLoad told;
+        told.set_vm_id(fleet.options().vmId);
+        write(own, told);
+        write(plans, now, told);
+        ask(*vm, told, [this](const schema::FleetLoad &answer) {
+            const WorkTable others = read(answer);
+            isBusy = isBusy || hasUnread(others);
+            fleet.book().setOthersWork(others, http::EventLoop::now());
+        });
+    } else {
+        tellZones(own, plans, now);
+    }
+    const Duration pause = isBusy ? interval() : options.idleInterval;
+    isBusy = false;
+    timer = loop.startTimer(pause, [this] { tick(); });
+}
+
+void LoadTask::Native::tellZones(const WorkTable &own,
+                                 const std::vector<FleetState::StatedPlan> &plans, Instant now)
+{
+    const WorkTable others = load.ofOthers(now);
+    isBusy = isBusy || hasUnread(others);
+    fleet.book().setOthersWork(others, now);
+    schema::FleetLoad told;
+    told.set_availability_zone(fleet.options().availabilityZone);
+    write(load.ofZone(own, now), told);
+    write(plans, now, told);
+    for (const std::string &zone : fleet.otherZones()) {
+        const schema::VmRecord *vm = gatherer(zone, now);
+        // Both sides learn from one question.
+        if (vm == nullptr || load.wasTold(zone, interval() / 2, now)) {
+            continue;
+        }
+        ask(*vm, told, [this, zone](const schema::FleetLoad &answer) {
+            const Instant answeredAt = http::EventLoop::now();
+            load.takeZone(zone, read(answer), answeredAt);
+            fleet.book().setOthersWork(load.ofOthers(answeredAt), answeredAt);
+        });
+    }
+}
+
+void LoadTask::Native::ask(const schema::VmRecord &vm, const schema::FleetLoad &told,
+                           Handler handler)
+{
+    http::Endpoint endpoint;
+    if (!http::parseEndpoint(vm.peer_address(), endpoint)) {
+        return;
+    }
+    calls.start(endpoint,
+                {.method = "POST", .path = std::string(path), .body = told.SerializeAsString()},
+                options.answerTimeout,
+                [this, vmId = vm.vm_id(),
+                 handler = std::move(handler)](const http::WholeAnswer &answer) {
+                    schema::FleetLoad load;
+                    if (answer.status == statusOk && load.ParseFromString(answer.body)) {
+                        silent.erase(vmId);
+                        takePlans(load, fleet, http::EventLoop::now());
+                        handler(load);
+                        return;
+                    }
+                    silent[vmId] = http::EventLoop::now() + options.pauseAfterSilence;
+                    metrics.counter({"teaseldrift_load_unanswered_total"}).add();
+                    log.write(telemetry::EventWeight::Routine, "load_gatherer_silent",
+                              {{"silent_vm", std::string_view(vmId)},
+                               {"status", static_cast<int64_t>(answer.status)}});
+                });
+}
+
+void LoadTask::answer(http::Exchange &exchange)
+{
+    schema::FleetLoad told;
+    if (!told.ParseFromArray(exchange.body().data(), static_cast<int>(exchange.body().size()))) {
+        exchange.respond({.status = statusBadRequest});
+        return;
+    }
+    Native &native = *m_native;
+    const Instant now = http::EventLoop::now();
+    const WorkTable work = read(told);
+    native.isBusy = native.isBusy || hasUnread(work);
+    takePlans(told, native.fleet, now);
+    const WorkTable own = native.fleet.book().work();
+    schema::FleetLoad answer;
+    write(native.fleet.rollPlans(now), now, answer);
+    if (told.vm_id().empty()) {
+        native.load.takeZone(told.availability_zone(), work, now);
+        answer.set_availability_zone(native.fleet.options().availabilityZone);
+        write(native.load.ofZone(own, now), answer);
+    } else {
+        native.load.takeVm(told.vm_id(), work, now);
+        write(native.load.forVm(told.vm_id(), own, now), answer);
+    }
+    exchange.respond({.body = answer.SerializeAsString()});
+}
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -0,0 +1,196 @@
+#include "teaseldrift/relay/load_task.hpp"
+
+#include <fcntl.h>
+
+#include <catch2/catch.hpp>
+
+#include "teaseldrift/http/whole_calls.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+using Vms = std::map<std::string, schema::VmRecord, std::less<>>;
+
+/// One VM with its own loop-back address for other VMs, and one target.
+struct Vm
+{
+    Vm(http::EventLoop &loop, const std::string &id, const std::string &zone)
+        : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
+          fleet({.vmId = id, .availabilityZone = zone, .leastVms = 1}, log, http::EventLoop::now()),
+          peers(loop, {.connectTimeout = 50ms}),
+          load(loop, peers, fleet, log, metrics,
+               {.interval = 10ms, .idleInterval = 10ms, .pauseAfterSilence = 10s}),
+          server(loop, {}, [this](const std::shared_ptr<http::Exchange> &exchange) {
+              ++asked;
+              load.answer(*exchange);
+          })
+    {
+        REQUIRE_FALSE(server.listen());
+        fleet.applyTarget({.id = "t",
+                           .service = "writer",
+                           .address = "10.0.0.1:80",
+                           .startedAtMs = 1,
+                           .weights = {{"m", 1}}},
+                          http::EventLoop::now());
+    }
+
+    void sendOne()
+    {
+        TargetChoice choice{.id = "t", .tokensToRead = 100};
+        fleet.book().sent(choice, http::EventLoop::now());
+    }
+
+    [[nodiscard]] uint32_t requestsAtTarget() const
+    {
+        return fleet.book().requestsAt("t", http::EventLoop::now());
+    }
+
+    [[nodiscard]] schema::VmRecord record() const
+    {
+        schema::VmRecord record;
+        record.set_vm_id(fleet.options().vmId);
+        record.set_availability_zone(fleet.options().availabilityZone);
+        record.set_peer_address("127.0.0.1:" + std::to_string(server.port()));
+        return record;
+    }
+
+    telemetry::EventLog log;
+    telemetry::Metrics metrics;
+    FleetState fleet;
+    http::Client peers;
+    LoadTask load;
+    int asked = 0;
+    http::Server server;
+};
+
+Vms recordsOf(std::initializer_list<const Vm *> vms)
+{
+    Vms records;
+    for (const Vm *vm : vms) {
+        records[vm->fleet.options().vmId] = vm->record();
+    }
+    return records;
+}
+
+/// Runs the loop until the condition holds, or for some seconds.
+bool waitFor(http::EventLoop &loop, const std::function<bool()> &condition)
+{
+    const Instant end = http::EventLoop::now() + 5s;
+    while (!condition() && http::EventLoop::now() < end) {
+        const http::EventLoop::TimerId timer = loop.startTimer(5ms, [&loop] { loop.stop(); });
+        loop.run();
+        loop.cancelTimer(timer);
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("each VM learns the work of all others, in its availability zone and elsewhere, once")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "north");
+    Vm d(loop, "d", "south");
+    Vm e(loop, "e", "south");
+    const Vms vms = recordsOf({&a, &b, &c, &d, &e});
+    int sent = 1;
+    for (Vm *vm : {&a, &b, &c, &d, &e}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now());
+        for (int i = 0; i < sent; ++i) {
+            vm->sendOne();
+        }
+        sent *= 2;
+        vm->load.start();
+    }
+    const auto allKnowAll = [&] {
+        for (const Vm *vm : {&a, &b, &c, &d, &e}) {
+            if (vm->requestsAtTarget() != 31) {
+                return false;
+            }
+        }
+        return true;
+    };
+    CHECK(waitFor(loop, allKnowAll));
+}
+
+TEST_CASE("a VM that does not answer is passed over")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vms vms = recordsOf({&a, &b});
+    // Among many dead ones some come before both in the order that all VMs go by.
+    for (int i = 0; i < 8; ++i) {
+        schema::VmRecord dead = a.record();
+        dead.set_vm_id("dead" + std::to_string(i));
+        dead.set_peer_address("127.0.0.1:1");
+        vms[dead.vm_id()] = dead;
+    }
+    for (Vm *vm : {&a, &b}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now());
+        vm->sendOne();
+        vm->load.start();
+    }
+    CHECK(waitFor(loop, [&] { return a.requestsAtTarget() == 2 && b.requestsAtTarget() == 2; }));
+    CHECK(a.asked + b.asked > 0);
+}
+
+TEST_CASE("the controller's plan reaches VMs in other zones, and what it has loaded is known there")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "south");
+    Vm c(loop, "c", "south");
+    const Vms vms = recordsOf({&a, &b, &c});
+    for (Vm *vm : {&a, &b, &c}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now());
+        vm->load.start();
+    }
+    const RollPlan plan{.model = "m",
+                        .version = 2,
+                        .fencing = 9,
+                        .number = 1,
+                        .loaded = {targetWorkKey("t")},
+                        .together = 1};
+    a.fleet.takeRollPlan(plan, http::EventLoop::now());
+    const auto knows
+            = [](const Vm &vm) { return vm.fleet.directory().find("t")->weights.at("m") == 2; };
+    CHECK(waitFor(loop, [&] { return knows(b) && knows(c); }));
+}
+
+TEST_CASE("a plan of a controller that has been replaced changes nothing")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    const Instant now = http::EventLoop::now();
+    a.fleet.takeRollPlan({.model = "m", .version = 3, .fencing = 9, .number = 1}, now);
+    a.fleet.takeRollPlan({.model = "m",
+                          .version = 2,
+                          .fencing = 8,
+                          .number = 70,
+                          .loaded = {targetWorkKey("t")}},
+                         now + 10ms);
+    CHECK(a.fleet.directory().find("t")->weights.at("m") == 1);
+    REQUIRE(a.fleet.rollPlans(now + 10ms).size() == 1);
+    CHECK(a.fleet.rollPlans(now + 10ms).front().plan.fencing == 9);
+    // Nobody has repeated it for a while.
+    CHECK(a.fleet.rollPlans(now + 3s).empty());
+}
+
+TEST_CASE("a question that cannot be read is refused")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    std::optional<int> status;
+    http::WholeCalls calls(loop, a.peers);
+    calls.start({.address = "127.0.0.1", .port = a.server.port()},
+                {.method = "POST", .path = std::string(LoadTask::path), .body = "\xff\xff"}, 2s,
+                [&](const http::WholeAnswer &answer) { status = answer.status; });
+    CHECK(waitFor(loop, [&] { return status.has_value(); }));
+    CHECK(status == 400);
+}
+
+} // namespace teaseldrift::relay
