--- a/packages/policy/include/teaseldrift/parts/part_cache.hpp
+++ b/packages/policy/include/teaseldrift/parts/part_cache.hpp
@@ -44,6 +44,9 @@
     /// @brief The cache has been asked to read, import or use these prefixes.
     void expect(std::span<const PromptPrefix> prefixes, Instant now);
 
+    /// @brief An answer has shown that the cache's engine has read or imported these prefixes.
+    void confirm(std::span<const PromptPrefix> prefixes);
+
     /// @brief Takes what the cache says of itself.
     void apply(const PartEvent &event);
 
--- a/packages/policy/src/teaseldrift/parts/part_cache.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache.cpp
@@ -64,6 +64,17 @@
     }
 }
 
+void PartCache::confirm(std::span<const PromptPrefix> prefixes)
+{
+    for (const PromptPrefix &prefix : prefixes) {
+        const auto found = m_held.find(prefix.partKey);
+        // What is no longer expected has been dropped for a reason since.
+        if (found != m_held.end()) {
+            found->second->isConfirmed = true;
+        }
+    }
+}
+
 void PartCache::apply(const PartEvent &event)
 {
     if (event.tokens == 0) {
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -407,6 +407,7 @@
     if (state != nullptr) {
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
         state->queue.read(choice.ticket, now);
+        state->cache.confirm(sharedOf(choice.prefixes));
     }
 }
 
--- a/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -18,7 +18,7 @@
 {
     /// Registrations change with each heartbeat, so a call that waited for the next change would
     /// return at once; a leaving target must be noticed within its drain time.
-    Duration targetPause = 900ms;
+    std::function<Duration()> targetPause = [] { return Duration(900ms); };
 };
 
 /// @brief Feeds the operators' records and the targets' registrations from a store into the state.
@@ -34,7 +34,7 @@
           m_targets(loop, store,
                     {.prefix = std::string(m_records.targetPrefix()),
                      .wait = 1s,
-                     .pause = options.targetPause},
+                     .pauseNow = std::move(options.targetPause)},
                     targetHandlers())
     { }
 
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -96,12 +96,12 @@
     /// this one.
     [[nodiscard]] const schema::VmRecord *cacheReader(std::string_view cache) const;
 
-    /// @brief The VM that gathers the load of an availability zone; null if it is this one, or if
-    /// there is none.
+    /// @brief The VM that speaks for the others of an availability zone; null if it is this one, or
+    /// if there is none.
     /// @param isPassedOver VMs that cannot be asked now
     [[nodiscard]] const schema::VmRecord *
-    loadGatherer(std::string_view availabilityZone,
-                 const std::function<bool(const std::string &)> &isPassedOver) const;
+    gatherer(std::string_view availabilityZone,
+             const std::function<bool(const std::string &)> &isPassedOver) const;
 
     /// @brief Availability zones of the other VMs, but this VM's own.
     [[nodiscard]] std::set<std::string> otherZones() const;
--- a/packages/relay/include/teaseldrift/relay/leased_record.hpp
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -20,7 +20,7 @@
     {
         std::string key;
         Duration ttl = 3s;
-        Duration keepInterval = 900ms;
+        Duration keepInterval = 1s;
         Duration retryPause = 300ms;
     };
 
--- a/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
@@ -19,6 +19,8 @@
     Duration wait = 10s;
     /// Pause between an answer and the next call; bounds the price of prefixes that change often.
     Duration pause{0};
+    /// Optional; tells the pause anew after each answer, instead of `pause`.
+    std::function<Duration()> pauseNow;
     /// Pause after a failed call; doubles with each further one.
     Duration firstRetry = 100ms;
     Duration longestRetry = 1s;
@@ -72,7 +74,7 @@
                                m_needsAll = false;
                                m_revision = snapshot.revision;
                                m_handlers.onAll(snapshot);
-                               later(m_options.pause);
+                               later(pause());
                            });
     }
 
@@ -94,7 +96,7 @@
                                    if (!changes.entries.empty()) {
                                        m_handlers.onChanges(changes);
                                    }
-                                   later(m_options.pause);
+                                   later(pause());
                                });
     }
 
@@ -107,6 +109,11 @@
         }
     }
 
+    [[nodiscard]] Duration pause() const
+    {
+        return m_options.pauseNow ? m_options.pauseNow() : m_options.pause;
+    }
+
     void later(Duration pause)
     {
         m_timer = m_loop.startTimer(pause, [this] { ask(); });
--- /dev/null
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "teaseldrift/relay/store_relay.hpp"
+#include "teaseldrift/store/store.hpp"
+
+namespace teaseldrift::relay {
+
+/// @brief A store whose changes may be learned through another VM.
+///
+/// Models store::PolledStore. All other calls go to the store itself.
+template <store::PolledStore Store>
+class RelayedStore
+{
+public:
+    using ReadHandler = StoreRelay::ReadHandler;
+
+    RelayedStore(Store &store, StoreRelay &relay) : m_store(store), m_relay(relay) { }
+
+    void readPrefix(std::string_view prefix, store::ReadAge age, ReadHandler handler)
+    {
+        m_store.readPrefix(prefix, age, std::move(handler));
+    }
+
+    void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
+                        ReadHandler handler)
+    {
+        if (!m_relay.asksOther(http::EventLoop::now())) {
+            askStore(std::string(prefix), revision, wait, std::move(handler));
+            return;
+        }
+        m_relay.ask(std::string(prefix), revision,
+                    [this, prefix = std::string(prefix), revision, wait,
+                     handler = std::move(handler)](std::error_code error,
+                                                   const store::StoreSnapshot &changes) {
+                        if (error) {
+                            askStore(prefix, revision, wait, handler);
+                            return;
+                        }
+                        handler({}, changes);
+                    });
+    }
+
+    void write(std::span<const store::StoreWrite> writes,
+               std::function<void(store::StoreWriteResult)> handler)
+    {
+        m_store.write(writes, std::move(handler));
+    }
+
+    void grantLease(Duration ttl, std::function<void(std::error_code, uint64_t)> handler)
+    {
+        m_store.grantLease(ttl, std::move(handler));
+    }
+
+    void keepLease(uint64_t lease, std::function<void(std::error_code)> handler)
+    {
+        m_store.keepLease(lease, std::move(handler));
+    }
+
+    void endLease(uint64_t lease) { m_store.endLease(lease); }
+
+    /// @brief Pause before the next call for a prefix that changes often.
+    /// @param alone pause of a VM that asks the store for itself only
+    [[nodiscard]] Duration pause(Duration alone) const
+    {
+        const Instant now = http::EventLoop::now();
+        return m_relay.asksOther(now) || m_relay.isAsked(now)
+                       ? std::min(alone, m_relay.options().pause)
+                       : alone;
+    }
+
+private:
+    void askStore(const std::string &prefix, uint64_t revision, Duration wait, ReadHandler handler)
+    {
+        const Duration held = m_relay.isAsked(http::EventLoop::now())
+                                      ? std::min(wait, m_relay.options().longestWait)
+                                      : wait;
+        m_store.waitForChanges(prefix, revision, held,
+                               [this, prefix, revision, handler = std::move(handler)](
+                                       std::error_code error, const store::StoreSnapshot &changes) {
+                                   if (error) {
+                                       m_relay.lostStore(prefix);
+                                   } else {
+                                       m_relay.took(prefix, revision, changes);
+                                   }
+                                   handler(error, changes);
+                               });
+    }
+
+    Store &m_store;
+    StoreRelay &m_relay;
+};
+
+} // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -321,8 +321,8 @@
 }
 
 const schema::VmRecord *
-FleetState::loadGatherer(std::string_view availabilityZone,
-                         const std::function<bool(const std::string &)> &isPassedOver) const
+FleetState::gatherer(std::string_view availabilityZone,
+                     const std::function<bool(const std::string &)> &isPassedOver) const
 {
     const uint64_t key = rendezvousKey(availabilityZone);
     const bool isOwn = availabilityZone == m_options.availabilityZone;
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -128,7 +128,7 @@
 const schema::VmRecord *LoadTask::Native::gatherer(std::string_view availabilityZone,
                                                    Instant now) const
 {
-    return fleet.loadGatherer(availabilityZone, [&](const std::string &vmId) {
+    return fleet.gatherer(availabilityZone, [&](const std::string &vmId) {
         const auto found = silent.find(vmId);
         return found != silent.end() && now < found->second;
     });
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -0,0 +1,241 @@
+#include "teaseldrift/relay/store_relay.hpp"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "teaseldrift/http/whole_calls.hpp"
+#include "teaseldrift/schema/vm_record.pb.h"
+#include "teaseldrift/store/change_log.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+/// Some of the changes asked for are not kept.
+constexpr int statusGone = 410;
+/// This VM does not know the present state of the store.
+constexpr int statusUnavailable = 503;
+
+/// Pace at which waiting questions are looked at.
+constexpr Duration tickInterval = 100ms;
+
+store::StoreSnapshot read(const schema::ChangesAnswer &answer)
+{
+    store::StoreSnapshot changes{.revision = answer.revision()};
+    for (const schema::ChangesAnswer::Change &change : answer.changes()) {
+        changes.entries.push_back({.key = change.key(),
+                                   .value = change.value(),
+                                   .revision = change.revision(),
+                                   .deleted = change.is_deleted()});
+    }
+    changes.count = changes.entries.size();
+    return changes;
+}
+
+std::string write(const store::StoreSnapshot &changes)
+{
+    schema::ChangesAnswer answer;
+    answer.set_revision(changes.revision);
+    for (const store::StoreEntry &entry : changes.entries) {
+        schema::ChangesAnswer::Change &change = *answer.add_changes();
+        change.set_key(entry.key);
+        change.set_value(entry.value);
+        change.set_revision(entry.revision);
+        change.set_is_deleted(entry.deleted);
+    }
+    return answer.SerializeAsString();
+}
+
+} // namespace
+
+struct StoreRelay::Native
+{
+    struct Question
+    {
+        std::string prefix;
+        uint64_t revision = 0;
+        Instant until;
+        std::shared_ptr<http::Exchange> exchange;
+    };
+
+    http::EventLoop &loop;
+    http::WholeCalls calls;
+    FleetState &fleet;
+    telemetry::EventLog &log;
+    telemetry::Metrics &metrics;
+    StoreRelayOptions options;
+    std::map<std::string, store::ChangeLog, std::less<>> logs;
+    std::vector<Question> questions;
+    Instant askedAt;
+    /// VMs that had no answer, and until when they are not asked.
+    std::map<std::string, Instant, std::less<>> failed;
+    http::EventLoop::TimerId timer = 0;
+
+    void tick();
+    void answerWaiting(Instant now);
+    bool tryAnswer(const Question &question, Instant now);
+    [[nodiscard]] const schema::VmRecord *gatherer(Instant now) const;
+    void failure(const std::string &vmId, int status);
+};
+
+StoreRelay::StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
+                       telemetry::EventLog &log, telemetry::Metrics &metrics,
+                       StoreRelayOptions options)
+    : m_native(new Native{.loop = loop,
+                          .calls = http::WholeCalls(loop, peers),
+                          .fleet = fleet,
+                          .log = log,
+                          .metrics = metrics,
+                          .options = options})
+{ }
+
+StoreRelay::~StoreRelay()
+{
+    m_native->loop.cancelTimer(m_native->timer);
+}
+
+const StoreRelayOptions &StoreRelay::options() const
+{
+    return m_native->options;
+}
+
+const schema::VmRecord *StoreRelay::Native::gatherer(Instant now) const
+{
+    return fleet.gatherer(fleet.options().availabilityZone, [&](const std::string &vmId) {
+        const auto found = failed.find(vmId);
+        return found != failed.end() && now < found->second;
+    });
+}
+
+bool StoreRelay::asksOther(Instant now) const
+{
+    return m_native->fleet.vmCount() >= m_native->options.leastVms
+           && m_native->gatherer(now) != nullptr;
+}
+
+bool StoreRelay::isAsked(Instant now) const
+{
+    return m_native->askedAt != Instant()
+           && now - m_native->askedAt < m_native->options.serviceTime;
+}
+
+void StoreRelay::Native::failure(const std::string &vmId, int status)
+{
+    failed[vmId] = http::EventLoop::now() + options.pauseAfterFailure;
+    metrics.counter({"teaseldrift_changes_unanswered_total"}).add();
+    log.write(telemetry::EventWeight::Important, "changes_not_passed_on",
+              {{"asked_vm", std::string_view(vmId)}, {"status", static_cast<int64_t>(status)}});
+}
+
+void StoreRelay::ask(const std::string &prefix, uint64_t revision, ReadHandler handler)
+{
+    Native &native = *m_native;
+    const schema::VmRecord *vm = native.gatherer(http::EventLoop::now());
+    http::Endpoint endpoint;
+    if (vm == nullptr || !http::parseEndpoint(vm->peer_address(), endpoint)) {
+        handler(store::StoreError::Unavailable, {});
+        return;
+    }
+    schema::ChangesAsk ask;
+    ask.set_prefix(prefix);
+    ask.set_revision(revision);
+    native.calls.start(
+            endpoint,
+            {.method = "POST", .path = std::string(path), .body = ask.SerializeAsString()},
+            native.options.longestQuestion + native.options.answerTime,
+            [&native, vmId = vm->vm_id(),
+             handler = std::move(handler)](const http::WholeAnswer &answer) {
+                schema::ChangesAnswer changes;
+                if (answer.status == statusOk && changes.ParseFromString(answer.body)) {
+                    handler({}, read(changes));
+                    return;
+                }
+                if (answer.status != statusGone) {
+                    native.failure(vmId, answer.status);
+                }
+                handler(store::StoreError::Unavailable, {});
+            });
+}
+
+void StoreRelay::took(const std::string &prefix, uint64_t after,
+                      const store::StoreSnapshot &changes)
+{
+    const Instant now = http::EventLoop::now();
+    if (!isAsked(now)) {
+        m_native->logs.clear();
+        return;
+    }
+    m_native->logs[prefix].append(after, changes, now);
+    m_native->answerWaiting(now);
+}
+
+void StoreRelay::lostStore(const std::string &prefix)
+{
+    const auto log = m_native->logs.find(prefix);
+    if (log != m_native->logs.end()) {
+        log->second.lostStore();
+        m_native->answerWaiting(http::EventLoop::now());
+    }
+}
+
+void StoreRelay::answer(const std::shared_ptr<http::Exchange> &exchange)
+{
+    schema::ChangesAsk ask;
+    if (!ask.ParseFromArray(exchange->body().data(), static_cast<int>(exchange->body().size()))) {
+        exchange->respond({.status = statusBadRequest});
+        return;
+    }
+    Native &native = *m_native;
+    const Instant now = http::EventLoop::now();
+    native.askedAt = now;
+    Native::Question question{.prefix = ask.prefix(),
+                              .revision = ask.revision(),
+                              .until = now + native.options.longestQuestion,
+                              .exchange = exchange};
+    if (!native.tryAnswer(question, now)) {
+        native.questions.push_back(std::move(question));
+        if (native.timer == 0) {
+            native.timer = native.loop.startTimer(tickInterval, [&native] { native.tick(); });
+        }
+    }
+}
+
+/// @return false if the question has to wait
+bool StoreRelay::Native::tryAnswer(const Question &question, Instant now)
+{
+    const auto log = logs.find(question.prefix);
+    const std::optional<store::StoreSnapshot> missed
+            = log == logs.end() ? std::nullopt : log->second.since(question.revision);
+    if (log != logs.end() && now - log->second.currentAt() > options.maxAge) {
+        question.exchange->respond({.status = statusUnavailable});
+        return true;
+    }
+    if (!missed) {
+        question.exchange->respond({.status = statusGone});
+        return true;
+    }
+    if (missed->entries.empty() && now < question.until) {
+        return false;
+    }
+    question.exchange->respond({.body = write(*missed)});
+    return true;
+}
+
+void StoreRelay::Native::answerWaiting(Instant now)
+{
+    std::erase_if(questions, [&](const Question &question) { return tryAnswer(question, now); });
+}
+
+void StoreRelay::Native::tick()
+{
+    timer = 0;
+    answerWaiting(http::EventLoop::now());
+    if (!questions.empty()) {
+        timer = loop.startTimer(tickInterval, [this] { tick(); });
+    }
+}
+
+} // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/store/src/teaseldrift/store/change_log.cpp
@@ -0,0 +1,65 @@
+#include "teaseldrift/store/change_log.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace teaseldrift::store {
+
+ChangeLog::ChangeLog(Options options) : m_options(options) { }
+
+ChangeLog::ChangeLog() : ChangeLog(Options()) { }
+
+void ChangeLog::beginAt(uint64_t revision)
+{
+    m_base = revision;
+    m_revision = revision;
+    m_changes.clear();
+    m_values.clear();
+}
+
+void ChangeLog::append(uint64_t after, const StoreSnapshot &changes, Instant now)
+{
+    m_currentAt = now;
+    if (after != m_revision) {
+        beginAt(after);
+    }
+    for (const StoreEntry &entry : changes.entries) {
+        if (entry.value.size() > m_options.maxValueBytes) {
+            beginAt(std::max(after, changes.revision));
+            return;
+        }
+        if (entry.deleted) {
+            m_values.erase(entry.key);
+        } else {
+            const size_t value = std::hash<std::string>()(entry.value);
+            const auto [known, isNew] = m_values.try_emplace(entry.key, value);
+            if (!isNew && known->second == value) {
+                continue;
+            }
+            known->second = value;
+        }
+        m_changes.push_back(entry);
+    }
+    m_revision = std::max(after, changes.revision);
+    while (m_changes.size() > m_options.maxChanges) {
+        m_base = m_changes.front().revision;
+        m_changes.pop_front();
+    }
+}
+
+std::optional<StoreSnapshot> ChangeLog::since(uint64_t revision) const
+{
+    if (revision < m_base) {
+        return std::nullopt;
+    }
+    StoreSnapshot missed{.revision = std::max(revision, m_revision)};
+    for (const StoreEntry &change : m_changes) {
+        if (change.revision > revision) {
+            missed.entries.push_back(change);
+        }
+    }
+    missed.count = missed.entries.size();
+    return missed;
+}
+
+} // namespace teaseldrift::store
--- /dev/null
+++ b/packages/store/src/teaseldrift/store/change_log_test.cpp
@@ -0,0 +1,112 @@
+#include "teaseldrift/store/change_log.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace teaseldrift::store {
+
+namespace {
+
+const Instant start(100s);
+
+StoreEntry put(const std::string &key, const std::string &value, uint64_t revision)
+{
+    return {.key = key, .value = value, .revision = revision};
+}
+
+StoreEntry removed(const std::string &key, uint64_t revision)
+{
+    return {.key = key, .revision = revision, .deleted = true};
+}
+
+StoreSnapshot changesOf(std::vector<StoreEntry> entries, uint64_t revision)
+{
+    return {.entries = std::move(entries), .revision = revision};
+}
+
+std::vector<uint64_t> revisionsOf(const std::optional<StoreSnapshot> &snapshot)
+{
+    REQUIRE(snapshot);
+    std::vector<uint64_t> revisions;
+    for (const StoreEntry &entry : snapshot->entries) {
+        revisions.push_back(entry.revision);
+    }
+    return revisions;
+}
+
+using Revisions = std::vector<uint64_t>;
+
+} // namespace
+
+TEST_CASE("changes after a revision are told in order, and up to where they are known")
+{
+    ChangeLog log;
+    log.append(10, changesOf({put("a", "1", 11), put("b", "1", 12)}, 15), start);
+    log.append(15, changesOf({removed("a", 17)}, 17), start + 1s);
+    CHECK(revisionsOf(log.since(10)) == Revisions{11, 12, 17});
+    CHECK(revisionsOf(log.since(12)) == Revisions{17});
+    CHECK(log.since(12)->revision == 17);
+    CHECK(log.since(15)->entries.front().deleted);
+    CHECK(log.currentAt() == start + 1s);
+}
+
+TEST_CASE("what was before the first question is not known, nor what came between two")
+{
+    ChangeLog log;
+    log.append(10, changesOf({put("a", "1", 11)}, 11), start);
+    CHECK_FALSE(log.since(9));
+    // Changes 12 to 19 were asked for by nobody.
+    log.append(20, changesOf({put("a", "2", 21)}, 21), start);
+    CHECK_FALSE(log.since(11));
+    CHECK(revisionsOf(log.since(20)) == Revisions{21});
+}
+
+TEST_CASE("a value that is written again is no change, unless the key was gone meanwhile")
+{
+    ChangeLog log;
+    log.append(10, changesOf({put("a", "1", 11), put("a", "1", 12)}, 12), start);
+    CHECK(revisionsOf(log.since(10)) == Revisions{11});
+    CHECK(log.since(11)->revision == 12);
+    log.append(12, changesOf({removed("a", 13), put("a", "1", 14)}, 14), start);
+    CHECK(revisionsOf(log.since(11)) == Revisions{13, 14});
+    log.append(14, changesOf({put("a", "2", 15)}, 15), start);
+    CHECK(revisionsOf(log.since(14)) == Revisions{15});
+}
+
+TEST_CASE("someone who knows more than the log is told nothing older")
+{
+    ChangeLog log;
+    log.append(10, changesOf({put("a", "1", 11)}, 11), start);
+    const std::optional<StoreSnapshot> missed = log.since(30);
+    REQUIRE(missed);
+    CHECK(missed->entries.empty());
+    CHECK(missed->revision == 30);
+}
+
+TEST_CASE("a large value is left to the store")
+{
+    ChangeLog log({.maxValueBytes = 8});
+    log.append(10, changesOf({put("a", "1", 11), put("b", "123456789", 12)}, 12), start);
+    CHECK_FALSE(log.since(10));
+    CHECK_FALSE(log.since(11));
+    CHECK(revisionsOf(log.since(12)).empty());
+}
+
+TEST_CASE("old changes make room, and those who need them ask the store")
+{
+    ChangeLog log({.maxChanges = 2});
+    log.append(10, changesOf({put("a", "1", 11), put("b", "1", 12), put("c", "1", 13)}, 13), start);
+    CHECK_FALSE(log.since(10));
+    CHECK(revisionsOf(log.since(11)) == Revisions{12, 13});
+}
+
+TEST_CASE("after a lost store nothing is current until it answers again")
+{
+    ChangeLog log;
+    log.append(10, changesOf({}, 10), start);
+    log.lostStore();
+    CHECK(log.currentAt() == Instant());
+    log.append(10, changesOf({}, 10), start + 5s);
+    CHECK(log.currentAt() == start + 5s);
+}
+
+} // namespace teaseldrift::store
