--- a/packages/policy/include/teaseldrift/parts/part_cache.hpp
+++ b/packages/policy/include/teaseldrift/parts/part_cache.hpp
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/parts/prompt_parts.hpp"
@@ -45,7 +46,8 @@
     void expect(std::span<const PromptPrefix> prefixes, Instant now);
 
     /// @brief An answer has shown that the cache's engine has read or imported these prefixes.
-    void confirm(std::span<const PromptPrefix> prefixes);
+    /// @return those that were only expected so far
+    std::vector<PartEvent> confirm(std::span<const PromptPrefix> prefixes);
 
     /// @brief Takes what the cache says of itself.
     void apply(const PartEvent &event);
--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -8,11 +8,13 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/health/target_health.hpp"
 #include "teaseldrift/parts/part_cache.hpp"
+#include "teaseldrift/parts/part_news.hpp"
 #include "teaseldrift/parts/prompt_parts.hpp"
 #include "teaseldrift/routing/fleet_definition.hpp"
 #include "teaseldrift/targets/queue_delay.hpp"
@@ -150,6 +152,12 @@
     /// @brief Takes what a target's cache, or with an empty id the kept store's, says of itself.
     void applyEvents(std::string_view id, std::span<const PartEvent> events);
 
+    /// @brief Parts that own answers have shown to be read since the last call.
+    std::vector<PartNews> takeNews() { return std::exchange(m_news, {}); }
+
+    /// @brief Takes the same from other VMs.
+    void applyNews(std::span<const PartNews> news);
+
     /// @brief The cache has restarted, or some of its events are lost.
     void forgetCache(std::string_view id);
 
@@ -262,6 +270,9 @@
     };
 
     std::map<std::string, KnownPlan, std::less<>> m_rollPlans;
+    std::vector<PartNews> m_news;
+    /// Targets by their names in tables of work.
+    std::map<uint32_t, std::string> m_idsByKey;
     WorkTable m_othersWork;
     Instant m_othersWorkAt;
 };
--- a/packages/policy/src/teaseldrift/parts/part_cache.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache.cpp
@@ -64,15 +64,18 @@
     }
 }
 
-void PartCache::confirm(std::span<const PromptPrefix> prefixes)
+std::vector<PartEvent> PartCache::confirm(std::span<const PromptPrefix> prefixes)
 {
+    std::vector<PartEvent> news;
     for (const PromptPrefix &prefix : prefixes) {
         const auto found = m_held.find(prefix.partKey);
         // What is no longer expected has been dropped for a reason since.
-        if (found != m_held.end()) {
+        if (found != m_held.end() && !found->second->isConfirmed) {
             found->second->isConfirmed = true;
+            news.push_back({.partKey = prefix.partKey, .tokens = found->second->tokens});
         }
     }
+    return news;
 }
 
 void PartCache::apply(const PartEvent &event)
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -74,6 +74,7 @@
         state = State();
         state.service = target.service;
         state.workKey = targetWorkKey(target.id);
+        m_idsByKey[state.workKey] = target.id;
         const auto facts = m_services.find(target.service);
         if (facts != m_services.end()) {
             state.cache = PartCache(static_cast<uint64_t>(
@@ -95,6 +96,7 @@
     m_health.removeTarget(id);
     const auto found = m_states.find(id);
     if (found != m_states.end()) {
+        m_idsByKey.erase(found->second.workKey);
         m_states.erase(found);
     }
 }
@@ -407,7 +409,13 @@
     if (state != nullptr) {
         state->tokensAhead -= std::min(state->tokensAhead, choice.tokensToRead);
         state->queue.read(choice.ticket, now);
-        state->cache.confirm(sharedOf(choice.prefixes));
+        for (const PartEvent &read : state->cache.confirm(sharedOf(choice.prefixes))) {
+            // Without listeners nobody takes them.
+            constexpr size_t maxNews = 1000;
+            if (m_news.size() < maxNews) {
+                m_news.push_back({.targetKey = state->workKey, .event = read});
+            }
+        }
     }
 }
 
@@ -446,6 +454,17 @@
     }
 }
 
+void TargetBook::applyNews(std::span<const PartNews> news)
+{
+    for (const PartNews &one : news) {
+        const std::map<uint32_t, std::string>::const_iterator id = m_idsByKey.find(one.targetKey);
+        State *state = id == m_idsByKey.end() ? nullptr : mutableState(id->second);
+        if (state != nullptr) {
+            state->cache.apply(one.event);
+        }
+    }
+}
+
 void TargetBook::forgetCache(std::string_view id)
 {
     if (PartCache *cache = cacheOf(id)) {
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -70,6 +70,27 @@
     }
 }
 
+void write(const std::vector<PartNews> &news, schema::FleetLoad &load)
+{
+    for (const PartNews &one : news) {
+        load.add_read_targets(one.targetKey);
+        load.add_read_parts(one.event.partKey);
+        load.add_read_tokens(one.event.tokens);
+    }
+}
+
+std::vector<PartNews> readNews(const schema::FleetLoad &load)
+{
+    std::vector<PartNews> news;
+    const int count
+            = std::min({load.read_targets_size(), load.read_parts_size(), load.read_tokens_size()});
+    for (int i = 0; i < count; ++i) {
+        news.push_back({.targetKey = load.read_targets(i),
+                        .event = {.partKey = load.read_parts(i), .tokens = load.read_tokens(i)}});
+    }
+    return news;
+}
+
 bool hasUnread(const WorkTable &work)
 {
     return std::any_of(work.begin(), work.end(),
@@ -91,6 +112,7 @@
     telemetry::Metrics &metrics;
     LoadTaskOptions options;
     SharedLoad load;
+    PartNewsLog news;
     /// VMs that did not answer, and until when they are not asked.
     std::map<std::string, Instant, std::less<>> silent;
     bool isBusy = false;
@@ -98,6 +120,7 @@
 
     [[nodiscard]] Duration interval() const;
     void tick();
+    void takeNews(const schema::FleetLoad &told, bool isOfOwnZone);
     void tellZones(const WorkTable &own, const std::vector<FleetState::StatedPlan> &plans,
                    Instant now);
     void ask(const schema::VmRecord &vm, const schema::FleetLoad &told, Handler handler);
@@ -151,8 +174,10 @@
         told.set_vm_id(fleet.options().vmId);
         write(own, told);
         write(plans, now, told);
+        write(fleet.book().takeNews(), told);
         ask(*vm, told, [this](const schema::FleetLoad &answer) {
             const WorkTable others = read(answer);
+            fleet.book().applyNews(readNews(answer));
             isBusy = isBusy || hasUnread(others);
             fleet.book().setOthersWork(others, http::EventLoop::now());
         });
@@ -164,25 +189,41 @@
     timer = loop.startTimer(pause, [this] { tick(); });
 }
 
+/// @param isOfOwnZone whether a VM of this availability zone told it
+void LoadTask::Native::takeNews(const schema::FleetLoad &told, bool isOfOwnZone)
+{
+    const std::vector<PartNews> read = readNews(told);
+    fleet.book().applyNews(read);
+    for (const PartNews &one : read) {
+        news.add(one, isOfOwnZone);
+    }
+}
+
 void LoadTask::Native::tellZones(const WorkTable &own,
                                  const std::vector<FleetState::StatedPlan> &plans, Instant now)
 {
     const WorkTable others = load.ofOthers(now);
     isBusy = isBusy || hasUnread(others);
     fleet.book().setOthersWork(others, now);
-    schema::FleetLoad told;
-    told.set_availability_zone(fleet.options().availabilityZone);
-    write(load.ofZone(own, now), told);
-    write(plans, now, told);
+    for (const PartNews &read : fleet.book().takeNews()) {
+        news.add(read, true);
+    }
+    schema::FleetLoad common;
+    common.set_availability_zone(fleet.options().availabilityZone);
+    write(load.ofZone(own, now), common);
+    write(plans, now, common);
     for (const std::string &zone : fleet.otherZones()) {
         const schema::VmRecord *vm = gatherer(zone, now);
         // Both sides learn from one question.
         if (vm == nullptr || load.wasTold(zone, interval() / 2, now)) {
             continue;
         }
+        schema::FleetLoad told = common;
+        write(news.forZone(zone), told);
         ask(*vm, told, [this, zone](const schema::FleetLoad &answer) {
             const Instant answeredAt = http::EventLoop::now();
             load.takeZone(zone, read(answer), answeredAt);
+            takeNews(answer, false);
             fleet.book().setOthersWork(load.ofOthers(answeredAt), answeredAt);
         });
     }
@@ -232,10 +273,14 @@
     write(native.fleet.rollPlans(now), now, answer);
     if (told.vm_id().empty()) {
         native.load.takeZone(told.availability_zone(), work, now);
+        native.takeNews(told, false);
+        write(native.news.forZone(told.availability_zone()), answer);
         answer.set_availability_zone(native.fleet.options().availabilityZone);
         write(native.load.ofZone(own, now), answer);
     } else {
         native.load.takeVm(told.vm_id(), work, now);
+        native.takeNews(told, true);
+        write(native.news.forVm(told.vm_id()), answer);
         write(native.load.forVm(told.vm_id(), own, now), answer);
     }
     exchange.respond({.body = answer.SerializeAsString()});
