--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -135,6 +135,9 @@
     /// @brief VMs among which limits are divided now.
     [[nodiscard]] size_t vmCount() const { return std::max<size_t>(1, m_dividedBy); }
 
+    /// @brief Whether the other VMs have been read from the store.
+    [[nodiscard]] bool knowsVms() const { return !m_vms.empty(); }
+
     /// @brief Place of this VM among all by name; spreads work that one of them must do.
     [[nodiscard]] size_t rank() const;
 
--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -31,20 +31,7 @@
     void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
                         ReadHandler handler)
     {
-        if (!m_relay.asksOther(http::EventLoop::now())) {
-            askStore(std::string(prefix), revision, wait, std::move(handler));
-            return;
-        }
-        m_relay.ask(std::string(prefix), revision,
-                    [this, prefix = std::string(prefix), revision, wait,
-                     handler = std::move(handler)](std::error_code error,
-                                                   const store::StoreSnapshot &changes) {
-                        if (error) {
-                            askStore(prefix, revision, wait, handler);
-                            return;
-                        }
-                        handler({}, changes);
-                    });
+        askOthers(std::string(prefix), revision, wait, othersAsked, std::move(handler));
     }
 
     void write(std::span<const store::StoreWrite> writes,
@@ -76,6 +63,34 @@
     }
 
 private:
+    /// VMs that are asked one after another before the store: what the store has refused to one may
+    /// still be had from the next, and more would take too long.
+    static constexpr int othersAsked = 2;
+
+    void askOthers(const std::string &prefix, uint64_t revision, Duration wait, int tries,
+                   ReadHandler handler)
+    {
+        if (tries == 0 || !m_relay.asksOther(http::EventLoop::now())) {
+            askStore(prefix, revision, wait, std::move(handler));
+            return;
+        }
+        m_relay.ask(prefix, revision,
+                    [this, prefix, revision, wait, tries, handler = std::move(handler)](
+                            RelayAnswer end, const store::StoreSnapshot &changes) {
+                        switch (end) {
+                        case RelayAnswer::Changes:
+                            handler({}, changes);
+                            return;
+                        case RelayAnswer::NotKept:
+                            askStore(prefix, revision, wait, handler);
+                            return;
+                        case RelayAnswer::Failed:
+                            askOthers(prefix, revision, wait, tries - 1, handler);
+                            return;
+                        }
+                    });
+    }
+
     void askStore(const std::string &prefix, uint64_t revision, Duration wait, ReadHandler handler)
     {
         const Duration held = m_relay.isAsked(http::EventLoop::now())
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -40,6 +40,16 @@
     Duration serviceTime = 5s;
 };
 
+/// @brief What became of a question to another VM.
+enum class RelayAnswer {
+    /// The changes; there may be none yet.
+    Changes,
+    /// The VM does not keep all that was asked for.
+    NotKept,
+    /// No answer, or the VM cannot reach the store: it is not asked again for a while.
+    Failed,
+};
+
 /// @brief Passes changes of the store on between the VMs of an availability zone.
 ///
 /// One VM asks the store for all of them, the same by every VM's reckoning. Whoever gets no answer
@@ -48,6 +58,7 @@
 {
 public:
     using ReadHandler = std::function<void(std::error_code, const store::StoreSnapshot &)>;
+    using RelayHandler = std::function<void(RelayAnswer, const store::StoreSnapshot &)>;
 
     StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                telemetry::EventLog &log, telemetry::Metrics &metrics,
@@ -63,8 +74,7 @@
     [[nodiscard]] bool isAsked(Instant now) const;
 
     /// @brief Asks the other VM; only while asksOther().
-    /// @param handler gets an error if the store has to be asked instead
-    void ask(const std::string &prefix, uint64_t revision, ReadHandler handler);
+    void ask(const std::string &prefix, uint64_t revision, RelayHandler handler);
 
     /// @brief Takes what the store has answered this VM.
     /// @param after the revision that was asked for
--- a/packages/relay/include/teaseldrift/relay/weights_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weights_task.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/orders/controller_lease.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
@@ -60,6 +61,11 @@
         std::string key = "teaseldrift/controller";
         OrderOptions orders{.leaseTtl = 3s, .maxOrderLife = 1s};
         Duration tick = 100ms;
+        /// Time between the tries of two VMs when there is no controller: that of a call and of the
+        /// news of its effect.
+        Duration turn = 30ms;
+        /// Time over which the tries are spread while a VM does not know the others yet.
+        Duration startTurns = 500ms;
         /// How long a question whether the controller has changed may wait for an answer.
         Duration watchWait = 20s;
     };
@@ -123,21 +129,38 @@
     {
         const auto take = [this](const store::StoreSnapshot &snapshot) {
             for (const store::StoreEntry &entry : snapshot.entries) {
-                m_isKeyFree = entry.deleted;
+                setKeyFree(entry.deleted);
             }
         };
         return {.onAll =
                         [this](const store::StoreSnapshot &snapshot) {
-                            m_isKeyFree = snapshot.entries.empty();
+                            setKeyFree(snapshot.entries.empty());
                         },
                 .onChanges = take,
                 .onLost = [](std::error_code) {},
                 .onRegained = [] {}};
     }
 
+    void setKeyFree(bool isFree)
+    {
+        if (isFree && !m_isKeyFree) {
+            m_turnAt = http::EventLoop::now() + turn();
+        }
+        m_isKeyFree = isFree;
+    }
+
+    /// VMs try one after another, as each try is priced and one is enough.
+    [[nodiscard]] Duration turn() const
+    {
+        if (m_fleet.knowsVms()) {
+            return m_options.turn * static_cast<int64_t>(m_fleet.rank());
+        }
+        return m_options.startTurns * (rendezvousKey(m_fleet.options().vmId) % 1000) / 1000;
+    }
+
     void acquire()
     {
-        if (!m_isKeyFree || !m_feed.isConnected()) {
+        if (!m_isKeyFree || !m_feed.isConnected() || http::EventLoop::now() < m_turnAt) {
             m_lease.unanswered(http::EventLoop::now(), m_options.tick);
             return;
         }
@@ -316,6 +339,7 @@
     /// Tells as soon as the controller's key is free.
     PrefixFeed<Store> m_feed;
     bool m_isKeyFree = false;
+    Instant m_turnAt;
     uint64_t m_leaseId = 0;
     /// The last plan of each model.
     std::map<std::string, RollPlan> m_plans;
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -130,13 +130,13 @@
               {{"asked_vm", std::string_view(vmId)}, {"status", static_cast<int64_t>(status)}});
 }
 
-void StoreRelay::ask(const std::string &prefix, uint64_t revision, ReadHandler handler)
+void StoreRelay::ask(const std::string &prefix, uint64_t revision, RelayHandler handler)
 {
     Native &native = *m_native;
     const schema::VmRecord *vm = native.gatherer(http::EventLoop::now());
     http::Endpoint endpoint;
     if (vm == nullptr || !http::parseEndpoint(vm->peer_address(), endpoint)) {
-        handler(store::StoreError::Unavailable, {});
+        handler(RelayAnswer::NotKept, {});
         return;
     }
     schema::ChangesAsk ask;
@@ -150,13 +150,15 @@
              handler = std::move(handler)](const http::WholeAnswer &answer) {
                 schema::ChangesAnswer changes;
                 if (answer.status == statusOk && changes.ParseFromString(answer.body)) {
-                    handler({}, read(changes));
+                    handler(RelayAnswer::Changes, read(changes));
                     return;
                 }
-                if (answer.status != statusGone) {
-                    native.failure(vmId, answer.status);
+                if (answer.status == statusGone) {
+                    handler(RelayAnswer::NotKept, {});
+                    return;
                 }
-                handler(store::StoreError::Unavailable, {});
+                native.failure(vmId, answer.status);
+                handler(RelayAnswer::Failed, {});
             });
 }
 
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -0,0 +1,251 @@
+#include "teaseldrift/relay/store_relay.hpp"
+
+#include <fcntl.h>
+
+#include <catch2/catch.hpp>
+
+#include "teaseldrift/relay/prefix_feed.hpp"
+#include "teaseldrift/relay/relayed_store.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+using store::StoreEntry;
+using store::StoreError;
+using store::StoreSnapshot;
+
+/// A store of one prefix whose waiting calls return with the next change or after their time.
+class SmallStore
+{
+public:
+    using ReadHandler = StoreRelay::ReadHandler;
+
+    explicit SmallStore(http::EventLoop &loop) : m_loop(loop) { }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        m_changes.push_back({.key = key, .value = value, .revision = ++m_revision});
+    }
+
+    void readPrefix(std::string_view, store::ReadAge, const ReadHandler &handler)
+    {
+        ++calls;
+        m_loop.post(
+                [this, handler] { handler({}, {.entries = m_changes, .revision = m_revision}); });
+    }
+
+    void waitForChanges(std::string_view, uint64_t revision, Duration wait, ReadHandler handler)
+    {
+        ++calls;
+        longestWait = std::max(longestWait, wait);
+        poll(revision, http::EventLoop::now() + wait, std::move(handler));
+    }
+
+    void write(std::span<const store::StoreWrite>, std::function<void(store::StoreWriteResult)>) { }
+    void grantLease(Duration, std::function<void(std::error_code, uint64_t)>) { }
+    void keepLease(uint64_t, std::function<void(std::error_code)>) { }
+    void endLease(uint64_t) { }
+
+    bool isAway = false;
+    int calls = 0;
+    Duration longestWait{0};
+
+private:
+    void poll(uint64_t revision, Instant until, ReadHandler handler)
+    {
+        m_loop.startTimer(5ms, [this, revision, until, handler = std::move(handler)] {
+            if (isAway) {
+                handler(StoreError::Unavailable, {});
+                return;
+            }
+            StoreSnapshot changes{.revision = m_revision};
+            for (const StoreEntry &entry : m_changes) {
+                if (entry.revision > revision) {
+                    changes.entries.push_back(entry);
+                }
+            }
+            if (changes.entries.empty() && http::EventLoop::now() < until) {
+                poll(revision, until, handler);
+                return;
+            }
+            handler({}, changes);
+        });
+    }
+
+    http::EventLoop &m_loop;
+    uint64_t m_revision = 10;
+    std::vector<StoreEntry> m_changes;
+};
+
+/// One VM that follows a prefix, with its own loop-back address for other VMs.
+struct Vm
+{
+    Vm(http::EventLoop &loop, const std::string &id, StoreRelayOptions options)
+        : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
+          fleet({.vmId = id, .availabilityZone = "north", .leastVms = 1}, log,
+                http::EventLoop::now()),
+          peers(loop, {.connectTimeout = 50ms}), relay(loop, peers, fleet, log, metrics, options),
+          store(loop), relayed(store, relay),
+          feed(loop, relayed, {.prefix = "p/", .wait = 10s},
+               {.onAll = [this](const StoreSnapshot &all) { see(all); },
+                .onChanges = [this](const StoreSnapshot &changes) { see(changes); },
+                .onLost = [](std::error_code) {},
+                .onRegained = [] {}}),
+          server(loop, {}, [this](const std::shared_ptr<http::Exchange> &exchange) {
+              if (!isMute) {
+                  relay.answer(exchange);
+              } else {
+                  held.push_back(exchange);
+              }
+          })
+    {
+        REQUIRE_FALSE(server.listen());
+    }
+
+    void see(const StoreSnapshot &snapshot)
+    {
+        for (const StoreEntry &entry : snapshot.entries) {
+            seen[entry.key] = entry.value;
+        }
+    }
+
+    [[nodiscard]] schema::VmRecord record() const
+    {
+        schema::VmRecord record;
+        record.set_vm_id(fleet.options().vmId);
+        record.set_availability_zone("north");
+        record.set_peer_address("127.0.0.1:" + std::to_string(server.port()));
+        return record;
+    }
+
+    telemetry::EventLog log;
+    telemetry::Metrics metrics;
+    FleetState fleet;
+    http::Client peers;
+    StoreRelay relay;
+    /// The store as this VM reaches it.
+    SmallStore store;
+    RelayedStore<SmallStore> relayed;
+    std::map<std::string, std::string> seen;
+    PrefixFeed<RelayedStore<SmallStore>> feed;
+    bool isMute = false;
+    std::vector<std::shared_ptr<http::Exchange>> held;
+    http::Server server;
+};
+
+/// Two VMs of one zone; `speaker` asks the store for `other`.
+struct Pair
+{
+    explicit Pair(StoreRelayOptions options = {.leastVms = 2})
+        : a(loop, "a", options), b(loop, "b", options)
+    {
+        const std::map<std::string, schema::VmRecord, std::less<>> vms{{"a", a.record()},
+                                                                       {"b", b.record()}};
+        for (Vm *vm : {&a, &b}) {
+            vm->fleet.applyDefinition({.version = 1}, {}, http::EventLoop::now());
+            vm->fleet.applyVms(vms, http::EventLoop::now());
+        }
+        const bool isAFirst
+                = a.fleet.gatherer("north", [](const std::string &) { return false; }) == nullptr;
+        speaker = isAFirst ? &a : &b;
+        other = isAFirst ? &b : &a;
+        for (Vm *vm : {&a, &b}) {
+            vm->feed.start();
+        }
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        a.store.put(key, value);
+        b.store.put(key, value);
+    }
+
+    bool waitFor(const std::function<bool()> &condition, Duration longest = 5s)
+    {
+        const Instant end = http::EventLoop::now() + longest;
+        while (!condition() && http::EventLoop::now() < end) {
+            const http::EventLoop::TimerId timer = loop.startTimer(5ms, [this] { loop.stop(); });
+            loop.run();
+            loop.cancelTimer(timer);
+        }
+        return condition();
+    }
+
+    /// Makes changes until the other VM learns them from the speaker.
+    void settle()
+    {
+        constexpr int mostChanges = 10;
+        for (int i = 0; i < mostChanges; ++i) {
+            other->store.calls = 0;
+            put("settling", std::to_string(i));
+            REQUIRE(waitFor([&] { return other->seen["settling"] == std::to_string(i); }));
+            waitFor([] { return false; }, 50ms);
+            if (other->store.calls == 0) {
+                speaker->store.longestWait = Duration(0);
+                return;
+            }
+        }
+        FAIL("the store was asked each time");
+    }
+
+    http::EventLoop loop;
+    Vm a;
+    Vm b;
+    Vm *speaker = nullptr;
+    Vm *other = nullptr;
+};
+
+} // namespace
+
+TEST_CASE("a VM learns changes from the one that asks for its zone, and leaves the store alone")
+{
+    Pair vms;
+    vms.settle();
+    for (int i = 0; i < 5; ++i) {
+        vms.put("key", std::to_string(i));
+        REQUIRE(vms.waitFor([&] { return vms.other->seen["key"] == std::to_string(i); }));
+    }
+    CHECK(vms.other->store.calls == 0);
+    // The one that asks for others must know soon when it no longer reaches the store.
+    CHECK(vms.speaker->store.longestWait <= StoreRelayOptions().longestWait);
+}
+
+TEST_CASE("when the asking VM cannot reach the store, the other asks for itself within 2 s")
+{
+    Pair vms;
+    vms.settle();
+    vms.speaker->store.isAway = true;
+    vms.put("key", "new");
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 2s));
+    CHECK(vms.other->store.calls > 0);
+}
+
+TEST_CASE("when the asking VM falls silent, the other asks for itself within 2 s")
+{
+    Pair vms;
+    vms.settle();
+    vms.speaker->isMute = true;
+    vms.put("key", "new");
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 2s));
+}
+
+TEST_CASE("a small fleet asks the store itself")
+{
+    Pair vms({.leastVms = 3});
+    vms.put("key", "new");
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }));
+    CHECK_FALSE(vms.speaker->relay.isAsked(http::EventLoop::now()));
+}
+
+TEST_CASE("a value that is too large to pass on reaches the other VM from the store")
+{
+    Pair vms;
+    vms.settle();
+    const std::string large(100000, 'x');
+    vms.put("key", large);
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == large; }));
+    CHECK(vms.other->store.calls > 0);
+}
+
+} // namespace teaseldrift::relay
