--- a/packages/policy/src/teaseldrift/parts/part_cache_test.cpp
+++ b/packages/policy/src/teaseldrift/parts/part_cache_test.cpp
@@ -24,6 +24,33 @@
     CHECK(cache.heldTokens(prefixes, PartCertainty::Expected, start + 3s) == 0);
 }
 
+TEST_CASE("an answer confirms what was sent, once, and an event still takes it away")
+{
+    PartCache cache(10000);
+    cache.setFollowed(true);
+    const std::vector<PromptPrefix> prefixes = prefixesOf(parts, "s");
+    cache.expect(prefixes, start);
+    const std::vector<PartEvent> news = cache.confirm(prefixes);
+    REQUIRE(news.size() == 2);
+    CHECK(news[1].partKey == partKeyOf("s", 8));
+    CHECK(news[1].tokens == 300);
+    CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start + 10s) == 800);
+    CHECK(cache.confirm(prefixes).empty());
+    cache.apply({.partKey = partKeyOf("s", 8), .tokens = 0});
+    CHECK(cache.heldTokens(prefixes, PartCertainty::Confirmed, start) == 500);
+}
+
+TEST_CASE("an answer does not bring back what has been taken away since it was sent")
+{
+    PartCache cache(10000);
+    cache.setFollowed(true);
+    const std::vector<PromptPrefix> prefixes = prefixesOf(parts, "s");
+    cache.expect(prefixes, start);
+    cache.clear();
+    CHECK(cache.confirm(prefixes).empty());
+    CHECK(cache.heldTokens(prefixes, PartCertainty::Expected, start) == 0);
+}
+
 TEST_CASE("events confirm parts and take them away")
 {
     PartCache cache(10000);
--- a/packages/policy/src/teaseldrift/targets/target_book_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book_test.cpp
@@ -268,6 +268,37 @@
     CHECK(second.saveTo.empty());
 }
 
+TEST_CASE("pattern, many VMs and one part: what one VM has seen read is imported by the others")
+{
+    Engines one(3);
+    Engines other(3);
+    const TargetChoice first = one.send(promptOf(7, 100));
+    CHECK(one.book().takeNews().empty());
+    one.book().promptRead(first, start);
+    const std::vector<PartNews> news = one.book().takeNews();
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().event.tokens == 5000);
+    CHECK(one.book().takeNews().empty());
+    other.book().applyNews(news);
+    // The engine that has it is full, so another takes the request and fetches the part.
+    other.book().setOthersWork({{targetWorkKey(first.id), {.unreadTokens = 90000}}}, start);
+    const std::optional<TargetChoice> second = other.choose(promptOf(7, 101));
+    REQUIRE(second);
+    CHECK(second->id != first.id);
+    CHECK(second->importFrom == first.address);
+    CHECK(second->tokensToRead == 100);
+}
+
+TEST_CASE("news of a target that is not known, or no longer, changes nothing")
+{
+    Engines engines(1);
+    const std::array<PartNews, 1> news{
+            {{.targetKey = targetWorkKey("other"),
+              .event = {.partKey = partKeyOf("m/1", 7), .tokens = 5000}}}};
+    engines.book().applyNews(news);
+    CHECK(engines.choose(promptOf(7, 100))->tokensToRead == 5100);
+}
+
 TEST_CASE("a request's own part that is longer than the shared ones is not kept")
 {
     Engines engines(2);
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -1,5 +1,7 @@
 #include "teaseldrift/relay/load_task.hpp"
 
+#include <array>
+
 #include <fcntl.h>
 
 #include <catch2/catch.hpp>
@@ -27,6 +29,7 @@
           })
     {
         REQUIRE_FALSE(server.listen());
+        fleet.book().setService({.name = "writer", .cacheTokens = 200000, .slots = 32}, 250.0);
         fleet.applyTarget({.id = "t",
                            .service = "writer",
                            .address = "10.0.0.1:80",
@@ -161,6 +164,34 @@
     CHECK(waitFor(loop, [&] { return knows(b) && knows(c); }));
 }
 
+TEST_CASE("a part that one VM has seen read is known to the VMs of all zones")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "south");
+    Vm d(loop, "d", "south");
+    const Vms vms = recordsOf({&a, &b, &c, &d});
+    const std::array<PromptPart, 2> parts{{{.id = 7, .tokens = 5000}, {.id = 8, .tokens = 100}}};
+    const auto choose = [&](Vm &vm) {
+        return vm.fleet.book().choose(vm.fleet.directory(),
+                                      {.service = "writer", .model = "m", .parts = parts},
+                                      http::EventLoop::now());
+    };
+    for (Vm *vm : {&a, &b, &c, &d}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now());
+        vm->load.start();
+        REQUIRE(choose(*vm)->tokensToRead == 5100);
+    }
+    std::optional<TargetChoice> choice = choose(a);
+    a.fleet.book().sent(*choice, http::EventLoop::now());
+    a.fleet.book().promptRead(*choice, http::EventLoop::now());
+    CHECK(waitFor(loop, [&] {
+        return choose(b)->tokensToRead == 100 && choose(c)->tokensToRead == 100
+               && choose(d)->tokensToRead == 100;
+    }));
+}
+
 TEST_CASE("a plan of a controller that has been replaced changes nothing")
 {
     http::EventLoop loop;
