--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -118,8 +118,12 @@
 
 bool StoreRelay::isAsked(Instant now) const
 {
-    return m_native->askedAt != Instant()
-           && now - m_native->askedAt < m_native->options.serviceTime;
+    const bool wasAsked = m_native->askedAt != Instant()
+                          && now - m_native->askedAt < m_native->options.serviceTime;
+    // The one that all VMs ask keeps changes from the beginning.
+    return wasAsked
+           || (m_native->fleet.vmCount() >= m_native->options.leastVms
+               && m_native->gatherer(now) == nullptr);
 }
 
 void StoreRelay::Native::failure(const std::string &vmId, int status)
