--- a/packages/router/tools/main.cpp
+++ b/packages/router/tools/main.cpp
@@ -4,13 +4,15 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <string>
 #include <sys/resource.h>
 #include <thread>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 
-#include "teaseldrift/http/message.hpp"
 #include "teaseldrift/router/daemon.hpp"
+#include "teaseldrift/router/settings_check.hpp"
 #include "teaseldrift/settings/settings.hpp"
 #include "teaseldrift/telemetry/log.hpp"
 
@@ -33,32 +35,6 @@
     return (static_cast<uint64_t>(device()) << bits) | device();
 }
 
-bool isEndpoint(const char *flag, const std::string &value)
-{
-    http::Endpoint endpoint;
-    if (http::parseEndpoint(value, endpoint)) {
-        return true;
-    }
-    std::cerr << flag << ": '" << value << "' is not allowed; allowed: IP:port\n";
-    return false;
-}
-
-/// What a single setting's range cannot express.
-bool areConsistent(const schema::RouterSettings &settings)
-{
-    bool valid = isEndpoint("--store-address", settings.store_address());
-    valid = isEndpoint("--vm-list-address", settings.vm_list_address()) && valid;
-    if (settings.tls_certificate_file().empty() != settings.tls_key_file().empty()) {
-        std::cerr << "--tls-certificate-file and --tls-key-file: give both or none\n";
-        valid = false;
-    }
-    if (settings.peer_public_key().empty() != settings.peer_secret_key().empty()) {
-        std::cerr << "--peer-public-key and --peer-secret-key: give both or none\n";
-        valid = false;
-    }
-    return valid;
-}
-
 /// Each caller and each target takes a descriptor, so the process takes all it may have.
 void raiseDescriptorLimit()
 {
@@ -97,7 +73,11 @@
     schema::RouterSettings settings;
     settings::addOptions(app, settings);
     CLI11_PARSE(app, argc, argv);
-    if (!areConsistent(settings)) {
+    const std::vector<std::string> problems = router::findProblems(settings);
+    for (const std::string &problem : problems) {
+        std::cerr << problem << "\n";
+    }
+    if (!problems.empty()) {
         return BadSettings;
     }
     if (settings.print_settings()) {
--- a/packages/settings/src/teaseldrift/settings/settings.cpp
+++ b/packages/settings/src/teaseldrift/settings/settings.cpp
@@ -151,7 +151,12 @@
     CLI::Option *option = app.add_option(flagName(field), store, info.help());
     option->envname(variableName(field))->default_str(info.default_value());
     if (field.cpp_type() == FieldDescriptor::CPPTYPE_BOOL) {
-        option->expected(0, 1)->default_str("true");
+        // The text that stands for a switch without a value is no default, so help must not show it
+        // as one.
+        option->expected(0, 1)->default_str("true")->option_text(
+                "[=true|false] ("
+                + (info.default_value().empty() ? std::string("false") : info.default_value())
+                + " unless given) (Env:" + variableName(field) + ")");
     }
     if (info.required()) {
         option->required();
--- a/packages/settings/src/teaseldrift/settings/settings_test.cpp
+++ b/packages/settings/src/teaseldrift/settings/settings_test.cpp
@@ -38,6 +38,16 @@
     CHECK_FALSE(settings.check());
 }
 
+TEST_CASE("help shows that switches are off unless given")
+{
+    schema::RouterSettings settings;
+    CLI::App app("test");
+    addOptions(app, settings);
+    const std::string help = app.help();
+    CHECK_THAT(help, Catch::Contains("--check [=true|false] (false unless given)"));
+    CHECK_THAT(help, !Catch::Contains("=true ("));
+}
+
 TEST_CASE("an environment variable sets a setting")
 {
     setenv("TEASELDRIFT_PEER_PORT", "7500", 1);
