Keep each roll plan and each silent VM's pause in one place

Found on reading the whole change again; behaviour stays as it is. - TargetBook and FleetState each kept the controller's plans and their age bound: the book keeps them now and says which replaces which. - LoadTask, StoreRelay and UsageTask each had a map of VMs that did not answer: SilentVms serves the three. - toMs() and fromMs() stood twice, and two more conversions were written out: base/milliseconds.hpp. - The learned queue delay was worked out for each target although the load told by other VMs replaces it: only the one that is used is computed now. - PrefixFeedOptions had a pause that nobody set beside the function that tells it: the function remains. - An unused function of the allowance task is gone, and its compiler warning.

--- a/packages/policy/include/teaseldrift/targets/target_book.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_book.hpp
@@ -178,9 +178,13 @@
     /// @brief Requests that all VMs together have at a target, as far as it is known.
     [[nodiscard]] uint32_t requestsAt(std::string_view id, Instant now) const;
 
-    /// @brief Takes the controller's plan for a model.
+    /// @brief Takes the controller's plan for a model; one that another has replaced is ignored.
     /// @param statedAt when the controller last stated it
-    void setRollPlan(const RollPlan &plan, Instant statedAt);
+    /// @return whether it replaces the plan known so far
+    bool setRollPlan(const RollPlan &plan, Instant statedAt);
+
+    /// @brief The plans by which targets are chosen now.
+    [[nodiscard]] std::vector<StatedPlan> rollPlans(Instant now) const;
 
     TargetHealth &health() { return m_health; }
 
@@ -263,13 +267,7 @@
     std::map<std::string, State, std::less<>> m_states;
     std::string m_cacheStoreAddress;
     PartCache m_cacheStore;
-    struct KnownPlan
-    {
-        RollPlan plan;
-        Instant statedAt;
-    };
-
-    std::map<std::string, KnownPlan, std::less<>> m_rollPlans;
+    std::map<std::string, StatedPlan, std::less<>> m_rollPlans;
     std::vector<PartNews> m_news;
     /// Targets by their names in tables of work.
     std::map<uint32_t, std::string> m_idsByKey;
--- a/packages/policy/include/teaseldrift/weights/roll_plan.hpp
+++ b/packages/policy/include/teaseldrift/weights/roll_plan.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "teaseldrift/base/time.hpp"
+
 namespace teaseldrift {
 
 /// @brief What the controller does about a model's newest weights, as the other VMs need to know
@@ -37,4 +39,11 @@
     [[nodiscard]] std::optional<size_t> turnsUntil(uint32_t target) const;
 };
 
+/// @brief A controller's plan and when it was last stated.
+struct StatedPlan
+{
+    RollPlan plan;
+    Instant statedAt;
+};
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/targets/queue_delay.cpp
+++ b/packages/policy/src/teaseldrift/targets/queue_delay.cpp
@@ -3,21 +3,12 @@
 #include <algorithm>
 #include <cmath>
 
+#include "teaseldrift/base/milliseconds.hpp"
+
 namespace teaseldrift {
 
 namespace {
 
-double toMs(Duration duration)
-{
-    constexpr double perSecond = 1000.0;
-    return toSeconds(duration) * perSecond;
-}
-
-Duration fromMs(double ms)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
 size_t levelOf(uint32_t priority)
 {
     return std::min<size_t>(priority, QueueDelay::levels - 1);
--- a/packages/policy/src/teaseldrift/targets/target_book.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_book.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/base/rendezvous.hpp"
 
 namespace teaseldrift {
@@ -24,12 +25,6 @@
 /// Cost of another target with older weights: its answers are worth less to the operators.
 constexpr double oldWeightsMs = 20.0;
 
-double toMs(Duration duration)
-{
-    constexpr double perSecond = 1000.0;
-    return toSeconds(duration) * perSecond;
-}
-
 /// Prefixes that other requests may share: all but the last part, which is the request's own.
 std::span<const PromptPrefix> sharedOf(std::span<const PromptPrefix> prefixes)
 {
@@ -117,11 +112,12 @@
     double running = state.inFlight;
     double waiting = 0.0;
     double unread = static_cast<double>(state.tokensAhead);
+    const TargetWork *others = othersWork(state, now);
     // Past waits tell of work that this VM cannot see.
-    Duration queue = state.queue.expected(priority, now);
+    const Duration queue = others != nullptr ? state.queue.overdue(priority, now)
+                                             : state.queue.expected(priority, now);
     const double slots = std::max<double>(1.0, state.report.slots);
-    if (const TargetWork *others = othersWork(state, now)) {
-        queue = state.queue.overdue(priority, now);
+    if (others != nullptr) {
         running += others->requests;
         unread += others->unreadTokens;
         waiting = state.report.slots == 0 ? 0.0 : std::max(0.0, running - slots);
@@ -343,8 +339,7 @@
         return std::nullopt;
     }
     TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
-    choice.expectedWait = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(waitMs(*chosen->state, query.priority, now)));
+    choice.expectedWait = fromMs(waitMs(*chosen->state, query.priority, now));
     if (othersWork(*chosen->state, now) != nullptr) {
         choice.loadAge = now - m_othersWorkAt;
     }
@@ -392,10 +387,7 @@
                                                  : static_cast<double>(choice.tokensToRead)
                                                                    / m_options.promptTokensPerMs
                                                            + toMs(m_options.firstEventTime);
-    choice.ticket = state->queue.sent(
-            choice.priority,
-            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ownMs)),
-            now);
+    choice.ticket = state->queue.sent(choice.priority, fromMs(ownMs), now);
     state->tokensAhead += choice.tokensToRead;
     state->cache.expect(choice.prefixes, now);
     if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
@@ -512,9 +504,25 @@
     return state->inFlight + (others == nullptr ? 0 : others->requests);
 }
 
-void TargetBook::setRollPlan(const RollPlan &plan, Instant statedAt)
+bool TargetBook::setRollPlan(const RollPlan &plan, Instant statedAt)
 {
-    m_rollPlans.insert_or_assign(plan.model, KnownPlan{.plan = plan, .statedAt = statedAt});
+    StatedPlan &known = m_rollPlans[plan.model];
+    const bool isNew = plan.replaces(known.plan);
+    if (isNew || (!known.plan.replaces(plan) && statedAt > known.statedAt)) {
+        known = {.plan = plan, .statedAt = statedAt};
+    }
+    return isNew;
+}
+
+std::vector<StatedPlan> TargetBook::rollPlans(Instant now) const
+{
+    std::vector<StatedPlan> plans;
+    for (const std::pair<const std::string, StatedPlan> &plan : m_rollPlans) {
+        if (now - plan.second.statedAt <= m_options.planAge) {
+            plans.push_back(plan.second);
+        }
+    }
+    return plans;
 }
 
 void TargetBook::accepted(std::string_view id)
--- a/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_feed.hpp
@@ -34,7 +34,7 @@
           m_targets(loop, store,
                     {.prefix = std::string(m_records.targetPrefix()),
                      .wait = 1s,
-                     .pauseNow = std::move(options.targetPause)},
+                     .pause = std::move(options.targetPause)},
                     targetHandlers())
     { }
 
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -119,15 +119,11 @@
     /// @param statedAt when the controller last stated it
     void takeRollPlan(const RollPlan &plan, Instant statedAt);
 
-    /// @brief A controller's plan and when it was last stated.
-    struct StatedPlan
-    {
-        RollPlan plan;
-        Instant statedAt;
-    };
-
     /// @brief The plans that are still in force, for other VMs.
-    [[nodiscard]] std::vector<StatedPlan> rollPlans(Instant now) const;
+    [[nodiscard]] std::vector<StatedPlan> rollPlans(Instant now) const
+    {
+        return m_book.rollPlans(now);
+    }
 
     /// @brief Learned from an answer.
     void sawWeights(std::string_view target, std::string_view model, uint64_t version);
@@ -176,7 +172,6 @@
     RetryBudget m_retryBudget;
     WeightRoll m_weights;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> m_namedWeights;
-    std::map<std::string, StatedPlan, std::less<>> m_rollPlans;
     std::map<std::string, UsageShare, std::less<>> m_keptUsage;
     std::map<std::string, UsageShare, std::less<>> m_ownUsage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
--- a/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_feed.hpp
@@ -17,10 +17,9 @@
     std::string prefix;
     /// Longest time that the store holds a call back for a change.
     Duration wait = 10s;
-    /// Pause between an answer and the next call; bounds the price of prefixes that change often.
-    Duration pause{0};
-    /// Optional; tells the pause anew after each answer, instead of `pause`.
-    std::function<Duration()> pauseNow;
+    /// Optional; tells the pause between an answer and the next call, which bounds the price of
+    /// prefixes that change often.
+    std::function<Duration()> pause;
     /// Pause after a failed call; doubles with each further one.
     Duration firstRetry = 100ms;
     Duration longestRetry = 1s;
@@ -111,7 +110,7 @@
 
     [[nodiscard]] Duration pause() const
     {
-        return m_options.pauseNow ? m_options.pauseNow() : m_options.pause;
+        return m_options.pause ? m_options.pause() : Duration(0);
     }
 
     void later(Duration pause)
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -176,14 +176,7 @@
 
 void FleetState::takeRollPlan(const RollPlan &plan, Instant statedAt)
 {
-    StatedPlan &known = m_rollPlans[plan.model];
-    const bool isNew = plan.replaces(known.plan);
-    if (!isNew && (known.plan.replaces(plan) || statedAt <= known.statedAt)) {
-        return;
-    }
-    known = {.plan = plan, .statedAt = statedAt};
-    m_book.setRollPlan(plan, statedAt);
-    if (!isNew) {
+    if (!m_book.setRollPlan(plan, statedAt)) {
         return;
     }
     for (const std::pair<const std::string, TargetEntry> &target : m_directory.all()) {
@@ -197,19 +190,6 @@
     }
 }
 
-std::vector<FleetState::StatedPlan> FleetState::rollPlans(Instant now) const
-{
-    // As long as choices go by them.
-    const Duration longest = TargetBookOptions().planAge;
-    std::vector<StatedPlan> plans;
-    for (const std::pair<const std::string, StatedPlan> &plan : m_rollPlans) {
-        if (now - plan.second.statedAt <= longest) {
-            plans.push_back(plan.second);
-        }
-    }
-    return plans;
-}
-
 void FleetState::applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now)
 {
     m_vms = std::move(vms);
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "teaseldrift/http/whole_calls.hpp"
+#include "teaseldrift/relay/silent_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/targets/shared_load.hpp"
 
@@ -39,9 +39,9 @@
     return work;
 }
 
-void write(const std::vector<FleetState::StatedPlan> &plans, Instant now, schema::FleetLoad &load)
+void write(const std::vector<StatedPlan> &plans, Instant now, schema::FleetLoad &load)
 {
-    for (const FleetState::StatedPlan &stated : plans) {
+    for (const StatedPlan &stated : plans) {
         schema::WeightsPlan &plan = *load.add_plans();
         plan.set_model(stated.plan.model);
         plan.set_version(stated.plan.version);
@@ -113,16 +113,14 @@
     LoadTaskOptions options;
     SharedLoad load;
     PartNewsLog news;
-    /// VMs that did not answer, and until when they are not asked.
-    std::map<std::string, Instant, std::less<>> silent;
+    SilentVms silent{options.pauseAfterSilence};
     bool isBusy = false;
     http::EventLoop::TimerId timer = 0;
 
     [[nodiscard]] Duration interval() const;
     void tick();
     void takeNews(const schema::FleetLoad &told, bool isOfOwnZone);
-    void tellZones(const WorkTable &own, const std::vector<FleetState::StatedPlan> &plans,
-                   Instant now);
+    void tellZones(const WorkTable &own, const std::vector<StatedPlan> &plans, Instant now);
     void ask(const schema::VmRecord &vm, const schema::FleetLoad &told, Handler handler);
     [[nodiscard]] const schema::VmRecord *gatherer(std::string_view availabilityZone,
                                                    Instant now) const;
@@ -151,10 +149,8 @@
 const schema::VmRecord *LoadTask::Native::gatherer(std::string_view availabilityZone,
                                                    Instant now) const
 {
-    return fleet.gatherer(availabilityZone, [&](const std::string &vmId) {
-        const auto found = silent.find(vmId);
-        return found != silent.end() && now < found->second;
-    });
+    return fleet.gatherer(availabilityZone,
+                          [&](const std::string &vmId) { return silent.contains(vmId, now); });
 }
 
 Duration LoadTask::Native::interval() const
@@ -167,7 +163,7 @@
     const Instant now = http::EventLoop::now();
     load.expire(now);
     const WorkTable own = fleet.book().work();
-    const std::vector<FleetState::StatedPlan> plans = fleet.rollPlans(now);
+    const std::vector<StatedPlan> plans = fleet.rollPlans(now);
     isBusy = isBusy || hasUnread(own) || !plans.empty();
     if (const schema::VmRecord *vm = gatherer(fleet.options().availabilityZone, now)) {
         schema::FleetLoad told;
@@ -199,8 +195,8 @@
     }
 }
 
-void LoadTask::Native::tellZones(const WorkTable &own,
-                                 const std::vector<FleetState::StatedPlan> &plans, Instant now)
+void LoadTask::Native::tellZones(const WorkTable &own, const std::vector<StatedPlan> &plans,
+                                 Instant now)
 {
     const WorkTable others = load.ofOthers(now);
     isBusy = isBusy || hasUnread(others);
@@ -243,12 +239,12 @@
                  handler = std::move(handler)](const http::WholeAnswer &answer) {
                     schema::FleetLoad load;
                     if (answer.status == statusOk && load.ParseFromString(answer.body)) {
-                        silent.erase(vmId);
+                        silent.remove(vmId);
                         takePlans(load, fleet, http::EventLoop::now());
                         handler(load);
                         return;
                     }
-                    silent[vmId] = http::EventLoop::now() + options.pauseAfterSilence;
+                    silent.add(vmId, http::EventLoop::now());
                     metrics.counter({"teaseldrift_load_unanswered_total"}).add();
                     log.write(telemetry::EventWeight::Routine, "load_gatherer_silent",
                               {{"silent_vm", std::string_view(vmId)},
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "teaseldrift/http/whole_calls.hpp"
+#include "teaseldrift/relay/silent_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/store/change_log.hpp"
 
@@ -70,8 +71,7 @@
     std::map<std::string, store::ChangeLog, std::less<>> logs;
     std::vector<Question> questions;
     Instant askedAt;
-    /// VMs that had no answer, and until when they are not asked.
-    std::map<std::string, Instant, std::less<>> failed;
+    SilentVms failed{options.pauseAfterFailure};
     http::EventLoop::TimerId timer = 0;
 
     void tick();
@@ -104,10 +104,8 @@
 
 const schema::VmRecord *StoreRelay::Native::gatherer(Instant now) const
 {
-    return fleet.gatherer(fleet.options().availabilityZone, [&](const std::string &vmId) {
-        const auto found = failed.find(vmId);
-        return found != failed.end() && now < found->second;
-    });
+    return fleet.gatherer(fleet.options().availabilityZone,
+                          [&](const std::string &vmId) { return failed.contains(vmId, now); });
 }
 
 bool StoreRelay::asksOther(Instant now) const
@@ -128,7 +126,7 @@
 
 void StoreRelay::Native::failure(const std::string &vmId, int status)
 {
-    failed[vmId] = http::EventLoop::now() + options.pauseAfterFailure;
+    failed.add(vmId, http::EventLoop::now());
     metrics.counter({"teaseldrift_changes_unanswered_total"}).add();
     log.write(telemetry::EventWeight::Important, "changes_not_passed_on",
               {{"asked_vm", std::string_view(vmId)}, {"status", static_cast<int64_t>(status)}});
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "teaseldrift/http/whole_calls.hpp"
+#include "teaseldrift/relay/silent_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 
 namespace teaseldrift::relay {
@@ -22,8 +23,7 @@
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
-    /// Keepers that did not answer, and until when they are not asked.
-    std::map<std::string, Instant, std::less<>> silent;
+    SilentVms silent{options.pauseAfterSilence};
     /// Units of requests that did not run, by organisation.
     std::map<std::string, double, std::less<>> returned;
 
@@ -67,9 +67,8 @@
         return;
     }
     http::Endpoint endpoint;
-    const auto silent = native.silent.find(keeper->vm_id());
-    const bool isSilent = silent != native.silent.end() && now < silent->second;
-    if (isSilent || !http::parseEndpoint(keeper->peer_address(), endpoint)) {
+    if (native.silent.contains(keeper->vm_id(), now)
+        || !http::parseEndpoint(keeper->peer_address(), endpoint)) {
         native.takeOwnPart(organisation, units, handler);
         return;
     }
@@ -100,12 +99,12 @@
                  handler = std::move(handler)](const http::WholeAnswer &answer) {
                     schema::UsageGrant grant;
                     if (answer.status == statusOk && grant.ParseFromString(answer.body)) {
-                        silent.erase(keeperId);
+                        silent.remove(keeperId);
                         handler({.isGranted = grant.is_granted(),
                                  .retryAfter = Duration(grant.retry_after_us())});
                         return;
                     }
-                    silent[keeperId] = http::EventLoop::now() + options.pauseAfterSilence;
+                    silent.add(keeperId, http::EventLoop::now());
                     log.write(telemetry::EventWeight::Routine, "usage_keeper_silent",
                               {{"keeper", std::string_view(keeperId)},
                                {"organisation", std::string_view(organisation)}});
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -39,12 +39,6 @@
     }
 }
 
-/// Refusals that may only mean that a process which has just started holds no level yet.
-bool isRefusedForLevel(schema::ResultCode code)
-{
-    return code == schema::ALLOWANCE_UNCONFIRMED || code == schema::RATE_EXCEEDED;
-}
-
 AdmissionAnswer answerOf(const allowance::Decision &decision)
 {
     AdmissionAnswer answer{.code = decision.code, .ticket = decision.ticket};
