--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -102,6 +103,8 @@
     /// Expected wait at the last selected target, also if the request was refused because of it.
     Duration m_expectedWait{0};
     std::optional<Duration> m_loadAge;
+    /// Oldest weights version on which the last attempt was allowed to start.
+    uint64_t m_minWeights = 0;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -146,6 +146,7 @@
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
     const uint64_t seed = rendezvousKey(request.id);
+    m_minWeights = m_context.fleet.minWeights(request.model, now);
     m_choice = m_context.fleet.targetSelector().choose(
             m_context.fleet.directory(),
             {.service = RouteTable::chooseService(*m_admitted.route, seed),
@@ -154,7 +155,7 @@
              .isolatedOrganisation
              = isIsolated ? std::string_view(organisation->name) : std::string_view(),
              .excluded = action.excludedTargets,
-             .minWeights = m_context.fleet.minWeights(request.model, now),
+             .minWeights = m_minWeights,
              .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
              .priority = priority(),
              .expectedRun = expectedRun(request),
@@ -598,6 +599,7 @@
              {"events", static_cast<int64_t>(m_machine.deliveredPositions())},
              {"tokens_to_read", static_cast<int64_t>(m_choice ? m_choice->prefillTokens : 0)},
              {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
+             {"min_weights", static_cast<int64_t>(m_minWeights)},
              {"import_from",
               m_choice ? std::string_view(m_choice->importFrom) : std::string_view()},
              {"expected_wait_ms", toSeconds(m_expectedWait) * 1e3},
--- a/packages/telemetry/include/teaseldrift/telemetry/event_log.hpp
+++ b/packages/telemetry/include/teaseldrift/telemetry/event_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <map>
 #include <string>
@@ -37,6 +38,10 @@
     uint32_t routineLinesPerSecond = 50;
     /// Id of this VM, written into each line.
     std::string vmId;
+    /// Optional; returns the wall-clock time in Unix microseconds for the timestamp of each line.
+    /// Without it, lines bear the time of the last setTime(), which is out of date after a
+    /// suspension of the process.
+    std::function<int64_t()> wallClock;
 };
 
 /// @brief Log of decisions and state changes as JSON lines, written in batches without blocking.
@@ -56,7 +61,8 @@
     /// @brief Writes buffered lines as far as the descriptor accepts them without blocking.
     void flush();
 
-    /// @brief Sets the timestamp of following lines and resets the rate limit once a second.
+    /// @brief Resets the rate limit once a second, and sets the timestamp of following lines if no
+    /// EventLogOptions::wallClock is set.
     /// @param now monotonic time
     /// @param unixMicroseconds wall-clock time
     void setTime(Instant now, int64_t unixMicroseconds);
--- a/packages/telemetry/src/teaseldrift/telemetry/event_log.cpp
+++ b/packages/telemetry/src/teaseldrift/telemetry/event_log.cpp
@@ -83,7 +83,7 @@
         return;
     }
     m_buffer += "{\"time_us\":";
-    appendNumber(m_buffer, m_unixMicroseconds);
+    appendNumber(m_buffer, m_options.wallClock ? m_options.wallClock() : m_unixMicroseconds);
     m_buffer += ",\"vm\":";
     appendQuoted(m_buffer, m_options.vmId);
     m_buffer += ",\"event\":";
--- a/packages/telemetry/src/teaseldrift/telemetry/event_log_test.cpp
+++ b/packages/telemetry/src/teaseldrift/telemetry/event_log_test.cpp
@@ -66,6 +66,19 @@
              "\"status\":503,\"late\":true}\n");
 }
 
+TEST_CASE("a line written after a suspension bears the time at which it was written")
+{
+    Pipe pipe;
+    int64_t unixMicroseconds = 5;
+    EventLog log({.descriptor = pipe.writer(),
+                  .wallClock = [&unixMicroseconds] { return unixMicroseconds; }});
+    log.setTime(Instant(1s), unixMicroseconds);
+    unixMicroseconds = 4000005;
+    log.write(EventPriority::Important, "weights_named", {});
+    log.flush();
+    CHECK(countOf(pipe.readAll(), "\"time_us\":4000005") == 1);
+}
+
 TEST_CASE("routine lines over the rate limit are counted, important ones all written")
 {
     Pipe pipe;
