--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_records.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -0,0 +1,111 @@
+#include "teaseldrift/relay/desired_weights_tracker.hpp"
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include <fcntl.h>
+
+#include <catch2/catch.hpp>
+
+#include "teaseldrift/http/event_loop.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+constexpr Duration gracePeriod = 12s;
+constexpr int64_t unixNowMs = 1'700'000'000'000;
+
+/// A store with one record of a model's desired weights.
+class RecordStore
+{
+public:
+    explicit RecordStore(http::EventLoop &loop) : m_loop(loop) { }
+
+    void readPrefix(std::string_view, store::ReadConsistency,
+                    std::function<void(std::error_code, const store::StoreSnapshot &)> handler)
+    {
+        store::StoreSnapshot snapshot;
+        if (record) {
+            snapshot.entries.push_back({.key = "teaseldrift/weights/m",
+                                        .value = record->SerializeAsString(),
+                                        .revision = 1});
+        }
+        m_loop.post([handler = std::move(handler), snapshot] { handler({}, snapshot); });
+    }
+
+    void write(std::span<const store::StoreWrite> writes,
+               std::function<void(store::StoreWriteResult)> handler)
+    {
+        schema::WeightsNaming written;
+        REQUIRE(written.ParseFromString(writes.front().value));
+        record = written;
+        m_loop.post([handler = std::move(handler)] {
+            handler({.outcome = store::StoreOutcome::Written});
+        });
+    }
+
+    void waitForChanges(std::string_view, uint64_t, Duration,
+                        std::function<void(std::error_code, const store::StoreSnapshot &)>)
+    { }
+    void grantLease(Duration, std::function<void(std::error_code, uint64_t)>) { }
+    void renewLease(uint64_t, std::function<void(std::error_code)>) { }
+    void revokeLease(uint64_t) { }
+
+    std::optional<schema::WeightsNaming> record;
+
+private:
+    http::EventLoop &m_loop;
+};
+
+struct Vm
+{
+    http::EventLoop loop;
+    telemetry::EventLog log{{.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}};
+    FleetState fleet{
+            {.vmId = "vm-1", .availabilityZone = "z", .olderWeightsGracePeriod = gracePeriod},
+            log,
+            http::EventLoop::now()};
+    RecordStore store{loop};
+    DesiredWeightsTracker<RecordStore> tracker{
+            loop, store, fleet, {.writeStagger = 10ms, .unixMs = [] { return unixNowMs; }}};
+
+    void learn(uint64_t version)
+    {
+        tracker.update({.model = "m", .version = version}, true, [] {});
+        loop.startTimer(100ms, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// Oldest weights on which a request may start after a delay.
+    [[nodiscard]] uint64_t minWeightsAfter(Duration delay) const
+    {
+        return fleet.minWeights("m", http::EventLoop::now() + delay);
+    }
+};
+
+schema::WeightsNaming recordOf(uint64_t version, Duration age)
+{
+    schema::WeightsNaming record;
+    record.set_model("m");
+    record.set_version(version);
+    record.set_named_at_unix_ms(unixNowMs - age / 1ms);
+    return record;
+}
+
+} // namespace
+
+// Incident inc1: a VM that was suspended while new weights were named sent requests to targets with
+// the old ones four seconds too long.
+TEST_CASE("a VM that learns late of new weights counts the grace period from their naming")
+{
+    Vm vm;
+    vm.store.record = recordOf(3, 4s);
+    vm.learn(3);
+    CHECK(vm.minWeightsAfter(5s) == 0);
+    CHECK(vm.minWeightsAfter(8s) == 3);
+}
+
+} // namespace teaseldrift::relay
