Count the grace period for older weights from their naming, not from when a VM learns of it

Cause: DesiredWeightsTracker took a change that arrived over a watch for one of this moment. A VM that was suspended (or cut off from the store) during the change gets it when it runs again: its grace period ended as much too late. The time that another VM had recorded in the store was read by VMs that start only. Class of fault: the age of a fact counted from its arrival.

Evidence: edge-gampaha-b-2 was suspended from 36.3 to 40.3 s and logged weights_named with age 0 at 40.35 s; it sent to a target with version 2 at 49.237 s. VMs that ran at 36.3 s sent nothing there after 46.8 s. Ruled out: the wait in the target's queue (176 ms, margin 1500 ms). The slow rollout (two controllers suspended in a row, last target ordered 13.2 s after the naming) was a condition, not the cause: it leaves targets with old weights, which nobody may use.

Now DesiredWeightsHistory keeps the earliest time known from any source: own observation, that of other VMs (told with the exchange of load, as an age by the monotonic clock), the record in the store (read by every VM that learns of a version, until the store responds). An age that was assumed at a start counts only until another source is there. A version that a suspended VM never saw is told by the others too. The record is now written on condition that nobody has written since, and a record of another model whose name begins alike is no longer taken for it.

Before: desired_weights_tracker_test.cpp:108 FAILED 0 == 3.

--- /dev/null
+++ b/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift {
+
+/// @brief How a VM knows when a weights version became the desired one.
+enum class ChangeTimeSource {
+    /// This VM or another one learned of the change then; the change itself may be older.
+    Observed,
+    /// A record in the store states the wall-clock time of another VM.
+    Recorded,
+    /// Unknown; a default age is used until another source is available.
+    Assumed,
+};
+
+/// @brief Name of the source in logs.
+[[nodiscard]] std::string_view name(ChangeTimeSource source);
+
+/// @brief A desired weights version of a model and the time at which it became the desired one.
+struct DesiredWeights
+{
+    uint64_t version = 0;
+    Instant changedAt;
+};
+
+/// @brief Desired weights versions of one model and the time of each change.
+///
+/// Requests may start on older weights for a grace period after a change. Each VM learns of a
+/// change at its own time, and a suspended or disconnected one learns late, so the earliest time
+/// known from any source counts.
+class DesiredWeightsHistory
+{
+public:
+    /// @brief Adds a version or another source of its change time.
+    /// @return whether the version is new or its change time differs from before
+    bool add(uint64_t version, Instant changedAt, ChangeTimeSource source);
+
+    /// @brief When a version became the desired one; empty if the version is not known.
+    [[nodiscard]] std::optional<Instant> changedAt(uint64_t version) const;
+
+    /// @brief Oldest version on which a request may start.
+    /// @param gracePeriod time after a change during which requests may start on older weights
+    [[nodiscard]] uint64_t minVersion(Instant now, Duration gracePeriod) const;
+
+    /// @brief Versions with the earliest observation of this VM or another one, oldest first.
+    [[nodiscard]] std::vector<DesiredWeights> observed() const;
+
+    /// @brief Drops versions older than `minVersion`; they have no further effect.
+    void dropOlderThan(uint64_t minVersion);
+
+private:
+    struct Entry
+    {
+        uint64_t version = 0;
+        std::optional<Instant> observedAt;
+        std::optional<Instant> recordedAt;
+        std::optional<Instant> assumedAt;
+
+        [[nodiscard]] Instant changedAt() const;
+    };
+
+    /// Sorted by version.
+    std::vector<Entry> m_entries;
+};
+
+} // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history.cpp
@@ -0,0 +1,82 @@
+#include "teaseldrift/weights/desired_weights_history.hpp"
+
+#include <algorithm>
+
+namespace teaseldrift {
+
+std::string_view name(ChangeTimeSource source)
+{
+    switch (source) {
+    case ChangeTimeSource::Observed:
+        return "observed";
+    case ChangeTimeSource::Recorded:
+        return "recorded";
+    case ChangeTimeSource::Assumed:
+        return "assumed";
+    }
+    return "unknown";
+}
+
+Instant DesiredWeightsHistory::Entry::changedAt() const
+{
+    if (observedAt && recordedAt) {
+        return std::min(*observedAt, *recordedAt);
+    }
+    return observedAt ? *observedAt : recordedAt ? *recordedAt : *assumedAt;
+}
+
+bool DesiredWeightsHistory::add(uint64_t version, Instant changedAt, ChangeTimeSource source)
+{
+    const auto position = std::lower_bound(
+            m_entries.begin(), m_entries.end(), version,
+            [](const Entry &entry, uint64_t wanted) { return entry.version < wanted; });
+    const bool isNew = position == m_entries.end() || position->version != version;
+    Entry &entry = isNew ? *m_entries.insert(position, {.version = version}) : *position;
+    const std::optional<Instant> before
+            = isNew ? std::nullopt : std::optional<Instant>(entry.changedAt());
+    std::optional<Instant> &known = source == ChangeTimeSource::Observed   ? entry.observedAt
+                                    : source == ChangeTimeSource::Recorded ? entry.recordedAt
+                                                                           : entry.assumedAt;
+    known = known ? std::min(*known, changedAt) : changedAt;
+    return before != entry.changedAt();
+}
+
+std::optional<Instant> DesiredWeightsHistory::changedAt(uint64_t version) const
+{
+    for (const Entry &entry : m_entries) {
+        if (entry.version == version) {
+            return entry.changedAt();
+        }
+    }
+    return std::nullopt;
+}
+
+uint64_t DesiredWeightsHistory::minVersion(Instant now, Duration gracePeriod) const
+{
+    uint64_t minVersion = 0;
+    for (const Entry &entry : m_entries) {
+        if (now - entry.changedAt() > gracePeriod) {
+            minVersion = entry.version;
+        }
+    }
+    return minVersion;
+}
+
+std::vector<DesiredWeights> DesiredWeightsHistory::observed() const
+{
+    std::vector<DesiredWeights> observed;
+    for (const Entry &entry : m_entries) {
+        if (entry.observedAt) {
+            observed.push_back({.version = entry.version, .changedAt = *entry.observedAt});
+        }
+    }
+    return observed;
+}
+
+void DesiredWeightsHistory::dropOlderThan(uint64_t minVersion)
+{
+    std::erase_if(m_entries,
+                  [minVersion](const Entry &entry) { return entry.version < minVersion; });
+}
+
+} // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <functional>
-#include <map>
+#include <optional>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "teaseldrift/http/event_loop.hpp"
@@ -18,8 +20,8 @@
 /// @brief Stores when the desired weights version of a model changed, and passes its age to
 /// FleetState.
 ///
-/// Requests may start on older weights for a limited time after the change. A VM that starts up
-/// must know how much of that time is left.
+/// Requests may start on older weights for a limited time after the change. A VM that starts up, or
+/// that was suspended or disconnected at the change, must know how much of that time is left.
 template <store::LongPollStore Store>
 class DesiredWeightsTracker
 {
@@ -30,6 +32,8 @@
         /// Delay between the writes of two VMs: all would write the same record, and one write
         /// suffices.
         Duration writeStagger = 200ms;
+        /// Delay after a read without a response.
+        Duration retryDelay = 500ms;
         /// Returns the wall-clock time.
         std::function<int64_t()> unixMs;
     };
@@ -47,74 +51,123 @@
     void update(const WeightsRecord &record, bool isLiveChange,
                 const std::function<void()> &onApplied)
     {
-        if (isLiveChange) {
-            m_fleet.setDesiredWeights(record.model, record.version, Duration(0),
-                                      http::EventLoop::now());
-            onApplied();
-            const int64_t changedAt = m_options.unixMs();
-            m_loop.startTimer(m_options.writeStagger * static_cast<int64_t>(m_fleet.rank()),
-                              [this, record, changedAt] { saveIfNewer(record, changedAt); });
+        if (!isLiveChange) {
+            readRecord(record, [this, record, onApplied](bool isRecorded) {
+                if (!isRecorded) {
+                    // The version may be new, or all VMs may have failed before one of them wrote
+                    // the record.
+                    apply(record, m_fleet.options().olderWeightsGracePeriod / 2,
+                          ChangeTimeSource::Assumed);
+                }
+                onApplied();
+            });
             return;
         }
+        apply(record, Duration(0), ChangeTimeSource::Observed);
+        onApplied();
+        readRecord(record, [](bool) {});
+        m_loop.startTimer(m_options.writeStagger * static_cast<int64_t>(m_fleet.rank()),
+                          [this, record] { saveIfNewer(record); });
+    }
+
+private:
+    void apply(const WeightsRecord &record, Duration age, ChangeTimeSource source)
+    {
+        m_fleet.setDesiredWeights(record.model, record.version, age, source,
+                                  http::EventLoop::now());
+    }
+
+    [[nodiscard]] bool isDesired(const WeightsRecord &record) const
+    {
+        return m_fleet.weightRollout().desiredVersion(record.model) == record.version;
+    }
+
+    /// Applies the recorded time of the change; repeats the read until the store responds.
+    /// @param onFirstRead called once, with whether the store has a record of the change
+    void readRecord(const WeightsRecord &record, const std::function<void(bool)> &onFirstRead)
+    {
         m_store.readPrefix(m_options.prefix + record.model, store::ReadConsistency::Current,
-                           [this, record, onApplied](std::error_code error,
-                                                     const store::StoreSnapshot &snapshot) {
-                               m_fleet.setDesiredWeights(record.model, record.version,
-                                                         ageOf(record, error, snapshot),
-                                                         http::EventLoop::now());
-                               onApplied();
+                           [this, record, onFirstRead](std::error_code error,
+                                                       const store::StoreSnapshot &snapshot) {
+                               const std::optional<Duration> age
+                                       = error ? std::nullopt : recordedAge(record, snapshot);
+                               if (age) {
+                                   apply(record, *age, ChangeTimeSource::Recorded);
+                               }
+                               onFirstRead(age.has_value());
+                               if (error && isDesired(record)) {
+                                   m_loop.startTimer(m_options.retryDelay, [this, record] {
+                                       readRecord(record, [](bool) {});
+                                   });
+                               }
                            });
     }
 
-private:
-    /// Returns the age of a desired version. If no record of the change exists, the version may be
-    /// new, or all VMs may have failed before one of them wrote the record; half of the grace
-    /// period is assumed.
-    [[nodiscard]] Duration ageOf(const WeightsRecord &record, std::error_code error,
-                                 const store::StoreSnapshot &snapshot) const
+    /// Returns the key's record; empty if there is none.
+    [[nodiscard]] std::optional<schema::WeightsNaming>
+    recordOf(const WeightsRecord &record, const store::StoreEntry &entry) const
     {
-        const Duration unknownAge = m_fleet.options().olderWeightsGracePeriod / 2;
-        if (error) {
-            return unknownAge;
+        schema::WeightsNaming naming;
+        if (entry.key != m_options.prefix + record.model || !naming.ParseFromString(entry.value)) {
+            return std::nullopt;
         }
+        return naming;
+    }
+
+    [[nodiscard]] std::optional<Duration> recordedAge(const WeightsRecord &record,
+                                                      const store::StoreSnapshot &snapshot) const
+    {
         for (const store::StoreEntry &entry : snapshot.entries) {
-            schema::WeightsNaming naming;
-            if (naming.ParseFromString(entry.value) && naming.model() == record.model
-                && naming.version() == record.version) {
-                const int64_t ageMs = m_options.unixMs() - naming.named_at_unix_ms();
+            const std::optional<schema::WeightsNaming> naming = recordOf(record, entry);
+            if (naming && naming->version() == record.version) {
+                const int64_t ageMs = m_options.unixMs() - naming->named_at_unix_ms();
                 return std::chrono::milliseconds(std::max<int64_t>(0, ageMs));
             }
         }
-        return unknownAge;
+        return std::nullopt;
     }
 
-    void saveIfNewer(const WeightsRecord &record, int64_t changedAt)
+    void saveIfNewer(const WeightsRecord &record)
     {
         m_store.readPrefix(
                 m_options.prefix + record.model, store::ReadConsistency::AllowStale,
-                [this, record, changedAt](std::error_code error,
-                                          const store::StoreSnapshot &snapshot) {
-                    schema::WeightsNaming saved;
-                    const bool isSaved = !error && !snapshot.entries.empty()
-                                         && saved.ParseFromString(snapshot.entries.front().value)
-                                         && saved.version() >= record.version;
-                    if (!isSaved
-                        && m_fleet.weightRollout().desiredVersion(record.model) == record.version) {
-                        write(record, changedAt);
+                [this, record](std::error_code error, const store::StoreSnapshot &snapshot) {
+                    if (!isDesired(record)) {
+                        return;
+                    }
+                    if (error) {
+                        m_loop.startTimer(m_options.retryDelay,
+                                          [this, record] { saveIfNewer(record); });
+                        return;
+                    }
+                    uint64_t revision = 0;
+                    for (const store::StoreEntry &entry : snapshot.entries) {
+                        const std::optional<schema::WeightsNaming> naming = recordOf(record, entry);
+                        if (naming && naming->version() >= record.version) {
+                            return;
+                        }
+                        if (entry.key == m_options.prefix + record.model) {
+                            revision = entry.revision;
+                        }
                     }
+                    write(record, revision);
                 });
     }
 
-    void write(const WeightsRecord &record, int64_t changedAt)
+    /// @param revision revision of the key's present record; the write has no effect if another VM
+    /// has written since
+    void write(const WeightsRecord &record, uint64_t revision)
     {
+        const Duration age
+                = m_fleet.desiredWeightsAge(record.model, record.version, http::EventLoop::now());
         schema::WeightsNaming naming;
         naming.set_model(record.model);
         naming.set_version(record.version);
-        naming.set_named_at_unix_ms(changedAt);
+        naming.set_named_at_unix_ms(m_options.unixMs() - age / 1ms);
         const std::array<store::StoreWrite, 1> writes{
                 store::StoreWrite{.key = m_options.prefix + record.model,
                                   .value = naming.SerializeAsString(),
-                                  .isUnconditional = true}};
+                                  .expectedRevision = revision}};
         // If the write is lost, a VM that starts up assumes that half of the grace period is left.
         m_store.write(writes, [](store::StoreWriteResult) {});
     }
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -18,6 +18,7 @@
 #include "teaseldrift/targets/target_selector.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/usage/usage_limiter.hpp"
+#include "teaseldrift/weights/desired_weights_history.hpp"
 #include "teaseldrift/weights/weight_rollout.hpp"
 
 namespace teaseldrift::relay {
@@ -65,9 +66,17 @@
     void applyAllTargets(const std::map<std::string, TargetEntry, std::less<>> &entries,
                          Instant now);
 
-    /// @brief Sets the desired weights version of a model.
+    /// @brief Sets a desired weights version of a model, or adds a source of its change time.
     /// @param age time since the desired version changed
-    void setDesiredWeights(std::string_view model, uint64_t version, Duration age, Instant now);
+    void setDesiredWeights(std::string_view model, uint64_t version, Duration age,
+                           ChangeTimeSource source, Instant now);
+
+    /// @brief Time since a weights version became the desired one; 0 if it is not known.
+    [[nodiscard]] Duration desiredWeightsAge(std::string_view model, uint64_t version,
+                                             Instant now) const;
+
+    /// @brief Desired weights versions that this VM or another one observed, by model.
+    [[nodiscard]] std::map<std::string, std::vector<DesiredWeights>> observedDesiredWeights() const;
 
     /// @brief Replaces the list of VMs by the one read from the store.
     void applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now);
@@ -149,12 +158,6 @@
     [[nodiscard]] const FleetOptions &options() const { return m_options; }
 
 private:
-    struct DesiredWeights
-    {
-        uint64_t version = 0;
-        Instant changedAt;
-    };
-
     void divideUsageLimits(Instant now);
     /// @param localScore rendezvous score of this VM; 0 if it is no candidate
     /// @return VM with the highest rendezvous score among those that `isCandidate` accepts; null if
@@ -174,7 +177,7 @@
     TargetSelector m_targetSelector;
     RetryBudget m_retryBudget;
     WeightRollout m_weightRollout;
-    std::map<std::string, std::vector<DesiredWeights>, std::less<>> m_desiredWeights;
+    std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     std::map<std::string, UsageLimiter, std::less<>> m_ownedUsageLimiters;
     std::map<std::string, UsageLimiter, std::less<>> m_fallbackUsageLimiters;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
--- a/packages/relay/include/teaseldrift/relay/load_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/load_task.hpp
@@ -34,7 +34,8 @@
 /// The VMs of an availability zone send their load to the zone's representative, which all of them
 /// determine by rendezvous hashing; the representatives exchange the totals of their zones. While
 /// no VM responds, targets are selected by the local load alone. The exchange also carries rollout
-/// plans and prefilled segments.
+/// plans, prefilled segments, and when the desired weights changed: a VM that was suspended then
+/// learns the time from the others.
 class LoadTask
 {
 public:
--- a/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -27,7 +27,19 @@
     void readPrefix(std::string_view, store::ReadConsistency,
                     std::function<void(std::error_code, const store::StoreSnapshot &)> handler)
     {
+        if (failedReads > 0) {
+            --failedReads;
+            m_loop.post([handler = std::move(handler)] {
+                handler(store::StoreError::Unavailable, {});
+            });
+            return;
+        }
         store::StoreSnapshot snapshot;
+        if (otherModel) {
+            snapshot.entries.push_back({.key = "teaseldrift/weights/m-large",
+                                        .value = otherModel->SerializeAsString(),
+                                        .revision = 9});
+        }
         if (record) {
             snapshot.entries.push_back({.key = "teaseldrift/weights/m",
                                         .value = record->SerializeAsString(),
@@ -41,6 +53,8 @@
     {
         schema::WeightsNaming written;
         REQUIRE(written.ParseFromString(writes.front().value));
+        CHECK(writes.front().expectedRevision == (record ? 1 : 0));
+        CHECK_FALSE(writes.front().isUnconditional);
         record = written;
         m_loop.post([handler = std::move(handler)] {
             handler({.outcome = store::StoreOutcome::Written});
@@ -55,6 +69,8 @@
     void revokeLease(uint64_t) { }
 
     std::optional<schema::WeightsNaming> record;
+    std::optional<schema::WeightsNaming> otherModel;
+    int failedReads = 0;
 
 private:
     http::EventLoop &m_loop;
@@ -70,11 +86,13 @@
             http::EventLoop::now()};
     RecordStore store{loop};
     DesiredWeightsTracker<RecordStore> tracker{
-            loop, store, fleet, {.writeStagger = 10ms, .unixMs = [] { return unixNowMs; }}};
+            loop, store, fleet, {.writeStagger = 10ms, .retryDelay = 10ms, .unixMs = [] {
+                                     return unixNowMs;
+                                 }}};
 
-    void learn(uint64_t version)
+    void learn(uint64_t version, bool isLiveChange = true)
     {
-        tracker.update({.model = "m", .version = version}, true, [] {});
+        tracker.update({.model = "m", .version = version}, isLiveChange, [] {});
         loop.startTimer(100ms, [this] { loop.stop(); });
         loop.run();
     }
@@ -108,4 +126,43 @@
     CHECK(vm.minWeightsAfter(8s) == 3);
 }
 
+TEST_CASE("the change time is read again until the store responds")
+{
+    Vm vm;
+    vm.store.record = recordOf(3, 4s);
+    vm.store.failedReads = 3;
+    vm.learn(3);
+    CHECK(vm.minWeightsAfter(8s) == 3);
+}
+
+TEST_CASE("a VM that starts assumes half of the grace period until it knows the change time")
+{
+    Vm vm;
+    vm.learn(3, false);
+    CHECK(vm.minWeightsAfter(3s) == 0);
+    CHECK(vm.minWeightsAfter(6s) == 3);
+}
+
+TEST_CASE("a record of an older version is replaced, one of the same version is kept")
+{
+    Vm vm;
+    vm.store.record = recordOf(2, 60s);
+    vm.learn(3);
+    REQUIRE(vm.store.record);
+    CHECK(vm.store.record->version() == 3);
+    vm.store.record = recordOf(3, 1s);
+    vm.learn(3);
+    CHECK(vm.store.record->named_at_unix_ms() == unixNowMs - 1000);
+}
+
+TEST_CASE("the record of a model whose name begins alike is neither used nor replaced")
+{
+    Vm vm;
+    vm.store.otherModel = recordOf(3, 11s);
+    vm.learn(3);
+    CHECK(vm.minWeightsAfter(8s) == 0);
+    REQUIRE(vm.store.record);
+    CHECK(vm.store.record->version() == 3);
+}
+
 } // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
@@ -143,33 +145,55 @@
 }
 
 void FleetState::setDesiredWeights(std::string_view model, uint64_t version, Duration age,
-                                   Instant now)
+                                   ChangeTimeSource source, Instant now)
 {
-    if (!m_weightRollout.setDesiredVersion(model, version)) {
+    DesiredWeightsHistory &history = m_desiredWeights[std::string(model)];
+    const std::optional<Instant> before = history.changedAt(version);
+    if (version < minWeights(model, now) || !history.add(version, now - age, source)) {
         return;
     }
-    m_desiredWeights[std::string(model)].push_back({.version = version, .changedAt = now - age});
-    m_log.write(EventPriority::Important, "weights_named",
-                {{"model", model},
-                 {"version", static_cast<int64_t>(version)},
-                 {"age_ms", toSeconds(age) * 1e3}});
+    m_weightRollout.setDesiredVersion(model, version);
+    history.dropOlderThan(minWeights(model, now));
+    // Each VM observes the change a little earlier or later; only a correction that matters is
+    // logged.
+    constexpr Duration loggedCorrection = 200ms;
+    const Instant changedAt = history.changedAt(version).value_or(now);
+    if (!before || changedAt < *before - loggedCorrection
+        || changedAt > *before + loggedCorrection) {
+        m_log.write(EventPriority::Important, "weights_named",
+                    {{"model", model},
+                     {"version", static_cast<int64_t>(version)},
+                     {"age_ms", toMs(now - changedAt)},
+                     {"source", name(source)}});
+    }
 }
 
-uint64_t FleetState::minWeights(std::string_view model, Instant now) const
+Duration FleetState::desiredWeightsAge(std::string_view model, uint64_t version, Instant now) const
 {
-    // Covers the network delay to the target and the wait in its queue.
-    constexpr Duration margin = 1500ms;
     const auto found = m_desiredWeights.find(model);
     if (found == m_desiredWeights.end()) {
-        return 0;
+        return Duration(0);
     }
-    uint64_t least = 0;
-    for (const DesiredWeights &desired : found->second) {
-        if (now - desired.changedAt + margin > m_options.olderWeightsGracePeriod) {
-            least = desired.version;
-        }
+    return now - found->second.changedAt(version).value_or(now);
+}
+
+std::map<std::string, std::vector<DesiredWeights>> FleetState::observedDesiredWeights() const
+{
+    std::map<std::string, std::vector<DesiredWeights>> observed;
+    for (const std::pair<const std::string, DesiredWeightsHistory> &model : m_desiredWeights) {
+        observed.emplace(model.first, model.second.observed());
     }
-    return least;
+    return observed;
+}
+
+uint64_t FleetState::minWeights(std::string_view model, Instant now) const
+{
+    // Covers the network delay to the target and the wait in its queue.
+    constexpr Duration margin = 1500ms;
+    const auto found = m_desiredWeights.find(model);
+    return found == m_desiredWeights.end()
+                   ? 0
+                   : found->second.minVersion(now, m_options.olderWeightsGracePeriod - margin);
 }
 
 void FleetState::updateLoadedWeights(std::string_view target, std::string_view model,
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/relay/load_task.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <string>
 #include <utility>
@@ -70,6 +71,28 @@
     }
 }
 
+void writeDesiredWeights(const FleetState &fleet, Instant now, schema::FleetLoad &load)
+{
+    for (const std::pair<const std::string, std::vector<DesiredWeights>> &model :
+         fleet.observedDesiredWeights()) {
+        for (const DesiredWeights &observed : model.second) {
+            schema::DesiredWeights &desired = *load.add_desired_weights();
+            desired.set_model(model.first);
+            desired.set_version(observed.version);
+            desired.set_age_ms(static_cast<uint64_t>((now - observed.changedAt) / 1ms));
+        }
+    }
+}
+
+void applyDesiredWeights(const schema::FleetLoad &load, FleetState &fleet, Instant now)
+{
+    for (const schema::DesiredWeights &desired : load.desired_weights()) {
+        const Duration age = std::chrono::milliseconds(desired.age_ms());
+        fleet.setDesiredWeights(desired.model(), desired.version(), age, ChangeTimeSource::Observed,
+                                now);
+    }
+}
+
 void write(const std::vector<PrefilledSegment> &prefilledSegments, schema::FleetLoad &load)
 {
     for (const PrefilledSegment &segment : prefilledSegments) {
@@ -171,6 +194,7 @@
     if (const schema::VmRecord *vm = zoneRepresentative(fleet.options().availabilityZone, now)) {
         schema::FleetLoad report;
         report.set_vm_id(fleet.options().vmId);
+        writeDesiredWeights(fleet, now, report);
         write(localLoad, report);
         write(plans, now, report);
         write(fleet.targetSelector().takePrefilledSegments(), report);
@@ -209,6 +233,7 @@
     }
     schema::FleetLoad common;
     common.set_availability_zone(fleet.options().availabilityZone);
+    writeDesiredWeights(fleet, now, common);
     write(load.zoneTotal(localLoad, now), common);
     write(plans, now, common);
     for (const std::string &zone : fleet.otherZones()) {
@@ -243,6 +268,7 @@
                     schema::FleetLoad load;
                     if (response.status == statusOk && load.ParseFromString(response.body)) {
                         unresponsive.remove(vmId);
+                        applyDesiredWeights(load, fleet, http::EventLoop::now());
                         applyPlans(load, fleet, http::EventLoop::now());
                         handler(load);
                         return;
@@ -266,9 +292,11 @@
     const Instant now = http::EventLoop::now();
     const InFlightLoadTable inFlight = read(report);
     impl.isBusy = impl.isBusy || hasBacklog(inFlight);
+    applyDesiredWeights(report, impl.fleet, now);
     applyPlans(report, impl.fleet, now);
     const InFlightLoadTable localLoad = impl.fleet.targetSelector().inFlightLoad();
     schema::FleetLoad response;
+    writeDesiredWeights(impl.fleet, now, response);
     write(impl.fleet.rolloutPlans(now), now, response);
     if (report.vm_id().empty()) {
         impl.load.updateZone(report.availability_zone(), inFlight, now);
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -227,4 +227,27 @@
     CHECK(status == 400);
 }
 
+// Incident inc1: a VM that was suspended while new weights were named took its own time of learning
+// for the time of the change.
+TEST_CASE("a VM that learns late of new weights takes the time of the change from another VM")
+{
+    http::EventLoop loop;
+    Vm early(loop, "a-1", "a");
+    Vm late(loop, "b-1", "b");
+    const Vms vms = recordsOf({&early, &late});
+    const Instant now = http::EventLoop::now();
+    early.fleet.applyVms(vms, now);
+    late.fleet.applyVms(vms, now);
+    early.fleet.setDesiredWeights("m", 2, 9s, ChangeTimeSource::Observed, now);
+    early.fleet.setDesiredWeights("m", 3, 4s, ChangeTimeSource::Observed, now);
+    late.fleet.setDesiredWeights("m", 3, 0s, ChangeTimeSource::Observed, now);
+    early.load.start();
+    late.load.start();
+    const auto ageAtLate = [&late](uint64_t version) {
+        return late.fleet.desiredWeightsAge("m", version, http::EventLoop::now());
+    };
+    CHECK(waitFor(loop, [&] { return ageAtLate(3) >= 4s && ageAtLate(2) >= 9s; }));
+    CHECK(early.fleet.desiredWeightsAge("m", 3, now) < 5s);
+}
+
 } // namespace teaseldrift::relay
