--- a/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
+++ b/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
@@ -11,11 +11,12 @@
 
 /// @brief How a VM knows when a weights version became the desired one.
 enum class ChangeTimeSource {
-    /// This VM or another one learned of the change then; the change itself may be older.
+    /// A VM that was running learned of the change then.
     Observed,
-    /// A record in the store states the wall-clock time of another VM.
+    /// A record in the store states the wall-clock time of another VM, whose clock may be wrong.
     Recorded,
-    /// Unknown; a default age is used until another source is available.
+    /// An upper bound of the age, for a VM that learns late; used until another source is
+    /// available.
     Assumed,
 };
 
@@ -32,14 +33,15 @@
 /// @brief Desired weights versions of one model and the time of each change.
 ///
 /// Requests may start on older weights for a grace period after a change. Each VM learns of a
-/// change at its own time, and a suspended or disconnected one learns late, so the earliest time
-/// known from any source counts.
+/// change at its own time, so the earliest observation of any VM counts; without one the recorded
+/// time, then the assumed one. No source can move the change past the time at which this VM learned
+/// of it.
 class DesiredWeightsHistory
 {
 public:
     /// @brief Adds a version or another source of its change time.
     /// @return whether the version is new or its change time differs from before
-    bool add(uint64_t version, Instant changedAt, ChangeTimeSource source);
+    bool add(uint64_t version, Instant changedAt, ChangeTimeSource source, Instant now);
 
     /// @brief When a version became the desired one; empty if the version is not known.
     [[nodiscard]] std::optional<Instant> changedAt(uint64_t version) const;
@@ -58,6 +60,8 @@
     struct Entry
     {
         uint64_t version = 0;
+        /// When this VM learned of the version.
+        Instant learnedAt;
         std::optional<Instant> observedAt;
         std::optional<Instant> recordedAt;
         std::optional<Instant> assumedAt;
--- a/packages/policy/src/teaseldrift/weights/desired_weights_history.cpp
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history.cpp
@@ -19,26 +19,26 @@
 
 Instant DesiredWeightsHistory::Entry::changedAt() const
 {
-    if (observedAt && recordedAt) {
-        return std::min(*observedAt, *recordedAt);
-    }
-    return observedAt ? *observedAt : recordedAt ? *recordedAt : *assumedAt;
+    return observedAt.value_or(recordedAt.value_or(assumedAt.value_or(learnedAt)));
 }
 
-bool DesiredWeightsHistory::add(uint64_t version, Instant changedAt, ChangeTimeSource source)
+bool DesiredWeightsHistory::add(uint64_t version, Instant changedAt, ChangeTimeSource source,
+                                Instant now)
 {
     const auto position = std::lower_bound(
             m_entries.begin(), m_entries.end(), version,
             [](const Entry &entry, uint64_t wanted) { return entry.version < wanted; });
     const bool isNew = position == m_entries.end() || position->version != version;
-    Entry &entry = isNew ? *m_entries.insert(position, {.version = version}) : *position;
-    const std::optional<Instant> before
-            = isNew ? std::nullopt : std::optional<Instant>(entry.changedAt());
+    Entry &entry = isNew ? *m_entries.insert(position, {.version = version, .learnedAt = now})
+                         : *position;
+    const Instant before = entry.changedAt();
     std::optional<Instant> &known = source == ChangeTimeSource::Observed   ? entry.observedAt
                                     : source == ChangeTimeSource::Recorded ? entry.recordedAt
                                                                            : entry.assumedAt;
-    known = known ? std::min(*known, changedAt) : changedAt;
-    return before != entry.changedAt();
+    if (changedAt <= entry.learnedAt) {
+        known = known ? std::min(*known, changedAt) : changedAt;
+    }
+    return isNew || before != entry.changedAt();
 }
 
 std::optional<Instant> DesiredWeightsHistory::changedAt(uint64_t version) const
--- a/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
@@ -14,31 +14,48 @@
 TEST_CASE("older weights are allowed for the grace period after a change")
 {
     DesiredWeightsHistory history;
-    CHECK(history.add(2, start, ChangeTimeSource::Observed));
+    CHECK(history.add(2, start, ChangeTimeSource::Observed, start));
     CHECK(history.minVersion(start + 12s, grace) == 0);
     CHECK(history.minVersion(start + 13s, grace) == 2);
 }
 
-TEST_CASE("the earliest observation or record of a change counts, in any order")
+TEST_CASE("the earliest observation of a change counts, in any order")
 {
     DesiredWeightsHistory history;
-    CHECK(history.add(2, start + 4s, ChangeTimeSource::Observed));
-    CHECK(history.add(2, start + 1s, ChangeTimeSource::Recorded));
-    CHECK(history.minVersion(start + 14s, grace) == 2);
-    CHECK(history.add(2, start, ChangeTimeSource::Observed));
-    CHECK_FALSE(history.add(2, start + 5s, ChangeTimeSource::Observed));
-    CHECK_FALSE(history.add(2, start + 5s, ChangeTimeSource::Recorded));
+    const Instant learned = start + 4s;
+    CHECK(history.add(2, learned, ChangeTimeSource::Observed, learned));
+    CHECK(history.add(2, start, ChangeTimeSource::Observed, learned + 1s));
+    CHECK_FALSE(history.add(2, start + 3s, ChangeTimeSource::Observed, learned + 2s));
     CHECK(history.changedAt(2) == start);
+    CHECK(history.minVersion(start + 13s, grace) == 2);
 }
 
 TEST_CASE("an assumed age counts only until another source is available")
 {
     DesiredWeightsHistory history;
-    CHECK(history.add(2, start - 6s, ChangeTimeSource::Assumed));
+    CHECK(history.add(2, start - 6s, ChangeTimeSource::Assumed, start));
     CHECK(history.minVersion(start + 7s, grace) == 2);
-    CHECK(history.add(2, start, ChangeTimeSource::Recorded));
+    CHECK(history.add(2, start - 1s, ChangeTimeSource::Recorded, start));
     CHECK(history.minVersion(start + 7s, grace) == 0);
-    CHECK_FALSE(history.add(2, start - 6s, ChangeTimeSource::Assumed));
+    CHECK_FALSE(history.add(2, start - 6s, ChangeTimeSource::Assumed, start));
+}
+
+// A VM that learned last would otherwise give a VM that started before it more time.
+TEST_CASE("no source moves a change past the time at which this VM learned of it")
+{
+    DesiredWeightsHistory history;
+    history.add(3, start - 6s, ChangeTimeSource::Assumed, start);
+    CHECK_FALSE(history.add(3, start + 5s, ChangeTimeSource::Observed, start + 5s));
+    CHECK_FALSE(history.add(3, start + 5s, ChangeTimeSource::Recorded, start + 5s));
+    CHECK(history.changedAt(3) == start - 6s);
+}
+
+TEST_CASE("a record with a wrong clock does not override an observation")
+{
+    DesiredWeightsHistory history;
+    history.add(3, start, ChangeTimeSource::Observed, start);
+    CHECK_FALSE(history.add(3, start - 60s, ChangeTimeSource::Recorded, start));
+    CHECK(history.minVersion(start + 5s, grace) == 0);
 }
 
 // A VM that was suspended during two changes reads only the newer one in the store, at its own
@@ -46,8 +63,9 @@
 TEST_CASE("the grace period of a skipped version ends although a newer one was learned first")
 {
     DesiredWeightsHistory history;
-    history.add(4, start + 10s, ChangeTimeSource::Observed);
-    CHECK(history.add(3, start, ChangeTimeSource::Observed));
+    const Instant learned = start + 10s;
+    history.add(4, learned, ChangeTimeSource::Observed, learned);
+    CHECK(history.add(3, start, ChangeTimeSource::Observed, learned));
     CHECK(history.minVersion(start + 13s, grace) == 3);
     CHECK(history.minVersion(start + 23s, grace) == 4);
 }
@@ -55,10 +73,10 @@
 TEST_CASE("recorded and assumed times are not passed on as observations")
 {
     DesiredWeightsHistory history;
-    history.add(2, start, ChangeTimeSource::Recorded);
-    history.add(3, start, ChangeTimeSource::Assumed);
-    history.add(4, start + 1s, ChangeTimeSource::Observed);
-    history.add(4, start, ChangeTimeSource::Recorded);
+    history.add(2, start, ChangeTimeSource::Recorded, start);
+    history.add(3, start, ChangeTimeSource::Assumed, start);
+    history.add(4, start + 1s, ChangeTimeSource::Observed, start + 1s);
+    history.add(4, start, ChangeTimeSource::Recorded, start + 1s);
     const std::vector<DesiredWeights> observed = history.observed();
     REQUIRE(observed.size() == 1);
     CHECK(observed[0].version == 4);
@@ -68,8 +86,8 @@
 TEST_CASE("dropping versions without effect keeps the oldest allowed one")
 {
     DesiredWeightsHistory history;
-    history.add(2, start, ChangeTimeSource::Observed);
-    history.add(3, start + 1s, ChangeTimeSource::Observed);
+    history.add(2, start, ChangeTimeSource::Observed, start);
+    history.add(3, start + 1s, ChangeTimeSource::Observed, start + 1s);
     history.dropOlderThan(history.minVersion(start + 20s, grace));
     CHECK_FALSE(history.changedAt(2).has_value());
     CHECK(history.minVersion(start + 20s, grace) == 3);
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -36,6 +36,9 @@
         Duration retryDelay = 500ms;
         /// Returns the wall-clock time.
         std::function<int64_t()> unixMs;
+        /// Optional; returns the start of a suspension of this process during which a change that
+        /// it learns of now may have happened; empty if there was none.
+        std::function<std::optional<Instant>(Instant now)> suspendedSince;
     };
 
     DesiredWeightsTracker(http::EventLoop &loop, Store &store, FleetState &fleet, Options options)
@@ -58,19 +61,32 @@
                     // the record.
                     apply(record, m_fleet.options().olderWeightsGracePeriod / 2,
                           ChangeTimeSource::Assumed);
+                    scheduleSave(record);
                 }
                 onApplied();
             });
             return;
         }
-        apply(record, Duration(0), ChangeTimeSource::Observed);
+        const Instant now = http::EventLoop::now();
+        const std::optional<Instant> suspendedSince
+                = m_options.suspendedSince ? m_options.suspendedSince(now) : std::nullopt;
+        if (suspendedSince) {
+            apply(record, now - *suspendedSince, ChangeTimeSource::Assumed);
+        } else {
+            apply(record, Duration(0), ChangeTimeSource::Observed);
+        }
         onApplied();
         readRecord(record, [](bool) {});
+        scheduleSave(record);
+    }
+
+private:
+    void scheduleSave(const WeightsRecord &record)
+    {
         m_loop.startTimer(m_options.writeStagger * static_cast<int64_t>(m_fleet.rank()),
                           [this, record] { saveIfNewer(record); });
     }
 
-private:
     void apply(const WeightsRecord &record, Duration age, ChangeTimeSource source)
     {
         m_fleet.setDesiredWeights(record.model, record.version, age, source,
--- a/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -85,10 +85,16 @@
             log,
             http::EventLoop::now()};
     RecordStore store{loop};
-    DesiredWeightsTracker<RecordStore> tracker{
-            loop, store, fleet, {.writeStagger = 10ms, .retryDelay = 10ms, .unixMs = [] {
-                                     return unixNowMs;
-                                 }}};
+    std::optional<Instant> suspendedSince;
+    DesiredWeightsTracker<RecordStore> tracker{loop, store, fleet, options()};
+
+    DesiredWeightsTracker<RecordStore>::Options options()
+    {
+        return {.writeStagger = 10ms,
+                .retryDelay = 10ms,
+                .unixMs = [] { return unixNowMs; },
+                .suspendedSince = [this](Instant) { return suspendedSince; }};
+    }
 
     void learn(uint64_t version, bool isLiveChange = true)
     {
@@ -120,18 +126,41 @@
 TEST_CASE("a VM that learns late of new weights counts the grace period from their naming")
 {
     Vm vm;
+    vm.suspendedSince = http::EventLoop::now() - 5s;
     vm.store.record = recordOf(3, 4s);
     vm.learn(3);
-    CHECK(vm.minWeightsAfter(5s) == 0);
+    CHECK(vm.minWeightsAfter(6s) == 0);
     CHECK(vm.minWeightsAfter(8s) == 3);
 }
 
+TEST_CASE("a VM that was suspended assumes that the weights were named at the start of it")
+{
+    Vm vm;
+    vm.suspendedSince = http::EventLoop::now() - 5s;
+    vm.learn(3);
+    CHECK(vm.minWeightsAfter(5s) == 0);
+    CHECK(vm.minWeightsAfter(6s) == 3);
+    CHECK(vm.fleet.observedDesiredWeights().at("m").empty());
+    REQUIRE(vm.store.record);
+    CHECK(vm.store.record->named_at_unix_ms() <= unixNowMs - 5000);
+}
+
+TEST_CASE("a record with a wrong clock does not end the grace period of a VM that saw the change")
+{
+    Vm vm;
+    vm.store.record = recordOf(3, 60s);
+    vm.learn(3);
+    CHECK(vm.minWeightsAfter(8s) == 0);
+}
+
 TEST_CASE("the change time is read again until the store responds")
 {
     Vm vm;
     vm.store.record = recordOf(3, 4s);
     vm.store.failedReads = 3;
+    vm.suspendedSince = http::EventLoop::now() - 5s;
     vm.learn(3);
+    CHECK(vm.minWeightsAfter(6s) == 0);
     CHECK(vm.minWeightsAfter(8s) == 3);
 }
 
@@ -141,6 +170,8 @@
     vm.learn(3, false);
     CHECK(vm.minWeightsAfter(3s) == 0);
     CHECK(vm.minWeightsAfter(6s) == 3);
+    REQUIRE(vm.store.record);
+    CHECK(vm.store.record->named_at_unix_ms() <= unixNowMs - 6000);
 }
 
 TEST_CASE("a record of an older version is replaced, one of the same version is kept")
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -149,7 +149,7 @@
 {
     DesiredWeightsHistory &history = m_desiredWeights[std::string(model)];
     const std::optional<Instant> before = history.changedAt(version);
-    if (version < minWeights(model, now) || !history.add(version, now - age, source)) {
+    if (version < minWeights(model, now) || !history.add(version, now - age, source, now)) {
         return;
     }
     m_weightRollout.setDesiredVersion(model, version);
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -86,8 +86,11 @@
 
 void applyDesiredWeights(const schema::FleetLoad &load, FleetState &fleet, Instant now)
 {
+    // A greater age has no further effect.
+    const uint64_t maxAgeMs
+            = 2 * static_cast<uint64_t>(fleet.options().olderWeightsGracePeriod / 1ms);
     for (const schema::DesiredWeights &desired : load.desired_weights()) {
-        const Duration age = std::chrono::milliseconds(desired.age_ms());
+        const Duration age = std::chrono::milliseconds(std::min(desired.age_ms(), maxAgeMs));
         fleet.setDesiredWeights(desired.model(), desired.version(), age, ChangeTimeSource::Observed,
                                 now);
     }
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -19,8 +19,11 @@
 {
     Vm(http::EventLoop &loop, const std::string &id, const std::string &zone)
         : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
-          fleet({.vmId = id, .availabilityZone = zone, .minVmCount = 1}, log,
-                http::EventLoop::now()),
+          fleet({.vmId = id,
+                 .availabilityZone = zone,
+                 .olderWeightsGracePeriod = 120s,
+                 .minVmCount = 1},
+                log, http::EventLoop::now()),
           peers(loop, {.connectTimeout = 50ms}),
           load(loop, peers, fleet, log, metrics,
                {.interval = 10ms, .idleInterval = 10ms, .unresponsiveCooldown = 10s}),
@@ -238,16 +241,18 @@
     const Instant now = http::EventLoop::now();
     early.fleet.applyVms(vms, now);
     late.fleet.applyVms(vms, now);
-    early.fleet.setDesiredWeights("m", 2, 9s, ChangeTimeSource::Observed, now);
-    early.fleet.setDesiredWeights("m", 3, 4s, ChangeTimeSource::Observed, now);
+    // Ages that cannot be reached while the test waits.
+    early.fleet.setDesiredWeights("m", 2, 60s, ChangeTimeSource::Observed, now);
+    early.fleet.setDesiredWeights("m", 3, 40s, ChangeTimeSource::Observed, now);
     late.fleet.setDesiredWeights("m", 3, 0s, ChangeTimeSource::Observed, now);
     early.load.start();
     late.load.start();
-    const auto ageAtLate = [&late](uint64_t version) {
-        return late.fleet.desiredWeightsAge("m", version, http::EventLoop::now());
+    const auto ageAt = [](const Vm &vm, uint64_t version) {
+        return vm.fleet.desiredWeightsAge("m", version, http::EventLoop::now());
     };
-    CHECK(waitFor(loop, [&] { return ageAtLate(3) >= 4s && ageAtLate(2) >= 9s; }));
-    CHECK(early.fleet.desiredWeightsAge("m", 3, now) < 5s);
+    CHECK(waitFor(loop, [&] { return ageAt(late, 3) >= 40s && ageAt(late, 2) >= 60s; }));
+    CHECK(ageAt(late, 3) < 50s);
+    CHECK(ageAt(early, 3) < 50s);
 }
 
 } // namespace teaseldrift::relay
