Handle a store that returns from an older copy

The store may come back with older data, a raised epoch (Store-Era) and revisions that it gives out again. Until now positions and conditions of the old epoch were used on: a watcher took changes after its old revision for all changes, a relay passed them on, a controller's fencing token could fall or repeat, an outdated registration undid a target's leaving, and a target missing from the copy was dropped at once.

Each result of the store now has its epoch.

Left: a VM that starts before the operators have written again takes the copy's configuration.

--- a/packages/policy/include/teaseldrift/orders/controller_lease.hpp
+++ b/packages/policy/include/teaseldrift/orders/controller_lease.hpp
@@ -18,6 +18,12 @@
     Renew,
 };
 
+/// @brief Fencing token of a controller: grows with each acquisition of its key, also when the
+/// store returns from an older copy and gives out its revisions again.
+/// @param epoch epoch of the store; 0 if it has none
+/// @param revision store revision at which the key was created
+[[nodiscard]] uint64_t fencingToken(uint64_t epoch, uint64_t revision);
+
 /// @brief Local view of whether this process holds the controller's lease.
 ///
 /// The lease time counts from the start of a store call, not from its response, so the local lease
@@ -43,7 +49,7 @@
 
     /// @brief Records that the controller's key was created under a new lease.
     /// @param requestedAt start of the call that granted the lease
-    /// @param fencing store revision at which the key was created
+    /// @param fencing fencing token of this acquisition
     void acquired(Instant requestedAt, uint64_t fencing, Instant now);
 
     /// @brief Records that the lease was renewed.
@@ -53,6 +59,11 @@
     /// @brief Records that the lease has expired in the store or that another VM holds the key.
     void lost(Instant now);
 
+    /// @brief Handles the return of the store from an older copy. The lease in the store may be
+    /// gone while its holder still relies on it, so no orders may be issued until it has expired
+    /// there.
+    void storeRestored(Instant now);
+
     /// @brief Delays the next call, after a call without a response or while the key is not free.
     void retryLater(Instant now, Duration pause = 1s);
 
@@ -77,6 +88,8 @@
     Instant m_acquiredAt;
     Instant m_heldUntil;
     Instant m_nextCallAt;
+    /// End of all leases of the store's former epoch.
+    Instant m_formerLeasesEndAt;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -25,6 +25,8 @@
     bool isLeaving = false;
     /// Start of the incarnation in Unix milliseconds; a restarted target may keep its id.
     uint64_t startedAtMs = 0;
+    /// Registrations that the incarnation has written; a smaller number is an older registration.
+    uint64_t heartbeats = 0;
     /// Weights version by model.
     std::map<std::string, uint64_t, std::less<>> weights;
 };
@@ -45,18 +47,24 @@
 {
     /// Live targets register again within this time after the store has recovered.
     Duration lapseGrace = 2200ms;
+    /// Time for which the last registration of a removed target is remembered. A store that returns
+    /// from an older copy may contain it again.
+    Duration removalMemory = 60s;
 };
 
 /// @brief Known targets, from their registrations in the store.
 ///
 /// A registration that ends while the store is unavailable says nothing about its target. Such a
-/// target is kept until the grace period after the store's recovery is over.
+/// target is kept until the grace period after the store's recovery is over. A store that returns
+/// from an older copy may lack registrations and contain outdated ones; the latter are recognised
+/// by their number of heartbeats.
 class TargetDirectory
 {
 public:
     explicit TargetDirectory(TargetDirectoryOptions options = {});
 
-    /// @brief Adds or updates a registration.
+    /// @brief Adds or updates a registration; one that is older than a known one of the same
+    /// incarnation is ignored.
     TargetChange put(const TargetEntry &entry);
 
     /// @brief Handles the end of a registration.
@@ -68,6 +76,9 @@
     /// @brief Handles the store's recovery and starts the grace period.
     void storeRegained(Instant now);
 
+    /// @brief Handles the store's return from an older copy and starts the grace period.
+    void storeRestored(Instant now);
+
     /// @brief Removes lapsed targets whose grace period is over.
     /// @return the ids of the removed targets
     std::vector<std::string> expire(Instant now);
@@ -90,7 +101,17 @@
     void setWeights(std::string_view id, std::string_view model, uint64_t version);
 
 private:
+    /// The last registration of a target that is gone.
+    struct Removal
+    {
+        uint64_t startedAtMs = 0;
+        uint64_t heartbeats = 0;
+        Instant removedAt;
+    };
+
     void rebuild();
+    void rememberRemoval(const TargetEntry &entry, Instant now);
+    [[nodiscard]] bool isOutdated(const TargetEntry &entry) const;
     [[nodiscard]] bool isInGrace(Instant now) const;
 
     TargetDirectoryOptions m_options;
@@ -98,6 +119,7 @@
     std::map<std::string, std::vector<const TargetEntry *>, std::less<>> m_byService;
     /// Lapsed targets with the end of their grace period; empty while the store is unavailable.
     std::map<std::string, std::optional<Instant>, std::less<>> m_lapsed;
+    std::map<std::string, Removal, std::less<>> m_removals;
     bool m_isStoreUnavailable = false;
     std::optional<Instant> m_storeRecoveredAt;
 };
--- a/packages/policy/src/teaseldrift/orders/controller_lease.cpp
+++ b/packages/policy/src/teaseldrift/orders/controller_lease.cpp
@@ -17,6 +17,15 @@
 
 } // namespace
 
+uint64_t fencingToken(uint64_t epoch, uint64_t revision)
+{
+    // Targets may read the token as a double, which holds integers of 53 bits.
+    constexpr uint64_t revisionBits = 36;
+    constexpr uint64_t maxEpoch = (uint64_t{1} << 17U) - 1;
+    constexpr uint64_t maxRevision = (uint64_t{1} << revisionBits) - 1;
+    return (std::min(epoch, maxEpoch) << revisionBits) + std::min(revision, maxRevision);
+}
+
 ControllerLease::ControllerLease(OrderOptions options) : m_options(options) { }
 
 LeaseAction ControllerLease::nextAction(Instant now)
@@ -53,6 +62,12 @@
     m_nextCallAt = now + acquireInterval;
 }
 
+void ControllerLease::storeRestored(Instant now)
+{
+    m_formerLeasesEndAt = now + scaled(m_options.leaseTtl, 1.0 + m_options.clockDrift);
+    lost(now);
+}
+
 void ControllerLease::retryLater(Instant now, Duration pause)
 {
     m_nextCallAt = now + pause;
@@ -66,7 +81,7 @@
 bool ControllerLease::mayIssueOrders(Instant now) const
 {
     const Duration wait = scaled(m_options.maxOrderLifetime, 1.0 + m_options.clockDrift);
-    return isHeld(now) && now >= m_acquiredAt + wait;
+    return isHeld(now) && now >= m_acquiredAt + wait && now >= m_formerLeasesEndAt;
 }
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/targets/target_directory.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory.cpp
@@ -6,8 +6,32 @@
 
 TargetDirectory::TargetDirectory(TargetDirectoryOptions options) : m_options(options) { }
 
+bool TargetDirectory::isOutdated(const TargetEntry &entry) const
+{
+    const auto known = m_targets.find(entry.id);
+    if (known != m_targets.end()) {
+        return known->second.startedAtMs == entry.startedAtMs
+               && entry.heartbeats < known->second.heartbeats;
+    }
+    const auto removal = m_removals.find(entry.id);
+    return removal != m_removals.end() && removal->second.startedAtMs == entry.startedAtMs
+           && removal->second.heartbeats != 0 && entry.heartbeats <= removal->second.heartbeats;
+}
+
+void TargetDirectory::rememberRemoval(const TargetEntry &entry, Instant now)
+{
+    std::erase_if(m_removals, [&](const std::pair<const std::string, Removal> &removal) {
+        return now - removal.second.removedAt > m_options.removalMemory;
+    });
+    m_removals[entry.id]
+            = {.startedAtMs = entry.startedAtMs, .heartbeats = entry.heartbeats, .removedAt = now};
+}
+
 TargetChange TargetDirectory::put(const TargetEntry &entry)
 {
+    if (isOutdated(entry)) {
+        return TargetChange::None;
+    }
     const bool wasLapsed = m_lapsed.erase(entry.id) > 0;
     const auto known = m_targets.find(entry.id);
     if (known == m_targets.end()) {
@@ -43,6 +67,7 @@
         return TargetChange::Lapsed;
     }
     m_lapsed.erase(known->first);
+    rememberRemoval(known->second, now);
     m_targets.erase(known);
     rebuild();
     return TargetChange::Removed;
@@ -71,6 +96,12 @@
     }
 }
 
+void TargetDirectory::storeRestored(Instant now)
+{
+    storeLost(now);
+    storeRegained(now);
+}
+
 std::vector<std::string> TargetDirectory::expire(Instant now)
 {
     std::vector<std::string> gone;
@@ -80,6 +111,7 @@
         }
     }
     for (const std::string &id : gone) {
+        rememberRemoval(m_targets.at(id), now);
         m_lapsed.erase(id);
         m_targets.erase(id);
     }
--- a/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
@@ -83,4 +83,50 @@
     CHECK(directory.missingFrom({{"b", engine("b")}}) == std::vector<std::string>{"a"});
 }
 
+// A store that returned from an older copy still lists what has changed or ended since.
+TEST_CASE("an outdated registration does not undo a newer one of the same incarnation")
+{
+    TargetDirectory directory;
+    TargetEntry entry = engine("a");
+    entry.heartbeats = 5;
+    entry.isLeaving = true;
+    directory.put(entry);
+    entry.heartbeats = 4;
+    entry.isLeaving = false;
+    CHECK(directory.put(entry) == TargetChange::None);
+    CHECK(directory.find("a")->isLeaving);
+
+    entry.startedAtMs = 2;
+    entry.heartbeats = 1;
+    CHECK(directory.put(entry) == TargetChange::Restarted);
+    CHECK_FALSE(directory.find("a")->isLeaving);
+}
+
+TEST_CASE("a removed target returns with a newer registration only")
+{
+    TargetDirectory directory;
+    TargetEntry entry = engine("a");
+    entry.heartbeats = 5;
+    directory.put(entry);
+    CHECK(directory.remove("a", start) == TargetChange::Removed);
+    CHECK(directory.put(entry) == TargetChange::None);
+    CHECK(directory.find("a") == nullptr);
+    entry.heartbeats = 6;
+    CHECK(directory.put(entry) == TargetChange::Added);
+}
+
+TEST_CASE("targets missing from a restored store are kept until they have had time to return")
+{
+    TargetDirectory directory;
+    directory.put(engine("back"));
+    directory.put(engine("gone"));
+    directory.storeRestored(start);
+    for (const std::string &id : directory.missingFrom({})) {
+        CHECK(directory.remove(id, start) == TargetChange::Lapsed);
+    }
+    directory.put(engine("back"));
+    CHECK(directory.expire(start + 2s).empty());
+    CHECK(directory.expire(start + 2300ms) == std::vector<std::string>{"gone"});
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -80,6 +80,15 @@
         scheduleSave(record);
     }
 
+    /// @brief Writes the records again after the store has returned from an older copy.
+    void storeRestored()
+    {
+        for (const std::pair<const std::string, uint64_t> &desired :
+             m_fleet.weightRollout().desiredVersions()) {
+            scheduleSave({.model = desired.first, .version = desired.second});
+        }
+    }
+
 private:
     void scheduleSave(const WeightsRecord &record)
     {
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -84,6 +84,10 @@
     void storeLost(Instant now);
     void storeRegained(Instant now);
 
+    /// @brief Handles the store's return from an older copy: targets missing from it are kept until
+    /// they have had time to register again.
+    void storeRestored(Instant now);
+
     /// @brief Periodic work: removes targets whose grace period has expired and redivides the
     /// limits.
     void tick(Instant now);
--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -76,7 +76,8 @@
 
     PrefixWatcherHandlers targetHandlers()
     {
-        return {.onSnapshot
+        return {.onStoreRestored = [this] { m_fleet.storeRestored(http::EventLoop::now()); },
+                .onSnapshot
                 = [this](const store::StoreSnapshot &snapshot) { applyAllTargets(snapshot); },
                 .onChanges =
                         [this](const store::StoreSnapshot &snapshot) {
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -28,6 +28,9 @@
 /// @brief Callbacks of a PrefixWatcher.
 struct PrefixWatcherHandlers
 {
+    /// Optional; called before onSnapshot if the store has returned from an older copy: the
+    /// snapshot may lack recent changes until they are written again.
+    std::function<void()> onStoreRestored = nullptr;
     /// Receives all entries of the prefix; entries missing from the snapshot no longer exist.
     std::function<void(const store::StoreSnapshot &)> onSnapshot;
     /// Receives the changes since the last call.
@@ -40,8 +43,8 @@
 
 /// @brief Watches one prefix of a store: reads a snapshot, then polls for the changes after it.
 ///
-/// Retries during outages, and reads a new snapshot if the store has discarded the changes it
-/// needs.
+/// Retries during outages, and reads a new snapshot if the store has discarded the changes it needs
+/// or has returned from an older copy.
 template <store::LongPollStore Store>
 class PrefixWatcher
 {
@@ -72,7 +75,14 @@
                                }
                                succeeded();
                                m_needsSnapshot = false;
+                               const bool isRestored
+                                       = snapshot.revision < m_revision
+                                         || (m_revision > 0 && snapshot.epoch != m_epoch);
+                               if (isRestored && m_handlers.onStoreRestored) {
+                                   m_handlers.onStoreRestored();
+                               }
                                m_revision = snapshot.revision;
+                               m_epoch = snapshot.epoch;
                                m_handlers.onSnapshot(snapshot);
                                schedulePoll(pollDelay());
                            });
@@ -92,6 +102,13 @@
                                        return;
                                    }
                                    succeeded();
+                                   if (changes.epoch != m_epoch) {
+                                       // Revisions of another epoch say nothing about what has
+                                       // changed since the last call.
+                                       m_needsSnapshot = true;
+                                       readSnapshot();
+                                       return;
+                                   }
                                    m_revision = std::max(m_revision, changes.revision);
                                    if (!changes.entries.empty()) {
                                        m_handlers.onChanges(changes);
@@ -145,6 +162,7 @@
     PrefixWatcherOptions m_options;
     PrefixWatcherHandlers m_handlers;
     uint64_t m_revision = 0;
+    uint64_t m_epoch = 0;
     bool m_needsSnapshot = true;
     bool m_isConnected = false;
     Duration m_retryDelay{0};
--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -26,7 +26,12 @@
     void readPrefix(std::string_view prefix, store::ReadConsistency consistency,
                     ReadHandler handler)
     {
-        m_store.readPrefix(prefix, consistency, std::move(handler));
+        m_store.readPrefix(prefix, consistency,
+                           [this, handler = std::move(handler)](
+                                   std::error_code error, const store::StoreSnapshot &snapshot) {
+                               m_epoch = std::max(m_epoch, snapshot.epoch);
+                               handler(error, snapshot);
+                           });
     }
 
     void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
@@ -75,7 +80,7 @@
             queryStore(prefix, revision, wait, std::move(handler));
             return;
         }
-        m_relay.query(prefix, revision,
+        m_relay.query(prefix, revision, m_epoch,
                       [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
                               RelayResult end, const store::StoreSnapshot &changes) {
                           switch (end) {
@@ -101,6 +106,7 @@
         m_store.waitForChanges(prefix, revision, maxWait,
                                [this, prefix, revision, handler = std::move(handler)](
                                        std::error_code error, const store::StoreSnapshot &changes) {
+                                   m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
                                        m_relay.markStoreUnavailable(prefix);
                                    } else {
@@ -112,6 +118,8 @@
 
     Store &m_store;
     StoreRelay &m_relay;
+    /// Newest epoch that a response of the store showed.
+    uint64_t m_epoch = 0;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -77,7 +77,7 @@
     [[nodiscard]] bool servesOthers(Instant now) const;
 
     /// @brief Queries the relaying VM; call it only while usesRelay() holds.
-    void query(const std::string &prefix, uint64_t revision, RelayHandler handler);
+    void query(const std::string &prefix, uint64_t revision, uint64_t epoch, RelayHandler handler);
 
     /// @brief Records changes that this VM received from the store.
     /// @param after the revision that the changes follow
--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -98,6 +98,18 @@
         }
     }
 
+    /// @brief Handles the return of the store from an older copy, in which this VM's lease may be
+    /// missing: gives the lease up and competes for it again.
+    void storeRestored()
+    {
+        const Instant now = http::EventLoop::now();
+        if (m_lease.isHeld(now)) {
+            m_store.revokeLease(m_leaseId);
+            loseLease(now);
+        }
+        m_lease.storeRestored(now);
+    }
+
     /// @brief Plans the rollouts now instead of at the next tick.
     void plan()
     {
@@ -198,10 +210,11 @@
                 m_lease.lost(now);
                 return;
             }
-            m_lease.acquired(sentAt, result.revision, now);
+            const uint64_t fencing = fencingToken(result.epoch, result.revision);
+            m_lease.acquired(sentAt, fencing, now);
             m_fleet.weightRollout().reset();
             m_log.write(telemetry::EventPriority::Important, "controller_acquired",
-                        {{"fencing", static_cast<int64_t>(result.revision)}});
+                        {{"fencing", static_cast<int64_t>(fencing)}});
         });
     }
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -236,6 +236,11 @@
     m_log.write(EventPriority::Important, "dependency_regained", {{"dependency", "store"}});
 }
 
+void FleetState::storeRestored(Instant now)
+{
+    m_directory.storeRestored(now);
+}
+
 void FleetState::tick(Instant now)
 {
     for (const std::string &id : m_directory.expire(now)) {
--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -65,9 +65,10 @@
     std::deque<Step> m_steps;
 };
 
-StoreSnapshot snapshotOf(uint64_t revision, std::vector<store::StoreEntry> entries = {})
+StoreSnapshot snapshotOf(uint64_t revision, std::vector<store::StoreEntry> entries = {},
+                         uint64_t epoch = 0)
 {
-    return {.entries = std::move(entries), .revision = revision};
+    return {.entries = std::move(entries), .revision = revision, .epoch = epoch};
 }
 
 struct CallbackCounts
@@ -123,6 +124,20 @@
     CHECK(revisions == std::vector<uint64_t>{10, 90});
 }
 
+// Changes after a revision of the old epoch would be applied to the wrong state.
+TEST_CASE("a watcher reads a new snapshot when the store has returned from an older copy")
+{
+    std::vector<uint64_t> revisions;
+    const CallbackCounts counts = runWatcher({{.readsAll = true, .snapshot = snapshotOf(10, {}, 1)},
+                                              {.snapshot = snapshotOf(12, {{.key = "p/a"}}, 2)},
+                                              {.readsAll = true, .snapshot = snapshotOf(7, {}, 2)},
+                                              {.snapshot = snapshotOf(8, {{.key = "p/b"}}, 2)}},
+                                             revisions);
+    CHECK(counts.snapshots == 2);
+    CHECK(counts.changes == 1);
+    CHECK(revisions == std::vector<uint64_t>{10, 7, 8});
+}
+
 TEST_CASE("a watcher continues from its revision after an outage and reports the outage once")
 {
     std::vector<uint64_t> revisions;
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -25,7 +25,7 @@
 
 store::StoreSnapshot read(const schema::ChangesAnswer &response)
 {
-    store::StoreSnapshot changes{.revision = response.revision()};
+    store::StoreSnapshot changes{.revision = response.revision(), .epoch = response.epoch()};
     for (const schema::ChangesAnswer::Change &change : response.changes()) {
         changes.entries.push_back({.key = change.key(),
                                    .value = change.value(),
@@ -40,6 +40,7 @@
 {
     schema::ChangesAnswer response;
     response.set_revision(changes.revision);
+    response.set_epoch(changes.epoch);
     for (const store::StoreEntry &entry : changes.entries) {
         schema::ChangesAnswer::Change &change = *response.add_changes();
         change.set_key(entry.key);
@@ -58,6 +59,7 @@
     {
         std::string prefix;
         uint64_t revision = 0;
+        uint64_t epoch = 0;
         Instant until;
         std::shared_ptr<http::Exchange> exchange;
     };
@@ -133,7 +135,8 @@
               {{"asked_vm", std::string_view(vmId)}, {"status", static_cast<int64_t>(status)}});
 }
 
-void StoreRelay::query(const std::string &prefix, uint64_t revision, RelayHandler handler)
+void StoreRelay::query(const std::string &prefix, uint64_t revision, uint64_t epoch,
+                       RelayHandler handler)
 {
     Impl &impl = *m_impl;
     const schema::VmRecord *vm = impl.zoneRepresentative(http::EventLoop::now());
@@ -145,6 +148,7 @@
     schema::ChangesAsk query;
     query.set_prefix(prefix);
     query.set_revision(revision);
+    query.set_epoch(epoch);
     impl.calls.start(
             endpoint,
             {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
@@ -198,6 +202,7 @@
     impl.lastQueryAt = now;
     Impl::PendingQuery pendingQuery{.prefix = query.prefix(),
                                     .revision = query.revision(),
+                                    .epoch = query.epoch(),
                                     .until = now + impl.options.maxQueryWait,
                                     .exchange = exchange};
     if (!impl.tryAnswer(pendingQuery, now)) {
@@ -218,7 +223,8 @@
         pendingQuery.exchange->respond({.status = statusUnavailable});
         return true;
     }
-    if (!changesSince) {
+    // Revisions of different epochs are not comparable; the other VM then asks the store.
+    if (!changesSince || pendingQuery.epoch != log->second.epoch()) {
         pendingQuery.exchange->respond({.status = statusGone});
         return true;
     }
--- a/packages/store/include/teaseldrift/store/change_log.hpp
+++ b/packages/store/include/teaseldrift/store/change_log.hpp
@@ -36,6 +36,7 @@
     /// @brief Appends the changes that the store returned for a revision.
     ///
     /// Writes that leave a value unchanged are skipped, since registrations are renewed that way.
+    /// Changes of a new epoch replace those of the old one.
     /// @param after revision whose following changes were requested
     void append(uint64_t after, const StoreSnapshot &changes, Instant now);
 
@@ -49,6 +50,9 @@
     /// @brief Revision up to which changes are known; 0 before the first response.
     [[nodiscard]] uint64_t revision() const { return m_revision; }
 
+    /// @brief Epoch of the store's data.
+    [[nodiscard]] uint64_t epoch() const { return m_epoch; }
+
     /// @brief When the store last responded; the clock's epoch if it has been unavailable since.
     [[nodiscard]] Instant confirmedAt() const { return m_confirmedAt; }
 
@@ -59,6 +63,7 @@
     /// Changes up to this revision are no longer kept.
     uint64_t m_compactedRevision = 0;
     uint64_t m_revision = 0;
+    uint64_t m_epoch = 0;
     Instant m_confirmedAt;
     std::deque<StoreEntry> m_changes;
     /// Hash of each key's latest value.
--- a/packages/store/include/teaseldrift/store/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -33,6 +33,9 @@
     size_t count = 0;
     /// Revision of the store at the time of the read.
     uint64_t revision = 0;
+    /// Epoch of the store. It rises when the store returns from an older copy of its data:
+    /// revisions of different epochs are not comparable. 0 if the store has no epochs.
+    uint64_t epoch = 0;
 };
 
 /// @brief One write of a transaction.
@@ -68,6 +71,8 @@
 {
     StoreOutcome outcome = StoreOutcome::Unknown;
     uint64_t revision = 0;
+    /// Epoch of the revision.
+    uint64_t epoch = 0;
 };
 
 /// @brief Client of the platform's key-value service with streaming watches.
--- a/packages/store/src/teaseldrift/store/change_log.cpp
+++ b/packages/store/src/teaseldrift/store/change_log.cpp
@@ -20,7 +20,8 @@
 void ChangeLog::append(uint64_t after, const StoreSnapshot &changes, Instant now)
 {
     m_confirmedAt = now;
-    if (after != m_revision) {
+    if (after != m_revision || changes.epoch != m_epoch) {
+        m_epoch = changes.epoch;
         restartAt(after);
     }
     for (const StoreEntry &entry : changes.entries) {
@@ -52,7 +53,7 @@
     if (revision < m_compactedRevision) {
         return std::nullopt;
     }
-    StoreSnapshot missed{.revision = std::max(revision, m_revision)};
+    StoreSnapshot missed{.revision = std::max(revision, m_revision), .epoch = m_epoch};
     for (const StoreEntry &change : m_changes) {
         if (change.revision > revision) {
             missed.entries.push_back(change);
--- a/packages/store/src/teaseldrift/store/change_log_test.cpp
+++ b/packages/store/src/teaseldrift/store/change_log_test.cpp
@@ -109,4 +109,21 @@
     CHECK(log.confirmedAt() == start + 5s);
 }
 
+TEST_CASE("changes of a new epoch replace those of the old one, also at a known revision")
+{
+    ChangeLog log;
+    log.append(5,
+               {.entries = {{.key = "a", .value = "1", .revision = 6}}, .revision = 6, .epoch = 1},
+               Instant(1s));
+    log.append(6,
+               {.entries = {{.key = "a", .value = "1", .revision = 7}}, .revision = 7, .epoch = 2},
+               Instant(2s));
+    CHECK(log.epoch() == 2);
+    CHECK_FALSE(log.changesSince(5).has_value());
+    const std::optional<StoreSnapshot> changes = log.changesSince(6);
+    REQUIRE(changes);
+    CHECK(changes->epoch == 2);
+    CHECK(changes->entries.size() == 1);
+}
+
 } // namespace teaseldrift::store
