Ask for a retry budget by service

FleetState still has one budget, which all services share: no change of behaviour. The request task keeps the budget and the name of its service, so that budgets per service can follow. Each request's service is chosen once, not at each attempt; the choice depended on the request id alone.

--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -94,7 +94,11 @@
     [[nodiscard]] const TargetDirectory &directory() const { return m_directory; }
     TargetSelector &targetSelector() { return m_targetSelector; }
     [[nodiscard]] const TargetSelector &targetSelector() const { return m_targetSelector; }
-    RetryBudget &retryBudget() { return m_retryBudget; }
+    /// @brief Budget for retries at a service; stays valid if the service is removed.
+    [[nodiscard]] std::shared_ptr<RetryBudget> retryBudget(std::string_view /*service*/) const
+    {
+        return m_retryBudget;
+    }
     WeightRollout &weightRollout() { return m_weightRollout; }
 
     /// @brief Whether an organisation has a usage limit.
@@ -175,7 +179,7 @@
     std::shared_ptr<const RouteTable> m_table;
     TargetDirectory m_directory;
     TargetSelector m_targetSelector;
-    RetryBudget m_retryBudget;
+    std::shared_ptr<RetryBudget> m_retryBudget;
     WeightRollout m_weightRollout;
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     std::map<std::string, UsageLimiter, std::less<>> m_ownedUsageLimiters;
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -83,7 +83,11 @@
     std::shared_ptr<http::Exchange> m_exchange;
     AdmittedRequest m_admitted;
     std::function<void()> m_onEnded;
+    uint64_t m_seed;
+    /// Service that all attempts are sent to.
+    std::string_view m_service;
     Duration m_timeAllowed;
+    std::shared_ptr<RetryBudget> m_retryBudget;
     RequestStateMachine m_machine;
     std::unique_ptr<http::Call> m_call;
     std::optional<TargetChoice> m_choice;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -74,8 +74,11 @@
                             std::function<void()> onEnded)
     : m_context(context), m_dialect(dialect), m_exchange(std::move(exchange)),
       m_admitted(std::move(admitted)), m_onEnded(std::move(onEnded)),
+      m_seed(rendezvousKey(m_admitted.request.id)),
+      m_service(RouteTable::chooseService(*m_admitted.route, m_seed)),
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
-      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), context.fleet.retryBudget())
+      m_retryBudget(context.fleet.retryBudget(m_service)),
+      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget)
 {
     const std::string &last = m_admitted.request.lastEventId;
     uint64_t number = 0;
@@ -145,11 +148,10 @@
     const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
-    const uint64_t seed = rendezvousKey(request.id);
     m_minWeights = m_context.fleet.minWeights(request.model, now);
     m_choice = m_context.fleet.targetSelector().choose(
             m_context.fleet.directory(),
-            {.service = RouteTable::chooseService(*m_admitted.route, seed),
+            {.service = m_service,
              .model = request.model,
              .segments = request.segments,
              .isolatedOrganisation
@@ -159,7 +161,7 @@
              .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
              .priority = priority(),
              .expectedRun = expectedRun(request),
-             .seed = seed},
+             .seed = m_seed},
             now);
     if (!m_choice) {
         perform(m_machine.noTargetAvailable(action.id, now));
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -66,7 +66,7 @@
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
     : m_options(std::move(options)), m_log(log), m_startedAt(now),
       m_targetSelector({.availabilityZone = m_options.availabilityZone}),
-      m_retryBudget(retryOptions(m_options, m_options.minVmCount))
+      m_retryBudget(std::make_shared<RetryBudget>(retryOptions(m_options, m_options.minVmCount)))
 { }
 
 void FleetState::applyDefinition(FleetDefinition definition,
@@ -266,7 +266,7 @@
     }
     if (vms != m_limitDivisor) {
         m_limitDivisor = vms;
-        m_retryBudget.setOptions(retryOptions(m_options, vms));
+        m_retryBudget->setOptions(retryOptions(m_options, vms));
         m_log.write(EventPriority::Important, "usage_divided",
                     {{"vms", static_cast<int64_t>(vms)}});
     }
