Start a VM's retry budgets empty

A process started with a quarter of its part of the slack and a full reserve, so each restart added retries to those that its predecessor had spent within the same window. Budgets of FleetState now start without tokens and reserve and refill from then on, so that a restart can only lose retries. The change of options counts the time before it at the old refill rate, no longer at the new one.

--- a/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
+++ b/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
@@ -39,10 +39,18 @@
 class RetryBudget
 {
 public:
+    /// @brief Starts at the floor and with the whole reserve.
     explicit RetryBudget(RetryBudgetOptions options = {});
 
-    /// @brief Replaces the configuration. Remaining retries are kept, up to the new capacity.
-    void setOptions(const RetryBudgetOptions &options);
+    /// @brief Starts empty, without a reserve, and refills from `startedAt`.
+    ///
+    /// For a budget that is part of a shared limit: a process that starts again may already have
+    /// spent its part.
+    RetryBudget(RetryBudgetOptions options, Instant startedAt);
+
+    /// @brief Replaces the configuration. Remaining retries, reserve included, are kept up to their
+    /// new maximum; a larger reserve or floor has to be refilled first.
+    void setOptions(const RetryBudgetOptions &options, Instant now);
 
     /// @brief Records a first attempt, which earns a fraction of a retry.
     void countRequest();
--- a/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
+++ b/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
@@ -29,8 +29,8 @@
 /// fails cannot use what the requests for other services have earned.
 ///
 /// ```cpp
-/// budgets.setServices(definition);
-/// RequestStateMachine machine(options, *budgets.budget(service));
+/// budgets.setServices(definition, now);
+/// RequestStateMachine machine(options, *budgets.budget(service, now));
 /// ```
 class ServiceRetryBudgets
 {
@@ -39,13 +39,13 @@
     ServiceRetryBudgets(FleetRetryLimits limits, size_t vms);
 
     /// @brief Keeps budgets for the services of all routes, and for those still in use by requests.
-    void setServices(const FleetDefinition &definition);
+    void setServices(const FleetDefinition &definition, Instant now);
 
     /// @brief Sets the number of VMs that share the limits; at least 1.
-    void setVmCount(size_t vms);
+    void setVmCount(size_t vms, Instant now);
 
     /// @brief Budget of a service. It stays valid if the service is removed.
-    [[nodiscard]] std::shared_ptr<RetryBudget> budget(std::string_view service);
+    [[nodiscard]] std::shared_ptr<RetryBudget> budget(std::string_view service, Instant now);
 
     /// @brief Number of budgets.
     [[nodiscard]] size_t size() const { return m_budgets.size(); }
@@ -59,8 +59,8 @@
     };
 
     [[nodiscard]] RetryBudgetOptions optionsFor(bool hasStreams) const;
-    ServiceBudget &find(std::string_view service);
-    void applyOptions();
+    ServiceBudget &find(std::string_view service, Instant now);
+    void applyOptions(Instant now);
 
     FleetRetryLimits m_limits;
     size_t m_vms;
--- a/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -7,8 +7,13 @@
 RetryBudget::RetryBudget(RetryBudgetOptions options) : m_options(options), m_tokens(options.floor)
 { }
 
-void RetryBudget::setOptions(const RetryBudgetOptions &options)
+RetryBudget::RetryBudget(RetryBudgetOptions options, Instant startedAt)
+    : m_options(options), m_tokens(-options.streamReserve), m_lastRefill(startedAt)
+{ }
+
+void RetryBudget::setOptions(const RetryBudgetOptions &options, Instant now)
 {
+    refill(now);
     m_options = options;
     m_tokens = std::min(m_tokens, m_options.capacity);
 }
--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
@@ -10,7 +10,7 @@
     : m_limits(limits), m_vms(std::max<size_t>(1, vms))
 { }
 
-void ServiceRetryBudgets::setServices(const FleetDefinition &definition)
+void ServiceRetryBudgets::setServices(const FleetDefinition &definition, Instant now)
 {
     std::set<std::string_view> current;
     std::set<std::string_view> withStreams;
@@ -23,26 +23,26 @@
         }
     }
     for (const std::string_view service : current) {
-        find(service).hasStreams = withStreams.contains(service);
+        find(service, now).hasStreams = withStreams.contains(service);
     }
     std::erase_if(m_budgets, [&current](const std::pair<const std::string, ServiceBudget> &entry) {
         return !current.contains(entry.first) && entry.second.budget.use_count() == 1;
     });
-    applyOptions();
+    applyOptions(now);
 }
 
-void ServiceRetryBudgets::setVmCount(size_t vms)
+void ServiceRetryBudgets::setVmCount(size_t vms, Instant now)
 {
     m_vms = std::max<size_t>(1, vms);
-    applyOptions();
+    applyOptions(now);
 }
 
-std::shared_ptr<RetryBudget> ServiceRetryBudgets::budget(std::string_view service)
+std::shared_ptr<RetryBudget> ServiceRetryBudgets::budget(std::string_view service, Instant now)
 {
-    return find(service).budget;
+    return find(service, now).budget;
 }
 
-ServiceRetryBudgets::ServiceBudget &ServiceRetryBudgets::find(std::string_view service)
+ServiceRetryBudgets::ServiceBudget &ServiceRetryBudgets::find(std::string_view service, Instant now)
 {
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end()) {
@@ -50,14 +50,14 @@
     }
     return m_budgets
             .emplace(service,
-                     ServiceBudget{.budget = std::make_shared<RetryBudget>(optionsFor(false))})
+                     ServiceBudget{.budget = std::make_shared<RetryBudget>(optionsFor(false), now)})
             .first->second;
 }
 
-void ServiceRetryBudgets::applyOptions()
+void ServiceRetryBudgets::applyOptions(Instant now)
 {
     for (const std::pair<const std::string, ServiceBudget> &entry : m_budgets) {
-        entry.second.budget->setOptions(optionsFor(entry.second.hasStreams));
+        entry.second.budget->setOptions(optionsFor(entry.second.hasStreams), now);
     }
 }
 
--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets_test.cpp
@@ -19,18 +19,19 @@
 
 TEST_CASE("budgets of removed services are kept only while requests use them")
 {
+    const Instant now(100s);
     ServiceRetryBudgets budgets({}, 3);
-    budgets.setServices(definitionOf({"engines", "returns"}));
+    budgets.setServices(definitionOf({"engines", "returns"}), now);
     REQUIRE(budgets.size() == 2);
-    std::shared_ptr<RetryBudget> used = budgets.budget("returns");
-    CHECK(used != budgets.budget("engines"));
+    std::shared_ptr<RetryBudget> used = budgets.budget("returns", now);
+    CHECK(used != budgets.budget("engines", now));
 
-    budgets.setServices(definitionOf({"engines"}));
+    budgets.setServices(definitionOf({"engines"}), now);
     CHECK(budgets.size() == 2);
-    CHECK(budgets.budget("returns") == used);
+    CHECK(budgets.budget("returns", now) == used);
 
     used.reset();
-    budgets.setServices(definitionOf({"engines"}));
+    budgets.setServices(definitionOf({"engines"}), now);
     CHECK(budgets.size() == 1);
 }
 
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -92,9 +92,9 @@
     TargetSelector &targetSelector() { return m_targetSelector; }
     [[nodiscard]] const TargetSelector &targetSelector() const { return m_targetSelector; }
     /// @brief Budget for retries at a service; stays valid if the service is removed.
-    [[nodiscard]] std::shared_ptr<RetryBudget> retryBudget(std::string_view service)
+    [[nodiscard]] std::shared_ptr<RetryBudget> retryBudget(std::string_view service, Instant now)
     {
-        return m_retryBudgets.budget(service);
+        return m_retryBudgets.budget(service, now);
     }
     WeightRollout &weightRollout() { return m_weightRollout; }
 
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -77,7 +77,7 @@
       m_seed(rendezvousKey(m_admitted.request.id)),
       m_service(RouteTable::chooseService(*m_admitted.route, m_seed)),
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
-      m_retryBudget(context.fleet.retryBudget(m_service)),
+      m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
       m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget)
 {
     const std::string &last = m_admitted.request.lastEventId;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -67,7 +67,7 @@
     m_targetSelector.setCacheStore(cacheStore == nullptr ? std::string_view()
                                                          : cacheStore->cacheStoreAddress,
                                    cacheStore == nullptr ? 0 : cacheStore->cacheTokens);
-    m_retryBudgets.setServices(current);
+    m_retryBudgets.setServices(current, now);
     divideUsageLimits(now);
     m_log.write(EventPriority::Important, "configuration_applied",
                 {{"version", static_cast<int64_t>(current.version)},
@@ -247,7 +247,7 @@
     }
     if (vms != m_limitDivisor) {
         m_limitDivisor = vms;
-        m_retryBudgets.setVmCount(vms);
+        m_retryBudgets.setVmCount(vms, now);
         m_log.write(EventPriority::Important, "usage_divided",
                     {{"vms", static_cast<int64_t>(vms)}});
     }
--- a/packages/relay/src/teaseldrift/relay/retry_fleet_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/retry_fleet_simulation_test.hpp
@@ -248,7 +248,7 @@
     {
         const SimulatedService &service = m_scenario.services[number];
         const Instant now = timeOf(at);
-        const std::shared_ptr<RetryBudget> budget = vm.fleet->retryBudget(service.name);
+        const std::shared_ptr<RetryBudget> budget = vm.fleet->retryBudget(service.name, now);
         RequestStateMachine machine(
                 {.routeClass = service.streams ? schema::GENERATION : schema::IDEMPOTENT,
                  .responseMode = service.streams ? ResponseMode::Streamed : ResponseMode::Buffered,
