A short list of VMs does not raise the retries of the fleet

When VM records were missing from the store (leases expire during an outage or a suspension), every VM divided the slack by 1 for a second: its reserve for streams grew at once from a seventh to the whole, and refill and capacity with it.

Budgets are now divided by the largest count of VMs of the last one to two windows, and an empty list says nothing. A change of options keeps the sum of tokens and reserve, so that a larger reserve must be refilled before it can be spent. How VMs are counted is unchanged.

Cost: after VMs have left for good, the others take over their part of the slack 10 to 20 s later.

--- a/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
+++ b/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
@@ -41,7 +41,10 @@
     /// @brief Keeps budgets for the services of all routes, and for those still in use by requests.
     void setServices(const FleetDefinition &definition, Instant now);
 
-    /// @brief Sets the number of VMs that share the limits; at least 1.
+    /// @brief Reports the number of VMs that share the limits; to be called at least once a window.
+    ///
+    /// The limits are divided by the largest number of the last one to two windows, so that a list
+    /// of VMs that is incomplete for a while does not raise the retries of the fleet.
     void setVmCount(size_t vms, Instant now);
 
     /// @brief Budget of a service. It stays valid if the service is removed.
@@ -63,7 +66,12 @@
     void applyOptions(Instant now);
 
     FleetRetryLimits m_limits;
+    /// Largest count of VMs since `m_countedSince`, and in the period before.
     size_t m_vms;
+    size_t m_vmsBefore = 0;
+    Instant m_countedSince;
+    /// Count of VMs by which the limits are divided.
+    size_t m_divisor;
     std::map<std::string, ServiceBudget, std::less<>> m_budgets;
 };
 
--- a/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -14,8 +14,10 @@
 void RetryBudget::setOptions(const RetryBudgetOptions &options, Instant now)
 {
     refill(now);
+    // A change of the reserve moves the zero of m_tokens.
+    const double kept = std::max(0.0, m_tokens + m_options.streamReserve);
     m_options = options;
-    m_tokens = std::min(m_tokens, m_options.capacity);
+    m_tokens = std::min(kept - m_options.streamReserve, m_options.capacity);
 }
 
 void RetryBudget::countRequest()
--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
@@ -7,7 +7,7 @@
 namespace teaseldrift {
 
 ServiceRetryBudgets::ServiceRetryBudgets(FleetRetryLimits limits, size_t vms)
-    : m_limits(limits), m_vms(std::max<size_t>(1, vms))
+    : m_limits(limits), m_vms(std::max<size_t>(1, vms)), m_divisor(m_vms)
 { }
 
 void ServiceRetryBudgets::setServices(const FleetDefinition &definition, Instant now)
@@ -33,8 +33,17 @@
 
 void ServiceRetryBudgets::setVmCount(size_t vms, Instant now)
 {
-    m_vms = std::max<size_t>(1, vms);
-    applyOptions(now);
+    if (now - m_countedSince >= m_limits.window) {
+        m_vmsBefore = m_vms;
+        m_vms = 0;
+        m_countedSince = now;
+    }
+    m_vms = std::max({m_vms, vms, size_t(1)});
+    const size_t divisor = std::max(m_vms, m_vmsBefore);
+    if (divisor != m_divisor) {
+        m_divisor = divisor;
+        applyOptions(now);
+    }
 }
 
 std::shared_ptr<RetryBudget> ServiceRetryBudgets::budget(std::string_view service, Instant now)
@@ -70,7 +79,7 @@
     constexpr double capacityFraction = 0.5;
     constexpr double floorFraction = 0.25;
     const double reserveFraction = hasStreams ? 0.2 : 0.0;
-    const double slack = m_limits.slack / static_cast<double>(m_vms);
+    const double slack = m_limits.slack / static_cast<double>(m_divisor);
     return {.ratio = m_limits.ratio * ratioFraction,
             .floor = slack * floorFraction,
             .capacity = std::max(1.0, slack * capacityFraction),
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -245,9 +245,11 @@
         m_fallbackUsageLimiters[organisation.name].setLimit(
                 limit, fallbackFraction / static_cast<double>(vms), now);
     }
+    if (hasVmList()) {
+        m_retryBudgets.setVmCount(vms, now);
+    }
     if (vms != m_limitDivisor) {
         m_limitDivisor = vms;
-        m_retryBudgets.setVmCount(vms, now);
         m_log.write(EventPriority::Important, "usage_divided",
                     {{"vms", static_cast<int64_t>(vms)}});
     }
