All VMs' parts of a retry budget sum to at most nine tenths of the slack

Each VM could save one whole token however small its part of the slack was, so a fleet with more VMs than slack could exceed the rule. A VM now saves a whole token only within its part; if that is small, it has no refill and reserve beside it.

The fractions change with it: saved 0.65 (0.45 and a reserve of 0.2 where streams can be continued) and refilled 0.25 within a window, 0.9 in all (before: 0.75 for normal retries, 0.95 with the reserve); per request 0.85 of the ratio (before: 0.75). A quiet service refills to one retry at least. The margins of 0.1 and 0.15 are for VMs that do not know of all others yet, and for retries that arrive in a later window than their requests.

Limit: below 1.12 of slack per VM, a VM sends no retries.

--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
@@ -72,19 +72,26 @@
 
 RetryBudgetOptions ServiceRetryBudgets::optionsFor(bool hasStreams) const
 {
-    // Leaves a margin for requests that are counted in a different window than their retries.
-    constexpr double ratioFraction = 0.75;
-    // Fractions of this VM's part of the slack: saved tokens, tokens refilled within a window, and
-    // tokens reserved for streams.
-    constexpr double capacityFraction = 0.5;
-    constexpr double floorFraction = 0.25;
+    // Leaves a margin for retries that arrive in a later window than their requests.
+    constexpr double ratioFraction = 0.85;
+    // Fractions of this VM's part of the slack that it can spend within one window: saved tokens,
+    // tokens refilled, and tokens reserved for streams. The rest is a margin for VMs that do not
+    // know of all others yet.
+    constexpr double savedFraction = 0.65;
+    constexpr double refillFraction = 0.25;
     const double reserveFraction = hasStreams ? 0.2 : 0.0;
     const double slack = m_limits.slack / static_cast<double>(m_divisor);
+    const double spendable = slack * (savedFraction + refillFraction);
+    // A retry takes a whole token; a VM with a smaller part saves that up rather than refilling.
+    const double saved = slack * (savedFraction - reserveFraction);
+    const double capacity = std::min(spendable, std::max(1.0, saved));
+    const double reserve = std::min(slack * reserveFraction, spendable - capacity);
+    const double refill = std::min(slack * refillFraction, spendable - capacity - reserve);
     return {.ratio = m_limits.ratio * ratioFraction,
-            .floor = slack * floorFraction,
-            .capacity = std::max(1.0, slack * capacityFraction),
-            .streamReserve = slack * reserveFraction,
-            .floorRefillPerSecond = slack * floorFraction / toSeconds(m_limits.window)};
+            .floor = std::min(capacity, std::max(1.0, slack * refillFraction)),
+            .capacity = capacity,
+            .streamReserve = reserve,
+            .floorRefillPerSecond = refill / toSeconds(m_limits.window)};
 }
 
 } // namespace teaseldrift
