Retry a failure after a quiet time; check that no attempt is sent without a token

RequestStateMachine read the budget's level without the refill since its last use. After a quiet time a target's failure was therefore passed on to the caller although a retry was due. 'a failure after a quiet time is retried from the refilled budget' failed before, passes now.

request_fuzz_test.cpp now also checks that attempts sent are at most 1 + tokens taken, for all kinds of requests: resumed, continued and backed-off attempts are covered by a token (100 cases each). So no path of the state machine sends without a token; http::Client hands each request to one connection only (read, not tested).

--- a/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
@@ -185,6 +185,8 @@
     /// @brief Number of positions delivered to the caller.
     [[nodiscard]] uint64_t deliveredPositions() const { return m_deliveredPositions; }
     [[nodiscard]] uint32_t attempts() const { return m_attemptId; }
+    /// @brief The budget refused the last retry.
+    [[nodiscard]] bool isRetryRefused() const { return m_isRetryRefused; }
     /// @brief The target of the current attempt; empty until one is selected.
     [[nodiscard]] std::string_view target() const { return m_target; }
 
@@ -238,6 +240,7 @@
     bool m_canContinue = true;
     bool m_textComplete = false;
     bool m_isSuccessStatus = false;
+    bool m_isRetryRefused = false;
     /// The response is complete, but the transport of the last attempt has not ended yet.
     bool m_awaitsTransportEnd = false;
 };
--- a/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
+++ b/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
@@ -30,7 +30,8 @@
 
 /// @brief Limits retries to a fraction of requests, so that retries cannot amplify an overload.
 ///
-/// There is one budget per organisation and one per target.
+/// teaseldriftd has one budget per organisation, teaseldrift-edge one per service
+/// (ServiceRetryBudgets).
 ///
 /// ```cpp
 /// budget.countRequest();
@@ -59,8 +60,11 @@
     /// @return false if the budget is exhausted
     [[nodiscard]] bool tryAcquire(Instant now, RetryPriority priority);
 
-    /// @brief Retries left at normal priority; negative while started streams use the reserve.
-    [[nodiscard]] double available() const { return m_tokens; }
+    /// @brief Whether tryAcquire() would return true.
+    [[nodiscard]] bool canAcquire(Instant now, RetryPriority priority);
+
+    /// @brief Number of retries taken so far.
+    [[nodiscard]] uint64_t acquired() const { return m_acquired; }
 
 private:
     void refill(Instant now);
@@ -68,6 +72,7 @@
     RetryBudgetOptions m_options;
     double m_tokens;
     Instant m_lastRefill;
+    uint64_t m_acquired = 0;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/attempts/request_fuzz_test.hpp
+++ b/packages/policy/src/teaseldrift/attempts/request_fuzz_test.hpp
@@ -58,6 +58,7 @@
     /// Declared before the relay, whose options are parsed from it.
     std::string body = nlohmann::json{{"prompt", "p"}, {"max_tokens", allowedTokens}}.dump();
     RetryBudget budget{{.floor = 4, .streamReserve = 6}};
+    uint64_t sentAttempts = 0;
     RequestStateMachine machine;
     StreamRelay relay;
     /// Request body of the stream that a Resume continues.
@@ -178,6 +179,8 @@
             return;
         }
         attempt.isSent = true;
+        ++sentAttempts;
+        RC_ASSERT(sentAttempts <= 1 + budget.acquired());
         machine.sendStarted(attempt.action.id, now);
     }
 
--- a/packages/policy/src/teaseldrift/attempts/request_state_machine.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_state_machine.cpp
@@ -77,11 +77,12 @@
     // refusal would.
     const bool mayRunAgain = m_options.maxRuns == 0 || m_possibleRunCount + 1 < m_options.maxRuns;
     const bool canRetry = m_failuresSinceProgress + 1 < m_options.maxAttempts && mayRunAgain
-                          && now < m_deadline && m_organisationBudget.available() >= 1.0;
-    if (responseClass == ResponseClass::Failed && canRetry) {
-        return handleFailure(Failure::Broken, now);
+                          && now < m_deadline;
+    if (responseClass != ResponseClass::Failed || !canRetry) {
+        return {};
     }
-    return {};
+    m_isRetryRefused = !m_organisationBudget.canAcquire(now, RetryPriority::Normal);
+    return m_isRetryRefused ? RequestActions() : handleFailure(Failure::Broken, now);
 }
 
 void RequestStateMachine::bytesReceived(AttemptId id, Instant now)
@@ -232,6 +233,7 @@
     if (isFullyDelivered || !mayRetry(now)) {
         append(actions, failRequest(m_lastCause));
     } else if (!acquireRetry(now)) {
+        m_isRetryRefused = true;
         append(actions, failRequest(schema::RETRY_BUDGET_SPENT));
     } else {
         append(actions, startNextAttempt(now));
--- a/packages/policy/src/teaseldrift/attempts/request_state_machine_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_state_machine_test.cpp
@@ -100,6 +100,22 @@
     const RequestActions actions = fixture.machine.connectFailed(1, fixture.now);
     REQUIRE(find<RefuseRequest>(actions) != nullptr);
     CHECK(find<RefuseRequest>(actions)->code == schema::RETRY_BUDGET_SPENT);
+    CHECK(fixture.machine.isRetryRefused());
+}
+
+// The budget's level was read without the refill since its last use, so the failure was passed on.
+TEST_CASE("a failure after a quiet time is retried from the refilled budget")
+{
+    RetryBudget budget({.floor = 2.0, .floorRefillPerSecond = 1.0});
+    Instant now(1s);
+    while (budget.tryAcquire(now, RetryPriority::Normal)) { }
+    now += 60s;
+    RequestStateMachine machine({.routeClass = schema::IDEMPOTENT}, budget);
+    machine.start(now);
+    machine.targetSelected(1, "a", now);
+    machine.sendStarted(1, now);
+    const RequestActions actions = machine.responseHeadReceived(1, {.status = 500}, now);
+    CHECK(find<StartAttempt>(actions) != nullptr);
 }
 
 TEST_CASE("a started stream uses the reserve of an exhausted retry budget")
--- a/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -25,14 +25,20 @@
     m_tokens = std::min(m_options.capacity, m_tokens + m_options.ratio);
 }
 
-bool RetryBudget::tryAcquire(Instant now, RetryPriority priority)
+bool RetryBudget::canAcquire(Instant now, RetryPriority priority)
 {
     refill(now);
     const double reserve = priority == RetryPriority::StartedStream ? m_options.streamReserve : 0.0;
-    if (m_tokens + reserve < 1.0) {
+    return m_tokens + reserve >= 1.0;
+}
+
+bool RetryBudget::tryAcquire(Instant now, RetryPriority priority)
+{
+    if (!canAcquire(now, priority)) {
         return false;
     }
     m_tokens -= 1.0;
+    ++m_acquired;
     return true;
 }
 
