--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -245,6 +245,9 @@
     m_triedTargets += m_triedTargets.empty() ? "" : ",";
     m_triedTargets += m_choice->id;
     m_context.fleet.targetSelector().sent(*m_choice, now);
+    if (action.id > 1) {
+        m_context.metrics.counter({"teaseldrift_retries_total", "service", m_service}).add();
+    }
     std::weak_ptr<RequestTask> weak = this->weak_from_this();
     const AttemptId id = action.id;
     m_call = m_context.targets.start(
@@ -594,10 +597,12 @@
             "request_ended",
             {{"request_id", std::string_view(m_admitted.request.id)},
              {"route", route},
+             {"service", m_service},
              {"outcome", outcome},
              {"status", static_cast<int64_t>(status)},
              {"targets", std::string_view(m_triedTargets)},
              {"attempts", static_cast<int64_t>(m_machine.attempts())},
+             {"retry_refused", m_machine.isRetryRefused()},
              {"events", static_cast<int64_t>(m_machine.deliveredPositions())},
              {"tokens_to_read", static_cast<int64_t>(m_choice ? m_choice->prefillTokens : 0)},
              {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
@@ -610,6 +615,10 @@
              {"total_ms", toSeconds(now - m_admitted.arrivedAt) * 1e3},
              {"configuration", static_cast<int64_t>(m_admitted.table->definition().version)}});
     m_context.metrics.counter({"teaseldrift_requests_total", "outcome", outcome}).add();
+    if (m_machine.isRetryRefused()) {
+        m_context.metrics.counter({"teaseldrift_retries_refused_total", "service", m_service})
+                .add();
+    }
     m_context.metrics.distribution({"teaseldrift_request_seconds", "route", route})
             .observe(toSeconds(now - m_admitted.arrivedAt));
     endAttempt(m_isPrefillFinished);
