Until a VM knows the list of VMs, it sends only retries that its requests earn

A VM that starts while the store is down has no list of VMs and assumed 3, for as long as the outage lasts. It now saves one token at most and refills none until the first list is there.

--- a/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
+++ b/packages/policy/include/teaseldrift/attempts/service_retry_budgets.hpp
@@ -35,8 +35,9 @@
 class ServiceRetryBudgets
 {
 public:
-    /// @param vms number of VMs that share the limits
-    ServiceRetryBudgets(FleetRetryLimits limits, size_t vms);
+    /// @brief Until the first setVmCount(), a VM sends only retries that its own requests earn, and
+    /// saves one at most.
+    explicit ServiceRetryBudgets(FleetRetryLimits limits);
 
     /// @brief Keeps budgets for the services of all routes, and for those still in use by requests.
     void setServices(const FleetDefinition &definition, Instant now);
@@ -67,11 +68,11 @@
 
     FleetRetryLimits m_limits;
     /// Largest count of VMs since `m_countedSince`, and in the period before.
-    size_t m_vms;
+    size_t m_vms = 0;
     size_t m_vmsBefore = 0;
     Instant m_countedSince;
-    /// Count of VMs by which the limits are divided.
-    size_t m_divisor;
+    /// Count of VMs by which the limits are divided; 0 while it is not known.
+    size_t m_divisor = 0;
     std::map<std::string, ServiceBudget, std::less<>> m_budgets;
 };
 
--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets.cpp
@@ -6,9 +6,7 @@
 
 namespace teaseldrift {
 
-ServiceRetryBudgets::ServiceRetryBudgets(FleetRetryLimits limits, size_t vms)
-    : m_limits(limits), m_vms(std::max<size_t>(1, vms)), m_divisor(m_vms)
-{ }
+ServiceRetryBudgets::ServiceRetryBudgets(FleetRetryLimits limits) : m_limits(limits) { }
 
 void ServiceRetryBudgets::setServices(const FleetDefinition &definition, Instant now)
 {
@@ -74,6 +72,14 @@
 {
     // Leaves a margin for retries that arrive in a later window than their requests.
     constexpr double ratioFraction = 0.85;
+    const double ratio = m_limits.ratio * ratioFraction;
+    if (m_divisor == 0) {
+        return {.ratio = ratio,
+                .floor = 0.0,
+                .capacity = 1.0,
+                .streamReserve = 0.0,
+                .floorRefillPerSecond = 0.0};
+    }
     // Fractions of this VM's part of the slack that it can spend within one window: saved tokens,
     // tokens refilled, and tokens reserved for streams. The rest is a margin for VMs that do not
     // know of all others yet.
@@ -87,7 +93,7 @@
     const double capacity = std::min(spendable, std::max(1.0, saved));
     const double reserve = std::min(slack * reserveFraction, spendable - capacity);
     const double refill = std::min(slack * refillFraction, spendable - capacity - reserve);
-    return {.ratio = m_limits.ratio * ratioFraction,
+    return {.ratio = ratio,
             .floor = std::min(capacity, std::max(1.0, slack * refillFraction)),
             .capacity = capacity,
             .streamReserve = reserve,
--- a/packages/policy/src/teaseldrift/attempts/service_retry_budgets_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/service_retry_budgets_test.cpp
@@ -20,7 +20,8 @@
 int retriesInWindow(double slack, size_t vms, RetryPriority priority)
 {
     Instant now(100s);
-    ServiceRetryBudgets budgets({.slack = slack, .window = 10s}, vms);
+    ServiceRetryBudgets budgets({.slack = slack, .window = 10s});
+    budgets.setVmCount(vms, now);
     FleetDefinition definition = definitionOf({"engines"});
     definition.routes.front().kind = RouteKind::ResumableStream;
     budgets.setServices(definition, now);
@@ -58,7 +59,7 @@
 TEST_CASE("budgets of removed services are kept only while requests use them")
 {
     const Instant now(100s);
-    ServiceRetryBudgets budgets({}, 3);
+    ServiceRetryBudgets budgets({});
     budgets.setServices(definitionOf({"engines", "returns"}), now);
     REQUIRE(budgets.size() == 2);
     std::shared_ptr<RetryBudget> used = budgets.budget("returns", now);
