--- a/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
+++ b/packages/policy/include/teaseldrift/attempts/retry_budget.hpp
@@ -30,7 +30,8 @@
 
 /// @brief Limits retries to a fraction of requests, so that retries cannot amplify an overload.
 ///
-/// There is one budget per organisation and one per target.
+/// teaseldriftd has one budget per organisation, teaseldrift-edge one per service
+/// (ServiceRetryBudgets).
 ///
 /// ```cpp
 /// budget.countRequest();
@@ -39,10 +40,18 @@
 class RetryBudget
 {
 public:
+    /// @brief Starts at the floor and with the whole reserve.
     explicit RetryBudget(RetryBudgetOptions options = {});
 
-    /// @brief Replaces the configuration. Remaining retries are kept, up to the new capacity.
-    void setOptions(const RetryBudgetOptions &options);
+    /// @brief Starts empty, without a reserve, and refills from `startedAt`.
+    ///
+    /// For a budget that is part of a shared limit: a process that starts again may already have
+    /// spent its part.
+    RetryBudget(RetryBudgetOptions options, Instant startedAt);
+
+    /// @brief Replaces the configuration. Remaining retries, reserve included, are kept up to their
+    /// new maximum; a larger reserve or floor has to be refilled first.
+    void setOptions(const RetryBudgetOptions &options, Instant now);
 
     /// @brief Records a first attempt, which earns a fraction of a retry.
     void countRequest();
@@ -51,8 +60,11 @@
     /// @return false if the budget is exhausted
     [[nodiscard]] bool tryAcquire(Instant now, RetryPriority priority);
 
-    /// @brief Retries left at normal priority; negative while started streams use the reserve.
-    [[nodiscard]] double available() const { return m_tokens; }
+    /// @brief Whether tryAcquire() would return true.
+    [[nodiscard]] bool canAcquire(Instant now, RetryPriority priority);
+
+    /// @brief Number of retries taken so far.
+    [[nodiscard]] uint64_t acquired() const { return m_acquired; }
 
 private:
     void refill(Instant now);
@@ -60,6 +72,7 @@
     RetryBudgetOptions m_options;
     double m_tokens;
     Instant m_lastRefill;
+    uint64_t m_acquired = 0;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
+++ b/packages/policy/src/teaseldrift/attempts/retry_budget.cpp
@@ -7,10 +7,17 @@
 RetryBudget::RetryBudget(RetryBudgetOptions options) : m_options(options), m_tokens(options.floor)
 { }
 
-void RetryBudget::setOptions(const RetryBudgetOptions &options)
+RetryBudget::RetryBudget(RetryBudgetOptions options, Instant startedAt)
+    : m_options(options), m_tokens(-options.streamReserve), m_lastRefill(startedAt)
+{ }
+
+void RetryBudget::setOptions(const RetryBudgetOptions &options, Instant now)
 {
+    refill(now);
+    // A change of the reserve moves the zero of m_tokens.
+    const double kept = std::max(0.0, m_tokens + m_options.streamReserve);
     m_options = options;
-    m_tokens = std::min(m_tokens, m_options.capacity);
+    m_tokens = std::min(kept - m_options.streamReserve, m_options.capacity);
 }
 
 void RetryBudget::countRequest()
@@ -18,14 +25,20 @@
     m_tokens = std::min(m_options.capacity, m_tokens + m_options.ratio);
 }
 
-bool RetryBudget::tryAcquire(Instant now, RetryPriority priority)
+bool RetryBudget::canAcquire(Instant now, RetryPriority priority)
 {
     refill(now);
     const double reserve = priority == RetryPriority::StartedStream ? m_options.streamReserve : 0.0;
-    if (m_tokens + reserve < 1.0) {
+    return m_tokens + reserve >= 1.0;
+}
+
+bool RetryBudget::tryAcquire(Instant now, RetryPriority priority)
+{
+    if (!canAcquire(now, priority)) {
         return false;
     }
     m_tokens -= 1.0;
+    ++m_acquired;
     return true;
 }
 
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -74,8 +74,11 @@
                             std::function<void()> onEnded)
     : m_context(context), m_dialect(dialect), m_exchange(std::move(exchange)),
       m_admitted(std::move(admitted)), m_onEnded(std::move(onEnded)),
+      m_seed(rendezvousKey(m_admitted.request.id)),
+      m_service(RouteTable::chooseService(*m_admitted.route, m_seed)),
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
-      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), context.fleet.retryBudget())
+      m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
+      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget)
 {
     const std::string &last = m_admitted.request.lastEventId;
     uint64_t number = 0;
@@ -145,11 +148,10 @@
     const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
-    const uint64_t seed = rendezvousKey(request.id);
     m_minWeights = m_context.fleet.minWeights(request.model, now);
     m_choice = m_context.fleet.targetSelector().choose(
             m_context.fleet.directory(),
-            {.service = RouteTable::chooseService(*m_admitted.route, seed),
+            {.service = m_service,
              .model = request.model,
              .segments = request.segments,
              .isolatedOrganisation
@@ -159,7 +161,7 @@
              .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
              .priority = priority(),
              .expectedRun = expectedRun(request),
-             .seed = seed},
+             .seed = m_seed},
             now);
     if (!m_choice) {
         perform(m_machine.noTargetAvailable(action.id, now));
@@ -243,6 +245,9 @@
     m_triedTargets += m_triedTargets.empty() ? "" : ",";
     m_triedTargets += m_choice->id;
     m_context.fleet.targetSelector().sent(*m_choice, now);
+    if (action.id > 1) {
+        m_context.metrics.counter({"teaseldrift_retries_total", "service", m_service}).add();
+    }
     std::weak_ptr<RequestTask> weak = this->weak_from_this();
     const AttemptId id = action.id;
     m_call = m_context.targets.start(
@@ -592,10 +597,12 @@
             "request_ended",
             {{"request_id", std::string_view(m_admitted.request.id)},
              {"route", route},
+             {"service", m_service},
              {"outcome", outcome},
              {"status", static_cast<int64_t>(status)},
              {"targets", std::string_view(m_triedTargets)},
              {"attempts", static_cast<int64_t>(m_machine.attempts())},
+             {"retry_refused", m_machine.isRetryRefused()},
              {"events", static_cast<int64_t>(m_machine.deliveredPositions())},
              {"tokens_to_read", static_cast<int64_t>(m_choice ? m_choice->prefillTokens : 0)},
              {"weights", static_cast<int64_t>(m_choice ? m_choice->weights : 0)},
@@ -608,6 +615,10 @@
              {"total_ms", toSeconds(now - m_admitted.arrivedAt) * 1e3},
              {"configuration", static_cast<int64_t>(m_admitted.table->definition().version)}});
     m_context.metrics.counter({"teaseldrift_requests_total", "outcome", outcome}).add();
+    if (m_machine.isRetryRefused()) {
+        m_context.metrics.counter({"teaseldrift_retries_refused_total", "service", m_service})
+                .add();
+    }
     m_context.metrics.distribution({"teaseldrift_request_seconds", "route", route})
             .observe(toSeconds(now - m_admitted.arrivedAt));
     endAttempt(m_isPrefillFinished);
