Refunded units are granted again only while they are young

RefundPool counts a refund's age from the time at which a limiter granted it, also through several refunds. A window of W then holds at most what the limiters grant within W + age: rate x age more. The age is a tenth of the allowed excess divided by the rate, 1 s at most. Younger refunds are still granted at the VM that has them, without a query. UsageLimiter::refund had no caller; removed.

--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/usage/refund_pool.hpp"
 #include "teaseldrift/usage/usage_limiter.hpp"
 
 namespace teaseldrift {
@@ -123,13 +124,15 @@
         UsageLimiter owned;
         bool hasOwned = false;
         UsageLimiter fallback;
-        double refunded = 0.0;
+        RefundPool refunds;
     };
 
     [[nodiscard]] UsageVerdict decide(UsageLimiter &limiter, double units, Instant now);
     UsageLimiter &owned(Entry &entry, Instant now);
     void divide(Instant now);
     [[nodiscard]] UsageLimit limitOf(const Entry &entry) const;
+    [[nodiscard]] double allowedExcess(const Entry &entry) const;
+    [[nodiscard]] Duration maxRefundAge(const Entry &entry) const;
 
     DistributedUsageLimiterOptions m_options;
     Instant m_startedAt;
--- a/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
@@ -36,9 +36,6 @@
     /// @return whether the units were removed or there is no limit
     [[nodiscard]] bool tryAcquire(double units, Instant now);
 
-    /// @brief Returns the units of a request that did not run.
-    void refund(double units);
-
     /// @brief Time until `units` can be acquired; 0 if the share has no refill rate.
     [[nodiscard]] Duration timeUntilAvailable(double units, Instant now);
 
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/usage/distributed_usage_limiter.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "teaseldrift/base/rendezvous.hpp"
@@ -17,6 +18,11 @@
 /// owner continues to grant the whole limit to other VMs.
 constexpr double fallbackFraction = 0.5;
 
+/// Fraction of the allowed excess that granting refunded units again may use.
+constexpr double refundFraction = 0.1;
+
+constexpr Duration maxRefundAgeOfAnyLimit = 1s;
+
 } // namespace
 
 DistributedUsageLimiter::DistributedUsageLimiter(DistributedUsageLimiterOptions options,
@@ -84,9 +90,9 @@
         return {.outcome = UsageOutcome::Granted, .grantedAt = now};
     }
     Entry &entry = found->second;
-    if (entry.refunded >= units) {
-        entry.refunded -= units;
-        return {.outcome = UsageOutcome::Granted, .grantedAt = now};
+    if (const std::optional<Instant> grantedAt
+        = entry.refunds.take(units, now, maxRefundAge(entry))) {
+        return {.outcome = UsageOutcome::Granted, .grantedAt = *grantedAt};
     }
     const std::string_view owner = ownerOf(organisation);
     if (owner != m_options.vmId) {
@@ -116,12 +122,12 @@
     return decide(owned(found->second, now), units, now);
 }
 
-void DistributedUsageLimiter::refund(std::string_view organisation, double units,
-                                     Instant /*grantedAt*/, Instant /*now*/)
+void DistributedUsageLimiter::refund(std::string_view organisation, double units, Instant grantedAt,
+                                     Instant now)
 {
     const auto found = m_entries.find(organisation);
     if (found != m_entries.end()) {
-        found->second.refunded += units;
+        found->second.refunds.add(units, grantedAt, now, maxRefundAge(found->second));
     }
 }
 
@@ -165,4 +171,19 @@
             .slack = m_options.slack * slackFraction};
 }
 
+double DistributedUsageLimiter::allowedExcess(const Entry &entry) const
+{
+    const OrganisationLimit &limit = entry.limit;
+    return m_options.overrun * (limit.unitsPerSecond * toSeconds(m_options.window) + limit.burst)
+           + m_options.slack;
+}
+
+Duration DistributedUsageLimiter::maxRefundAge(const Entry &entry) const
+{
+    const std::chrono::duration<double> age(refundFraction * allowedExcess(entry)
+                                            / entry.limit.unitsPerSecond);
+    return age < maxRefundAgeOfAnyLimit ? std::chrono::duration_cast<Duration>(age)
+                                        : maxRefundAgeOfAnyLimit;
+}
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
@@ -41,11 +41,6 @@
     return true;
 }
 
-void UsageLimiter::refund(double units)
-{
-    m_level = std::min(m_level + units, capacity());
-}
-
 Duration UsageLimiter::timeUntilAvailable(double units, Instant now)
 {
     refill(now);
