Without its owner a limit is granted only within the allowed excess

A VM cannot tell an owner that is gone from one that is slow for it alone.

The fallback is now a part of the excess that the rule allows, divided by the VMs: 0.45 of it at once, 0.15 of it again within each window. With the owner's burst slack of 0.15 the sum holds whichever VMs use it. It starts half filled when a VM has run for half a window, so restarts in series add no more; a request larger than its capacity is not granted from it.

The price: while an owner is gone, less is granted than before at limits that are large against the slack: 0.56 s of the rate at 400000 units/s, 2.2 s at 36000, of 2.5 s and more before.

--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -69,7 +69,8 @@
 /// @brief Enforces usage limits that all VMs share; one VM's part of the decision.
 ///
 /// One VM owns each limit. All VMs determine it by rendezvous hashing over the list of VMs, and
-/// query it. While the owner does not respond, a VM grants units from a small part of the limit.
+/// query it. While the owner does not respond, a VM grants units from its part of the excess over
+/// the limit that is allowed, since the owner may be granting the whole limit to other VMs.
 ///
 /// ```cpp
 /// UsageVerdict verdict = limiter.acquire("shop", 100, now);
@@ -124,6 +125,7 @@
         UsageLimiter owned;
         bool hasOwned = false;
         UsageLimiter fallback;
+        bool hasFallback = false;
         RefundPool refunds;
     };
 
@@ -131,6 +133,7 @@
     UsageLimiter &owned(Entry &entry, Instant now);
     void divide(Instant now);
     [[nodiscard]] UsageLimit limitOf(const Entry &entry) const;
+    [[nodiscard]] UsageLimit fallbackLimitOf(const Entry &entry) const;
     [[nodiscard]] double allowedExcess(const Entry &entry) const;
     [[nodiscard]] Duration maxRefundAge(const Entry &entry) const;
 
--- a/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
@@ -14,6 +14,11 @@
     double burst = 0.0;
     /// Additional burst in units, because the VMs count usage independently of each other.
     double slack = 0.0;
+    /// Fraction of the capacity in the bucket at the start. If all VMs restart together, they must
+    /// not grant a whole burst again.
+    double initialFill = 0.25;
+    /// Whether a full bucket grants a request that is larger than its capacity.
+    bool grantsLargerThanCapacity = true;
 
     bool operator==(const UsageLimit &) const = default;
 };
@@ -32,7 +37,8 @@
 
     /// @brief Removes units if the level suffices.
     ///
-    /// A request larger than the capacity is admitted when the bucket is full.
+    /// A request larger than the capacity is admitted when the bucket is full, unless the limit
+    /// excludes it.
     /// @return whether the units were removed or there is no limit
     [[nodiscard]] bool tryAcquire(double units, Instant now);
 
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -10,13 +10,18 @@
 
 namespace {
 
-/// Fraction of the allowed excess over a usage limit that the VMs' buckets may use; the rest covers
-/// VMs that start or stop.
-constexpr double slackFraction = 0.6;
-
-/// Fraction of an equal share of a limit that a VM grants while the owner is unresponsive: the
-/// owner continues to grant the whole limit to other VMs.
-constexpr double fallbackFraction = 0.5;
+/// Fractions of the allowed excess over a limit within a window. They leave a margin for a request
+/// larger than the capacity of the owner's limiter.
+///
+/// The owner's limiter may exceed the burst by this much.
+constexpr double ownerSlackFraction = 0.15;
+/// Without their owner, the VMs together may grant this much at once, and as much again within a
+/// window.
+constexpr double fallbackBurstFraction = 0.45;
+constexpr double fallbackRefillFraction = 0.15;
+/// Fraction of its burst with which a fallback limiter starts, which it does when the VM has run
+/// for half a window: restarts in series add less than the burst within a window.
+constexpr double fallbackInitialFill = 0.5;
 
 /// Fraction of the allowed excess that granting refunded units again may use.
 constexpr double refundFraction = 0.1;
@@ -105,9 +110,13 @@
                                                       Instant now)
 {
     const auto found = m_entries.find(organisation);
-    if (found == m_entries.end()) {
+    if (found == m_entries.end() || found->second.limit.unitsPerSecond <= 0.0) {
         return {.outcome = UsageOutcome::Granted, .grantedAt = now};
     }
+    // A limiter without a limit grants everything.
+    if (!found->second.hasFallback || allowedExcess(found->second) <= 0.0) {
+        return {.outcome = UsageOutcome::Refused, .retryAfter = m_options.settlingTime};
+    }
     return decide(found->second.fallback, units, now);
 }
 
@@ -159,8 +168,11 @@
         if (entry.second.hasOwned) {
             entry.second.owned.setLimit(limit, 1.0, now);
         }
-        entry.second.fallback.setLimit(limit, fallbackFraction / static_cast<double>(m_vmCount),
-                                       now);
+        if (entry.second.hasFallback || now - m_startedAt >= m_options.window / 2) {
+            entry.second.hasFallback = true;
+            entry.second.fallback.setLimit(fallbackLimitOf(entry.second),
+                                           1.0 / static_cast<double>(m_vmCount), now);
+        }
     }
 }
 
@@ -168,7 +180,16 @@
 {
     return {.unitsPerSecond = entry.limit.unitsPerSecond,
             .burst = entry.limit.burst,
-            .slack = m_options.slack * slackFraction};
+            .slack = allowedExcess(entry) * ownerSlackFraction};
+}
+
+UsageLimit DistributedUsageLimiter::fallbackLimitOf(const Entry &entry) const
+{
+    const double excess = allowedExcess(entry);
+    return {.unitsPerSecond = excess * fallbackRefillFraction / toSeconds(m_options.window),
+            .burst = excess * fallbackBurstFraction,
+            .initialFill = fallbackInitialFill,
+            .grantsLargerThanCapacity = false};
 }
 
 double DistributedUsageLimiter::allowedExcess(const Entry &entry) const
--- a/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
@@ -4,14 +4,6 @@
 
 namespace teaseldrift {
 
-namespace {
-
-/// Fraction of the capacity in the bucket at the start. If all VMs restart together, they must not
-/// grant a whole burst again.
-constexpr double initialFillFraction = 0.25;
-
-} // namespace
-
 void UsageLimiter::setLimit(const UsageLimit &limit, double share, Instant now)
 {
     refill(now);
@@ -20,7 +12,7 @@
     if (!m_isInitialised) {
         m_isInitialised = true;
         m_refilledAt = now;
-        m_level = capacity() * initialFillFraction;
+        m_level = capacity() * m_limit.initialFill;
     }
     m_level = std::min(m_level, capacity());
 }
@@ -33,7 +25,7 @@
     refill(now);
     // A request larger than the capacity is granted when the bucket is full. The level then becomes
     // negative, and later requests wait until it has been refilled.
-    const double needed = std::min(units, capacity());
+    const double needed = m_limit.grantsLargerThanCapacity ? std::min(units, capacity()) : units;
     if (m_level < needed) {
         return false;
     }
