Count VMs that vanished from the list for a window when limits are divided

After two suspensions the log showed "vms":5 of 7: the VMs that had left the list were running, and all 7 used a fifth each, of the usage fallback and of the retry budget's slack. When the store loses its leases the list is empty for a moment: in "a short list does not raise the parts" VMs divided by 1 and 2 instead of 6. A VM now counts for a window and 2 s after it was last in the list, the time for which what it granted may still matter. The test passes.

--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -97,7 +97,8 @@
     /// @brief Counts the VMs among which limits are divided anew.
     void tick(Instant now);
 
-    /// @brief Number of VMs among which limits are divided.
+    /// @brief Number of VMs among which limits are divided: those in the list and those that were
+    /// in it within the last window, as they may still be granting.
     [[nodiscard]] size_t vmCount() const { return m_vmCount; }
 
     /// @brief The VM that owns a limit by the list of VMs; empty if there is none.
@@ -141,6 +142,8 @@
     Instant m_startedAt;
     std::map<std::string, Entry, std::less<>> m_entries;
     std::map<std::string, bool, std::less<>> m_vms;
+    /// When each VM was last in the list.
+    std::map<std::string, Instant, std::less<>> m_listedAt;
     size_t m_vmCount = 1;
     bool m_isLeaving = false;
 };
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -23,6 +23,9 @@
 /// for half a window: restarts in series add less than the burst within a window.
 constexpr double fallbackInitialFill = 0.5;
 
+/// Time for which a VM that is missing from the list may run by itself, beyond a window.
+constexpr Duration vanishedVmGrace = 2s;
+
 /// Fraction of the allowed excess that granting refunded units again may use.
 constexpr double refundFraction = 0.1;
 
@@ -55,6 +58,7 @@
     m_vms.clear();
     for (const UsageVm &vm : vms) {
         m_vms.emplace(vm.id, vm.isLeaving);
+        m_listedAt.insert_or_assign(vm.id, now);
     }
     divide(now);
 }
@@ -159,7 +163,11 @@
 
 void DistributedUsageLimiter::divide(Instant now)
 {
-    m_vmCount = std::max<size_t>(1, m_vms.size() + (m_vms.contains(m_options.vmId) ? 0 : 1));
+    const Duration maxAge = m_options.window + vanishedVmGrace;
+    std::erase_if(m_listedAt, [&](const std::pair<const std::string, Instant> &vm) {
+        return !m_vms.contains(vm.first) && now - vm.second > maxAge;
+    });
+    m_vmCount = m_listedAt.size() + (m_listedAt.contains(m_options.vmId) ? 0 : 1);
     if (now - m_startedAt < m_options.settlingTime) {
         m_vmCount = std::max(m_vmCount, m_options.minVmCount);
     }
