A VM grants a whole limit only while no other can take itself for the owner

An owner now decides only while confirmed: its own record was in a list read within 1.9 s, which ends before its lease lapses, or the store serves no one and a majority of the VMs, none of which has a current list, queries it. A VM that may not decide says so, and the asking VM uses its own part.

--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -32,7 +32,7 @@
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
 
     void query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-               const std::string &organisation, double units, Handler handler);
+               const schema::UsageAsk &query, Handler handler);
     void acquireFromFallback(const std::string &organisation, double units, const Handler &handler);
 };
 
@@ -66,7 +66,12 @@
         impl.acquireFromFallback(organisation, units, handler);
         return;
     }
-    impl.query(*owner, endpoint, organisation, units, std::move(handler));
+    schema::UsageAsk query;
+    query.set_organisation(organisation);
+    query.set_units(units);
+    query.set_vm_id(impl.fleet.options().vmId);
+    query.set_has_current_list(verdict.hasCurrentList);
+    impl.query(*owner, endpoint, query, std::move(handler));
 }
 
 void UsageTask::Impl::acquireFromFallback(const std::string &organisation, double units,
@@ -79,18 +84,15 @@
 }
 
 void UsageTask::Impl::query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-                            const std::string &organisation, double units, Handler handler)
+                            const schema::UsageAsk &query, Handler handler)
 {
-    schema::UsageAsk query;
-    query.set_organisation(organisation);
-    query.set_units(units);
-    query.set_vm_id(fleet.options().vmId);
     // The owner decides later than this, so that a refund counts as older than it is.
     const Instant askedAt = http::EventLoop::now();
     calls.start(endpoint,
                 {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
                 options.responseTimeout,
-                [this, organisation, units, askedAt, ownerId = owner.vm_id(),
+                [this, organisation = query.organisation(), units = query.units(), askedAt,
+                 ownerId = owner.vm_id(),
                  handler = std::move(handler)](const http::BufferedResponse &response) {
                     schema::UsageGrant grant;
                     if (response.status == statusOk && grant.ParseFromString(response.body)) {
@@ -124,8 +126,12 @@
         exchange.respond({.status = statusBadRequest});
         return;
     }
-    const UsageVerdict verdict = m_impl->fleet.usage().answer(
-            query.vm_id(), query.organisation(), query.units(), http::EventLoop::now());
+    const UsageVerdict verdict
+            = m_impl->fleet.usage().answer({.vmId = query.vm_id(),
+                                            .organisation = query.organisation(),
+                                            .units = query.units(),
+                                            .hasCurrentList = query.has_current_list()},
+                                           http::EventLoop::now());
     schema::UsageGrant grant;
     grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
     grant.set_is_not_owner(verdict.outcome == UsageOutcome::NotOwner);
