--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -1,5 +1,6 @@
 #include "teaseldrift/relay/usage_task.hpp"
 
+#include <map>
 #include <utility>
 
 #include "teaseldrift/http/buffered_client.hpp"
@@ -13,6 +14,15 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 
+constexpr Duration fallbackLogInterval = 1s;
+
+struct FallbackUse
+{
+    double granted = 0.0;
+    double refused = 0.0;
+    Instant loggedAt;
+};
+
 UsageDecision toDecision(const UsageVerdict &verdict)
 {
     return {.isGranted = verdict.outcome == UsageOutcome::Granted,
@@ -30,6 +40,8 @@
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
+    /// What was decided without an owner, by organisation; logged about once a second.
+    std::map<std::string, FallbackUse, std::less<>> fallbackUse;
 
     void query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
                const schema::UsageAsk &query, Handler handler);
@@ -77,8 +89,17 @@
 void UsageTask::Impl::acquireFromFallback(const std::string &organisation, double units,
                                           const Handler &handler)
 {
-    const UsageVerdict verdict
-            = fleet.usage().acquireFallback(organisation, units, http::EventLoop::now());
+    const Instant now = http::EventLoop::now();
+    const UsageVerdict verdict = fleet.usage().acquireFallback(organisation, units, now);
+    FallbackUse &use = fallbackUse[organisation];
+    (verdict.outcome == UsageOutcome::Granted ? use.granted : use.refused) += units;
+    if (now - use.loggedAt >= fallbackLogInterval) {
+        log.write(telemetry::EventPriority::Routine, "usage_without_owner",
+                  {{"organisation", std::string_view(organisation)},
+                   {"granted", static_cast<int64_t>(use.granted)},
+                   {"refused", static_cast<int64_t>(use.refused)}});
+        use = {.loggedAt = now};
+    }
     metrics.counter({"teaseldrift_usage_without_keeper_total"}).add();
     handler(toDecision(verdict));
 }
