--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/// Fraction of an equal share of a limit that a VM grants while the owner is unresponsive: the
-/// owner continues to grant the whole limit to other VMs.
-constexpr double fallbackFraction = 0.5;
-
 /// Minimum number of addresses given to a caller, and of those in other availability zones.
 constexpr size_t minAddresses = 3;
 constexpr size_t minOtherZoneAddresses = 1;
@@ -44,9 +40,15 @@
 } // namespace
 
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
-    : m_options(std::move(options)), m_log(log), m_startedAt(now),
+    : m_options(std::move(options)), m_log(log),
       m_targetSelector({.availabilityZone = m_options.availabilityZone}),
-      m_retryBudgets(m_options.retryLimits)
+      m_retryBudgets(m_options.retryLimits), m_usage({.vmId = m_options.vmId,
+                                                      .slack = m_options.usageSlack,
+                                                      .overrun = m_options.usageOverrun,
+                                                      .window = m_options.usageWindow,
+                                                      .minVmCount = m_options.minVmCount,
+                                                      .settlingTime = m_options.settlingTime},
+                                                     now)
 { }
 
 void FleetState::applyDefinition(FleetDefinition definition,
@@ -68,7 +70,14 @@
                                                          : cacheStore->cacheStoreAddress,
                                    cacheStore == nullptr ? 0 : cacheStore->cacheTokens);
     m_retryBudgets.setServices(current, now);
-    divideUsageLimits(now);
+    std::vector<OrganisationLimit> limits;
+    for (const Organisation &organisation : current.organisations) {
+        limits.push_back({.organisation = organisation.name,
+                          .unitsPerSecond = organisation.unitsPerSecond,
+                          .burst = organisation.burst});
+    }
+    m_usage.setLimits(limits, now);
+    divideLimits(now);
     m_log.write(EventPriority::Important, "configuration_applied",
                 {{"version", static_cast<int64_t>(current.version)},
                  {"before", static_cast<int64_t>(before)},
@@ -199,10 +208,22 @@
     }
 }
 
-void FleetState::applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant now)
+void FleetState::applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant readAt,
+                          Instant now)
 {
     m_vms = std::move(vms);
-    divideUsageLimits(now);
+    std::vector<UsageVm> list;
+    for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
+        list.push_back({.id = vm.first, .isLeaving = vm.second.is_leaving()});
+    }
+    m_usage.setVms(list, readAt, now);
+    divideLimits(now);
+}
+
+void FleetState::setLeaving(Instant now)
+{
+    m_isLeaving = true;
+    m_usage.setLeaving(now);
 }
 
 void FleetState::storeLost(Instant now)
@@ -229,55 +250,52 @@
         m_log.write(EventPriority::Important, "target",
                     {{"target", std::string_view(id)}, {"change", "gone_after_outage"}});
     }
-    divideUsageLimits(now);
+    m_usage.tick(now);
+    divideLimits(now);
+    logUsageOwners(now);
 }
 
-void FleetState::divideUsageLimits(Instant now)
+void FleetState::logUsageOwners(Instant now)
 {
     if (m_table == nullptr) {
         return;
     }
-    size_t vms = std::max<size_t>(1, m_vms.size() + (m_vms.contains(m_options.vmId) ? 0 : 1));
-    if (now - m_startedAt < m_options.settlingTime) {
-        vms = std::max(vms, m_options.minVmCount);
-    }
+    std::map<std::string, std::pair<std::string, bool>, std::less<>> owners;
     for (const Organisation &organisation : m_table->definition().organisations) {
-        const UsageLimit limit = limitOf(organisation.name);
-        const auto owned = m_ownedUsageLimiters.find(organisation.name);
-        if (owned != m_ownedUsageLimiters.end()) {
-            owned->second.setLimit(limit, 1.0, now);
+        if (organisation.unitsPerSecond <= 0.0) {
+            continue;
         }
-        m_fallbackUsageLimiters[organisation.name].setLimit(
-                limit, fallbackFraction / static_cast<double>(vms), now);
-    }
-    if (hasVmList()) {
-        m_retryBudgets.setVmCount(vms, now);
-    }
-    if (vms != m_limitDivisor) {
-        m_limitDivisor = vms;
-        m_log.write(EventPriority::Important, "usage_divided",
-                    {{"vms", static_cast<int64_t>(vms)}});
+        std::pair<std::string, bool> owner{m_usage.ownerOf(organisation.name),
+                                           m_usage.isOwner(organisation.name, now)};
+        const auto logged = m_loggedOwners.find(organisation.name);
+        if (logged == m_loggedOwners.end() || logged->second != owner) {
+            m_log.write(EventPriority::Important, "usage_owner",
+                        {{"organisation", std::string_view(organisation.name)},
+                         {"owner", std::string_view(owner.first)},
+                         {"decides", owner.second}});
+        }
+        owners.emplace(organisation.name, std::move(owner));
     }
+    m_loggedOwners = std::move(owners);
 }
 
-UsageLimit FleetState::limitOf(std::string_view organisation) const
+void FleetState::divideLimits(Instant now)
 {
-    if (m_table == nullptr) {
-        return {};
+    const size_t vms = m_usage.vmCount();
+    if (hasVmList()) {
+        m_retryBudgets.setVmCount(vms, now);
     }
-    for (const Organisation &candidate : m_table->definition().organisations) {
-        if (candidate.name == organisation) {
-            return {.unitsPerSecond = candidate.unitsPerSecond,
-                    .burst = candidate.burst,
-                    .slack = m_options.usageSlack};
-        }
+    if (m_table == nullptr || vms == m_limitDivisor) {
+        return;
     }
-    return {};
+    m_limitDivisor = vms;
+    m_log.write(EventPriority::Important, "usage_divided", {{"vms", static_cast<int64_t>(vms)}});
 }
 
-bool FleetState::hasLimit(std::string_view organisation) const
+const schema::VmRecord *FleetState::findVm(std::string_view vmId) const
 {
-    return limitOf(organisation).unitsPerSecond > 0.0;
+    const auto found = m_vms.find(vmId);
+    return found == m_vms.end() ? nullptr : &found->second;
 }
 
 const schema::VmRecord *
@@ -304,12 +322,6 @@
     return m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
 }
 
-const schema::VmRecord *FleetState::usageOwner(std::string_view organisation) const
-{
-    const uint64_t key = rendezvousKey(organisation);
-    return rendezvousWinner(key, localScore(key), [](const schema::VmRecord &) { return true; });
-}
-
 const schema::VmRecord *FleetState::cachePoller(std::string_view cache) const
 {
     const uint64_t key = rendezvousKey(cache);
@@ -342,20 +354,6 @@
     return zones;
 }
 
-UsageLimiter &FleetState::ownedUsageLimiter(std::string_view organisation)
-{
-    const auto [owned, isNew] = m_ownedUsageLimiters.try_emplace(std::string(organisation));
-    if (isNew) {
-        owned->second.setLimit(limitOf(organisation), 1.0, http::EventLoop::now());
-    }
-    return owned->second;
-}
-
-UsageLimiter &FleetState::fallbackUsageLimiter(std::string_view organisation)
-{
-    return m_fallbackUsageLimiters[std::string(organisation)];
-}
-
 size_t FleetState::rank() const
 {
     return static_cast<size_t>(std::distance(m_vms.begin(), m_vms.lower_bound(m_options.vmId)));
--- a/packages/relay/src/teaseldrift/relay/retry_fleet_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/retry_fleet_simulation_test.hpp
@@ -222,7 +222,7 @@
                 = std::any_of(m_scenario.storeDown.begin(), m_scenario.storeDown.end(),
                               [at](const Interval &interval) { return interval.contains(at); });
         if ((at - vm.startedAt) % readInterval == firstRead && !isStoreDown) {
-            vm.fleet->applyVms(records(at), timeOf(at));
+            vm.fleet->applyVms(records(at), timeOf(at), timeOf(at));
         }
         if ((at - vm.startedAt) % tickInterval == 0) {
             vm.fleet->tick(timeOf(at));
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -1,6 +1,6 @@
 #include "teaseldrift/relay/usage_task.hpp"
 
-#include <algorithm>
+#include <map>
 #include <utility>
 
 #include "teaseldrift/http/buffered_client.hpp"
@@ -14,6 +14,22 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 
+constexpr Duration fallbackLogInterval = 1s;
+
+struct FallbackUse
+{
+    double granted = 0.0;
+    double refused = 0.0;
+    Instant loggedAt;
+};
+
+UsageDecision toDecision(const UsageVerdict &verdict)
+{
+    return {.isGranted = verdict.outcome == UsageOutcome::Granted,
+            .retryAfter = verdict.retryAfter,
+            .grantedAt = verdict.grantedAt};
+}
+
 } // namespace
 
 struct UsageTask::Impl
@@ -24,11 +40,11 @@
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
-    /// Refunded units of requests that did not run, by organisation.
-    std::map<std::string, double, std::less<>> refunded;
+    /// What was decided without an owner, by organisation; logged about once a second.
+    std::map<std::string, FallbackUse, std::less<>> fallbackUse;
 
     void query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-               const std::string &organisation, double units, Handler handler);
+               const schema::UsageAsk &query, Handler handler);
     void acquireFromFallback(const std::string &organisation, double units, const Handler &handler);
 };
 
@@ -47,61 +63,68 @@
 void UsageTask::acquire(const std::string &organisation, double units, Handler handler)
 {
     Impl &impl = *m_impl;
-    double &refunded = impl.refunded[organisation];
-    if (refunded >= units) {
-        refunded -= units;
-        handler({.isGranted = true});
-        return;
-    }
     const Instant now = http::EventLoop::now();
-    if (!impl.fleet.hasLimit(organisation)) {
-        handler({.isGranted = true});
-        return;
-    }
-    const schema::VmRecord *owner = impl.fleet.usageOwner(organisation);
-    if (owner == nullptr) {
-        UsageLimiter &owned = impl.fleet.ownedUsageLimiter(organisation);
-        const bool isGranted = owned.tryAcquire(units, now);
-        handler({.isGranted = isGranted,
-                 .retryAfter = isGranted ? Duration(0) : owned.timeUntilAvailable(units, now)});
+    const UsageVerdict verdict = impl.fleet.usage().acquire(organisation, units, now);
+    if (verdict.outcome == UsageOutcome::Granted || verdict.outcome == UsageOutcome::Refused) {
+        handler(toDecision(verdict));
         return;
     }
+    const schema::VmRecord *owner = verdict.outcome == UsageOutcome::QueryOwner
+                                            ? impl.fleet.findVm(verdict.owner)
+                                            : nullptr;
     http::Endpoint endpoint;
-    if (impl.unresponsive.contains(owner->vm_id(), now)
+    if (owner == nullptr || impl.unresponsive.contains(owner->vm_id(), now)
         || !http::parseEndpoint(owner->peer_address(), endpoint)) {
         impl.acquireFromFallback(organisation, units, handler);
         return;
     }
-    impl.query(*owner, endpoint, organisation, units, std::move(handler));
+    schema::UsageAsk query;
+    query.set_organisation(organisation);
+    query.set_units(units);
+    query.set_vm_id(impl.fleet.options().vmId);
+    query.set_has_current_list(verdict.hasCurrentList);
+    impl.query(*owner, endpoint, query, std::move(handler));
 }
 
 void UsageTask::Impl::acquireFromFallback(const std::string &organisation, double units,
                                           const Handler &handler)
 {
     const Instant now = http::EventLoop::now();
-    UsageLimiter &fallback = fleet.fallbackUsageLimiter(organisation);
-    const bool isGranted = fallback.tryAcquire(units, now);
+    const UsageVerdict verdict = fleet.usage().acquireFallback(organisation, units, now);
+    FallbackUse &use = fallbackUse[organisation];
+    (verdict.outcome == UsageOutcome::Granted ? use.granted : use.refused) += units;
+    if (now - use.loggedAt >= fallbackLogInterval) {
+        log.write(telemetry::EventPriority::Routine, "usage_without_owner",
+                  {{"organisation", std::string_view(organisation)},
+                   {"granted", static_cast<int64_t>(use.granted)},
+                   {"refused", static_cast<int64_t>(use.refused)}});
+        use = {.loggedAt = now};
+    }
     metrics.counter({"teaseldrift_usage_without_keeper_total"}).add();
-    handler({.isGranted = isGranted,
-             .retryAfter = isGranted ? Duration(0) : fallback.timeUntilAvailable(units, now)});
+    handler(toDecision(verdict));
 }
 
 void UsageTask::Impl::query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-                            const std::string &organisation, double units, Handler handler)
+                            const schema::UsageAsk &query, Handler handler)
 {
-    schema::UsageAsk query;
-    query.set_organisation(organisation);
-    query.set_units(units);
+    // The owner decides later than this, so that a refund counts as older than it is.
+    const Instant askedAt = http::EventLoop::now();
     calls.start(endpoint,
                 {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
                 options.responseTimeout,
-                [this, organisation, units, ownerId = owner.vm_id(),
+                [this, organisation = query.organisation(), units = query.units(), askedAt,
+                 ownerId = owner.vm_id(),
                  handler = std::move(handler)](const http::BufferedResponse &response) {
                     schema::UsageGrant grant;
                     if (response.status == statusOk && grant.ParseFromString(response.body)) {
                         unresponsive.remove(ownerId);
+                        if (grant.is_not_owner()) {
+                            acquireFromFallback(organisation, units, handler);
+                            return;
+                        }
                         handler({.isGranted = grant.is_granted(),
-                                 .retryAfter = Duration(grant.retry_after_us())});
+                                 .retryAfter = Duration(grant.retry_after_us()),
+                                 .grantedAt = askedAt});
                         return;
                     }
                     unresponsive.add(ownerId, http::EventLoop::now());
@@ -112,9 +135,9 @@
                 });
 }
 
-void UsageTask::refund(const std::string &organisation, double units)
+void UsageTask::refund(const std::string &organisation, double units, Instant grantedAt)
 {
-    m_impl->refunded[organisation] += units;
+    m_impl->fleet.usage().refund(organisation, units, grantedAt, http::EventLoop::now());
 }
 
 void UsageTask::handle(http::Exchange &exchange)
@@ -124,13 +147,16 @@
         exchange.respond({.status = statusBadRequest});
         return;
     }
-    const Instant now = http::EventLoop::now();
-    UsageLimiter &owned = m_impl->fleet.ownedUsageLimiter(query.organisation());
+    const UsageVerdict verdict
+            = m_impl->fleet.usage().answer({.vmId = query.vm_id(),
+                                            .organisation = query.organisation(),
+                                            .units = query.units(),
+                                            .hasCurrentList = query.has_current_list()},
+                                           http::EventLoop::now());
     schema::UsageGrant grant;
-    grant.set_is_granted(owned.tryAcquire(query.units(), now));
-    if (!grant.is_granted()) {
-        grant.set_retry_after_us(owned.timeUntilAvailable(query.units(), now).count());
-    }
+    grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
+    grant.set_is_not_owner(verdict.outcome == UsageOutcome::NotOwner);
+    grant.set_retry_after_us(verdict.retryAfter.count());
     exchange.respond({.body = grant.SerializeAsString()});
 }
 
