--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -45,16 +44,6 @@
     bool isLeaving = false;
 };
 
-/// @brief A VM's query to the owner of a limit.
-struct UsageQuery
-{
-    std::string_view vmId;
-    std::string_view organisation;
-    double units = 0.0;
-    /// Whether the asking VM has read the list of VMs recently.
-    bool hasCurrentList = false;
-};
-
 /// @brief Decision about a request for units.
 enum class UsageOutcome {
     Granted,
@@ -75,8 +64,6 @@
     Instant grantedAt;
     /// For `QueryOwner`; valid until the list of VMs changes.
     std::string_view owner;
-    /// For `QueryOwner`: passed on in the query.
-    bool hasCurrentList = false;
 };
 
 /// @brief Enforces usage limits that all VMs share; one VM's part of the decision.
@@ -85,14 +72,10 @@
 /// query it. While the owner does not respond, a VM grants units from its part of the excess over
 /// the limit that is allowed, since the owner may be granting the whole limit to other VMs.
 ///
-/// A VM decides as the owner only while a recent list contains it, or while the store serves no one
-/// and most VMs query this one. A VM that joins waits until the former owner must have learned of
-/// it, and a new owner's limiter starts empty, so no two VMs grant a whole limit at the same time.
-///
 /// ```cpp
 /// UsageVerdict verdict = limiter.acquire("shop", 100, now);
 /// if (verdict.outcome == UsageOutcome::QueryOwner) {
-///     // On the owner: verdict = limiter.answer({.vmId = id, ...}, now);
+///     // On the owner: verdict = limiter.answer(askingVm, "shop", 100, now);
 ///     // If it does not respond: verdict = limiter.acquireFallback("shop", 100, now);
 /// }
 /// ```
@@ -121,9 +104,6 @@
     /// @brief The VM that owns a limit by the list of VMs; empty if there is none.
     [[nodiscard]] std::string_view ownerOf(std::string_view organisation) const;
 
-    /// @brief Whether this VM may decide about a limit as its owner.
-    [[nodiscard]] bool isOwner(std::string_view organisation, Instant now) const;
-
     /// @brief Requests units for this VM.
     [[nodiscard]] UsageVerdict acquire(std::string_view organisation, double units, Instant now);
 
@@ -132,7 +112,8 @@
                                                Instant now);
 
     /// @brief Decides as the owner about another VM's request.
-    [[nodiscard]] UsageVerdict answer(const UsageQuery &query, Instant now);
+    [[nodiscard]] UsageVerdict answer(std::string_view askingVm, std::string_view organisation,
+                                      double units, Instant now);
 
     /// @brief Refunds units of a request that did not run.
     /// @param grantedAt as in the verdict that granted them
@@ -142,34 +123,15 @@
     struct Entry
     {
         OrganisationLimit limit;
-        /// Empty if there is none.
-        std::string owner;
         UsageLimiter owned;
-        /// Since when this VM has owned the limit without interruption; none if it does not.
-        std::optional<Instant> ownedSince;
+        bool hasOwned = false;
         UsageLimiter fallback;
         bool hasFallback = false;
         RefundPool refunds;
     };
 
-    struct ListedVm
-    {
-        bool isLeaving = false;
-        /// When it may become the owner of limits.
-        Instant candidateFrom;
-    };
-
-    [[nodiscard]] static UsageVerdict decide(UsageLimiter &limiter, double units, Instant now);
-    [[nodiscard]] UsageVerdict decideAsOwner(Entry &entry, double units, Instant now);
-    [[nodiscard]] bool isTrusted(std::span<const UsageVm> vms, Instant now);
-    void replaceVms(std::span<const UsageVm> vms, Instant readAt);
-    void confirmByList(Instant readAt, Instant now);
-    void confirmByQuery(const UsageQuery &query, Instant now);
-    [[nodiscard]] bool isConfirmed(Instant now) const;
-    void dropLapsedOwnership(Instant now);
-    void updateOwnership(Instant now);
-    void startOwning(Entry &entry, Instant now);
-    [[nodiscard]] std::string chooseOwner(std::string_view organisation, Instant now) const;
+    [[nodiscard]] UsageVerdict decide(UsageLimiter &limiter, double units, Instant now);
+    UsageLimiter &owned(Entry &entry, Instant now);
     void divide(Instant now);
     [[nodiscard]] UsageLimit limitOf(const Entry &entry) const;
     [[nodiscard]] UsageLimit fallbackLimitOf(const Entry &entry) const;
@@ -179,17 +141,7 @@
     DistributedUsageLimiterOptions m_options;
     Instant m_startedAt;
     std::map<std::string, Entry, std::less<>> m_entries;
-    std::map<std::string, ListedVm, std::less<>> m_vms;
-    /// When the read of the list in `m_vms` began.
-    std::optional<Instant> m_readAt;
-    /// Since when the lists that were read could not be trusted.
-    std::optional<Instant> m_suspiciousSince;
-    /// When the next VM may become the owner of limits.
-    Instant m_nextCandidateAt = Instant::max();
-    /// Until when this VM may decide as an owner.
-    std::optional<Instant> m_confirmedUntil;
-    /// When the VMs whose list is not current last queried this one.
-    std::map<std::string, Instant, std::less<>> m_queriedAt;
+    std::map<std::string, bool, std::less<>> m_vms;
     /// When each VM was last in the list.
     std::map<std::string, Instant, std::less<>> m_listedAt;
     size_t m_vmCount = 1;
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -8,7 +8,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "teaseldrift/attempts/service_retry_budgets.hpp"
@@ -165,7 +164,6 @@
 private:
     /// Divides what the VMs share anew if their number has changed.
     void divideLimits(Instant now);
-    void logUsageOwners(Instant now);
     /// @param localScore rendezvous score of this VM; 0 if it is no candidate
     /// @return VM with the highest rendezvous score among those that `isCandidate` accepts; null if
     /// it is this VM
@@ -185,8 +183,6 @@
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     DistributedUsageLimiter m_usage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
-    /// Owner of each organisation's limit as last logged, and whether this VM decides as the owner.
-    std::map<std::string, std::pair<std::string, bool>, std::less<>> m_loggedOwners;
     size_t m_limitDivisor = 0;
     bool m_isLeaving = false;
 };
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -252,31 +252,6 @@
     }
     m_usage.tick(now);
     divideLimits(now);
-    logUsageOwners(now);
-}
-
-void FleetState::logUsageOwners(Instant now)
-{
-    if (m_table == nullptr) {
-        return;
-    }
-    std::map<std::string, std::pair<std::string, bool>, std::less<>> owners;
-    for (const Organisation &organisation : m_table->definition().organisations) {
-        if (organisation.unitsPerSecond <= 0.0) {
-            continue;
-        }
-        std::pair<std::string, bool> owner{m_usage.ownerOf(organisation.name),
-                                           m_usage.isOwner(organisation.name, now)};
-        const auto logged = m_loggedOwners.find(organisation.name);
-        if (logged == m_loggedOwners.end() || logged->second != owner) {
-            m_log.write(EventPriority::Important, "usage_owner",
-                        {{"organisation", std::string_view(organisation.name)},
-                         {"owner", std::string_view(owner.first)},
-                         {"decides", owner.second}});
-        }
-        owners.emplace(organisation.name, std::move(owner));
-    }
-    m_loggedOwners = std::move(owners);
 }
 
 void FleetState::divideLimits(Instant now)
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -1,6 +1,5 @@
 #include "teaseldrift/relay/usage_task.hpp"
 
-#include <map>
 #include <utility>
 
 #include "teaseldrift/http/buffered_client.hpp"
@@ -14,15 +13,6 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 
-constexpr Duration fallbackLogInterval = 1s;
-
-struct FallbackUse
-{
-    double granted = 0.0;
-    double refused = 0.0;
-    Instant loggedAt;
-};
-
 UsageDecision toDecision(const UsageVerdict &verdict)
 {
     return {.isGranted = verdict.outcome == UsageOutcome::Granted,
@@ -40,11 +30,9 @@
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
-    /// What was decided without an owner, by organisation; logged about once a second.
-    std::map<std::string, FallbackUse, std::less<>> fallbackUse;
 
     void query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-               const schema::UsageAsk &query, Handler handler);
+               const std::string &organisation, double units, Handler handler);
     void acquireFromFallback(const std::string &organisation, double units, const Handler &handler);
 };
 
@@ -78,42 +66,31 @@
         impl.acquireFromFallback(organisation, units, handler);
         return;
     }
-    schema::UsageAsk query;
-    query.set_organisation(organisation);
-    query.set_units(units);
-    query.set_vm_id(impl.fleet.options().vmId);
-    query.set_has_current_list(verdict.hasCurrentList);
-    impl.query(*owner, endpoint, query, std::move(handler));
+    impl.query(*owner, endpoint, organisation, units, std::move(handler));
 }
 
 void UsageTask::Impl::acquireFromFallback(const std::string &organisation, double units,
                                           const Handler &handler)
 {
-    const Instant now = http::EventLoop::now();
-    const UsageVerdict verdict = fleet.usage().acquireFallback(organisation, units, now);
-    FallbackUse &use = fallbackUse[organisation];
-    (verdict.outcome == UsageOutcome::Granted ? use.granted : use.refused) += units;
-    if (now - use.loggedAt >= fallbackLogInterval) {
-        log.write(telemetry::EventPriority::Routine, "usage_without_owner",
-                  {{"organisation", std::string_view(organisation)},
-                   {"granted", static_cast<int64_t>(use.granted)},
-                   {"refused", static_cast<int64_t>(use.refused)}});
-        use = {.loggedAt = now};
-    }
+    const UsageVerdict verdict
+            = fleet.usage().acquireFallback(organisation, units, http::EventLoop::now());
     metrics.counter({"teaseldrift_usage_without_keeper_total"}).add();
     handler(toDecision(verdict));
 }
 
 void UsageTask::Impl::query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-                            const schema::UsageAsk &query, Handler handler)
+                            const std::string &organisation, double units, Handler handler)
 {
+    schema::UsageAsk query;
+    query.set_organisation(organisation);
+    query.set_units(units);
+    query.set_vm_id(fleet.options().vmId);
     // The owner decides later than this, so that a refund counts as older than it is.
     const Instant askedAt = http::EventLoop::now();
     calls.start(endpoint,
                 {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
                 options.responseTimeout,
-                [this, organisation = query.organisation(), units = query.units(), askedAt,
-                 ownerId = owner.vm_id(),
+                [this, organisation, units, askedAt, ownerId = owner.vm_id(),
                  handler = std::move(handler)](const http::BufferedResponse &response) {
                     schema::UsageGrant grant;
                     if (response.status == statusOk && grant.ParseFromString(response.body)) {
@@ -147,12 +124,8 @@
         exchange.respond({.status = statusBadRequest});
         return;
     }
-    const UsageVerdict verdict
-            = m_impl->fleet.usage().answer({.vmId = query.vm_id(),
-                                            .organisation = query.organisation(),
-                                            .units = query.units(),
-                                            .hasCurrentList = query.has_current_list()},
-                                           http::EventLoop::now());
+    const UsageVerdict verdict = m_impl->fleet.usage().answer(
+            query.vm_id(), query.organisation(), query.units(), http::EventLoop::now());
     schema::UsageGrant grant;
     grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
     grant.set_is_not_owner(verdict.outcome == UsageOutcome::NotOwner);
