Test that fails: share lent to a member that restarts with an outdated record is lost

Who holds what (units of 2^30; base shares from the store's record): 8 s vm-0 1/3, vm-1 1/3, vm-2 1/3; epoch 1 vm-0 becomes vm-6 vm-1 1/3, vm-2 1/3; the dead vm-0 1/3; vm-6 is a home, no member 100 ms vm-6 hears epoch 1 in a challenge (its copy is delayed) vm-1 becomes vm-8 vm-2 1/3; the dead vm-0 and vm-1 2/3 vm-6 drains no share to give list at vm-2 vm-0 and vm-1 are gone for vm-2; homes vm-2, vm-8 2.025 s epoch 3: vm-2 1/2, vm-8 1/2, vm-6 0 (a member, no home); all active, in session vm-6 restarts the new process knows nothing delayed copies the new vm-6 learns epoch 1 from the late challenge: no member there balance vm-2 and vm-8 lend 1/4 each to the dead vm-6, whose report is younger than 3 s 24 s later vm-2 1/4, vm-8 1/4, on the way to the dead process 1/2; never acknowledged

The new vm-6 is no member by epoch 1 and no home by its list, so it greets nobody and reads no store. The others' messages name its earlier incarnation, so it drops them. The two never meet.

--- /dev/null
+++ b/packages/policy/src/teaseldrift/allowance/allowance_recovery_test.cpp
@@ -0,0 +1,33 @@
+#include <catch2/catch.hpp>
+
+#include "fleet_simulation_test.hpp"
+
+namespace teaseldrift::allowance {
+
+using simulation::FleetSimulation;
+
+// The restarted member learned an older record, in which it is no member, and asked nobody again.
+TEST_CASE("allowance: share lent to a member that restarts with an outdated record is not lost")
+{
+    for (const bool clocksStop : {false, true}) {
+        FleetSimulation fleet(3, clocksStop);
+        fleet.run(8s);
+        fleet.delayCopies(3);
+        fleet.replaceElsewhere(0);
+        fleet.run(100ms);
+        fleet.replaceElsewhere(0);
+        fleet.drain(1);
+        fleet.refreshList(0, 0);
+        fleet.run(2025ms);
+        fleet.replace(1);
+        for (int message = 0; message < 3; ++message) {
+            fleet.deliverDelayed(0);
+        }
+        CHECK(fleet.violation().empty());
+        fleet.heal();
+        CHECK(fleet.canAdmitBurst());
+        CHECK(fleet.violation().empty());
+    }
+}
+
+} // namespace teaseldrift::allowance
