Answer a message for an earlier incarnation with the record that this VM knows

Cause: a VM that restarts, and by an outdated record is no member and by its list no home, greets nobody and reads no store. Members that know it as a member write to its earlier incarnation; these messages were dropped, except that with no record at all the sender became a peer to be greeted. Nothing else told either side, so the share on its way to the dead process never came back.

Fix: such a message is answered with a notice of the record known here, and a notice older than the receiver's record with the receiver's own. The restarted VM installs it (unconfirmed, as before), greets all members, and its hello ends the session of the dead process at each of them. The unacknowledged transfer is repeated each second, so this happens within about a second. It replaces the special case for a process without a record. A notice names no receiver incarnation and answers only an older epoch, so two VMs cannot answer each other in a loop; one message for one received.

Considered, not run: letting every unconfirmed VM greet or read the store until confirmed; it costs messages or store reads for each organisation on each VM that is no home.

--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
@@ -65,10 +65,8 @@
     const uint64_t receiver = message.receiver_incarnation();
     if (receiver != 0 && receiver != m_incarnation) {
         // The message was meant for an earlier incarnation of this VM, so the sender knows this VM
-        // as a member and can supply the division record.
-        if (!m_isActive && m_record.epoch() == 0 && findPeer(from) == nullptr) {
-            m_peers.push_back({.vm = std::string(from), .knownSince = now});
-        }
+        // as a member. It answers with its record if this VM's is older.
+        sendNotice(from);
         return;
     }
     switch (message.body_case()) {
@@ -85,7 +83,7 @@
     case schema::AllowanceMessage::kGiveBack:
         return onGiveBack(from, message, now);
     case schema::AllowanceMessage::kNotice:
-        return installRecord(message.notice().record(), false, now);
+        return onNotice(from, message.notice().record(), now);
     default:
         break;
     }
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -215,6 +215,7 @@
     void onChallenge(Peer &peer, const schema::AllowanceMessage &message, Instant now);
     void onConfirm(Peer &peer, const schema::AllowanceMessage &message, Instant now);
     void onWelcome(Peer &peer, const schema::AllowanceMessage &message, Instant now);
+    void onNotice(std::string_view from, const schema::DivisionRecord &record, Instant now);
     void sendNotice(std::string_view vm);
 
     // Requests forwarded between VMs (forwarding.cpp)
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -251,6 +251,15 @@
     installRecord(welcome.record(), welcome.record_confirmed(), now);
 }
 
+void OrganisationAllowance::onNotice(std::string_view from, const schema::DivisionRecord &record,
+                                     Instant now)
+{
+    installRecord(record, false, now);
+    if (record.epoch() < m_record.epoch()) {
+        sendNotice(from);
+    }
+}
+
 void OrganisationAllowance::sendNotice(std::string_view vm)
 {
     schema::AllowanceMessage message;
