Check in every step of the simulation that no share is lost or made

The simulation compared the sum of shares with the whole from above only, and looked for a loss once, at the end, by a burst. docs/design/allowance.md states the invariant in both directions; the simulation checks it after each event and in each step of 10 ms, and after the recovery time that the page states that the shares sum to the whole in every step.

The old checks stay; "sum of levels exceeds the burst" becomes the stricter "levels and tokens on their way exceed burst - debt". AllowanceManager::divisionState() reports record and accounts for it. The simulation read a paused VM's stopped clock as if it ran (FleetSimulation::localTime), which only the stricter check noticed: event 8 0 1 (admit), event 11 0 0 (pause) on one VM.

--- a/packages/policy/include/teaseldrift/allowance/allowance_manager.hpp
+++ b/packages/policy/include/teaseldrift/allowance/allowance_manager.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "teaseldrift/allowance/options.hpp"
+#include "teaseldrift/allowance/peer.hpp"
 #include "teaseldrift/allowance/tokens.hpp"
 #include "teaseldrift/allowance/types.hpp"
 #include "teaseldrift/base/time.hpp"
@@ -83,6 +84,8 @@
     [[nodiscard]] MicroTokens level(std::string_view organisation, Instant now) const;
     /// @brief Ids of the VMs that share the organisation's bucket, as far as this VM knows.
     [[nodiscard]] std::vector<std::string> members(std::string_view organisation) const;
+    /// @brief Record and accounts of an organisation on this VM; empty for an unknown one.
+    [[nodiscard]] DivisionState divisionState(std::string_view organisation) const;
     [[nodiscard]] size_t organisations() const;
 
 private:
--- a/packages/policy/include/teaseldrift/allowance/peer.hpp
+++ b/packages/policy/include/teaseldrift/allowance/peer.hpp
@@ -107,4 +107,22 @@
     double reportedDemand = 0.0;
 };
 
+/// @brief Account with one member, as AllowanceManager::accounts() reports it.
+struct MemberAccount
+{
+    std::string vm;
+    bool gone = false;
+    PeerAccount account;
+};
+
+/// @brief What one VM knows of an organisation's division.
+struct DivisionState
+{
+    /// Incarnation that this VM's messages name.
+    uint64_t incarnation = 0;
+    bool isActive = false;
+    schema::DivisionRecord record;
+    std::vector<MemberAccount> accounts;
+};
+
 } // namespace teaseldrift::allowance
--- a/packages/policy/src/teaseldrift/allowance/allowance_manager.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_manager.cpp
@@ -155,6 +155,12 @@
     return names;
 }
 
+DivisionState AllowanceManager::divisionState(std::string_view organisation) const
+{
+    const OrganisationAllowance *found = m_impl->find(organisation);
+    return found == nullptr ? DivisionState{} : found->divisionState();
+}
+
 size_t AllowanceManager::organisations() const
 {
     return m_impl->organisations.size();
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_platform_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_platform_test.cpp
@@ -90,26 +90,29 @@
 std::string FleetSimulation::violation() const
 {
     // Tokens missing from the whole bucket after each admission must not exceed the burst.
-    MicroTokens debt = 0;
+    MicroTokens owed = 0;
     Instant last{};
     for (const Admission &admission : m_admissions) {
         const MicroTokens growth = limits.rate / 1'000'000 * (admission.at - last).count();
-        debt = std::max<MicroTokens>(0, debt - growth) + admission.net;
+        owed = std::max<MicroTokens>(0, owed - growth) + admission.net;
         last = admission.at;
-        if (debt > limits.burst) {
-            return "tokens admitted above the rate limit: " + std::to_string(debt - limits.burst);
+        if (owed > limits.burst) {
+            return "tokens admitted above the rate limit: " + std::to_string(owed - limits.burst);
         }
     }
-    // A transfer that was applied twice, or a share that two VMs use, makes the sums too large.
-    int64_t share = 0;
-    for (const auto &[vm, process] : m_processes) {
-        share += process.manager.share(organisation);
+    if (!m_stepViolation.empty()) {
+        return m_stepViolation;
     }
-    if (share > wholeShare) {
+    // A transfer that was applied twice, or a share that two VMs use, makes the sums too large.
+    if (shares() > wholeShare) {
         return "sum of shares exceeds the whole";
     }
-    if (levels() > limits.burst) {
-        return "sum of levels exceeds the burst";
+    if (levels() + tokensUnderWay() > limits.burst - debt()) {
+        return "levels and tokens on their way exceed what the limit leaves";
+    }
+    const std::string misplaced = placeViolation();
+    if (!misplaced.empty()) {
+        return misplaced;
     }
     return m_wronglyTooLarge ? "request within the burst refused as larger than the burst" : "";
 }
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
@@ -61,7 +61,9 @@
 
 Instant FleetSimulation::localTime(const Process &process) const
 {
-    return m_now - process.clockLag;
+    // pause() takes the time of the pause from the lag of a clock that stops.
+    const bool isStopped = process.paused && m_clocksStop;
+    return (isStopped ? Instant{} : m_now) - process.clockLag;
 }
 
 Process *FleetSimulation::pick(size_t number, std::string &vm)
@@ -219,6 +221,7 @@
         for (size_t count = m_calls.size(); count > 0; --count) {
             answerStore(0, 0);
         }
+        checkStep();
     }
 }
 
@@ -351,6 +354,7 @@
     // The VM list is read again for longer than maximumListAge, so that all VMs recognise removed
     // VMs as gone.
     constexpr size_t rounds = 8;
+    m_wholeFrom = m_now + recoveryTime;
     for (size_t round = 0; round < rounds; ++round) {
         for (size_t vm = 0; vm < m_processes.size(); ++vm) {
             refreshList(vm, 0);
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
@@ -97,6 +97,13 @@
     /// @brief Checks all invariants.
     /// @return description of the violated invariant, empty if none
     [[nodiscard]] std::string violation() const;
+    /// @brief Checks that every unit of the whole has exactly one place: a living VM, a message on
+    /// its way, or a process that is dead or not active yet. It holds whenever all VMs know the
+    /// record that the store has.
+    /// @return what was violated, empty if nothing
+    [[nodiscard]] std::string placeViolation() const;
+    /// @brief Sum of the shares of all VMs.
+    [[nodiscard]] int64_t shares() const;
     /// @brief Whether any VM admits a request of the whole burst within one second.
     bool canAdmitBurst();
     /// @brief Sum of the levels of all VMs.
@@ -104,6 +111,9 @@
     [[nodiscard]] size_t admissions() const { return m_admissions.size(); }
 
     static constexpr Duration maximumListAge = 5s;
+    /// Time after which the VMs use the whole again, once all run and messages, store and list
+    /// work.
+    static constexpr Duration recoveryTime = 2 * maximumListAge + 8s;
     Limits limits = limitsFromTokens(1000, 4000);
 
 private:
@@ -129,6 +139,10 @@
     /// Process incarnations by the incarnation in their messages.
     std::map<uint64_t, uint64_t> m_processOf;
     bool m_wronglyTooLarge = false;
+    /// First violation that a step of run() found.
+    std::string m_stepViolation;
+    /// Time from which the shares must sum to the whole.
+    std::optional<Instant> m_wholeFrom;
 
     void start(const std::string &vm, const std::string &zone);
     void publish();
@@ -142,6 +156,9 @@
     bool apply(const RecordWrite &write);
     void receive(const Envelope &envelope);
     void tickAll();
+    void checkStep();
+    [[nodiscard]] MicroTokens debt() const;
+    [[nodiscard]] MicroTokens tokensUnderWay() const;
 };
 
 } // namespace teaseldrift::allowance::simulation
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
@@ -136,6 +136,15 @@
     }
 }
 
+DivisionState OrganisationAllowance::divisionState() const
+{
+    DivisionState state{.incarnation = m_incarnation, .isActive = m_isActive, .record = m_record};
+    for (const Peer &peer : m_peers) {
+        state.accounts.push_back({.vm = peer.vm, .gone = peer.gone, .account = peer.account});
+    }
+    return state;
+}
+
 Peer *OrganisationAllowance::findPeer(std::string_view vm)
 {
     const auto found = std::find_if(m_peers.begin(), m_peers.end(),
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -65,6 +65,7 @@
     [[nodiscard]] ShareUnits share() const { return m_bucket.share(); }
     [[nodiscard]] MicroTokens level(Instant now) const { return m_bucket.level(now); }
     [[nodiscard]] const schema::DivisionRecord &record() const { return m_record; }
+    [[nodiscard]] DivisionState divisionState() const;
 
 private:
     /// A request that waits for tokens, received locally or forwarded by another VM.
