Give the first tokens of a new organisation to the VM that wrote its first record

Callers: the first request to a new organisation was refused with 2001 rate_exceeded although nobody had used a token.

Requests that come before the division is known wait in AllowanceTask; when it was there, all three buckets were empty, and the one that had waited was refused at once.

Fix: the compare-and-swap from "no record" proves that no process has admitted anything, so the tokens of the writer's own base share are there when it becomes active. They are capped to the base of that first record, since a later record may add the share of a VM that has spent. A writer that got no answer, and every other process, starts with nothing, as before.

Before: "the first request of a new organisation ..." 3 of 6 assertions fail.

--- a/packages/policy/src/teaseldrift/allowance/allowance_recovery_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_recovery_test.cpp
@@ -30,4 +30,19 @@
     }
 }
 
+// All buckets of a new organisation started empty, so its first requests were refused.
+TEST_CASE("allowance: the first request of a new organisation is admitted on any VM")
+{
+    for (size_t vm = 0; vm < 3; ++vm) {
+        FleetSimulation fleet(3, false);
+        while (fleet.shares() < wholeShare) {
+            fleet.run(10ms);
+        }
+        fleet.admit(vm, fleet.limits.burst / 4);
+        fleet.run(50ms);
+        CHECK(fleet.admissions() == 1);
+        CHECK(fleet.violation().empty());
+    }
+}
+
 } // namespace teaseldrift::allowance
--- a/packages/policy/src/teaseldrift/allowance/division.cpp
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -299,6 +299,10 @@
                 = now + (isConflict ? options().retryInterval : options().storeRetryInterval);
         return;
     }
+    if (m_change.revision == 0) {
+        const schema::DivisionMember *self = findMember(m_change.proposed, m_context.self.vm);
+        m_unusedUnits = self == nullptr ? 0 : self->base_units();
+    }
     installRecord(m_change.proposed, true, now);
     for (const Peer &peer : m_peers) {
         sendNotice(peer.vm);
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -148,6 +148,9 @@
     /// whose record is confirmed.
     bool m_recordConfirmed = false;
     bool m_isActive = false;
+    /// Units of this VM's base share that no process can have used before, because this process
+    /// wrote the first record. Their tokens are available when it becomes active.
+    ShareUnits m_unusedUnits = 0;
     bool m_draining = false;
     std::vector<Peer> m_peers;
     /// Homes according to this VM's list, without VMs known to be gone.
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "organisation_allowance.hpp"
 
@@ -122,6 +123,7 @@
     }
     m_isActive = true;
     updateShare(now);
+    m_bucket.deposit(capacityOf(m_bucket.limits(), std::exchange(m_unusedUnits, 0)), now);
     for (Peer &peer : m_peers) {
         if (!peer.gone) {
             sendGive(peer, 0, false, now);
