Refuse allowance messages that contradict the account, and count and log them

A give of any total was applied; a refund of -1 marked its admission as refunded and so lost the true refund.

Now totals are checked against what the sender can hold, claims against the base share, refunds against the cost. Messages of unknown VMs and ended processes, until now dropped in silence, are counted too. A repeated total is no fault, since the network may repeat messages.

--- a/packages/policy/include/teaseldrift/allowance/allowance_manager.hpp
+++ b/packages/policy/include/teaseldrift/allowance/allowance_manager.hpp
@@ -86,6 +86,8 @@
     [[nodiscard]] std::vector<std::string> members(std::string_view organisation) const;
     /// @brief Record and accounts of an organisation on this VM; empty for an unknown one.
     [[nodiscard]] DivisionState divisionState(std::string_view organisation) const;
+    /// @brief Messages refused because they contradict this VM's state.
+    [[nodiscard]] uint64_t refusedMessages() const;
     [[nodiscard]] size_t organisations() const;
 
 private:
--- a/packages/policy/include/teaseldrift/allowance/types.hpp
+++ b/packages/policy/include/teaseldrift/allowance/types.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "teaseldrift/allowance/tokens.hpp"
@@ -97,9 +98,20 @@
     Decision decision;
 };
 
+/// @brief A message that was refused because it contradicts this VM's state.
+struct RefusedMessage
+{
+    std::string organisation;
+    std::string vm;
+    /// A constant.
+    std::string_view reason;
+};
+
 /// @brief What the caller must do: send messages, access the store, deliver decisions.
 struct Actions
 {
+    /// Messages refused since the last takeActions(), the first few of them, for the log.
+    std::vector<RefusedMessage> refused;
     std::vector<OutgoingMessage> messages;
     std::vector<RecordRead> reads;
     std::vector<RecordWrite> writes;
@@ -107,7 +119,8 @@
 
     [[nodiscard]] bool empty() const
     {
-        return messages.empty() && reads.empty() && writes.empty() && decisions.empty();
+        return messages.empty() && reads.empty() && writes.empty() && decisions.empty()
+               && refused.empty();
     }
 };
 
--- a/packages/policy/src/teaseldrift/allowance/allowance_manager.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_manager.cpp
@@ -91,7 +91,9 @@
     OrganisationAllowance *found = m_impl->find(message.organisation());
     if (found != nullptr) {
         found->onMessage(fromVm, message, now);
+        return;
     }
+    m_impl->context.refuse(message.organisation(), fromVm, "unknown_organisation");
 }
 
 void AllowanceManager::onRead(std::string_view organisation, const RecordReadResult &state,
@@ -161,6 +163,11 @@
     return found == nullptr ? DivisionState{} : found->divisionState();
 }
 
+uint64_t AllowanceManager::refusedMessages() const
+{
+    return m_impl->context.refusedMessages;
+}
+
 size_t AllowanceManager::organisations() const
 {
     return m_impl->organisations.size();
--- a/packages/policy/src/teaseldrift/allowance/division.cpp
+++ b/packages/policy/src/teaseldrift/allowance/division.cpp
@@ -165,13 +165,19 @@
     m_change.gone.clear();
     m_change.acknowledgedBy.clear();
     m_change.held.clear();
+    m_change.unclaimed.clear();
     for (const Peer &peer : m_peers) {
         if (peer.gone && isMember(peer.vm)) {
             m_change.gone.push_back(peer.vm);
             schema::DivisionMember held;
             held.set_vm_id(m_context.self.vm);
             held.set_base_units(peer.account.held());
+            schema::DivisionMember unclaimed;
+            unclaimed.set_vm_id(peer.vm);
+            unclaimed.set_base_units(baseUnitsOf(peer.vm)
+                                     - std::min(baseUnitsOf(peer.vm), held.base_units()));
             m_change.held.push_back(std::move(held));
+            m_change.unclaimed.push_back(std::move(unclaimed));
         }
     }
     sendFences();
@@ -226,13 +232,38 @@
     send(from, message.sender_incarnation(), std::move(answer));
 }
 
+/// Takes what a member claims of the gone VMs from their base shares.
+/// @return false if a VM is not among those asked for, or the claims exceed its base share
+bool OrganisationAllowance::claimHeld(const schema::AllowanceFenceAck &ack)
+{
+    std::vector<schema::DivisionMember> unclaimed = m_change.unclaimed;
+    for (const schema::HeldShare &share : ack.held()) {
+        const auto found = std::find_if(unclaimed.begin(), unclaimed.end(),
+                                        [&share](const schema::DivisionMember &gone) {
+                                            return gone.vm_id() == share.vm_id();
+                                        });
+        if (found == unclaimed.end() || share.units() > found->base_units()) {
+            return false;
+        }
+        found->set_base_units(found->base_units() - share.units());
+    }
+    m_change.unclaimed = std::move(unclaimed);
+    return true;
+}
+
 void OrganisationAllowance::onFenceAck(std::string_view from, const schema::AllowanceFenceAck &ack,
                                        Instant now)
 {
+    if (findPeer(from) == nullptr) {
+        return refuseMessage(from, "unknown_vm");
+    }
     if (m_change.step != ChangeStep::Fencing || ack.nonce() != m_change.nonce
         || contains(m_change.acknowledgedBy, from)) {
         return;
     }
+    if (!claimHeld(ack)) {
+        return refuseMessage(from, "impossible_claim");
+    }
     m_change.acknowledgedBy.emplace_back(from);
     for (const schema::HeldShare &share : ack.held()) {
         schema::DivisionMember held;
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_platform_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_platform_test.cpp
@@ -78,6 +78,32 @@
     collectActions(call.vm);
 }
 
+void FleetSimulation::inject(const std::string &from, const std::string &to,
+                             schema::AllowanceMessage message)
+{
+    m_hasFalseMessages = true;
+    if (message.organisation().empty()) {
+        message.set_organisation(std::string(organisation));
+    }
+    if (message.sender_incarnation() == 0 && m_processes.contains(from)) {
+        message.set_sender_incarnation(state(from).incarnation);
+    }
+    if (message.receiver_incarnation() == 0) {
+        message.set_receiver_incarnation(state(to).incarnation);
+    }
+    receive({from, to, std::move(message)});
+}
+
+DivisionState FleetSimulation::state(const std::string &vm) const
+{
+    return m_processes.at(vm).manager.divisionState(organisation);
+}
+
+uint64_t FleetSimulation::refusedMessages(const std::string &vm) const
+{
+    return m_processes.at(vm).manager.refusedMessages();
+}
+
 MicroTokens FleetSimulation::levels() const
 {
     MicroTokens sum = 0;
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
@@ -109,6 +109,13 @@
     for (const PendingDecision &pending : actions.decisions) {
         recordDecision(vm, process, pending.decision);
     }
+    for (const RefusedMessage &refused : actions.refused) {
+        const bool isClaim
+                = refused.reason == "impossible_totals" || refused.reason == "impossible_claim";
+        if (isClaim && !m_hasFalseMessages) {
+            m_stepViolation = "message of a correct VM refused: " + std::string(refused.reason);
+        }
+    }
     for (OutgoingMessage &outgoing : actions.messages) {
         const schema::AllowanceMessage &message = outgoing.message;
         m_processOf[message.sender_incarnation()] = process.incarnation;
@@ -125,6 +132,11 @@
             recordAdmission(m_now, m_costs[costKey(outgoing.vm, message.receiver_incarnation(),
                                                    message.admit_answer().request_id())]);
         }
+        if (m_claimedUnits.has_value() && message.has_fence_ack()) {
+            for (schema::HeldShare &held : *outgoing.message.mutable_fence_ack()->mutable_held()) {
+                held.set_units(*m_claimedUnits);
+            }
+        }
         m_inFlight.push_back({vm, outgoing.vm, std::move(outgoing.message)});
     }
     for (size_t i = 0; i < actions.reads.size(); ++i) {
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
@@ -93,6 +93,15 @@
     void setStoreDown(bool down) { m_storeDown = down; }
     void answerStore(size_t number, size_t fault);
     void heal();
+    /// @brief Passes a VM a message as if another had sent it. Incarnations that are not set are
+    /// those of the two processes.
+    void inject(const std::string &from, const std::string &to, schema::AllowanceMessage message);
+    /// @brief Replaces the units of each claim in the answers to fences.
+    void claimInFenceAcks(ShareUnits units)
+    {
+        m_claimedUnits = units;
+        m_hasFalseMessages = true;
+    }
 
     /// @brief Checks all invariants.
     /// @return description of the violated invariant, empty if none
@@ -108,6 +117,10 @@
     bool canAdmitBurst();
     /// @brief Sum of the levels of all VMs.
     [[nodiscard]] MicroTokens levels() const;
+    [[nodiscard]] DivisionState state(const std::string &vm) const;
+    [[nodiscard]] uint64_t refusedMessages(const std::string &vm) const;
+    /// @brief Ticket of the last admission.
+    [[nodiscard]] Ticket lastTicket() const { return m_tickets.back().ticket; }
     [[nodiscard]] size_t admissions() const { return m_admissions.size(); }
 
     static constexpr Duration maximumListAge = 5s;
@@ -138,6 +151,9 @@
     std::map<std::string, size_t> m_answers;
     /// Process incarnations by the incarnation in their messages.
     std::map<uint64_t, uint64_t> m_processOf;
+    std::optional<ShareUnits> m_claimedUnits;
+    /// inject() or claimInFenceAcks() was called.
+    bool m_hasFalseMessages = false;
     bool m_wronglyTooLarge = false;
     /// First violation that a step of run() found.
     std::string m_stepViolation;
--- a/packages/policy/src/teaseldrift/allowance/forwarding.cpp
+++ b/packages/policy/src/teaseldrift/allowance/forwarding.cpp
@@ -196,12 +196,13 @@
     const schema::AllowanceGiveBack &back = message.give_back();
     RemoteAdmission *admission
             = findRemoteAdmission(from, message.sender_incarnation(), back.request_id());
-    if (admission == nullptr || admission->refunded) {
-        return;
+    if (admission == nullptr || admission->refunded || back.unused() < 0
+        || back.unused() > admission->cost) {
+        return refuseMessage(from, "impossible_refund");
     }
     // The entry is kept, so that a duplicate of the message has no effect.
     admission->refunded = true;
-    m_bucket.refund(admission->sequence, std::min(back.unused(), admission->cost), now);
+    m_bucket.refund(admission->sequence, back.unused(), now);
     decidePending(now);
 }
 
--- a/packages/policy/src/teaseldrift/allowance/loans.cpp
+++ b/packages/policy/src/teaseldrift/allowance/loans.cpp
@@ -51,16 +51,43 @@
     send(peer.vm, peer.account.incarnation, std::move(message));
 }
 
+/// Whether totals agree with the account: a peer applies at most what was given, and gives units
+/// and tokens together, at most what it held of this VM's base share and its own base share.
+bool OrganisationAllowance::areTotalsPossible(const Peer &peer,
+                                              const schema::AllowanceGive &message) const
+{
+    const PeerAccount &account = peer.account;
+    if (message.applied_units() > account.givenUnits
+        || message.applied_tokens() > account.givenTokens || message.applied_tokens() < 0
+        || message.given_tokens() < 0) {
+        return false;
+    }
+    if (message.given_units() <= account.appliedUnits) {
+        return message.given_tokens() <= account.appliedTokens;
+    }
+    const uint64_t units = message.given_units() - account.appliedUnits;
+    return message.given_tokens() >= account.appliedTokens
+           && units <= account.lent() + static_cast<uint64_t>(baseUnitsOf(peer.vm))
+                               - std::min(account.held(), baseUnitsOf(peer.vm));
+}
+
 void OrganisationAllowance::onGive(Peer &peer, const schema::AllowanceGive &message, Instant now)
 {
     PeerAccount &account = peer.account;
+    if (!areTotalsPossible(peer, message)) {
+        // With a newer record the sender's base share may be larger. The totals come again.
+        return message.epoch() > m_record.epoch() ? sendNotice(peer.vm)
+                                                  : refuseMessage(peer.vm, "impossible_totals");
+    }
     account.ackedUnits = std::max(account.ackedUnits, message.applied_units());
     account.ackedTokens = std::max(account.ackedTokens, message.applied_tokens());
-    if (message.given_units() > account.appliedUnits
-        || message.given_tokens() > account.appliedTokens) {
+    if (message.given_units() > account.appliedUnits) {
         // Both totals are from the same message, so the tokens fit into the capacity of the units
         // applied with them.
-        const MicroTokens tokens = message.given_tokens() - account.appliedTokens;
+        const ShareUnits units
+                = static_cast<ShareUnits>(message.given_units() - account.appliedUnits);
+        const MicroTokens tokens = std::min(message.given_tokens() - account.appliedTokens,
+                                            capacityOf(m_bucket.limits(), units));
         account.appliedUnits = message.given_units();
         account.appliedTokens = message.given_tokens();
         updateShare(now);
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr size_t maximumRefusedReports = 4;
+
 /// Differs for each instance, so that an organisation that is removed and configured again is not
 /// mistaken for its previous instance.
 uint64_t newIncarnation(SharedContext &context)
@@ -19,6 +21,15 @@
 
 } // namespace
 
+void SharedContext::refuse(std::string_view organisation, std::string_view vm,
+                           std::string_view reason)
+{
+    ++refusedMessages;
+    if (actions.refused.size() < maximumRefusedReports) {
+        actions.refused.push_back({std::string(organisation), std::string(vm), reason});
+    }
+}
+
 void DemandMeter::add(MicroTokens tokens, Instant now, Duration window)
 {
     m_sum = rate(now, window) * toSeconds(window)
@@ -89,7 +100,7 @@
     }
     Peer *peer = findPeer(from);
     if (peer == nullptr || peer->gone) {
-        return;
+        return refuseMessage(from, "unknown_vm");
     }
     switch (message.body_case()) {
     case schema::AllowanceMessage::kChallenge:
@@ -99,15 +110,13 @@
     case schema::AllowanceMessage::kWelcome:
         return onWelcome(*peer, message, now);
     case schema::AllowanceMessage::kNeed:
-        if (isInSession(*peer, message)) {
-            onNeed(*peer, message.need(), now);
-        }
-        return;
     case schema::AllowanceMessage::kGive:
-        if (isInSession(*peer, message)) {
-            onGive(*peer, message.give(), now);
+        if (!isInSession(*peer, message)) {
+            // A process that is not active yet has no session that the message could contradict.
+            return m_isActive ? refuseMessage(from, "unknown_incarnation") : void();
         }
-        return;
+        return message.has_need() ? onNeed(*peer, message.need(), now)
+                                  : onGive(*peer, message.give(), now);
     default:
         return;
     }
@@ -158,16 +167,22 @@
                        [vm](const schema::DivisionMember &member) { return member.vm_id() == vm; });
 }
 
-ShareUnits OrganisationAllowance::baseUnits() const
+ShareUnits OrganisationAllowance::baseUnitsIn(const schema::DivisionRecord &record,
+                                              std::string_view vm)
 {
-    for (const schema::DivisionMember &member : m_record.members()) {
-        if (member.vm_id() == m_context.self.vm) {
+    for (const schema::DivisionMember &member : record.members()) {
+        if (member.vm_id() == vm) {
             return member.base_units();
         }
     }
     return 0;
 }
 
+void OrganisationAllowance::refuseMessage(std::string_view vm, std::string_view reason)
+{
+    m_context.refuse(m_name, vm, reason);
+}
+
 void OrganisationAllowance::send(std::string_view vm, uint64_t incarnation,
                                  schema::AllowanceMessage message)
 {
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -24,6 +24,9 @@
     Actions actions;
     /// Last request id or nonce that was assigned.
     uint64_t counter = 0;
+    uint64_t refusedMessages = 0;
+
+    void refuse(std::string_view organisation, std::string_view vm, std::string_view reason);
 };
 
 /// @brief Exponentially weighted average of the tokens requested per second.
@@ -134,6 +137,8 @@
         std::vector<std::string> acknowledgedBy;
         /// Units of gone VMs' base shares, by the member that holds them.
         std::vector<schema::DivisionMember> held;
+        /// Gone VMs' base shares, less the units in `held`.
+        std::vector<schema::DivisionMember> unclaimed;
         schema::DivisionRecord proposed;
     };
 
@@ -174,7 +179,14 @@
     uint64_t nextId() { return ++m_context.counter; }
     Peer *findPeer(std::string_view vm);
     [[nodiscard]] bool isMember(std::string_view vm) const;
-    [[nodiscard]] ShareUnits baseUnits() const;
+    [[nodiscard]] ShareUnits baseUnits() const { return baseUnitsOf(m_context.self.vm); }
+    [[nodiscard]] ShareUnits baseUnitsOf(std::string_view vm) const
+    {
+        return baseUnitsIn(m_record, vm);
+    }
+    [[nodiscard]] static ShareUnits baseUnitsIn(const schema::DivisionRecord &record,
+                                                std::string_view vm);
+    void refuseMessage(std::string_view vm, std::string_view reason);
     void send(std::string_view vm, uint64_t incarnation, schema::AllowanceMessage message);
     void updateShare(Instant now);
     [[nodiscard]] bool isInSession(const Peer &peer, const schema::AllowanceMessage &message) const;
@@ -201,6 +213,8 @@
     [[nodiscard]] ShareUnits transferable(const Peer &peer) const;
     void transfer(Peer &peer, ShareUnits units, MicroTokens tokens, Instant now);
     void sendGive(Peer &peer, uint64_t requestId, bool loansReturned, Instant now);
+    [[nodiscard]] bool areTotalsPossible(const Peer &peer,
+                                         const schema::AllowanceGive &message) const;
     void onGive(Peer &peer, const schema::AllowanceGive &message, Instant now);
     void rebalance(Instant now);
     void report(Instant now);
@@ -242,6 +256,7 @@
     void startRead(Instant now);
     void startFence(Instant now);
     void sendFences();
+    bool claimHeld(const schema::AllowanceFenceAck &ack);
     void proposeIfAcknowledged(Instant now);
     void propose(Instant now);
     void failChange(Duration pause, Instant now);
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -244,6 +244,10 @@
         || welcome.hello_nonce() != peer.handshake.helloNonce) {
         return;
     }
+    if (welcome.held_units()
+        > std::max(baseUnits(), baseUnitsIn(welcome.record(), m_context.self.vm))) {
+        return refuseMessage(peer.vm, "impossible_claim");
+    }
     startSession(peer, message.sender_incarnation(), now);
     peer.account.initialLent = welcome.held_units();
     peer.handshake.helloNonce = 0;
--- a/packages/router/include/teaseldrift/router/allowance_task.hpp
+++ b/packages/router/include/teaseldrift/router/allowance_task.hpp
@@ -72,6 +72,9 @@
     /// @brief Lends the entire allowances to the other homes, before the process exits.
     void drain();
 
+    /// @brief Messages of other VMs that contradicted this VM's state and were refused.
+    [[nodiscard]] uint64_t refusedMessages() const;
+
     /// @brief Returns the state of all organisations as JSON, for /admin/status.
     [[nodiscard]] std::string statusJson() const;
 
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -8,6 +8,7 @@
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/store/etcd_store.hpp"
+#include "teaseldrift/telemetry/log.hpp"
 
 namespace teaseldrift::router {
 
@@ -19,6 +20,8 @@
 /// yet.
 constexpr Duration divisionLoadTimeout = 2s;
 constexpr Duration divisionRetryInterval = 25ms;
+/// At most one line about refused messages in this time.
+constexpr Duration refusalLogInterval = 1s;
 using allowance::MicroTokens;
 
 MicroTokens toMicroTokens(double tokens)
@@ -67,6 +70,7 @@
     std::map<std::pair<std::string, uint64_t>, Done> pending;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     AllowanceTask *task = nullptr;
+    Instant refusalLoggedAt{};
 
     Impl(http::EventLoop &eventLoop, store::EtcdStore &etcdStore, fleet::PeerNetwork &peerNetwork,
          allowance::ProcessIdentity self, std::string storePrefix)
@@ -75,6 +79,7 @@
     { }
 
     void perform();
+    void logRefusal(const allowance::RefusedMessage &refused);
     void read(const std::string &organisation);
     void write(const allowance::RecordWrite &write);
     void completePending(const allowance::PendingDecision &decision);
@@ -86,6 +91,9 @@
 void AllowanceTask::Impl::perform()
 {
     const allowance::Actions actions = manager.takeActions();
+    if (!actions.refused.empty()) {
+        logRefusal(actions.refused.front());
+    }
     for (const allowance::OutgoingMessage &outgoing : actions.messages) {
         schema::PeerMessage message;
         *message.mutable_allowance() = outgoing.message;
@@ -102,6 +110,20 @@
     }
 }
 
+void AllowanceTask::Impl::logRefusal(const allowance::RefusedMessage &refused)
+{
+    const Instant now = http::EventLoop::now();
+    if (now < refusalLoggedAt + refusalLogInterval) {
+        return;
+    }
+    refusalLoggedAt = now;
+    telemetry::log(telemetry::LogLevel::Warn, "allowance message refused",
+                   {{"organisation", refused.organisation},
+                    {"vm", refused.vm},
+                    {"reason", std::string(refused.reason)},
+                    {"total", std::to_string(manager.refusedMessages())}});
+}
+
 void AllowanceTask::Impl::read(const std::string &organisation)
 {
     const std::string key = prefix + organisation;
@@ -268,6 +290,11 @@
     m_impl->perform();
 }
 
+uint64_t AllowanceTask::refusedMessages() const
+{
+    return m_impl->manager.refusedMessages();
+}
+
 std::string AllowanceTask::statusJson() const
 {
     const Instant now = http::EventLoop::now();
--- a/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
+++ b/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
@@ -182,6 +182,9 @@
     } else if (path == "/metrics") {
         context.metrics.registry().setGauge({"teaseldrift_open_requests"},
                                             static_cast<double>(tasks.size()));
+        context.metrics.registry().setGauge(
+                {"teaseldrift_allowance_messages_refused"},
+                static_cast<double>(context.allowance.refusedMessages()));
         exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
                            .body = context.metrics.registry().text()});
     } else if (path == "/v1/entry") {
