Write to each member at least every 10 s, so that a restarted one is found without demand

Callers: at the end of a quiet time, the first large requests of an organisation found part of its allowance gone.

A member that is no home (here: its VM leaves) restarts and hears an outdated record. The others' transfers to its predecessor are all acknowledged and they have no demand, so they write nothing that the new process could answer. A member without a session, such as one whose notice of a new record was lost, was not written to at all.

Fix: an active member reports to each peer after 10 s of silence, and sends its record to one without a session.

For an organisation at rest it is one message of about 50 bytes for each ordered pair of members in 10 s (computed, not measured).

--- a/packages/policy/include/teaseldrift/allowance/options.hpp
+++ b/packages/policy/include/teaseldrift/allowance/options.hpp
@@ -29,6 +29,9 @@
     Duration balanceInterval = 250ms;
     /// Interval of reports to a peer while there is demand.
     Duration reportInterval = 1s;
+    /// Interval of reports to a peer without demand, so that a process that replaced the peer's
+    /// learns that it is a member.
+    Duration idleReportInterval = 10s;
     /// Time constant of the moving average of demand.
     Duration demandWindow = 2s;
     /// Deviation of a share from its demand that is tolerated, as a fraction of the whole bucket.
--- a/packages/policy/src/teaseldrift/allowance/allowance_recovery_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_recovery_test.cpp
@@ -30,6 +30,36 @@
     }
 }
 
+// Members without demand wrote nothing to the predecessor, so nothing told the new process.
+TEST_CASE("allowance: a member that restarts with an outdated record is found without demand")
+{
+    FleetSimulation fleet(3, false);
+    fleet.run(8s);
+    fleet.delayCopies(3);
+    fleet.replaceElsewhere(0);
+    fleet.run(100ms);
+    fleet.refreshAll();
+    fleet.run(10s);
+    REQUIRE(fleet.state("vm-6").isActive);
+    REQUIRE(fleet.shares() == wholeShare);
+    // A VM that leaves is no home, so it does not read the store.
+    fleet.drain(2);
+    fleet.refreshAll();
+    fleet.run(3s);
+    for (size_t vm = 0; vm < 3; ++vm) {
+        fleet.admit(vm, fleet.limits.burst / 4);
+    }
+    fleet.run(20s);
+    fleet.replace(2);
+    // The third copy is the notice of the first record.
+    fleet.deliverDelayed(2);
+    REQUIRE(fleet.state("vm-6").record.epoch() == 1);
+    fleet.run(FleetSimulation::recoveryTime);
+    CHECK(fleet.state("vm-6").isActive);
+    CHECK(fleet.shares() == wholeShare);
+    CHECK(fleet.violation().empty());
+}
+
 // All buckets of a new organisation started empty, so its first requests were refused.
 TEST_CASE("allowance: the first request of a new organisation is admitted on any VM")
 {
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
@@ -352,6 +352,13 @@
     collectActions(name);
 }
 
+void FleetSimulation::refreshAll()
+{
+    for (size_t vm = 0; vm < m_processes.size(); ++vm) {
+        refreshList(vm, 0);
+    }
+}
+
 void FleetSimulation::heal()
 {
     m_storeDown = false;
@@ -368,9 +375,7 @@
     constexpr size_t rounds = 8;
     m_wholeFrom = m_now + recoveryTime;
     for (size_t round = 0; round < rounds; ++round) {
-        for (size_t vm = 0; vm < m_processes.size(); ++vm) {
-            refreshList(vm, 0);
-        }
+        refreshAll();
         run(3s);
     }
 }
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
@@ -89,6 +89,8 @@
     void replace(size_t vm);
     void replaceElsewhere(size_t vm);
     void drain(size_t vm);
+    /// @brief Passes every VM the newest VM list.
+    void refreshAll();
     void refreshList(size_t vm, size_t lag);
     void setStoreDown(bool down) { m_storeDown = down; }
     void answerStore(size_t number, size_t fault);
--- a/packages/policy/src/teaseldrift/allowance/loans.cpp
+++ b/packages/policy/src/teaseldrift/allowance/loans.cpp
@@ -195,17 +195,26 @@
 }
 
 /// Reports level, share and demand to peers, and resends transfer totals that are not acknowledged.
+/// Members without a session get the record.
 void OrganisationAllowance::report(Instant now)
 {
     const double demand = m_demand.rate(now, options().demandWindow);
     const double notable = 0.1 * static_cast<double>(m_bucket.limits().rate) / microTokensPerToken;
     for (Peer &peer : m_peers) {
-        if (peer.gone || peer.account.incarnation == 0) {
+        if (peer.gone) {
+            continue;
+        }
+        const bool isIdleDue = now >= peer.reportedAt + options().idleReportInterval;
+        if (peer.account.incarnation == 0) {
+            if (isIdleDue) {
+                peer.reportedAt = now;
+                sendNotice(peer.vm);
+            }
             continue;
         }
         const bool isDue = now >= peer.reportedAt + options().reportInterval;
         const bool hasNews = std::abs(demand - peer.reportedDemand) > notable || demand > notable;
-        if ((isDue && hasNews) || (!peer.account.isAcknowledged() && isDue)) {
+        if (isIdleDue || (isDue && hasNews) || (!peer.account.isAcknowledged() && isDue)) {
             sendGive(peer, 0, false, now);
         }
     }
