--- a/packages/policy/src/teaseldrift/allowance/allowance_refused_message_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/allowance_refused_message_test.cpp
@@ -5,7 +5,6 @@
 namespace teaseldrift::allowance {
 
 using simulation::FleetSimulation;
-using simulation::organisation;
 
 namespace {
 
