--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
@@ -61,7 +61,9 @@
 
 Instant FleetSimulation::localTime(const Process &process) const
 {
-    return m_now - process.clockLag;
+    // pause() takes the time of the pause from the lag of a clock that stops.
+    const bool isStopped = process.paused && m_clocksStop;
+    return (isStopped ? Instant{} : m_now) - process.clockLag;
 }
 
 Process *FleetSimulation::pick(size_t number, std::string &vm)
@@ -107,6 +109,13 @@
     for (const PendingDecision &pending : actions.decisions) {
         recordDecision(vm, process, pending.decision);
     }
+    for (const RefusedMessage &refused : actions.refused) {
+        const bool isClaim
+                = refused.reason == "impossible_totals" || refused.reason == "impossible_claim";
+        if (isClaim && !m_hasFalseMessages) {
+            m_stepViolation = "message of a correct VM refused: " + std::string(refused.reason);
+        }
+    }
     for (OutgoingMessage &outgoing : actions.messages) {
         const schema::AllowanceMessage &message = outgoing.message;
         m_processOf[message.sender_incarnation()] = process.incarnation;
@@ -123,6 +132,11 @@
             recordAdmission(m_now, m_costs[costKey(outgoing.vm, message.receiver_incarnation(),
                                                    message.admit_answer().request_id())]);
         }
+        if (m_claimedUnits.has_value() && message.has_fence_ack()) {
+            for (schema::HeldShare &held : *outgoing.message.mutable_fence_ack()->mutable_held()) {
+                held.set_units(*m_claimedUnits);
+            }
+        }
         m_inFlight.push_back({vm, outgoing.vm, std::move(outgoing.message)});
     }
     for (size_t i = 0; i < actions.reads.size(); ++i) {
@@ -219,6 +233,7 @@
         for (size_t count = m_calls.size(); count > 0; --count) {
             answerStore(0, 0);
         }
+        checkStep();
     }
 }
 
@@ -337,6 +352,13 @@
     collectActions(name);
 }
 
+void FleetSimulation::refreshAll()
+{
+    for (size_t vm = 0; vm < m_processes.size(); ++vm) {
+        refreshList(vm, 0);
+    }
+}
+
 void FleetSimulation::heal()
 {
     m_storeDown = false;
@@ -351,10 +373,9 @@
     // The VM list is read again for longer than maximumListAge, so that all VMs recognise removed
     // VMs as gone.
     constexpr size_t rounds = 8;
+    m_wholeFrom = m_now + recoveryTime;
     for (size_t round = 0; round < rounds; ++round) {
-        for (size_t vm = 0; vm < m_processes.size(); ++vm) {
-            refreshList(vm, 0);
-        }
+        refreshAll();
         run(3s);
     }
 }
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
@@ -89,21 +89,46 @@
     void replace(size_t vm);
     void replaceElsewhere(size_t vm);
     void drain(size_t vm);
+    /// @brief Passes every VM the newest VM list.
+    void refreshAll();
     void refreshList(size_t vm, size_t lag);
     void setStoreDown(bool down) { m_storeDown = down; }
     void answerStore(size_t number, size_t fault);
     void heal();
+    /// @brief Passes a VM a message as if another had sent it. Incarnations that are not set are
+    /// those of the two processes.
+    void inject(const std::string &from, const std::string &to, schema::AllowanceMessage message);
+    /// @brief Replaces the units of each claim in the answers to fences.
+    void claimInFenceAcks(ShareUnits units)
+    {
+        m_claimedUnits = units;
+        m_hasFalseMessages = true;
+    }
 
     /// @brief Checks all invariants.
     /// @return description of the violated invariant, empty if none
     [[nodiscard]] std::string violation() const;
+    /// @brief Checks that every unit of the whole has exactly one place: a living VM, a message on
+    /// its way, or a process that is dead or not active yet. It holds whenever all VMs know the
+    /// record that the store has.
+    /// @return what was violated, empty if nothing
+    [[nodiscard]] std::string placeViolation() const;
+    /// @brief Sum of the shares of all VMs.
+    [[nodiscard]] int64_t shares() const;
     /// @brief Whether any VM admits a request of the whole burst within one second.
     bool canAdmitBurst();
     /// @brief Sum of the levels of all VMs.
     [[nodiscard]] MicroTokens levels() const;
+    [[nodiscard]] DivisionState state(const std::string &vm) const;
+    [[nodiscard]] uint64_t refusedMessages(const std::string &vm) const;
+    /// @brief Ticket of the last admission.
+    [[nodiscard]] Ticket lastTicket() const { return m_tickets.back().ticket; }
     [[nodiscard]] size_t admissions() const { return m_admissions.size(); }
 
     static constexpr Duration maximumListAge = 5s;
+    /// Time after which the VMs use the whole again, once all run and messages, store and list
+    /// work.
+    static constexpr Duration recoveryTime = 2 * maximumListAge + 8s;
     Limits limits = limitsFromTokens(1000, 4000);
 
 private:
@@ -128,7 +153,14 @@
     std::map<std::string, size_t> m_answers;
     /// Process incarnations by the incarnation in their messages.
     std::map<uint64_t, uint64_t> m_processOf;
+    std::optional<ShareUnits> m_claimedUnits;
+    /// inject() or claimInFenceAcks() was called.
+    bool m_hasFalseMessages = false;
     bool m_wronglyTooLarge = false;
+    /// First violation that a step of run() found.
+    std::string m_stepViolation;
+    /// Time from which the shares must sum to the whole.
+    std::optional<Instant> m_wholeFrom;
 
     void start(const std::string &vm, const std::string &zone);
     void publish();
@@ -142,6 +174,9 @@
     bool apply(const RecordWrite &write);
     void receive(const Envelope &envelope);
     void tickAll();
+    void checkStep();
+    [[nodiscard]] MicroTokens debt() const;
+    [[nodiscard]] MicroTokens tokensUnderWay() const;
 };
 
 } // namespace teaseldrift::allowance::simulation
--- a/packages/policy/src/teaseldrift/allowance/loans.cpp
+++ b/packages/policy/src/teaseldrift/allowance/loans.cpp
@@ -51,16 +51,43 @@
     send(peer.vm, peer.account.incarnation, std::move(message));
 }
 
+/// Whether totals agree with the account: a peer applies at most what was given, and gives units
+/// and tokens together, at most what it held of this VM's base share and its own base share.
+bool OrganisationAllowance::areTotalsPossible(const Peer &peer,
+                                              const schema::AllowanceGive &message) const
+{
+    const PeerAccount &account = peer.account;
+    if (message.applied_units() > account.givenUnits
+        || message.applied_tokens() > account.givenTokens || message.applied_tokens() < 0
+        || message.given_tokens() < 0) {
+        return false;
+    }
+    if (message.given_units() <= account.appliedUnits) {
+        return message.given_tokens() <= account.appliedTokens;
+    }
+    const uint64_t units = message.given_units() - account.appliedUnits;
+    return message.given_tokens() >= account.appliedTokens
+           && units <= account.lent() + static_cast<uint64_t>(baseUnitsOf(peer.vm))
+                               - std::min(account.held(), baseUnitsOf(peer.vm));
+}
+
 void OrganisationAllowance::onGive(Peer &peer, const schema::AllowanceGive &message, Instant now)
 {
     PeerAccount &account = peer.account;
+    if (!areTotalsPossible(peer, message)) {
+        // With a newer record the sender's base share may be larger. The totals come again.
+        return message.epoch() > m_record.epoch() ? sendNotice(peer.vm)
+                                                  : refuseMessage(peer.vm, "impossible_totals");
+    }
     account.ackedUnits = std::max(account.ackedUnits, message.applied_units());
     account.ackedTokens = std::max(account.ackedTokens, message.applied_tokens());
-    if (message.given_units() > account.appliedUnits
-        || message.given_tokens() > account.appliedTokens) {
+    if (message.given_units() > account.appliedUnits) {
         // Both totals are from the same message, so the tokens fit into the capacity of the units
         // applied with them.
-        const MicroTokens tokens = message.given_tokens() - account.appliedTokens;
+        const ShareUnits units
+                = static_cast<ShareUnits>(message.given_units() - account.appliedUnits);
+        const MicroTokens tokens = std::min(message.given_tokens() - account.appliedTokens,
+                                            capacityOf(m_bucket.limits(), units));
         account.appliedUnits = message.given_units();
         account.appliedTokens = message.given_tokens();
         updateShare(now);
@@ -168,17 +195,26 @@
 }
 
 /// Reports level, share and demand to peers, and resends transfer totals that are not acknowledged.
+/// Members without a session get the record.
 void OrganisationAllowance::report(Instant now)
 {
     const double demand = m_demand.rate(now, options().demandWindow);
     const double notable = 0.1 * static_cast<double>(m_bucket.limits().rate) / microTokensPerToken;
     for (Peer &peer : m_peers) {
-        if (peer.gone || peer.account.incarnation == 0) {
+        if (peer.gone) {
+            continue;
+        }
+        const bool isIdleDue = now >= peer.reportedAt + options().idleReportInterval;
+        if (peer.account.incarnation == 0) {
+            if (isIdleDue) {
+                peer.reportedAt = now;
+                sendNotice(peer.vm);
+            }
             continue;
         }
         const bool isDue = now >= peer.reportedAt + options().reportInterval;
         const bool hasNews = std::abs(demand - peer.reportedDemand) > notable || demand > notable;
-        if ((isDue && hasNews) || (!peer.account.isAcknowledged() && isDue)) {
+        if (isIdleDue || (isDue && hasNews) || (!peer.account.isAcknowledged() && isDue)) {
             sendGive(peer, 0, false, now);
         }
     }
--- a/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
+++ b/packages/policy/src/teaseldrift/allowance/organisation_allowance.hpp
@@ -24,6 +24,9 @@
     Actions actions;
     /// Last request id or nonce that was assigned.
     uint64_t counter = 0;
+    uint64_t refusedMessages = 0;
+
+    void refuse(std::string_view organisation, std::string_view vm, std::string_view reason);
 };
 
 /// @brief Exponentially weighted average of the tokens requested per second.
@@ -65,6 +68,7 @@
     [[nodiscard]] ShareUnits share() const { return m_bucket.share(); }
     [[nodiscard]] MicroTokens level(Instant now) const { return m_bucket.level(now); }
     [[nodiscard]] const schema::DivisionRecord &record() const { return m_record; }
+    [[nodiscard]] DivisionState divisionState() const;
 
 private:
     /// A request that waits for tokens, received locally or forwarded by another VM.
@@ -133,6 +137,8 @@
         std::vector<std::string> acknowledgedBy;
         /// Units of gone VMs' base shares, by the member that holds them.
         std::vector<schema::DivisionMember> held;
+        /// Gone VMs' base shares, less the units in `held`.
+        std::vector<schema::DivisionMember> unclaimed;
         schema::DivisionRecord proposed;
     };
 
@@ -147,6 +153,9 @@
     /// whose record is confirmed.
     bool m_recordConfirmed = false;
     bool m_isActive = false;
+    /// Units of this VM's base share that no process can have used before, because this process
+    /// wrote the first record. Their tokens are available when it becomes active.
+    ShareUnits m_unusedUnits = 0;
     bool m_draining = false;
     std::vector<Peer> m_peers;
     /// Homes according to this VM's list, without VMs known to be gone.
@@ -170,7 +179,14 @@
     uint64_t nextId() { return ++m_context.counter; }
     Peer *findPeer(std::string_view vm);
     [[nodiscard]] bool isMember(std::string_view vm) const;
-    [[nodiscard]] ShareUnits baseUnits() const;
+    [[nodiscard]] ShareUnits baseUnits() const { return baseUnitsOf(m_context.self.vm); }
+    [[nodiscard]] ShareUnits baseUnitsOf(std::string_view vm) const
+    {
+        return baseUnitsIn(m_record, vm);
+    }
+    [[nodiscard]] static ShareUnits baseUnitsIn(const schema::DivisionRecord &record,
+                                                std::string_view vm);
+    void refuseMessage(std::string_view vm, std::string_view reason);
     void send(std::string_view vm, uint64_t incarnation, schema::AllowanceMessage message);
     void updateShare(Instant now);
     [[nodiscard]] bool isInSession(const Peer &peer, const schema::AllowanceMessage &message) const;
@@ -197,6 +213,8 @@
     [[nodiscard]] ShareUnits transferable(const Peer &peer) const;
     void transfer(Peer &peer, ShareUnits units, MicroTokens tokens, Instant now);
     void sendGive(Peer &peer, uint64_t requestId, bool loansReturned, Instant now);
+    [[nodiscard]] bool areTotalsPossible(const Peer &peer,
+                                         const schema::AllowanceGive &message) const;
     void onGive(Peer &peer, const schema::AllowanceGive &message, Instant now);
     void rebalance(Instant now);
     void report(Instant now);
@@ -215,6 +233,7 @@
     void onChallenge(Peer &peer, const schema::AllowanceMessage &message, Instant now);
     void onConfirm(Peer &peer, const schema::AllowanceMessage &message, Instant now);
     void onWelcome(Peer &peer, const schema::AllowanceMessage &message, Instant now);
+    void onNotice(std::string_view from, const schema::DivisionRecord &record, Instant now);
     void sendNotice(std::string_view vm);
 
     // Requests forwarded between VMs (forwarding.cpp)
@@ -237,6 +256,7 @@
     void startRead(Instant now);
     void startFence(Instant now);
     void sendFences();
+    bool claimHeld(const schema::AllowanceFenceAck &ack);
     void proposeIfAcknowledged(Instant now);
     void propose(Instant now);
     void failChange(Duration pause, Instant now);
--- a/packages/policy/src/teaseldrift/allowance/sessions.cpp
+++ b/packages/policy/src/teaseldrift/allowance/sessions.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "organisation_allowance.hpp"
 
@@ -122,6 +123,7 @@
     }
     m_isActive = true;
     updateShare(now);
+    m_bucket.deposit(capacityOf(m_bucket.limits(), std::exchange(m_unusedUnits, 0)), now);
     for (Peer &peer : m_peers) {
         if (!peer.gone) {
             sendGive(peer, 0, false, now);
@@ -242,6 +244,10 @@
         || welcome.hello_nonce() != peer.handshake.helloNonce) {
         return;
     }
+    if (welcome.held_units()
+        > std::max(baseUnits(), baseUnitsIn(welcome.record(), m_context.self.vm))) {
+        return refuseMessage(peer.vm, "impossible_claim");
+    }
     startSession(peer, message.sender_incarnation(), now);
     peer.account.initialLent = welcome.held_units();
     peer.handshake.helloNonce = 0;
@@ -251,6 +257,15 @@
     installRecord(welcome.record(), welcome.record_confirmed(), now);
 }
 
+void OrganisationAllowance::onNotice(std::string_view from, const schema::DivisionRecord &record,
+                                     Instant now)
+{
+    installRecord(record, false, now);
+    if (record.epoch() < m_record.epoch()) {
+        sendNotice(from);
+    }
+}
+
 void OrganisationAllowance::sendNotice(std::string_view vm)
 {
     schema::AllowanceMessage message;
