A target that says that it leaves in a response is not chosen again

What callers saw: a target that answers with Server-Leaving: 1 kept getting requests until the store's registration said so, and a registration that lagged (or came from a store that returned from an older copy) made it available again.

Now each response's Server-Leaving marks the incarnation that was sent the request at once; a registration of the same incarnation does not undo it, also after its registration ended meanwhile. A new incarnation is not bound. Values other than 1 are ignored, counted and logged.

--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -45,12 +46,17 @@
 {
     /// Live targets register again within this time after the store has recovered.
     Duration lapseGrace = 2200ms;
+    /// Number of leaving incarnations that are remembered; the oldest ones are forgotten first.
+    size_t maxLeavingIncarnations = 4096;
 };
 
 /// @brief Known targets, from their registrations in the store.
 ///
 /// A registration that ends while the store is unavailable says nothing about its target. Such a
 /// target is kept until the grace period after the store's recovery is over.
+///
+/// An incarnation that is leaving never becomes available again: a registration that says
+/// otherwise is older than the statement. This also holds if the registration has ended meanwhile.
 class TargetDirectory
 {
 public:
@@ -59,6 +65,10 @@
     /// @brief Adds or updates a registration.
     TargetChange put(const TargetEntry &entry);
 
+    /// @brief Records that a response of a target stated that it is leaving.
+    /// @param startedAtMs incarnation that was sent the request
+    TargetChange markLeaving(std::string_view id, uint64_t startedAtMs);
+
     /// @brief Handles the end of a registration.
     TargetChange remove(std::string_view id, Instant now);
 
@@ -91,6 +101,8 @@
 
 private:
     void rebuild();
+    void rememberLeaving(std::string_view id, uint64_t startedAtMs);
+    [[nodiscard]] bool isKnownToLeave(std::string_view id, uint64_t startedAtMs) const;
     [[nodiscard]] bool isInGrace(Instant now) const;
 
     TargetDirectoryOptions m_options;
@@ -98,6 +110,10 @@
     std::map<std::string, std::vector<const TargetEntry *>, std::less<>> m_byService;
     /// Lapsed targets with the end of their grace period; empty while the store is unavailable.
     std::map<std::string, std::optional<Instant>, std::less<>> m_lapsed;
+    /// Ids of leaving incarnations with their `startedAtMs`, and the order in which they are
+    /// forgotten.
+    std::map<std::string, uint64_t, std::less<>> m_leaving;
+    std::deque<std::string> m_leavingOrder;
     bool m_isStoreUnavailable = false;
     std::optional<Instant> m_storeRecoveredAt;
 };
--- /dev/null
+++ b/packages/policy/include/teaseldrift/targets/target_notice.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "teaseldrift/base/time.hpp"
+
+namespace teaseldrift {
+
+/// @brief A header whose value is outside its format and was ignored or capped.
+struct InvalidHeader
+{
+    std::string name;
+    std::string value;
+};
+
+/// @brief What a response states about its target, whatever the request was.
+struct TargetNotice
+{
+    /// The target shuts down and takes no new requests.
+    bool isLeaving = false;
+    /// Time for which the target asks this VM to send nothing; 0 for no such request.
+    Duration quietTime{0};
+    std::optional<InvalidHeader> invalidLeaving;
+    std::optional<InvalidHeader> invalidQuietTime;
+};
+
+} // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -98,6 +98,8 @@
 {
     std::string id;
     std::string address;
+    /// Incarnation of the target, see TargetEntry::startedAtMs.
+    uint64_t startedAtMs = 0;
     /// Expected weights version of the target; 0 for services that are not engines.
     uint64_t weights = 0;
     std::string cacheSalt;
--- a/packages/policy/src/teaseldrift/targets/target_directory.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory.cpp
@@ -8,18 +8,26 @@
 
 TargetChange TargetDirectory::put(const TargetEntry &entry)
 {
-    const bool wasLapsed = m_lapsed.erase(entry.id) > 0;
+    if (entry.isLeaving) {
+        rememberLeaving(entry.id, entry.startedAtMs);
+    }
     const auto known = m_targets.find(entry.id);
+    const bool wasLeaving = known != m_targets.end() && known->second.isLeaving
+                            && known->second.startedAtMs == entry.startedAtMs;
+    const bool isLeaving
+            = entry.isLeaving || wasLeaving || isKnownToLeave(entry.id, entry.startedAtMs);
+    const bool wasLapsed = m_lapsed.erase(entry.id) > 0;
     if (known == m_targets.end()) {
-        m_targets.emplace(entry.id, entry);
+        m_targets.emplace(entry.id, entry).first->second.isLeaving = isLeaving;
         rebuild();
         return TargetChange::Added;
     }
     TargetEntry &target = known->second;
     const bool restarted = target.startedAtMs != entry.startedAtMs;
-    const bool changed = target.isLeaving != entry.isLeaving || target.address != entry.address
+    const bool changed = target.isLeaving != isLeaving || target.address != entry.address
                          || target.service != entry.service || target.weights != entry.weights;
     target = entry;
+    target.isLeaving = isLeaving;
     if (restarted || changed || wasLapsed) {
         rebuild();
     }
@@ -54,6 +62,42 @@
            || (m_storeRecoveredAt && now < *m_storeRecoveredAt + m_options.lapseGrace);
 }
 
+TargetChange TargetDirectory::markLeaving(std::string_view id, uint64_t startedAtMs)
+{
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end() && known->second.startedAtMs != startedAtMs) {
+        return TargetChange::None;
+    }
+    rememberLeaving(id, startedAtMs);
+    if (known == m_targets.end() || known->second.isLeaving) {
+        return TargetChange::None;
+    }
+    known->second.isLeaving = true;
+    rebuild();
+    return TargetChange::Changed;
+}
+
+void TargetDirectory::rememberLeaving(std::string_view id, uint64_t startedAtMs)
+{
+    const auto known = m_leaving.find(id);
+    if (known != m_leaving.end()) {
+        known->second = startedAtMs;
+        return;
+    }
+    m_leaving.emplace(id, startedAtMs);
+    m_leavingOrder.emplace_back(id);
+    if (m_leavingOrder.size() > m_options.maxLeavingIncarnations) {
+        m_leaving.erase(m_leavingOrder.front());
+        m_leavingOrder.pop_front();
+    }
+}
+
+bool TargetDirectory::isKnownToLeave(std::string_view id, uint64_t startedAtMs) const
+{
+    const auto known = m_leaving.find(id);
+    return known != m_leaving.end() && known->second == startedAtMs;
+}
+
 void TargetDirectory::storeLost(Instant /*now*/)
 {
     m_isStoreUnavailable = true;
--- a/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
@@ -65,6 +65,71 @@
     CHECK(directory.remove("a", start) == TargetChange::Removed);
 }
 
+// The store's registration lags behind the target's responses.
+TEST_CASE("a target that stated in a response that it is leaving is not listed again")
+{
+    TargetDirectory directory;
+    directory.put(engine("a"));
+    directory.put(engine("b"));
+    CHECK(directory.markLeaving("a", 1) == TargetChange::Changed);
+    CHECK(directory.markLeaving("a", 1) == TargetChange::None);
+    CHECK(directory.find("a")->isLeaving);
+    REQUIRE(directory.ofService("writer").size() == 1);
+    CHECK(directory.put(engine("a")) == TargetChange::None);
+    CHECK(directory.ofService("writer").size() == 1);
+}
+
+// A store that returns from an older copy holds the registration from before the shutdown.
+TEST_CASE("a registration of a leaving incarnation does not make it available again")
+{
+    TargetDirectory directory;
+    TargetEntry leaving = engine("a");
+    leaving.isLeaving = true;
+    directory.put(leaving);
+    CHECK(directory.put(engine("a")) == TargetChange::None);
+    CHECK(directory.ofService("writer").empty());
+
+    CHECK(directory.remove("a", start) == TargetChange::Removed);
+    CHECK(directory.put(engine("a")) == TargetChange::Added);
+    CHECK(directory.find("a")->isLeaving);
+    CHECK(directory.ofService("writer").empty());
+}
+
+TEST_CASE("a new incarnation is not bound by what the one before stated")
+{
+    TargetDirectory directory;
+    directory.put(engine("a"));
+    directory.markLeaving("a", 1);
+    TargetEntry again = engine("a");
+    again.startedAtMs = 2;
+    CHECK(directory.put(again) == TargetChange::Restarted);
+    CHECK(directory.ofService("writer").size() == 1);
+    // A late response of the incarnation before.
+    CHECK(directory.markLeaving("a", 1) == TargetChange::None);
+    CHECK(directory.ofService("writer").size() == 1);
+}
+
+TEST_CASE("a statement of a target whose registration has ended is remembered")
+{
+    TargetDirectory directory;
+    CHECK(directory.markLeaving("a", 1) == TargetChange::None);
+    directory.put(engine("a"));
+    CHECK(directory.ofService("writer").empty());
+}
+
+TEST_CASE("the number of remembered leaving incarnations is bounded")
+{
+    TargetDirectory directory({.maxLeavingIncarnations = 2});
+    for (const char *id : {"a", "b", "c"}) {
+        directory.markLeaving(id, 1);
+    }
+    for (const char *id : {"a", "b", "c"}) {
+        directory.put(engine(id));
+    }
+    REQUIRE(directory.ofService("writer").size() == 1);
+    CHECK(directory.ofService("writer").front()->id == "a");
+}
+
 TEST_CASE("a new incarnation under a known id is reported as a restart")
 {
     TargetDirectory directory;
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -355,7 +355,9 @@
     if (!chosen) {
         return std::nullopt;
     }
-    TargetChoice choice{.id = chosen->target->id, .address = chosen->target->address};
+    TargetChoice choice{.id = chosen->target->id,
+                        .address = chosen->target->address,
+                        .startedAtMs = chosen->target->startedAtMs};
     choice.expectedWait = fromMs(waitMs(*chosen->state, query.priority, now));
     if (peerLoad(*chosen->state, now) != nullptr) {
         choice.loadAge = now - m_peerLoadAt;
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -15,6 +15,7 @@
 #include "teaseldrift/routing/route_table.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/targets/target_directory.hpp"
+#include "teaseldrift/targets/target_notice.hpp"
 #include "teaseldrift/targets/target_selector.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/usage/usage_limiter.hpp"
@@ -62,6 +63,14 @@
     void applyTarget(const TargetEntry &entry, Instant now);
     void removeTarget(std::string_view id, Instant now);
 
+    /// @brief Applies what a response stated about its target.
+    /// @param startedAtMs incarnation that was sent the request
+    void applyNotice(std::string_view target, uint64_t startedAtMs, const TargetNotice &notice,
+                     Instant now);
+
+    /// @brief Number of headers of targets that were ignored or capped, see InvalidHeader.
+    [[nodiscard]] uint64_t invalidTargetHeaders() const { return m_invalidTargetHeaders; }
+
     /// @brief Applies a snapshot of all targets; targets missing from it are removed.
     void applyAllTargets(const std::map<std::string, TargetEntry, std::less<>> &entries,
                          Instant now);
@@ -168,6 +177,7 @@
     [[nodiscard]] double localScore(uint64_t key) const;
     [[nodiscard]] UsageLimit limitOf(std::string_view organisation) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
+    void logInvalid(std::string_view target, const std::optional<InvalidHeader> &header);
 
     FleetOptions m_options;
     telemetry::EventLog &m_log;
@@ -182,6 +192,7 @@
     std::map<std::string, UsageLimiter, std::less<>> m_fallbackUsageLimiters;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
     size_t m_limitDivisor = 0;
+    uint64_t m_invalidTargetHeaders = 0;
     bool m_isLeaving = false;
 };
 
--- a/packages/relay/include/teaseldrift/relay/message.hpp
+++ b/packages/relay/include/teaseldrift/relay/message.hpp
@@ -12,6 +12,7 @@
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/server.hpp"
 #include "teaseldrift/segments/prompt_segments.hpp"
+#include "teaseldrift/targets/target_notice.hpp"
 #include "teaseldrift/targets/target_selector.hpp"
 
 namespace teaseldrift::relay {
@@ -68,6 +69,7 @@
     Duration retryAfter{0};
     std::optional<TargetLoadReport> load;
     std::optional<uint64_t> weights;
+    TargetNotice notice;
 };
 
 /// @brief Parses and builds the HTTP messages of one interface.
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -299,6 +299,7 @@
 void RequestTask<D>::recordResponse(const ResponseMetadata &metadata, int status, Instant now)
 {
     TargetSelector &targetSelector = m_context.fleet.targetSelector();
+    m_context.fleet.applyNotice(m_choice->id, m_choice->startedAtMs, metadata.notice, now);
     if (metadata.load) {
         targetSelector.reportLoad(m_choice->id, *metadata.load, now);
     }
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -113,8 +113,34 @@
 void FleetState::applyTarget(const TargetEntry &entry, Instant now)
 {
     const TargetChange change = m_directory.put(entry);
-    m_targetSelector.update(entry, change, now);
-    logTarget(entry, change);
+    const TargetEntry &target = *m_directory.find(entry.id);
+    m_targetSelector.update(target, change, now);
+    logTarget(target, change);
+}
+
+void FleetState::applyNotice(std::string_view target, uint64_t startedAtMs,
+                             const TargetNotice &notice, Instant now)
+{
+    logInvalid(target, notice.invalidLeaving);
+    logInvalid(target, notice.invalidQuietTime);
+    if (notice.isLeaving && m_directory.markLeaving(target, startedAtMs) == TargetChange::Changed) {
+        const TargetEntry &entry = *m_directory.find(target);
+        m_targetSelector.update(entry, TargetChange::Changed, now);
+        logTarget(entry, TargetChange::Changed);
+    }
+}
+
+void FleetState::logInvalid(std::string_view target, const std::optional<InvalidHeader> &header)
+{
+    if (!header) {
+        return;
+    }
+    ++m_invalidTargetHeaders;
+    constexpr size_t maxLoggedValue = 64;
+    m_log.write(EventPriority::Routine, "invalid_target_header",
+                {{"target", target},
+                 {"header", std::string_view(header->name)},
+                 {"value", std::string_view(header->value).substr(0, maxLoggedValue)}});
 }
 
 void FleetState::removeTarget(std::string_view id, Instant now)
