A target that asked for a quiet time with Retry-After gets no requests

What targets saw: a 503 with Retry-After was handled like a plain refusal: the target was avoided for 0.25 to 1.5 s, and chosen all the same if it was the only one. A negative Retry-After was read as a negative time, a huge one overflowed.

Now the quiet period is held for the incarnation (QuietPeriods); the selector never chooses the target before its end. It survives configuration changes and gaps in the registration, is no ill health, and is followed by one request each 100 ms until one is accepted.

target_selector_test: accepted() has the time as a new parameter; nothing else changed there.

--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -19,6 +19,7 @@
 #include "teaseldrift/segments/segment_index.hpp"
 #include "teaseldrift/targets/peer_load_tracker.hpp"
 #include "teaseldrift/targets/queue_delay_estimator.hpp"
+#include "teaseldrift/targets/quiet_periods.hpp"
 #include "teaseldrift/targets/target_directory.hpp"
 #include "teaseldrift/weights/rollout_plan.hpp"
 
@@ -145,6 +146,25 @@
     [[nodiscard]] std::optional<TargetChoice> choose(const TargetDirectory &directory,
                                                      const TargetQuery &query, Instant now) const;
 
+    /// @brief Earliest time at which some target may take the request, regardless of
+    /// TargetQuery::excluded; not after `now` if at once.
+    /// @return empty if no target can be expected to take it
+    [[nodiscard]] std::optional<Instant> availableFrom(const TargetDirectory &directory,
+                                                       const TargetQuery &query, Instant now) const;
+
+    /// @brief Records that a target has asked this VM to send it nothing for some time.
+    /// @param startedAtMs incarnation that was sent the request
+    void startQuietPeriod(std::string_view id, uint64_t startedAtMs, Duration time, Instant now)
+    {
+        m_quietPeriods.start(id, startedAtMs, time, now);
+    }
+
+    /// @brief Whether a target has asked this VM to send it nothing at present.
+    [[nodiscard]] bool isQuiet(const TargetEntry &target, Instant now) const
+    {
+        return m_quietPeriods.isQuiet(target.id, target.startedAtMs, now);
+    }
+
     /// @brief Records that the request was sent to the target.
     void sent(TargetChoice &choice, Instant now);
 
@@ -173,7 +193,7 @@
     void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
 
     /// @brief Resets the backoff after the target has accepted a request.
-    void accepted(std::string_view id);
+    void accepted(std::string_view id, Instant now);
 
     /// @brief Starts the backoff after the target has refused a request.
     void refused(std::string_view id, Instant now);
@@ -252,6 +272,7 @@
 
     struct PreferredTargets;
 
+    [[nodiscard]] bool mayTake(const TargetEntry &target, const TargetQuery &query) const;
     [[nodiscard]] PreferredTargets
     preferredTargetsOf(const std::vector<const TargetEntry *> &targets,
                        const TargetQuery &query) const;
@@ -282,6 +303,7 @@
     std::vector<PrefilledSegment> m_prefilledSegments;
     /// Target ids by targetKeyOf().
     std::map<uint32_t, std::string> m_idsByKey;
+    QuietPeriods m_quietPeriods;
     InFlightLoadTable m_peerLoad;
     Instant m_peerLoadAt;
 };
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -264,7 +264,7 @@
     }
     for (const TargetEntry *target : targets) {
         const State *state = stateOf(target->id);
-        if (state == nullptr || !m_health.isEligible(target->id)) {
+        if (state == nullptr || !m_health.isEligible(target->id) || isQuiet(*target, now)) {
             continue;
         }
         const uint64_t confirmed
@@ -300,6 +300,30 @@
     return importMs + prefillMs * (isDuplicatePrefill ? m_options.duplicatePrefillFactor : 1.0);
 }
 
+/// Whether a target may take the request, apart from its quiet period.
+bool TargetSelector::mayTake(const TargetEntry &target, const TargetQuery &query) const
+{
+    if (stateOf(target.id) == nullptr || !m_health.isEligible(target.id)) {
+        return false;
+    }
+    const auto weights = target.weights.find(query.model);
+    return query.model.empty()
+           || (weights != target.weights.end() && weights->second >= query.minWeights);
+}
+
+std::optional<Instant> TargetSelector::availableFrom(const TargetDirectory &directory,
+                                                     const TargetQuery &query, Instant now) const
+{
+    std::optional<Instant> earliest;
+    for (const TargetEntry *target : directory.ofService(query.service)) {
+        if (mayTake(*target, query)) {
+            const Instant from = m_quietPeriods.availableFrom(target->id, target->startedAtMs, now);
+            earliest = earliest ? std::min(*earliest, from) : from;
+        }
+    }
+    return earliest;
+}
+
 std::optional<TargetChoice> TargetSelector::choose(const TargetDirectory &directory,
                                                    const TargetQuery &query, Instant now) const
 {
@@ -315,17 +339,14 @@
         const State *state = stateOf(target->id);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), target->id)
                                 != query.excluded.end();
-        if (state == nullptr || isExcluded || !m_health.isEligible(target->id)) {
+        if (isExcluded || !mayTake(*target, query)
+            || m_quietPeriods.availableFrom(target->id, target->startedAtMs, now) > now) {
             continue;
         }
         Candidate candidate{.target = target, .state = state};
         candidate.costMs = waitMs(*state, query.priority, now) + crossZoneCostMs(*target);
         if (!query.model.empty()) {
-            const auto weights = target->weights.find(query.model);
-            if (weights == target->weights.end() || weights->second < query.minWeights) {
-                continue;
-            }
-            candidate.weights = weights->second;
+            candidate.weights = target->weights.find(query.model)->second;
             auto availability = availabilityByWeights.find(candidate.weights);
             if (availability == availabilityByWeights.end()) {
                 availability = availabilityByWeights
@@ -405,6 +426,7 @@
         return;
     }
     ++state->inFlight;
+    m_quietPeriods.sent(choice.id, now);
     const double ownMs = choice.prefixes.empty() ? 0.0
                                                  : static_cast<double>(choice.prefillTokens)
                                                                    / m_options.prefillTokensPerMs
@@ -548,8 +570,9 @@
     return plans;
 }
 
-void TargetSelector::accepted(std::string_view id)
+void TargetSelector::accepted(std::string_view id, Instant now)
 {
+    m_quietPeriods.accepted(id, now);
     State *state = mutableState(id);
     if (state != nullptr) {
         state->consecutiveRefusals = 0;
--- a/packages/policy/src/teaseldrift/targets/target_selector_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_test.cpp
@@ -320,7 +320,7 @@
     CHECK(engines.choose(segments, start + 300ms)->id == first);
     engines.selector().refused(first, start + 300ms);
     CHECK(engines.choose(segments, start + 700ms)->id != first);
-    engines.selector().accepted(first);
+    engines.selector().accepted(first, start + 1s);
     CHECK(engines.choose(segments, start + 700ms)->id == first);
 }
 
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -308,6 +308,9 @@
                                             *metadata.weights);
     }
     constexpr int misdirected = 421;
+    if (metadata.notice.quietTime > Duration(0)) {
+        return;
+    }
     if (metadata.reportsNotRun) {
         targetSelector.refused(m_choice->id, now);
         if (status == misdirected && !metadata.weights && m_choice->weights > 0) {
@@ -320,7 +323,7 @@
         }
         return;
     }
-    targetSelector.accepted(m_choice->id);
+    targetSelector.accepted(m_choice->id, now);
     constexpr int serverError = 500;
     const bool failed = status >= serverError && !m_admitted.request.model.empty();
     targetSelector.health().report(
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -123,6 +123,11 @@
 {
     logInvalid(target, notice.invalidLeaving);
     logInvalid(target, notice.invalidQuietTime);
+    if (notice.quietTime > Duration(0)) {
+        m_targetSelector.startQuietPeriod(target, startedAtMs, notice.quietTime, now);
+        m_log.write(EventPriority::Routine, "target_quiet",
+                    {{"target", target}, {"quiet_ms", toMs(notice.quietTime)}});
+    }
     if (notice.isLeaving && m_directory.markLeaving(target, startedAtMs) == TargetChange::Changed) {
         const TargetEntry &entry = *m_directory.find(target);
         m_targetSelector.update(entry, TargetChange::Changed, now);
