A request that no target takes in time is refused at once, or waits for one

What callers saw: a request whose only targets are leaving or quiet was held for a backoff of 30 ms and refused with the same Retry-After for everybody; one whose target would have returned in time was refused as well.

Now it waits for the earliest return if that leaves it on time (bounded, spread), and is refused at once otherwise, with the spread time until the return if the caller can follow it, or the usual short one. RequestStateMachine has waitForTarget() and targetsUnavailable(); 'has not run' is unchanged.

--- a/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
@@ -67,6 +67,8 @@
     /// separate limit. Attempts that were refused or never reached a target count only against
     /// maxAttempts.
     uint32_t maxRuns = 0;
+    /// Maximum number of waits for a target that has asked to be left alone.
+    uint32_t maxWaits = 4;
     /// Targets support resuming a stream after a lost connection.
     bool targetsResume = true;
     /// Initial backoff before failed targets are retried when no other target is left; doubles
@@ -116,6 +118,16 @@
     /// @param retryAfter Retry-After value for the caller; 0 if unknown
     RequestActions noTargetAvailable(AttemptId id, Instant now, Duration retryAfter = Duration(0));
 
+    /// @brief No target can take the attempt before a known time: the next attempt starts then.
+    ///
+    /// If that is not before the deadline, or the request has waited too often, it ends as by
+    /// targetsUnavailable().
+    RequestActions waitForTarget(AttemptId id, Instant until, Instant now);
+
+    /// @brief No target can take the request in time: it ends without a backoff.
+    /// @param retryAfter Retry-After value for the caller; 0 if unknown
+    RequestActions targetsUnavailable(AttemptId id, Instant now, Duration retryAfter = Duration(0));
+
     /// @brief Bytes of the request may leave this VM from now on.
     ///
     /// Must be called before the first byte is sent. If the HTTP client reports this only
@@ -228,6 +240,7 @@
     /// Failed attempts in which a target may have run the request.
     uint32_t m_possibleRunCount = 0;
     uint32_t m_backoffCount = 0;
+    uint32_t m_waitCount = 0;
     Duration m_retryAfter{0};
     schema::ResultCode m_lastCause = schema::NO_TARGET;
     /// Cause of the last failed attempt in which a target may have run the request.
--- a/packages/policy/src/teaseldrift/attempts/request_state_machine_test.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_state_machine_test.cpp
@@ -227,6 +227,39 @@
     CHECK_FALSE(budget.tryAcquire(now, RetryPriority::Normal));
 }
 
+TEST_CASE("a request waits for a target that has asked to be left alone, a bounded number of times")
+{
+    RetryBudget budget;
+    RequestStateMachine machine({.deadline = 10s, .maxWaits = 2}, budget);
+    const Instant now{};
+    machine.start(now);
+    CHECK(machine.waitForTarget(1, now + 1s, now).empty());
+    CHECK(machine.nextDeadline() == now + 1s);
+    CHECK(machine.timerExpired(now + 999ms).empty());
+    REQUIRE(find<StartAttempt>(machine.timerExpired(now + 1s)) != nullptr);
+    CHECK(machine.waitForTarget(2, now + 2s, now + 1s).empty());
+    REQUIRE(find<StartAttempt>(machine.timerExpired(now + 2s)) != nullptr);
+    const RequestActions actions = machine.waitForTarget(3, now + 5s, now + 2s);
+    const RefuseRequest *refusal = find<RefuseRequest>(actions);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->ran == schema::RAN_NO);
+    CHECK(refusal->retryAfter == 3s);
+}
+
+TEST_CASE("a request is refused at once if no target returns before its deadline")
+{
+    Fixture fixture({.routeClass = schema::NON_IDEMPOTENT, .deadline = 10s});
+    fixture.machine.sendStarted(1, fixture.now);
+    // The refusal excludes the only target; its backoff would hold the request.
+    fixture.machine.responseHeadReceived(
+            1, {.status = 503, .retryAfter = 20s, .reportsNotRun = true}, fixture.now);
+    const RequestActions actions = fixture.machine.waitForTarget(2, fixture.now + 20s, fixture.now);
+    const RefuseRequest *refusal = find<RefuseRequest>(actions);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->ran == schema::RAN_NO);
+    CHECK(refusal->retryAfter == 20s);
+}
+
 } // namespace teaseldrift
 
 TEST_CASE("attempts refused by their targets do not count as runs")
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -52,6 +52,7 @@
     void perform(const RequestActions &actions);
     void startAttempt(const StartAttempt &action);
     void send(const StartAttempt &action, Instant now);
+    void handleNoTarget(AttemptId id, const TargetQuery &query, Instant now);
     void cancelAttempt();
     [[nodiscard]] bool isOfRequest(const http::ResponseHead &head) const;
     void onHead(AttemptId id, const http::ResponseHead &head);
@@ -103,6 +104,8 @@
     /// Expected wait at the last selected target, also if the request was refused because of it.
     Duration m_expectedWait{0};
     std::optional<Duration> m_loadAge;
+    /// When a target that has asked to be left alone may be sent the request.
+    std::optional<Instant> m_targetReturnsAt;
     /// Oldest weights version on which the last attempt was allowed to start.
     uint64_t m_minWeights = 0;
 };
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -33,6 +33,19 @@
 /// events that the platform specifies.
 inline constexpr Duration outputTokenTime = 30ms;
 
+/// Largest Retry-After that callers follow, as a fraction of the time left until the deadline.
+inline constexpr double followedFraction = 1.0 / 3.0;
+
+/// Time over which requests and callers return to a target that had asked to be left alone.
+inline constexpr Duration returnSpread = 200ms;
+
+/// Factor between 0.5 and 1 that spreads the Retry-After of callers refused together.
+inline double spreadFactor(std::string_view requestId)
+{
+    constexpr uint64_t steps = 1024;
+    return 0.5 + static_cast<double>(rendezvousKey(requestId) % steps) / (2.0 * steps);
+}
+
 inline Duration expectedRun(const CallerRequest &request)
 {
     const uint64_t most = request.maxOutputTokens;
@@ -147,22 +160,21 @@
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
     const uint64_t seed = rendezvousKey(request.id);
     m_minWeights = m_context.fleet.minWeights(request.model, now);
-    m_choice = m_context.fleet.targetSelector().choose(
-            m_context.fleet.directory(),
-            {.service = RouteTable::chooseService(*m_admitted.route, seed),
-             .model = request.model,
-             .segments = request.segments,
-             .isolatedOrganisation
-             = isIsolated ? std::string_view(organisation->name) : std::string_view(),
-             .excluded = action.excludedTargets,
-             .minWeights = m_minWeights,
-             .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
-             .priority = priority(),
-             .expectedRun = expectedRun(request),
-             .seed = seed},
-            now);
+    const TargetQuery query{
+            .service = RouteTable::chooseService(*m_admitted.route, seed),
+            .model = request.model,
+            .segments = request.segments,
+            .isolatedOrganisation
+            = isIsolated ? std::string_view(organisation->name) : std::string_view(),
+            .excluded = action.excludedTargets,
+            .minWeights = m_minWeights,
+            .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
+            .priority = priority(),
+            .expectedRun = expectedRun(request),
+            .seed = seed};
+    m_choice = m_context.fleet.targetSelector().choose(m_context.fleet.directory(), query, now);
     if (!m_choice) {
-        perform(m_machine.noTargetAvailable(action.id, now));
+        handleNoTarget(action.id, query, now);
         return;
     }
     m_expectedWait = m_choice->expectedWait;
@@ -176,6 +188,32 @@
     send(action, now);
 }
 
+template <Dialect D>
+void RequestTask<D>::handleNoTarget(AttemptId id, const TargetQuery &query, Instant now)
+{
+    const TargetDirectory &directory = m_context.fleet.directory();
+    if (directory.ofService(query.service).empty()) {
+        perform(m_machine.targetsUnavailable(id, now));
+        return;
+    }
+    const std::optional<Instant> earliest
+            = m_context.fleet.targetSelector().availableFrom(directory, query, now);
+    if (!earliest || *earliest <= now) {
+        perform(m_machine.noTargetAvailable(id, now));
+        return;
+    }
+    // Spreads requests that wait for the same target, and callers that are refused because of it.
+    constexpr int64_t steps = 1024;
+    const int64_t step = static_cast<int64_t>(query.seed % steps);
+    m_targetReturnsAt = *earliest + returnSpread * step / steps;
+    const bool leavesTime = *m_targetReturnsAt - now <= (deadline() - now) / 2;
+    const bool isOnTime
+            = *m_targetReturnsAt - m_admitted.arrivedAt <= m_admitted.route->latencyObjective;
+    perform(leavesTime && isOnTime
+                    ? m_machine.waitForTarget(id, *m_targetReturnsAt, now)
+                    : m_machine.targetsUnavailable(id, now, *m_targetReturnsAt - now));
+}
+
 template <Dialect D>
 uint32_t RequestTask<D>::priority() const
 {
@@ -509,7 +547,12 @@
             m_context.usage.refund(m_admitted.organisation->name, m_admitted.cost);
         }
         const double left = std::max(0.0, toSeconds(deadline() - now));
-        const double after = std::min(toSeconds(maxRetryAfter), left * retryAfterFraction);
+        double after = std::min(toSeconds(maxRetryAfter), left * retryAfterFraction);
+        if (m_targetReturnsAt) {
+            const double untilReturn = toSeconds(*m_targetReturnsAt - now);
+            const bool isFollowed = untilReturn > 0.0 && untilReturn <= left * followedFraction;
+            after = isFollowed ? untilReturn : after * spreadFactor(m_admitted.request.id);
+        }
         headers.push_back({"retry-after", std::to_string(after)});
     } else {
         status = now >= deadline() ? gatewayTimeout : badGateway;
