Polls, report requests and orders obey what targets state about themselves

What targets saw: a 503 with Retry-After or Server-Leaving in the answer to a poll, a report request or an order was ignored, and polls went on each second.

Not tested: TargetChannel's handing on of the headers over a connection.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -15,6 +15,7 @@
 {
     /// 0 if no complete response arrived in time.
     int status = 0;
+    Headers headers;
     std::string body;
     /// No connection was established, so nothing was sent.
     bool notSent = false;
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -52,6 +52,7 @@
                      [&impl, number](const ResponseHead &head) {
                          if (Impl::Pending *open = impl.find(number)) {
                              open->response.status = head.status;
+                             open->response.headers = head.headers;
                          }
                      },
              .onData =
--- a/packages/policy/include/teaseldrift/weights/weight_rollout.hpp
+++ b/packages/policy/include/teaseldrift/weights/weight_rollout.hpp
@@ -37,6 +37,8 @@
     uint64_t startedAtMs = 0;
     /// Requests in flight at the target, which finish before it loads.
     uint32_t requests = 0;
+    /// The target has asked to be sent nothing at present.
+    bool isQuiet = false;
 };
 
 /// @brief Outcome of an order or of the query for a report before it.
--- a/packages/policy/src/teaseldrift/attempts/request_state_machine_timer.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_state_machine_timer.cpp
@@ -28,6 +28,33 @@
     return handleTimeout(now);
 }
 
+RequestActions RequestStateMachine::waitForTarget(AttemptId id, Instant until, Instant now)
+{
+    if (!isCurrent(id) || m_phase != RequestPhase::SelectingTarget) {
+        return {};
+    }
+    const bool isInTime = !isDeadlineActive() || until < m_deadline;
+    const bool mayContinue = m_attemptKind == AttemptKind::FullRequest || m_canContinue;
+    if (!isInTime || !mayContinue || m_textComplete || m_waitCount >= m_options.maxWaits) {
+        return targetsUnavailable(id, now, until - now);
+    }
+    ++m_waitCount;
+    m_excludedTargets.clear();
+    m_retryAt = until;
+    m_phase = RequestPhase::BackingOff;
+    return {};
+}
+
+RequestActions RequestStateMachine::targetsUnavailable(AttemptId id, Instant now,
+                                                       Duration retryAfter)
+{
+    if (!isCurrent(id)) {
+        return {};
+    }
+    m_excludedTargets.clear();
+    return noTargetAvailable(id, now, retryAfter);
+}
+
 RequestActions RequestStateMachine::handleTimeout(Instant now)
 {
     if (m_phase == RequestPhase::SelectingTarget) {
--- a/packages/policy/src/teaseldrift/weights/weight_rollout.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_rollout.cpp
@@ -122,7 +122,7 @@
         const bool isCounted = progress.isInProgress();
         const bool isTimedOut
                 = progress.isLoading && now >= progress.acceptedAt + m_options.loadTimeout;
-        if (progress.isQueryPending || (now < progress.nextQueryAt && !isTimedOut)
+        if (target.isQuiet || progress.isQueryPending || (now < progress.nextQueryAt && !isTimedOut)
             || (!isCounted && inProgress >= allowed)) {
             continue;
         }
--- a/packages/policy/src/teaseldrift/weights/weight_rollout_test.cpp
+++ b/packages/policy/src/teaseldrift/weights/weight_rollout_test.cpp
@@ -145,4 +145,15 @@
     CHECK(plan.loaded == std::vector<uint32_t>{targetKeyOf("c")});
 }
 
+TEST_CASE("a target that has asked to be sent nothing gets no report request until it returns")
+{
+    WeightRollout rollout;
+    rollout.setDesiredVersion("m", 2);
+    std::vector<WeightTarget> targets{{.id = "a", .version = 1, .isQuiet = true},
+                                      {.id = "b", .version = 2}};
+    CHECK(rollout.dueTargets("m", targets, Instant(100s)).empty());
+    targets.front().isQuiet = false;
+    CHECK(rollout.dueTargets("m", targets, Instant(101s)) == std::vector<std::string>{"a"});
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -31,8 +31,9 @@
 
 /// @brief Requests events from caches.
 template <typename C>
-concept CacheEventChannel = requires(C &channel, std::string_view address, uint64_t since,
-                                     std::function<void(std::optional<CacheEvents>)> onResponse)
+concept CacheEventChannel
+        = requires(C &channel, std::string_view address, uint64_t since,
+                   std::function<void(std::optional<CacheEvents>, const TargetNotice &)> onResponse)
 {
     channel.requestCacheEvents(address, since, onResponse);
 };
@@ -87,7 +88,8 @@
         updateCaches(now);
         std::map<std::string, std::vector<std::string>> byPoller;
         for (std::pair<const std::string, PolledCache> &cache : m_caches) {
-            if (cache.second.isPolling || now < cache.second.nextPoll) {
+            if (cache.second.isPolling || now < cache.second.nextPoll
+                || isQuiet(cache.first, now)) {
                 continue;
             }
             const schema::VmRecord *poller
@@ -106,6 +108,12 @@
         m_timer = m_loop.startTimer(m_options.tick, [this] { tick(); });
     }
 
+    [[nodiscard]] bool isQuiet(const std::string &id, Instant now) const
+    {
+        const TargetEntry *target = m_fleet.directory().find(id);
+        return target != nullptr && m_fleet.targetSelector().isQuiet(*target, now);
+    }
+
     [[nodiscard]] bool usesPollers() const
     {
         const double calls = static_cast<double>(m_caches.size() * m_fleet.vmCount());
@@ -200,7 +208,9 @@
         cache.nextPoll = now + m_options.pollInterval;
         m_channel.requestCacheEvents(
                 cache.address, cache.next,
-                [this, id, address = cache.address](const std::optional<CacheEvents> &response) {
+                [this, id, address = cache.address, startedAtMs = cache.startedAtMs](
+                        const std::optional<CacheEvents> &response, const TargetNotice &notice) {
+                    m_fleet.applyNotice(id, startedAtMs, notice, http::EventLoop::now());
                     onCacheResponse(id, address, response);
                 });
     }
--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -34,6 +34,8 @@
 {
     std::string target;
     std::string address;
+    /// Incarnation of the target.
+    uint64_t startedAtMs = 0;
     std::string model;
     uint64_t version = 0;
     std::string controller;
@@ -43,9 +45,10 @@
 
 /// @brief Sends orders and report requests to targets.
 template <typename C>
-concept OrderChannel = requires(C &channel, const WeightsOrder &order,
-                                std::function<void(std::optional<WeightsReport>)> onReport,
-                                std::function<void(WeightOrderOutcome)> onEnd)
+concept OrderChannel
+        = requires(C &channel, const WeightsOrder &order,
+                   std::function<void(std::optional<WeightsReport>, const TargetNotice &)> onReport,
+                   std::function<void(WeightOrderOutcome, const TargetNotice &)> onEnd)
 {
     channel.requestReport(order, onReport);
     channel.sendOrder(order, onEnd);
@@ -243,7 +246,8 @@
                         {.id = entry.first,
                          .version = weights->second,
                          .startedAtMs = entry.second.startedAtMs,
-                         .requests = m_fleet.targetSelector().requestsAt(entry.first, now)});
+                         .requests = m_fleet.targetSelector().requestsAt(entry.first, now),
+                         .isQuiet = m_fleet.targetSelector().isQuiet(entry.second, now)});
             }
         }
         for (const std::string &id : m_fleet.weightRollout().dueTargets(model, targets, now)) {
@@ -270,11 +274,14 @@
     {
         const WeightsOrder order{.target = target.id,
                                  .address = target.address,
+                                 .startedAtMs = target.startedAtMs,
                                  .model = model,
                                  .version = m_fleet.weightRollout().desiredVersion(model),
                                  .controller = m_fleet.options().vmId,
                                  .fencing = m_lease.fencing()};
-        m_channel.requestReport(order, [this, order](std::optional<WeightsReport> report) {
+        m_channel.requestReport(order, [this, order](std::optional<WeightsReport> report,
+                                                     const TargetNotice &notice) {
+            m_fleet.applyNotice(order.target, order.startedAtMs, notice, http::EventLoop::now());
             onReport(order, report);
         });
     }
@@ -310,8 +317,11 @@
                      {"version", static_cast<int64_t>(order.version)},
                      {"reported", static_cast<int64_t>(report->version)},
                      {"fencing", static_cast<int64_t>(order.fencing)}});
-        m_channel.sendOrder(order,
-                            [this, order](WeightOrderOutcome end) { onOrderEnded(order, end); });
+        m_channel.sendOrder(order, [this, order](WeightOrderOutcome end,
+                                                 const TargetNotice &notice) {
+            m_fleet.applyNotice(order.target, order.startedAtMs, notice, http::EventLoop::now());
+            onOrderEnded(order, end);
+        });
     }
 
     void onOrderEnded(const WeightsOrder &order, WeightOrderOutcome end)
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -118,36 +118,6 @@
     logTarget(target, change);
 }
 
-void FleetState::applyNotice(std::string_view target, uint64_t startedAtMs,
-                             const TargetNotice &notice, Instant now)
-{
-    logInvalid(target, notice.invalidLeaving);
-    logInvalid(target, notice.invalidQuietTime);
-    if (notice.quietTime > Duration(0)) {
-        m_targetSelector.startQuietPeriod(target, startedAtMs, notice.quietTime, now);
-        m_log.write(EventPriority::Routine, "target_quiet",
-                    {{"target", target}, {"quiet_ms", toMs(notice.quietTime)}});
-    }
-    if (notice.isLeaving && m_directory.markLeaving(target, startedAtMs) == TargetChange::Changed) {
-        const TargetEntry &entry = *m_directory.find(target);
-        m_targetSelector.update(entry, TargetChange::Changed, now);
-        logTarget(entry, TargetChange::Changed);
-    }
-}
-
-void FleetState::logInvalid(std::string_view target, const std::optional<InvalidHeader> &header)
-{
-    if (!header) {
-        return;
-    }
-    ++m_invalidTargetHeaders;
-    constexpr size_t maxLoggedValue = 64;
-    m_log.write(EventPriority::Routine, "invalid_target_header",
-                {{"target", target},
-                 {"header", std::string_view(header->name)},
-                 {"value", std::string_view(header->value).substr(0, maxLoggedValue)}});
-}
-
 void FleetState::removeTarget(std::string_view id, Instant now)
 {
     const TargetEntry *known = m_directory.find(id);
