--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -50,6 +51,8 @@
     /// Time for which the last registration of a removed target is remembered. A store that returns
     /// from an older copy may contain it again.
     Duration removalMemory = 60s;
+    /// Number of leaving incarnations that are remembered; the oldest ones are forgotten first.
+    size_t maxLeavingIncarnations = 4096;
 };
 
 /// @brief Known targets, from their registrations in the store.
@@ -58,6 +61,9 @@
 /// target is kept until the grace period after the store's recovery is over. A store that returns
 /// from an older copy may lack registrations and contain outdated ones; the latter are recognised
 /// by their number of heartbeats.
+///
+/// An incarnation that is leaving never becomes available again: a registration that says
+/// otherwise is older than the statement. This also holds if the registration has ended meanwhile.
 class TargetDirectory
 {
 public:
@@ -67,6 +73,10 @@
     /// incarnation is ignored.
     TargetChange put(const TargetEntry &entry);
 
+    /// @brief Records that a response of a target stated that it is leaving.
+    /// @param startedAtMs incarnation that was sent the request
+    TargetChange markLeaving(std::string_view id, uint64_t startedAtMs);
+
     /// @brief Handles the end of a registration.
     TargetChange remove(std::string_view id, Instant now);
 
@@ -112,6 +122,8 @@
     void rebuild();
     void rememberRemoval(const TargetEntry &entry, Instant now);
     [[nodiscard]] bool isOutdated(const TargetEntry &entry) const;
+    void rememberLeaving(std::string_view id, uint64_t startedAtMs);
+    [[nodiscard]] bool isKnownToLeave(std::string_view id, uint64_t startedAtMs) const;
     [[nodiscard]] bool isInGrace(Instant now) const;
 
     TargetDirectoryOptions m_options;
@@ -120,6 +132,10 @@
     /// Lapsed targets with the end of their grace period; empty while the store is unavailable.
     std::map<std::string, std::optional<Instant>, std::less<>> m_lapsed;
     std::map<std::string, Removal, std::less<>> m_removals;
+    /// Ids of leaving incarnations with their `startedAtMs`, and the order in which they are
+    /// forgotten.
+    std::map<std::string, uint64_t, std::less<>> m_leaving;
+    std::deque<std::string> m_leavingOrder;
     bool m_isStoreUnavailable = false;
     std::optional<Instant> m_storeRecoveredAt;
 };
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -103,8 +103,9 @@
 void FleetState::applyTarget(const TargetEntry &entry, Instant now)
 {
     const TargetChange change = m_directory.put(entry);
-    m_targetSelector.update(entry, change, now);
-    logTarget(entry, change);
+    const TargetEntry &target = *m_directory.find(entry.id);
+    m_targetSelector.update(target, change, now);
+    logTarget(target, change);
 }
 
 void FleetState::removeTarget(std::string_view id, Instant now)
