Notice a lost response to the call for the operators' records within seconds

A withdrawn key was accepted 3.4 to 5.6 s after its withdrawal. Cause: the store had lost its response to a waiting call (store-lost ended at 20.7 s, the key was withdrawn at 21.95 s); the call waits for up to 10 s and times out 1.2 s later, so all VMs learned of the new configuration at 34 s only.

The call now waits for 2.5 s, so that a lost response is noticed within the time in which a VM counts as connected again and a configuration must apply (3 s + 2 s). It is one more call in 3 s a VM.

operator_watch_test, before: CHECK( version == 2 ) with 0 == 2; after: passes.

--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -13,9 +13,12 @@
 
 namespace teaseldrift::relay {
 
-/// @brief How often a VM polls the targets' registrations.
+/// @brief How often a VM polls the operators' records and the targets' registrations.
 struct FleetWatcherOptions
 {
+    /// Longest time that the store holds a call for the operators' records. A lost response is
+    /// noticed only after this time and the call's timeout.
+    Duration operatorWait = 2500ms;
     /// Registrations change with each heartbeat, so that a long poll would return at once. The
     /// delay must be short enough to notice a leaving target within its drain time.
     std::function<Duration()> targetPollDelay = [] { return Duration(900ms); };
@@ -30,8 +33,10 @@
     FleetWatcher(http::EventLoop &loop, Store &store, Records records, FleetState &fleet,
                  telemetry::EventLog &log, FleetWatcherOptions options = {})
         : m_records(std::move(records)), m_fleet(fleet), m_log(log),
-          m_operators(loop, store, {.prefix = std::string(m_records.operatorPrefix())},
-                      operatorHandlers()),
+          m_operators(
+                  loop, store,
+                  {.prefix = std::string(m_records.operatorPrefix()), .wait = options.operatorWait},
+                  operatorHandlers()),
           m_targets(loop, store,
                     {.prefix = std::string(m_records.targetPrefix()),
                      .wait = 1s,
