--- a/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -121,8 +121,7 @@
 
 } // namespace
 
-// Incident inc1: a VM that was suspended while new weights were named sent requests to targets with
-// the old ones four seconds too long.
+// A VM that was suspended while new weights were named allowed the old ones for too long.
 TEST_CASE("a VM that learns late of new weights counts the grace period from their naming")
 {
     Vm vm;
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -230,8 +230,7 @@
     CHECK(status == 400);
 }
 
-// Incident inc1: a VM that was suspended while new weights were named took its own time of learning
-// for the time of the change.
+// A VM that was suspended while new weights were named took its time of learning for their age.
 TEST_CASE("a VM that learns late of new weights takes the time of the change from another VM")
 {
     http::EventLoop loop;
