--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
@@ -251,7 +251,7 @@
                 fleet.vm(vm).isSuspended = !fleet.vm(vm).isSuspended;
                 break;
             case 2:
-                fleet.vm(vm).reachesStore = fleet.vm(vm).reachesStore && cutOff < 2 ? false : true;
+                fleet.vm(vm).reachesStore = !(fleet.vm(vm).reachesStore && cutOff < 2);
                 break;
             case 3:
                 fleet.vm(vm).link
