In a slow store only the majority's queries confirm an owner

The simulation now has reads of the list that take up to 2 s. A list that took over 0.5 s to arrive no longer confirms, and an owner that begins without a current list waits for the second in which queries may still confirm the former one.

--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -165,6 +165,7 @@
     void replaceVms(std::span<const UsageVm> vms, Instant readAt);
     void confirmByList(Instant readAt, Instant now);
     void confirmByQuery(const UsageQuery &query, Instant now);
+    [[nodiscard]] bool hasCurrentList(Instant now) const;
     [[nodiscard]] bool isConfirmed(Instant now) const;
     void dropLapsedOwnership(Instant now);
     void updateOwnership(Instant now);
@@ -182,6 +183,8 @@
     std::map<std::string, ListedVm, std::less<>> m_vms;
     /// When the read of the list in `m_vms` began.
     std::optional<Instant> m_readAt;
+    /// Time that the store took to answer that read.
+    Duration m_listDelay{0};
     /// Since when the lists that were read could not be trusted.
     std::optional<Instant> m_suspiciousSince;
     /// When the next VM may become the owner of limits.
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -29,6 +29,8 @@
 /// Time after which a list is no longer current for its reader; earlier than `listValidity`, so
 /// that all VMs notice an outage of the store before the owner has to stop.
 constexpr Duration listCurrentFor = 1500ms;
+/// Lists that are read once a second and take longer than this to arrive are not always current.
+constexpr Duration currentListDelay = 500ms;
 /// An owner that was not confirmed for this long may have been replaced.
 constexpr Duration confirmationGap = 1s;
 /// A VM that joins becomes the owner of limits after this time, when all others have read a list
@@ -81,6 +83,7 @@
     }
     if (isTrusted(vms, now)) {
         replaceVms(vms, readAt);
+        m_listDelay = now - readAt;
         if (m_vms.contains(m_options.vmId)) {
             confirmByList(readAt, now);
         }
@@ -141,7 +144,9 @@
     if (!m_confirmedUntil || now > *m_confirmedUntil + confirmationGap) {
         m_vms[m_options.vmId].candidateFrom = now + joinDelay;
     }
-    m_confirmedUntil = std::max(m_confirmedUntil.value_or(readAt), readAt + listValidity);
+    // While the store is slow for all, only the majority's queries show who the owner is.
+    const Duration validity = m_listDelay <= currentListDelay ? listValidity : Duration(0);
+    m_confirmedUntil = std::max(m_confirmedUntil.value_or(readAt), readAt + validity);
 }
 
 void DistributedUsageLimiter::confirmByQuery(const UsageQuery &query, Instant now)
@@ -164,6 +169,11 @@
     m_confirmedUntil = std::max(m_confirmedUntil.value_or(now), oldest + queryValidity);
 }
 
+bool DistributedUsageLimiter::hasCurrentList(Instant now) const
+{
+    return m_readAt && m_listDelay <= currentListDelay && now - *m_readAt <= listCurrentFor;
+}
+
 bool DistributedUsageLimiter::isConfirmed(Instant now) const
 {
     return m_confirmedUntil && now <= *m_confirmedUntil;
@@ -210,10 +220,11 @@
     if (entry.owner != m_options.vmId) {
         entry.ownedSince.reset();
     } else if (isConfirmed(now) && !entry.ownedSince) {
-        entry.ownedSince = now;
+        // While lists are not current, queries may confirm the former owner a little longer.
+        entry.ownedSince = hasCurrentList(now) ? now : now + queryValidity;
         // What the former owner granted is not known.
         entry.owned = UsageLimiter();
-        entry.owned.setLimit(limitOf(entry), 1.0, now);
+        entry.owned.setLimit(limitOf(entry), 1.0, *entry.ownedSince);
     }
 }
 
@@ -245,7 +256,8 @@
 bool DistributedUsageLimiter::isOwner(std::string_view organisation, Instant now) const
 {
     const auto found = m_entries.find(organisation);
-    return found != m_entries.end() && found->second.ownedSince && isConfirmed(now);
+    return found != m_entries.end() && found->second.ownedSince && now >= *found->second.ownedSince
+           && isConfirmed(now);
 }
 
 UsageVerdict DistributedUsageLimiter::acquire(std::string_view organisation, double units,
@@ -267,7 +279,7 @@
     if (!owner.empty() && owner != m_options.vmId) {
         return {.outcome = UsageOutcome::QueryOwner,
                 .owner = owner,
-                .hasCurrentList = m_readAt && now - *m_readAt <= listCurrentFor};
+                .hasCurrentList = hasCurrentList(now)};
     }
     return decideAsOwner(entry, units, now);
 }
@@ -302,7 +314,7 @@
 
 UsageVerdict DistributedUsageLimiter::decideAsOwner(Entry &entry, double units, Instant now)
 {
-    if (!entry.ownedSince || !isConfirmed(now)) {
+    if (!entry.ownedSince || now < *entry.ownedSince || !isConfirmed(now)) {
         return {.outcome = UsageOutcome::NotOwner};
     }
     const UsageVerdict verdict = decide(entry.owned, units, now);
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
@@ -214,6 +214,21 @@
     CHECK(refused == 0);
 }
 
+TEST_CASE("usage fleet: requests within the limit are granted while the store is slow")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    const Duration latency = GENERATE(Duration(300ms), Duration(800ms), Duration(1500ms));
+    UsageSimulation fleet(fleetOf(rate));
+    fleet.advance(10s);
+    size_t refused = fleet.load(2s, unitsFor(rate, 0.99));
+    fleet.setStoreLatency(latency);
+    refused += fleet.load(9s, unitsFor(rate, 0.99));
+    fleet.setStoreLatency(Duration(0));
+    refused += fleet.load(5s, unitsFor(rate, 0.99));
+    CHECK(refused == 0);
+    CHECK(fleet.excess() <= 0.0);
+}
+
 TEST_CASE("usage fleet: requests within the limit are granted when a VM that owns nothing stops")
 {
     const double rate = GENERATE(smallRate, largeRate);
@@ -232,7 +247,7 @@
         const size_t events = *rc::gen::inRange<size_t>(1, 8);
         for (size_t i = 0; i < events; ++i) {
             const size_t vm = *rc::gen::inRange<size_t>(0, fleet.size());
-            const int kind = *rc::gen::inRange(0, 9);
+            const int kind = *rc::gen::inRange(0, 10);
             RC_LOG() << "event " << kind << " at vm " << vm
                      << " t=" << toSeconds(fleet.now().time_since_epoch()) << '\n';
             // At most a third of the VMs is cut off from the store while it serves the others.
@@ -251,7 +266,7 @@
                 fleet.vm(vm).isSuspended = !fleet.vm(vm).isSuspended;
                 break;
             case 2:
-                fleet.vm(vm).reachesStore = fleet.vm(vm).reachesStore && cutOff < 2 ? false : true;
+                fleet.vm(vm).reachesStore = !fleet.vm(vm).reachesStore || cutOff >= 2;
                 break;
             case 3:
                 fleet.vm(vm).link
@@ -270,6 +285,9 @@
             case 7:
                 fleet.leave(vm);
                 break;
+            case 8:
+                fleet.setStoreLatency(*rc::gen::inRange(0, 20) * 100ms);
+                break;
             default:
                 fleet.refundSince(fleet.now() - 1s);
                 break;
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,10 @@
         Link link = Link::Up;
         Instant renewedAt;
         Instant nextRead;
+        /// The list that was read last, until it arrives.
+        std::vector<UsageVm> list;
+        Instant readAt;
+        std::optional<Instant> listArrivesAt;
     };
 
     struct Grant
@@ -104,6 +109,7 @@
         vm.limiter->setLimits(limits, m_now);
         // Reads are staggered, so that lists differ for up to the interval.
         vm.nextRead = m_now;
+        vm.listArrivesAt.reset();
     }
 
     /// @brief The store is down for all VMs; leases do not lapse meanwhile.
@@ -128,6 +134,8 @@
         m_reregisterAt = m_now;
     }
 
+    void setStoreLatency(Duration latency) { m_storeLatency = latency; }
+
     void leave(size_t index)
     {
         m_vms[index].isLeaving = true;
@@ -287,20 +295,27 @@
     void readList(size_t index)
     {
         Vm &vm = m_vms[index];
-        if (vm.isSuspended || !vm.reachesStore || m_now < vm.nextRead) {
+        if (vm.isSuspended || !vm.reachesStore) {
             return;
         }
-        const bool isFirst = vm.nextRead == Instant(0s);
-        vm.nextRead
-                = m_now + readInterval
-                  + (isFirst ? m_options.readStagger * static_cast<int64_t>(index) : Duration(0));
-        std::vector<UsageVm> list;
-        for (size_t i = 0; i < m_vms.size(); ++i) {
-            if (m_registered[i]) {
-                list.push_back({.id = m_vms[i].id, .isLeaving = m_vms[i].isLeaving});
+        if (!vm.listArrivesAt && m_now >= vm.nextRead) {
+            vm.list.clear();
+            for (size_t i = 0; i < m_vms.size(); ++i) {
+                if (m_registered[i]) {
+                    vm.list.push_back({.id = m_vms[i].id, .isLeaving = m_vms[i].isLeaving});
+                }
             }
+            vm.readAt = m_now;
+            vm.listArrivesAt = m_now + m_storeLatency;
+        }
+        if (vm.listArrivesAt && m_now >= *vm.listArrivesAt) {
+            const bool isFirst = vm.nextRead == Instant(0s);
+            vm.nextRead = m_now + readInterval
+                          + (isFirst ? m_options.readStagger * static_cast<int64_t>(index)
+                                     : Duration(0));
+            vm.listArrivesAt.reset();
+            vm.limiter->setVms(vm.list, vm.readAt, m_now);
         }
-        vm.limiter->setVms(list, m_now, m_now);
     }
 
     void refund(Grant &grant)
@@ -315,6 +330,7 @@
     std::vector<Grant> m_grants;
     Instant m_now{0s};
     Instant m_reregisterAt{0s};
+    Duration m_storeLatency{0};
     bool m_isStoreUp = true;
 };
 
