--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -50,8 +50,6 @@
     Refused,
     /// The limit's owner must be queried.
     QueryOwner,
-    /// This VM may not decide as the owner at present; the VM that asked uses its own part.
-    NotOwner,
 };
 
 /// @brief Result of a request for units.
@@ -75,7 +73,7 @@
 /// ```cpp
 /// UsageVerdict verdict = limiter.acquire("shop", 100, now);
 /// if (verdict.outcome == UsageOutcome::QueryOwner) {
-///     // On the owner: verdict = limiter.answer(askingVm, "shop", 100, now);
+///     // On the owner: verdict = limiter.answer("shop", 100, now);
 ///     // If it does not respond: verdict = limiter.acquireFallback("shop", 100, now);
 /// }
 /// ```
@@ -112,8 +110,7 @@
                                                Instant now);
 
     /// @brief Decides as the owner about another VM's request.
-    [[nodiscard]] UsageVerdict answer(std::string_view askingVm, std::string_view organisation,
-                                      double units, Instant now);
+    [[nodiscard]] UsageVerdict answer(std::string_view organisation, double units, Instant now);
 
     /// @brief Refunds units of a request that did not run.
     /// @param grantedAt as in the verdict that granted them
--- a/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
+++ b/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
@@ -15,8 +15,7 @@
     Observed,
     /// A record in the store states the wall-clock time of another VM, whose clock may be wrong.
     Recorded,
-    /// An upper bound of the age, for a VM that learns late; used until another source is
-    /// available.
+    /// A default age, for a VM that starts or learns late; used until another source is available.
     Assumed,
 };
 
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -124,8 +124,7 @@
     return decide(found->second.fallback, units, now);
 }
 
-UsageVerdict DistributedUsageLimiter::answer(std::string_view /*askingVm*/,
-                                             std::string_view organisation, double units,
+UsageVerdict DistributedUsageLimiter::answer(std::string_view organisation, double units,
                                              Instant now)
 {
     const auto found = m_entries.find(organisation);
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -172,9 +172,6 @@
         if (verdict.outcome == UsageOutcome::QueryOwner) {
             verdict = query(vm, verdict.owner, units);
         }
-        if (verdict.outcome == UsageOutcome::NotOwner) {
-            verdict = vm.limiter->acquireFallback(organisation, units, m_now);
-        }
         if (verdict.outcome != UsageOutcome::Granted) {
             return false;
         }
@@ -260,8 +257,7 @@
             || m_vms[index].link == Link::Down) {
             return asking.limiter->acquireFallback(organisation, units, m_now);
         }
-        const UsageVerdict verdict
-                = m_vms[index].limiter->answer(asking.id, organisation, units, m_now);
+        const UsageVerdict verdict = m_vms[index].limiter->answer(organisation, units, m_now);
         return asking.link == Link::Slow
                        ? asking.limiter->acquireFallback(organisation, units, m_now)
                        : verdict;
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -57,9 +57,7 @@
         handler(toDecision(verdict));
         return;
     }
-    const schema::VmRecord *owner = verdict.outcome == UsageOutcome::QueryOwner
-                                            ? impl.fleet.findVm(verdict.owner)
-                                            : nullptr;
+    const schema::VmRecord *owner = impl.fleet.findVm(verdict.owner);
     http::Endpoint endpoint;
     if (owner == nullptr || impl.unresponsive.contains(owner->vm_id(), now)
         || !http::parseEndpoint(owner->peer_address(), endpoint)) {
@@ -84,7 +82,6 @@
     schema::UsageAsk query;
     query.set_organisation(organisation);
     query.set_units(units);
-    query.set_vm_id(fleet.options().vmId);
     // The owner decides later than this, so that a refund counts as older than it is.
     const Instant askedAt = http::EventLoop::now();
     calls.start(endpoint,
@@ -95,10 +92,6 @@
                     schema::UsageGrant grant;
                     if (response.status == statusOk && grant.ParseFromString(response.body)) {
                         unresponsive.remove(ownerId);
-                        if (grant.is_not_owner()) {
-                            acquireFromFallback(organisation, units, handler);
-                            return;
-                        }
                         handler({.isGranted = grant.is_granted(),
                                  .retryAfter = Duration(grant.retry_after_us()),
                                  .grantedAt = askedAt});
@@ -124,11 +117,10 @@
         exchange.respond({.status = statusBadRequest});
         return;
     }
-    const UsageVerdict verdict = m_impl->fleet.usage().answer(
-            query.vm_id(), query.organisation(), query.units(), http::EventLoop::now());
+    const UsageVerdict verdict = m_impl->fleet.usage().answer(query.organisation(), query.units(),
+                                                              http::EventLoop::now());
     schema::UsageGrant grant;
     grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
-    grant.set_is_not_owner(verdict.outcome == UsageOutcome::NotOwner);
     grant.set_retry_after_us(verdict.retryAfter.count());
     exchange.respond({.body = grant.SerializeAsString()});
 }
