http: destroy posted tasks before the timers of an event loop

Cause: a posted task may own a call whose destructor cancels a timer. The loop's members were destroyed in order, so the timers were gone by then: a double free in a test that ended a loop while a timed-out call waited for its destruction. Found by usage_task_test ('while the owner does not respond').

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -19,6 +19,8 @@
     std::string body;
     /// No connection was established, so nothing was sent.
     bool notSent = false;
+    /// No process listens at the endpoint.
+    bool wasRefused = false;
 };
 
 /// @brief Makes small calls, each with its own time-out, and buffers their responses.
--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -79,6 +79,9 @@
     /// @brief Whether bytes of the request may have reached the target.
     [[nodiscard]] bool maybeSent() const;
 
+    /// @brief Whether the peer's host refused the connection: no process listens at the endpoint.
+    [[nodiscard]] bool wasRefused() const;
+
     /// Implementation; public for Client only.
     struct Impl;
     explicit Call(std::unique_ptr<Impl> impl);
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -76,7 +76,8 @@
     loop.cancelTimer(ended->timer);
     loop.post([ended] {});
     if (end != CallOutcome::Complete) {
-        ended->response = {.notSent = end == CallOutcome::NotSent};
+        ended->response
+                = {.notSent = end == CallOutcome::NotSent, .wasRefused = ended->call->wasRefused()};
     }
     ended->handler(ended->response);
 }
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -80,6 +80,7 @@
     EventLoop::TimerId timer = 0;
     Instant lastByteAt;
     bool sent = false;
+    bool refused = false;
     bool ended = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -215,6 +216,8 @@
     h2o_socket_t *socket = std::exchange(connecting, nullptr);
     if (error != nullptr) {
         h2o_socket_close(socket);
+        // A host that does not respond is noticed by the timer instead.
+        refused = true;
         end(CallOutcome::NotSent);
         return;
     }
@@ -313,6 +316,11 @@
     return m_impl->sent;
 }
 
+bool Call::wasRefused() const
+{
+    return m_impl->refused;
+}
+
 Client::Client(EventLoop &loop, ClientOptions options) : m_impl(std::make_shared<Impl>())
 {
     m_impl->loop = &loop;
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
+#include <utility>
 
 #include "event_loop_impl.hpp"
 
@@ -89,6 +90,10 @@
 
 EventLoop::~EventLoop()
 {
+    {
+        // What posted tasks own may still cancel timers.
+        const std::vector<std::function<void()>> posted = std::exchange(m_impl->postedTasks, {});
+    }
     h2o_multithread_unregister_receiver(m_impl->queue, &m_impl->receiver);
     h2o_multithread_unregister_receiver(m_impl->queue, &m_impl->resolver);
     h2o_multithread_destroy_queue(m_impl->queue);
