--- a/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
@@ -42,6 +42,12 @@
     /// @return whether the units were removed or there is no limit
     [[nodiscard]] bool tryAcquire(double units, Instant now);
 
+    /// @brief Units in the bucket; negative after a request larger than the capacity.
+    [[nodiscard]] double level(Instant now);
+
+    /// @brief Sets the units in the bucket, limited to its capacity.
+    void setLevel(double level, Instant now);
+
     /// @brief Time until `units` can be acquired; 0 if the share has no refill rate.
     [[nodiscard]] Duration timeUntilAvailable(double units, Instant now);
 
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -4,8 +4,6 @@
 #include <optional>
 #include <utility>
 
-#include "teaseldrift/base/rendezvous.hpp"
-
 namespace teaseldrift {
 
 namespace {
@@ -23,8 +21,8 @@
 /// for half a window: restarts in series add less than the burst within a window.
 constexpr double fallbackInitialFill = 0.5;
 
-/// Time for which a VM that is missing from the list may run by itself, beyond a window.
-constexpr Duration vanishedVmGrace = 2s;
+/// Time after which a limit without an owner is likely to have one again.
+constexpr Duration noOwnerRetryDelay = 300ms;
 
 /// Fraction of the allowed excess that granting refunded units again may use.
 constexpr double refundFraction = 0.1;
@@ -53,14 +51,24 @@
     divide(now);
 }
 
-void DistributedUsageLimiter::setVms(std::span<const UsageVm> vms, Instant /*readAt*/, Instant now)
+void DistributedUsageLimiter::setVms(std::span<const UsageVm> vms, Instant readAt, Instant now)
 {
-    m_vms.clear();
+    m_hasReadListSinceJoining = m_hasReadListSinceJoining || (m_joinedAt && readAt >= *m_joinedAt);
+    std::map<std::string, bool, std::less<>> list;
     for (const UsageVm &vm : vms) {
-        m_vms.emplace(vm.id, vm.isLeaving);
+        list.emplace(vm.id, vm.isLeaving);
         m_listedAt.insert_or_assign(vm.id, now);
     }
+    if (list != m_vms) {
+        m_vms = std::move(list);
+        ++m_listNumber;
+    }
     divide(now);
+    if (2 * m_vms.size() >= m_listedAt.size()) {
+        m_shortListSince.reset();
+    } else if (!m_shortListSince) {
+        m_shortListSince = now;
+    }
 }
 
 void DistributedUsageLimiter::setLeaving(Instant /*now*/)
@@ -73,24 +81,6 @@
     divide(now);
 }
 
-std::string_view DistributedUsageLimiter::ownerOf(std::string_view organisation) const
-{
-    const uint64_t key = rendezvousKey(organisation);
-    std::string_view owner = m_options.vmId;
-    double best = m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
-    for (const std::pair<const std::string, bool> &vm : m_vms) {
-        if (vm.first == m_options.vmId || vm.second) {
-            continue;
-        }
-        const double score = rendezvousScore(key, vm.first);
-        if (score > best) {
-            best = score;
-            owner = vm.first;
-        }
-    }
-    return owner;
-}
-
 UsageVerdict DistributedUsageLimiter::acquire(std::string_view organisation, double units,
                                               Instant now)
 {
@@ -103,11 +93,16 @@
         = entry.refunds.take(units, now, maxRefundAge(entry))) {
         return {.outcome = UsageOutcome::Granted, .grantedAt = *grantedAt};
     }
-    const std::string_view owner = ownerOf(organisation);
-    if (owner != m_options.vmId) {
-        return {.outcome = UsageOutcome::QueryOwner, .owner = owner};
+    // A VM that leaves queries its successor, which then claims the limit.
+    if (!m_isLeaving && checkOwner(entry, now)) {
+        return decide(entry.owned, units, now);
+    }
+    if (const std::string_view owner = firstInOrder(organisation, entry, canClaim(now), now);
+        owner != m_options.vmId && !hasOtherOwner(entry, now)) {
+        return owner.empty() ? UsageVerdict{.outcome = UsageOutcome::NoOwner}
+                             : UsageVerdict{.outcome = UsageOutcome::QueryOwner, .owner = owner};
     }
-    return decide(owned(entry, now), units, now);
+    return verdictWithoutOwnership(entry, now);
 }
 
 UsageVerdict DistributedUsageLimiter::acquireFallback(std::string_view organisation, double units,
@@ -117,9 +112,12 @@
     if (found == m_entries.end() || found->second.limit.unitsPerSecond <= 0.0) {
         return {.outcome = UsageOutcome::Granted, .grantedAt = now};
     }
+    if (!found->second.hasFallback) {
+        return {.outcome = UsageOutcome::NoOwner, .retryAfter = noOwnerRetryDelay};
+    }
     // A limiter without a limit grants everything.
-    if (!found->second.hasFallback || allowedExcess(found->second) <= 0.0) {
-        return {.outcome = UsageOutcome::Refused, .retryAfter = m_options.settlingTime};
+    if (allowedExcess(found->second) <= 0.0) {
+        return {.outcome = UsageOutcome::Refused, .retryAfter = noOwnerRetryDelay};
     }
     return decide(found->second.fallback, units, now);
 }
@@ -131,7 +129,19 @@
     if (found == m_entries.end()) {
         return {.outcome = UsageOutcome::Granted, .grantedAt = now};
     }
-    return decide(owned(found->second, now), units, now);
+    Entry &entry = found->second;
+    if (entry.limit.unitsPerSecond <= 0.0) {
+        return {.outcome = UsageOutcome::Granted, .grantedAt = now};
+    }
+    if (checkOwner(entry, now)) {
+        return decide(entry.owned, units, now);
+    }
+    if (m_isLeaving && !hasOtherOwner(entry, now)) {
+        const std::string_view owner = firstInOrder(organisation, entry, false, now);
+        return owner.empty() ? UsageVerdict{.outcome = UsageOutcome::NoOwner}
+                             : UsageVerdict{.outcome = UsageOutcome::QueryOwner, .owner = owner};
+    }
+    return verdictWithoutOwnership(entry, now);
 }
 
 void DistributedUsageLimiter::refund(std::string_view organisation, double units, Instant grantedAt,
@@ -151,18 +161,9 @@
     return {.outcome = UsageOutcome::Refused, .retryAfter = limiter.timeUntilAvailable(units, now)};
 }
 
-UsageLimiter &DistributedUsageLimiter::owned(Entry &entry, Instant now)
-{
-    if (!entry.hasOwned) {
-        entry.hasOwned = true;
-        entry.owned.setLimit(limitOf(entry), 1.0, now);
-    }
-    return entry.owned;
-}
-
 void DistributedUsageLimiter::divide(Instant now)
 {
-    const Duration maxAge = m_options.window + vanishedVmGrace;
+    const Duration maxAge = maxVanishedVmAge();
     std::erase_if(m_listedAt, [&](const std::pair<const std::string, Instant> &vm) {
         return !m_vms.contains(vm.first) && now - vm.second > maxAge;
     });
--- /dev/null
+++ b/packages/policy/src/teaseldrift/usage/limit_ownership.cpp
@@ -0,0 +1,474 @@
+#include <algorithm>
+#include <utility>
+
+#include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/usage/distributed_usage_limiter.hpp"
+
+namespace teaseldrift {
+
+namespace {
+
+/// VMs that a claim asks, first in rendezvous order. An owner is among them unless as many VMs that
+/// precede it have become unable to own limits at the same time.
+constexpr size_t maxClaimants = 5;
+
+/// VMs whose order is kept for each limit; the others are ranked only if none of these is
+/// available.
+constexpr size_t maxRanked = 8;
+
+/// Time for which another VM is taken for the owner of a limit by its own or a third VM's word, or
+/// for unable to be one.
+constexpr Duration hintLifetime = 1s;
+
+/// Delay after a claim that was blocked.
+constexpr Duration blockedClaimDelay = 300ms;
+
+/// A lease that was not renewed for this long may not be renewed within the term.
+constexpr Duration extensionDelay = 1200ms;
+
+} // namespace
+
+std::string_view DistributedUsageLimiter::ownerOf(std::string_view organisation) const
+{
+    const uint64_t key = rendezvousKey(organisation);
+    std::string_view owner = m_options.vmId;
+    double best = m_isLeaving ? 0.0 : rendezvousScore(key, m_options.vmId);
+    for (const std::pair<const std::string, bool> &vm : m_vms) {
+        if (vm.first == m_options.vmId || vm.second) {
+            continue;
+        }
+        const double score = rendezvousScore(key, vm.first);
+        if (score > best) {
+            best = score;
+            owner = vm.first;
+        }
+    }
+    return owner;
+}
+
+std::vector<std::string> DistributedUsageLimiter::rank(std::string_view organisation,
+                                                       size_t count) const
+{
+    std::vector<RendezvousMember> members;
+    members.reserve(m_vms.size());
+    for (const std::pair<const std::string, bool> &vm : m_vms) {
+        if (vm.first != m_options.vmId && !vm.second) {
+            members.push_back({.id = vm.first});
+        }
+    }
+    std::vector<std::string> ranking;
+    for (const size_t index : rendezvousOrder(rendezvousKey(organisation), members, count)) {
+        ranking.emplace_back(members[index].id);
+    }
+    return ranking;
+}
+
+std::string_view DistributedUsageLimiter::firstInOrder(std::string_view organisation, Entry &entry,
+                                                       bool includesLocal, Instant now) const
+{
+    if (entry.rankedList != m_listNumber) {
+        entry.rankedList = m_listNumber;
+        entry.ranking = rank(organisation, maxRanked);
+    }
+    auto first = std::find_if_not(entry.ranking.begin(), entry.ranking.end(),
+                                  [&](const std::string &vm) { return isUnavailable(vm, now); });
+    if (first == entry.ranking.end() && entry.ranking.size() == maxRanked) {
+        entry.ranking = rank(organisation, m_vms.size());
+        first = std::find_if_not(entry.ranking.begin(), entry.ranking.end(),
+                                 [&](const std::string &vm) { return isUnavailable(vm, now); });
+    }
+    const uint64_t key = rendezvousKey(organisation);
+    const bool isLocal
+            = includesLocal && !m_isLeaving
+              && (first == entry.ranking.end()
+                  || rendezvousScore(key, m_options.vmId) > rendezvousScore(key, *first));
+    if (isLocal) {
+        return m_options.vmId;
+    }
+    return first == entry.ranking.end() ? std::string_view() : std::string_view(*first);
+}
+
+bool DistributedUsageLimiter::hasOtherOwner(const Entry &entry, Instant now) const
+{
+    return now < entry.otherOwnerUntil && !isUnavailable(entry.otherOwner, now);
+}
+
+bool DistributedUsageLimiter::isUnavailable(std::string_view vm, Instant now) const
+{
+    const auto found = m_unavailableUntil.find(vm);
+    return found != m_unavailableUntil.end() && now < found->second;
+}
+
+void DistributedUsageLimiter::setUnavailable(std::string_view vm, Instant now)
+{
+    m_unavailableUntil.insert_or_assign(std::string(vm), now + hintLifetime);
+}
+
+void DistributedUsageLimiter::setOwner(std::string_view organisation, std::string_view owner,
+                                       Instant now)
+{
+    const auto found = m_entries.find(organisation);
+    if (found != m_entries.end() && owner != m_options.vmId) {
+        found->second.otherOwner = owner;
+        found->second.otherOwnerUntil = now + hintLifetime;
+    }
+}
+
+void DistributedUsageLimiter::leaseRenewed(Instant sentAt, Instant now)
+{
+    if (!m_joinedAt) {
+        m_joinedAt = now;
+    }
+    if (m_leaseRenewedAt && sentAt <= *m_leaseRenewedAt) {
+        return;
+    }
+    for (std::pair<const std::string, Entry> &entry : m_entries) {
+        // A renewal does not bring back what ended before it was sent.
+        checkOwner(entry.second, sentAt);
+    }
+    m_leaseRenewedAt = sentAt;
+}
+
+bool DistributedUsageLimiter::canClaim(Instant now) const
+{
+    // A store that lost its leases shows a VM that has just started a list without the others.
+    const bool mayMissVms = now - m_startedAt < m_options.settlingTime
+                            && m_listedAt.size() < m_options.minVmCount;
+    return isLeaseFresh(now) && m_hasReadListSinceJoining && !mayMissVms;
+}
+
+bool DistributedUsageLimiter::isLeaseFresh(Instant now) const
+{
+    return m_leaseRenewedAt && now - *m_leaseRenewedAt < m_options.ownershipTerm;
+}
+
+bool DistributedUsageLimiter::isWithinTerm(const Entry &entry, Instant now) const
+{
+    return isLeaseFresh(now)
+           || (entry.extendedAt && now - *entry.extendedAt < m_options.ownershipTerm);
+}
+
+bool DistributedUsageLimiter::checkOwner(Entry &entry, Instant now)
+{
+    if (!entry.isOwner) {
+        return false;
+    }
+    if (!isWithinTerm(entry, now)) {
+        entry.isOwner = false;
+        return false;
+    }
+    entry.ownedUntil = std::max(now, entry.ownedUntil.value_or(now));
+    return true;
+}
+
+bool DistributedUsageLimiter::isOwner(std::string_view organisation, Instant now)
+{
+    const auto found = m_entries.find(organisation);
+    return found != m_entries.end() && checkOwner(found->second, now);
+}
+
+UsageVerdict DistributedUsageLimiter::verdictWithoutOwnership(const Entry &entry, Instant now) const
+{
+    if (hasOtherOwner(entry, now)) {
+        return {.outcome = UsageOutcome::QueryOwner, .owner = entry.otherOwner};
+    }
+    if (now < entry.nextClaimAt || !canClaim(now)) {
+        return {.outcome = UsageOutcome::NoOwner};
+    }
+    return {.outcome = UsageOutcome::Claim};
+}
+
+std::vector<std::string> DistributedUsageLimiter::claimants(std::string_view organisation) const
+{
+    std::vector<RendezvousMember> members;
+    members.reserve(m_listedAt.size());
+    for (const std::pair<const std::string, Instant> &vm : m_listedAt) {
+        if (vm.first != m_options.vmId) {
+            members.push_back({.id = vm.first});
+        }
+    }
+    std::vector<std::string> first;
+    for (const size_t index : rendezvousOrder(rendezvousKey(organisation), members, maxClaimants)) {
+        first.emplace_back(members[index].id);
+    }
+    return first;
+}
+
+std::vector<LimitOffer> DistributedUsageLimiter::offers(Instant now)
+{
+    std::vector<LimitOffer> offers;
+    for (std::pair<const std::string, Entry> &entry : m_entries) {
+        if (m_isLeaving || !checkOwner(entry.second, now)) {
+            continue;
+        }
+        const std::string_view first = firstInOrder(entry.first, entry.second, true, now);
+        if (first != m_options.vmId) {
+            offers.push_back({.organisation = entry.first, .vm = std::string(first)});
+        }
+    }
+    return offers;
+}
+
+std::vector<std::string> DistributedUsageLimiter::limitsToClaim(Instant now)
+{
+    std::vector<std::string> limits;
+    if (m_isLeaving || !canClaim(now)) {
+        return limits;
+    }
+    for (std::pair<const std::string, Entry> &entry : m_entries) {
+        const uint64_t key = rendezvousKey(entry.first);
+        const bool isDue = hasOtherOwner(entry.second, now)
+                                   ? rendezvousScore(key, m_options.vmId)
+                                             > rendezvousScore(key, entry.second.otherOwner)
+                                   : !checkOwner(entry.second, now);
+        if (isDue && entry.second.limit.unitsPerSecond > 0.0 && !entry.second.isClaiming
+            && now >= entry.second.nextClaimAt
+            && firstInOrder(entry.first, entry.second, true, now) == m_options.vmId) {
+            limits.push_back(entry.first);
+        }
+    }
+    return limits;
+}
+
+std::vector<std::string> DistributedUsageLimiter::beginClaim(std::string_view organisation,
+                                                             Instant now)
+{
+    const auto found = m_entries.find(organisation);
+    if (found == m_entries.end()) {
+        return {};
+    }
+    found->second.isClaiming = true;
+    found->second.isClaimOvertaken = false;
+    std::vector<std::string> asked = claimants(organisation);
+    const auto add = [&asked](const std::string &vm) {
+        if (std::find(asked.begin(), asked.end(), vm) == asked.end()) {
+            asked.push_back(vm);
+        }
+    };
+    for (const std::pair<const std::string, Instant> &vm : m_extendedUntil) {
+        if (now < vm.second) {
+            add(vm.first);
+        }
+    }
+    if (hasOtherOwner(found->second, now)) {
+        add(found->second.otherOwner);
+    }
+    return asked;
+}
+
+std::optional<double> DistributedUsageLimiter::knownLevel(Entry &entry, Instant now) const
+{
+    if (!entry.ownedUntil || now - *entry.ownedUntil > m_options.window) {
+        return {};
+    }
+    return entry.owned.level(now);
+}
+
+LimitClaimReply DistributedUsageLimiter::answerClaim(std::string_view organisation,
+                                                     std::string_view claimant, Instant now)
+{
+    LimitClaimReply reply{.startedRecently = now - m_startedAt < m_options.window};
+    for (const std::pair<const std::string, Instant> &vm : m_extendedUntil) {
+        if (now < vm.second && vm.first != claimant) {
+            reply.extendedOwner = vm.first;
+        }
+    }
+    if (claimant == m_options.vmId) {
+        return reply;
+    }
+    // This VM's list may not contain the claimant yet.
+    m_listedAt.insert_or_assign(std::string(claimant), now);
+    const auto found = m_entries.find(organisation);
+    if (found == m_entries.end()) {
+        return reply;
+    }
+    Entry &entry = found->second;
+    const uint64_t key = rendezvousKey(organisation);
+    const bool precedes
+            = !m_isLeaving && rendezvousScore(key, m_options.vmId) > rendezvousScore(key, claimant);
+    if (checkOwner(entry, now)) {
+        if (precedes) {
+            reply.outcome = LimitClaimReply::Outcome::Refused;
+            return reply;
+        }
+        entry.isOwner = false;
+        reply.outcome = LimitClaimReply::Outcome::HandedOver;
+        setOwner(organisation, claimant, now);
+    } else if (entry.isClaiming) {
+        if (precedes) {
+            reply.outcome = LimitClaimReply::Outcome::Refused;
+            return reply;
+        }
+        entry.isClaimOvertaken = true;
+    }
+    for (std::string &vm : claimants(organisation)) {
+        const Duration age = now - m_listedAt.find(vm)->second;
+        reply.candidates.push_back({.vm = std::move(vm), .age = age});
+    }
+    reply.level = knownLevel(entry, now);
+    if (hasOtherOwner(entry, now) && entry.otherOwner != claimant) {
+        reply.owner = entry.otherOwner;
+    }
+    return reply;
+}
+
+bool DistributedUsageLimiter::learnCandidates(std::string_view organisation,
+                                              std::span<const LimitClaimResult> results,
+                                              Instant now)
+{
+    for (const LimitClaimResult &result : results) {
+        if (!result.reply) {
+            continue;
+        }
+        for (const LimitCandidate &candidate : result.reply->candidates) {
+            if (candidate.age < Duration(0) || candidate.age > maxVanishedVmAge()) {
+                continue;
+            }
+            const Instant listedAt = now - candidate.age;
+            const auto known = m_listedAt.try_emplace(candidate.vm, listedAt).first;
+            known->second = std::max(known->second, listedAt);
+        }
+    }
+    const std::vector<std::string> candidates = claimants(organisation);
+    return std::any_of(candidates.begin(), candidates.end(), [&](const std::string &vm) {
+        return std::none_of(results.begin(), results.end(),
+                            [&](const LimitClaimResult &result) { return result.vm == vm; });
+    });
+}
+
+bool DistributedUsageLimiter::maySilentVmOwn(std::string_view vm, Instant now) const
+{
+    const auto extended = m_extendedUntil.find(vm);
+    if (m_vms.contains(vm) || (extended != m_extendedUntil.end() && now < extended->second)) {
+        return true;
+    }
+    // A VM that left the list has not renewed its lease for longer than the term. If many left it
+    // together, the store may have lost their leases, and they are still to write their records.
+    return m_shortListSince && now - *m_shortListSince < m_options.ownershipTerm;
+}
+
+LimitClaimOutcome DistributedUsageLimiter::finishClaim(std::string_view organisation,
+                                                       std::span<const LimitClaimResult> results,
+                                                       Instant now)
+{
+    const auto found = m_entries.find(organisation);
+    if (found == m_entries.end()) {
+        return LimitClaimOutcome::Blocked;
+    }
+    Entry &entry = found->second;
+    entry.isClaiming = false;
+    const bool isIncomplete = learnCandidates(organisation, results, now);
+    bool isHandedOver = false;
+    // A VM that has overtaken this claim knows the former owner's level, too.
+    bool isBlocked = entry.isClaimOvertaken || !canClaim(now);
+    bool isHistoryKnown = now - m_startedAt >= m_options.window;
+    std::optional<double> level = knownLevel(entry, now);
+    std::string otherOwner;
+    for (const LimitClaimResult &result : results) {
+        if (!result.reply) {
+            isBlocked = isBlocked || (!result.isProcessGone && maySilentVmOwn(result.vm, now));
+            isHistoryKnown = false;
+            continue;
+        }
+        const LimitClaimReply &reply = *result.reply;
+        if (reply.outcome == LimitClaimReply::Outcome::Refused) {
+            otherOwner = result.vm;
+            continue;
+        }
+        isHandedOver = isHandedOver || reply.outcome == LimitClaimReply::Outcome::HandedOver;
+        isHistoryKnown = isHistoryKnown && !reply.startedRecently;
+        if (reply.level) {
+            level = std::min(level.value_or(*reply.level), *reply.level);
+        }
+        for (const std::string &vm : {reply.owner, reply.extendedOwner}) {
+            const bool isAsked
+                    = std::any_of(results.begin(), results.end(),
+                                  [&](const LimitClaimResult &asked) { return asked.vm == vm; });
+            if (!vm.empty() && vm != m_options.vmId && !isAsked) {
+                otherOwner = vm;
+            }
+        }
+    }
+    if (isHandedOver && !entry.isClaimOvertaken) {
+        // No other VM can have owned the limit at the same time.
+        becomeOwner(entry, level, true, now);
+        return LimitClaimOutcome::HandedOver;
+    }
+    if (!otherOwner.empty()) {
+        setOwner(organisation, otherOwner, now);
+        return LimitClaimOutcome::OwnedByOther;
+    }
+    if (isBlocked || isIncomplete) {
+        entry.nextClaimAt = isBlocked ? now + blockedClaimDelay : now;
+        return LimitClaimOutcome::Blocked;
+    }
+    becomeOwner(entry, level, isHistoryKnown, now);
+    return LimitClaimOutcome::Unowned;
+}
+
+void DistributedUsageLimiter::becomeOwner(Entry &entry, std::optional<double> level,
+                                          bool isHistoryKnown, Instant now)
+{
+    entry.isOwner = true;
+    entry.ownedUntil = now;
+    entry.otherOwner.clear();
+    entry.otherOwnerUntil = {};
+    entry.extendedAt.reset();
+    if (!entry.hasOwned) {
+        entry.hasOwned = true;
+        entry.owned.setLimit(limitOf(entry), 1.0, now);
+    }
+    if (!isHistoryKnown) {
+        // The former owner may have granted all that its limiter held.
+        level = std::min(level.value_or(0.0), 0.0);
+    }
+    if (level) {
+        entry.owned.setLevel(*level, now);
+    }
+}
+
+std::vector<std::string> DistributedUsageLimiter::extensionQueries(Instant now)
+{
+    if (m_leaseRenewedAt && now - *m_leaseRenewedAt < extensionDelay) {
+        return {};
+    }
+    std::vector<std::string> asked;
+    for (std::pair<const std::string, Entry> &entry : m_entries) {
+        if (!checkOwner(entry.second, now)) {
+            continue;
+        }
+        for (std::string &vm : claimants(entry.first)) {
+            if (std::find(asked.begin(), asked.end(), vm) == asked.end()) {
+                asked.push_back(std::move(vm));
+            }
+        }
+    }
+    return asked;
+}
+
+void DistributedUsageLimiter::extend(std::span<const std::string> vms, Instant askedAt)
+{
+    for (std::pair<const std::string, Entry> &entry : m_entries) {
+        const std::vector<std::string> others = claimants(entry.first);
+        const ptrdiff_t agreed
+                = std::count_if(others.begin(), others.end(), [&](const std::string &other) {
+                      return std::find(vms.begin(), vms.end(), other) != vms.end();
+                  });
+        // Together with this VM a majority of those that could claim the limit.
+        if (2 * (static_cast<size_t>(agreed) + 1) > others.size() + 1
+            && (!entry.second.extendedAt || askedAt > *entry.second.extendedAt)) {
+            entry.second.extendedAt = askedAt;
+        }
+    }
+}
+
+bool DistributedUsageLimiter::answerExtension(std::string_view owner, Instant now)
+{
+    std::erase_if(m_extendedUntil, [now](const std::pair<const std::string, Instant> &vm) {
+        return now >= vm.second;
+    });
+    m_extendedUntil.insert_or_assign(std::string(owner), now + m_options.ownershipTerm);
+    return true;
+}
+
+} // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
@@ -33,6 +33,18 @@
     return true;
 }
 
+double UsageLimiter::level(Instant now)
+{
+    refill(now);
+    return m_level;
+}
+
+void UsageLimiter::setLevel(double level, Instant now)
+{
+    refill(now);
+    m_level = std::min(level, capacity());
+}
+
 Duration UsageLimiter::timeUntilAvailable(double units, Instant now)
 {
     refill(now);
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
@@ -223,6 +223,79 @@
     CHECK(fleet.load(10s, unitsFor(rate, 0.99)) == 0);
 }
 
+// A successor waited until the record of the killed process lapsed.
+TEST_CASE("usage fleet: a killed owner is replaced at once")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    const size_t vms = GENERATE(6, 84);
+    UsageSimulation fleet({.vms = vms, .rate = rate, .burst = rate, .readStagger = 10ms});
+    fleet.advance(10s);
+    fleet.load(2s, unitsFor(rate, 0.8, vms));
+    fleet.kill(fleet.owner());
+    // The successor's limiter starts empty.
+    fleet.load(100ms, unitsFor(rate, 0.8, vms));
+    CHECK(fleet.load(10s, unitsFor(rate, 0.8, vms)) == 0);
+}
+
+TEST_CASE("usage fleet: requests within the limit are granted while all VMs leave in turn")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    UsageSimulation fleet(fleetOf(rate));
+    fleet.advance(10s);
+    size_t refused = 0;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        fleet.leave(i);
+        refused += fleet.load(3s, unitsFor(rate, 0.8));
+        fleet.kill(i);
+        refused += fleet.load(500ms, unitsFor(rate, 0.8));
+        fleet.start(i);
+        refused += fleet.load(1s, unitsFor(rate, 0.8));
+    }
+    CHECK(refused == 0);
+}
+
+// All lists are empty, and the processes read them before the records of the others are written.
+TEST_CASE("usage fleet: all processes are killed and start at the same time")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    const size_t vms = GENERATE(6, 84, 195);
+    UsageSimulation fleet({.vms = vms, .rate = rate, .burst = rate, .readStagger = 5ms});
+    fleet.advance(10s);
+    fleet.load(1s, unitsFor(rate, 8.0, vms));
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        fleet.kill(i);
+    }
+    fleet.load(1s, unitsFor(rate, 8.0, vms));
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        fleet.start(i);
+    }
+    fleet.load(1s, unitsFor(rate, 8.0, vms));
+    CHECK(fleet.load(8s, unitsFor(rate, 0.8, vms)) == 0);
+    CHECK(fleet.excess() <= 0.0);
+}
+
+TEST_CASE("usage fleet: a large fleet whose VMs are killed in groups")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    const size_t vms = GENERATE(84, 195);
+    UsageSimulation fleet({.vms = vms, .rate = rate, .burst = rate, .readStagger = 5ms});
+    fleet.advance(10s);
+    for (size_t group = 0; group < 4; ++group) {
+        fleet.kill(fleet.owner());
+        for (size_t i = group; i < fleet.size(); i += 4) {
+            fleet.kill(i);
+        }
+        fleet.load(500ms, unitsFor(rate, 8.0, vms));
+        for (size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.vm(i).isGone) {
+                fleet.start(i);
+            }
+        }
+        fleet.load(1500ms, unitsFor(rate, 8.0, vms));
+    }
+    CHECK(fleet.excess() <= 0.0);
+}
+
 TEST_CASE("property: usage fleet: no window exceeds the limit under faults", "[fuzz]")
 {
     REQUIRE(rc::check("no window exceeds the limit", [] {
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -43,11 +43,14 @@
         std::string id;
         std::unique_ptr<DistributedUsageLimiter> limiter;
         bool isSuspended = false;
+        /// The process was killed and has not started again; its host refuses connections.
+        bool isGone = false;
         bool reachesStore = true;
         bool isLeaving = false;
         Link link = Link::Up;
         Instant renewedAt;
         Instant nextRead;
+        Instant nextMaintenance;
     };
 
     struct Grant
@@ -63,6 +66,7 @@
     static constexpr Duration step = 10ms;
     static constexpr Duration leaseTtl = 3s;
     static constexpr Duration readInterval = 1s;
+    static constexpr Duration maintenanceInterval = 500ms;
 
     explicit UsageSimulation(Options options) : m_options(options)
     {
@@ -96,6 +100,7 @@
                                                .window = m_options.window},
                 m_now);
         vm.isLeaving = false;
+        vm.isGone = false;
         vm.renewedAt = m_now;
         m_registered[index] = true;
         const std::vector<OrganisationLimit> limits{{.organisation = std::string(organisation),
@@ -128,6 +133,9 @@
         m_reregisterAt = m_now;
     }
 
+    /// @brief Kills a VM's process; start() starts it again.
+    void kill(size_t index) { m_vms[index].isGone = true; }
+
     void leave(size_t index)
     {
         m_vms[index].isLeaving = true;
@@ -146,9 +154,10 @@
                 readList(i);
             }
         }
-        for (Vm &vm : m_vms) {
-            if (!vm.isSuspended) {
-                vm.limiter->tick(m_now);
+        for (size_t i = 0; i < m_vms.size(); ++i) {
+            if (!m_vms[i].isSuspended && !m_vms[i].isGone) {
+                m_vms[i].limiter->tick(m_now);
+                maintainOwnership(i);
             }
         }
     }
@@ -165,13 +174,10 @@
     bool request(size_t index, double units)
     {
         Vm &vm = m_vms[index];
-        if (vm.isSuspended) {
+        if (vm.isSuspended || vm.isGone) {
             return false;
         }
-        UsageVerdict verdict = vm.limiter->acquire(organisation, units, m_now);
-        if (verdict.outcome == UsageOutcome::QueryOwner) {
-            verdict = query(vm, verdict.owner, units);
-        }
+        const UsageVerdict verdict = acquire(index, units);
         if (verdict.outcome != UsageOutcome::Granted) {
             return false;
         }
@@ -189,7 +195,8 @@
             advance();
             for (size_t i = 0; i < m_vms.size(); ++i) {
                 for (size_t n = 0; n < perVm; ++n) {
-                    refused += request(i, units) || m_vms[i].isSuspended ? 0 : 1;
+                    const bool isRunning = !m_vms[i].isSuspended && !m_vms[i].isGone;
+                    refused += request(i, units) || !isRunning ? 0 : 1;
                 }
             }
         }
@@ -250,26 +257,123 @@
         return static_cast<size_t>(found - m_vms.begin());
     }
 
+    /// What a VM does for a request: at most one claim, and one redirection by the queried VM.
+    UsageVerdict acquire(size_t index, double units)
+    {
+        DistributedUsageLimiter &limiter = *m_vms[index].limiter;
+        UsageVerdict verdict = limiter.acquire(organisation, units, m_now);
+        if (verdict.outcome == UsageOutcome::Claim) {
+            claim(index);
+            verdict = limiter.acquire(organisation, units, m_now);
+        }
+        constexpr int maxQueries = 2;
+        for (int i = 0; i < maxQueries && verdict.outcome == UsageOutcome::QueryOwner; ++i) {
+            const std::string owner(verdict.owner);
+            if (refusesConnection(indexOf(owner))) {
+                limiter.setUnavailable(owner, m_now);
+                return acquire(index, units);
+            }
+            verdict = query(m_vms[index], owner, units);
+            if (verdict.outcome == UsageOutcome::QueryOwner) {
+                limiter.setOwner(organisation, verdict.owner, m_now);
+            } else if (verdict.outcome == UsageOutcome::NoOwner) {
+                limiter.setUnavailable(owner, m_now);
+            }
+        }
+        return verdict.outcome == UsageOutcome::Granted || verdict.outcome == UsageOutcome::Refused
+                       ? verdict
+                       : limiter.acquireFallback(organisation, units, m_now);
+    }
+
     UsageVerdict query(Vm &asking, std::string_view ownerId, double units)
     {
         const size_t index = indexOf(ownerId);
-        if (index == m_vms.size() || asking.link == Link::Down || m_vms[index].isSuspended
-            || m_vms[index].link == Link::Down) {
+        if (!reaches(asking, index)) {
             return asking.limiter->acquireFallback(organisation, units, m_now);
         }
-        const UsageVerdict verdict = m_vms[index].limiter->answer(organisation, units, m_now);
+        UsageVerdict verdict = m_vms[index].limiter->answer(organisation, units, m_now);
+        if (verdict.outcome == UsageOutcome::Claim) {
+            claim(index);
+            verdict = m_vms[index].limiter->answer(organisation, units, m_now);
+        }
         return asking.link == Link::Slow
                        ? asking.limiter->acquireFallback(organisation, units, m_now)
                        : verdict;
     }
 
+    [[nodiscard]] bool reaches(const Vm &asking, size_t index) const
+    {
+        return index != m_vms.size() && asking.link != Link::Down && !m_vms[index].isSuspended
+               && m_vms[index].link != Link::Down && !m_vms[index].isGone;
+    }
+
+    [[nodiscard]] bool refusesConnection(size_t index) const
+    {
+        return index != m_vms.size() && m_vms[index].isGone;
+    }
+
+    void claim(size_t index)
+    {
+        Vm &claimant = m_vms[index];
+        std::vector<LimitClaimResult> results;
+        for (const std::string &id : claimant.limiter->beginClaim(organisation, m_now)) {
+            LimitClaimResult result{.vm = id,
+                                    .isProcessGone = refusesConnection(indexOf(id))
+                                                     && claimant.link != Link::Down};
+            if (const size_t asked = indexOf(id); reaches(claimant, asked)) {
+                const LimitClaimReply reply
+                        = m_vms[asked].limiter->answerClaim(organisation, claimant.id, m_now);
+                if (claimant.link != Link::Slow) {
+                    result.reply = reply;
+                }
+            }
+            results.push_back(std::move(result));
+        }
+        claimant.limiter->finishClaim(organisation, results, m_now);
+    }
+
+    void claimIfDue(size_t index)
+    {
+        if (!m_vms[index].limiter->limitsToClaim(m_now).empty()) {
+            claim(index);
+        }
+    }
+
+    /// Periodic work for the ownership of limits.
+    void maintainOwnership(size_t index)
+    {
+        Vm &owner = m_vms[index];
+        if (m_now < owner.nextMaintenance) {
+            return;
+        }
+        owner.nextMaintenance = m_now + maintenanceInterval;
+        for (const LimitOffer &offer : owner.limiter->offers(m_now)) {
+            if (const size_t first = indexOf(offer.vm); reaches(owner, first)) {
+                m_vms[first].limiter->setOwner(organisation, owner.id, m_now);
+                claimIfDue(first);
+            }
+        }
+        claimIfDue(index);
+        std::vector<std::string> agreed;
+        for (const std::string &id : owner.limiter->extensionQueries(m_now)) {
+            const size_t asked = indexOf(id);
+            if (reaches(owner, asked) && m_vms[asked].limiter->answerExtension(owner.id, m_now)
+                && owner.link != Link::Slow) {
+                agreed.push_back(id);
+            }
+        }
+        owner.limiter->extend(agreed, m_now);
+    }
+
     void registerVm(size_t index)
     {
         Vm &vm = m_vms[index];
         // A VM notices a lost lease at its next renewal, each at a different time.
-        const Duration noticed = 150ms * static_cast<int64_t>(index + 1);
-        if (!vm.isSuspended && vm.reachesStore && m_now >= m_reregisterAt + noticed) {
+        constexpr size_t differentTimes = 6;
+        const Duration noticed = 150ms * static_cast<int64_t>(index % differentTimes + 1);
+        if (!vm.isSuspended && !vm.isGone && vm.reachesStore && m_now >= m_reregisterAt + noticed) {
             vm.renewedAt = m_now;
+            vm.limiter->leaseRenewed(m_now, m_now);
             m_registered[index] = true;
         } else if (m_now - vm.renewedAt > leaseTtl) {
             m_registered[index] = false;
@@ -279,7 +383,7 @@
     void readList(size_t index)
     {
         Vm &vm = m_vms[index];
-        if (vm.isSuspended || !vm.reachesStore || m_now < vm.nextRead) {
+        if (vm.isSuspended || vm.isGone || !vm.reachesStore || m_now < vm.nextRead) {
             return;
         }
         const bool isFirst = vm.nextRead == Instant(0s);
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -119,6 +119,15 @@
     /// @brief Usage limits of the organisations.
     DistributedUsageLimiter &usage() { return m_usage; }
 
+    /// @brief This VM's record is in the store, see DistributedUsageLimiter::leaseRenewed().
+    void leaseRenewed(Instant sentAt, Instant now) { m_usage.leaseRenewed(sentAt, now); }
+
+    /// @brief Address of a VM for other VMs; empty if it is not known.
+    [[nodiscard]] std::string peerAddress(std::string_view vmId) const;
+
+    /// @brief Records the address of a VM that may not be in the list.
+    void setPeerAddress(std::string_view vmId, std::string_view address, Instant now);
+
     /// @brief A VM in the list read from the store; null if it is not there.
     [[nodiscard]] const schema::VmRecord *findVm(std::string_view vmId) const;
 
@@ -171,6 +180,12 @@
     [[nodiscard]] const FleetOptions &options() const { return m_options; }
 
 private:
+    struct UnlistedPeer
+    {
+        std::string address;
+        Instant knownAt;
+    };
+
     /// Divides what the VMs share anew if their number has changed.
     void divideLimits(Instant now);
     /// @param localScore rendezvous score of this VM; 0 if it is no candidate
@@ -193,6 +208,8 @@
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     DistributedUsageLimiter m_usage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
+    /// Addresses of VMs that may not be in the list: former ones, and ones that have just joined.
+    std::map<std::string, UnlistedPeer, std::less<>> m_unlistedPeers;
     size_t m_limitDivisor = 0;
     uint64_t m_invalidTargetHeaders = 0;
     bool m_isLeaving = false;
--- a/packages/relay/include/teaseldrift/relay/leased_record.hpp
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -22,6 +22,9 @@
         Duration ttl = 3s;
         Duration renewInterval = 1s;
         Duration retryDelay = 300ms;
+        /// Optional; the record is in the store under a lease that was granted or renewed by a call
+        /// sent at `sentAt`.
+        std::function<void(Instant sentAt)> onRenewed = {};
     };
 
     LeasedRecord(http::EventLoop &loop, Store &store, Options options)
@@ -62,12 +65,14 @@
 
     void grant()
     {
-        m_store.grantLease(m_options.ttl, [this](std::error_code error, uint64_t lease) {
+        m_store.grantLease(m_options.ttl, [this, sentAt = http::EventLoop::now()](
+                                                  std::error_code error, uint64_t lease) {
             if (error) {
                 scheduleStep(m_options.retryDelay);
                 return;
             }
             m_lease = lease;
+            m_renewedAt = sentAt;
             m_isWritten = false;
             write();
         });
@@ -82,6 +87,7 @@
         m_store.write(writes, [this](store::StoreWriteResult result) {
             if (result.outcome == store::StoreOutcome::Written) {
                 m_isWritten = true;
+                notifyRenewed();
                 scheduleStep(m_options.renewInterval);
                 return;
             }
@@ -94,21 +100,33 @@
 
     void renew()
     {
-        m_store.renewLease(m_lease, [this](std::error_code error) {
+        m_store.renewLease(m_lease, [this, sentAt = http::EventLoop::now()](std::error_code error) {
             if (error == store::StoreError::LeaseExpired) {
                 m_lease = 0;
                 step();
                 return;
             }
+            if (!error) {
+                m_renewedAt = sentAt;
+                notifyRenewed();
+            }
             scheduleStep(error ? m_options.retryDelay : m_options.renewInterval);
         });
     }
 
+    void notifyRenewed()
+    {
+        if (m_options.onRenewed) {
+            m_options.onRenewed(m_renewedAt);
+        }
+    }
+
     http::EventLoop &m_loop;
     Store &m_store;
     Options m_options;
     std::string m_value;
     uint64_t m_lease = 0;
+    Instant m_renewedAt;
     bool m_isWritten = false;
     http::EventLoop::TimerId m_timer = 0;
 };
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -25,7 +25,9 @@
 
     MembershipTask(http::EventLoop &loop, Store &store, FleetState &fleet, Options options = {})
         : m_loop(loop), m_store(store), m_fleet(fleet), m_options(std::move(options)),
-          m_localRecord(loop, store, {.key = m_options.prefix + fleet.options().vmId})
+          m_localRecord(loop, store,
+                        {.key = m_options.prefix + fleet.options().vmId,
+                         .onRenewed = [this](Instant sentAt) { onRenewed(sentAt); }})
     { }
 
     ~MembershipTask() { m_loop.cancelTimer(m_timer); }
@@ -53,16 +55,30 @@
         m_localRecord.set(record.SerializeAsString());
     }
 
+    void onRenewed(Instant sentAt)
+    {
+        m_fleet.leaseRenewed(sentAt, http::EventLoop::now());
+        if (!m_hasJoined) {
+            m_hasJoined = true;
+            m_loop.cancelTimer(m_timer);
+            read(store::ReadConsistency::Current);
+        }
+    }
+
     void read(store::ReadConsistency consistency)
     {
         m_store.readPrefix(m_options.prefix, consistency,
-                           [this, readAt = http::EventLoop::now()](
+                           [this, readAt = http::EventLoop::now(), hasJoined = m_hasJoined](
                                    std::error_code error, const store::StoreSnapshot &snapshot) {
-                               if (!error) {
+                               if (!error && readAt >= m_newestReadAt) {
+                                   m_newestReadAt = readAt;
                                    applySnapshot(snapshot, readAt);
+                                   m_hasReadSinceJoining = m_hasReadSinceJoining || hasJoined;
                                }
+                               m_loop.cancelTimer(m_timer);
                                m_timer = m_loop.startTimer(m_options.readInterval, [this] {
-                                   read(store::ReadConsistency::AllowStale);
+                                   read(m_hasReadSinceJoining ? store::ReadConsistency::AllowStale
+                                                              : store::ReadConsistency::Current);
                                });
                            });
     }
@@ -85,6 +101,11 @@
     Options m_options;
     LeasedRecord<Store> m_localRecord;
     http::EventLoop::TimerId m_timer = 0;
+    /// This VM's record has been written.
+    bool m_hasJoined = false;
+    bool m_hasReadSinceJoining = false;
+    /// When the read began whose snapshot was applied last.
+    Instant m_newestReadAt;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/unresponsive_vms.hpp
+++ b/packages/relay/include/teaseldrift/relay/unresponsive_vms.hpp
@@ -24,6 +24,8 @@
     /// @brief Removes a VM that has responded.
     void remove(const std::string &vmId) { m_until.erase(vmId); }
 
+    void clear() { m_until.clear(); }
+
     [[nodiscard]] bool contains(std::string_view vmId, Instant now) const
     {
         const auto found = m_until.find(vmId);
--- a/packages/relay/include/teaseldrift/relay/usage_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/usage_task.hpp
@@ -24,19 +24,25 @@
     Instant grantedAt;
 };
 
-/// @brief Timeouts of the queries to the owners of limits.
+/// @brief Timeouts of the messages between VMs about limits.
 struct UsageTaskOptions
 {
     /// Longest wait for the owner of a limit: a multiple of the round-trip time within a region.
     Duration responseTimeout = 60ms;
+    /// The same for the VMs that a claim asks; shorter, since queries wait for the claim.
+    Duration claimTimeout = 40ms;
     /// Time for which an unresponsive owner is not queried.
     Duration unresponsiveCooldown = 1s;
+    /// Interval at which this VM claims limits that it should own and extends its ownership.
+    Duration maintenanceInterval = 500ms;
+    /// Delay before a VM that has started recently retries a request that no VM decided.
+    Duration startupRetryDelay = 100ms;
 };
 
 /// @brief Enforces the usage limits of organisations across all VMs.
 ///
-/// One VM owns the limit of an organisation; all VMs determine it by rendezvous hashing and query
-/// it. While the owner is unresponsive, a VM grants units from a small part of the limit by itself.
+/// One VM owns the limit of an organisation and the others query it; see DistributedUsageLimiter.
+/// While the owner is unresponsive, a VM grants units from a small part of the limit by itself.
 class UsageTask
 {
 public:
@@ -48,6 +54,9 @@
     UsageTask(const UsageTask &) = delete;
     UsageTask &operator=(const UsageTask &) = delete;
 
+    /// @brief Starts the periodic work; without it, a VM claims a limit at the first request.
+    void start();
+
     /// @brief Acquires units. The handler may run within the call.
     void acquire(const std::string &organisation, double units, Handler handler);
 
@@ -55,11 +64,11 @@
     /// @param grantedAt as in the decision that granted them
     void refund(const std::string &organisation, double units, Instant grantedAt);
 
-    /// @brief Handles another VM's query.
-    void handle(http::Exchange &exchange);
+    /// @brief Whether a path is one of the messages between VMs about limits.
+    [[nodiscard]] static bool isMessage(std::string_view path);
 
-    /// Path of the queries between VMs.
-    static constexpr std::string_view path = "/teaseldrift/usage";
+    /// @brief Handles another VM's message.
+    void handle(const std::shared_ptr<http::Exchange> &exchange);
 
 private:
     struct Impl;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -19,6 +19,9 @@
 constexpr size_t minAddresses = 3;
 constexpr size_t minOtherZoneAddresses = 1;
 
+/// Longer than the time for which a limiter counts a VM that has left the list.
+constexpr Duration unlistedPeerLifetime = 15s;
+
 std::string_view nameOf(TargetChange change)
 {
     switch (change) {
@@ -212,6 +215,14 @@
 void FleetState::applyVms(std::map<std::string, schema::VmRecord, std::less<>> vms, Instant readAt,
                           Instant now)
 {
+    for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
+        if (!vms.contains(vm.first)) {
+            setPeerAddress(vm.first, vm.second.peer_address(), now);
+        }
+    }
+    std::erase_if(m_unlistedPeers, [now](const std::pair<const std::string, UnlistedPeer> &peer) {
+        return now - peer.second.knownAt > unlistedPeerLifetime;
+    });
     m_vms = std::move(vms);
     std::vector<UsageVm> list;
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
@@ -221,6 +232,21 @@
     divideLimits(now);
 }
 
+std::string FleetState::peerAddress(std::string_view vmId) const
+{
+    if (const schema::VmRecord *vm = findVm(vmId)) {
+        return vm->peer_address();
+    }
+    const auto found = m_unlistedPeers.find(vmId);
+    return found == m_unlistedPeers.end() ? std::string() : found->second.address;
+}
+
+void FleetState::setPeerAddress(std::string_view vmId, std::string_view address, Instant now)
+{
+    m_unlistedPeers.insert_or_assign(std::string(vmId),
+                                     UnlistedPeer{.address = std::string(address), .knownAt = now});
+}
+
 void FleetState::setLeaving(Instant now)
 {
     m_isLeaving = true;
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -1,18 +1,36 @@
 #include "teaseldrift/relay/usage_task.hpp"
 
+#include <cmath>
+#include <map>
 #include <utility>
+#include <vector>
 
+#include "limit_claim_messages.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/relay/unresponsive_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 
 namespace teaseldrift::relay {
 
+using telemetry::EventPriority;
+
 namespace {
 
+constexpr std::string_view queryPath = "/teaseldrift/usage";
+constexpr std::string_view claimPath = "/teaseldrift/usage/claim";
+constexpr std::string_view extensionPath = "/teaseldrift/usage/extension";
+constexpr std::string_view offerPath = "/teaseldrift/usage/offer";
+
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 
+/// Number of VMs that are queried for one request: the owner by this VM's list, and the one that it
+/// names instead.
+constexpr int maxQueries = 2;
+
+/// Retries of a request for which neither an owner nor this VM can decide.
+constexpr int maxStartupRetries = 3;
+
 UsageDecision toDecision(const UsageVerdict &verdict)
 {
     return {.isGranted = verdict.outcome == UsageOutcome::Granted,
@@ -20,109 +38,455 @@
             .grantedAt = verdict.grantedAt};
 }
 
+/// @return false if the message was not valid; it has been answered then
+template <typename Message>
+bool parse(http::Exchange &exchange, Message &message)
+{
+    if (message.ParseFromArray(exchange.body().data(), static_cast<int>(exchange.body().size()))) {
+        return true;
+    }
+    exchange.respond({.status = statusBadRequest});
+    return false;
+}
+
 } // namespace
 
 struct UsageTask::Impl
 {
+    /// A claim for which replies are awaited.
+    struct OpenClaim
+    {
+        std::vector<LimitClaimResult> results;
+        size_t repliesMissing = 0;
+        /// Run when the claim has ended.
+        std::vector<std::function<void()>> waiting;
+    };
+
+    /// A request of this VM.
+    struct Acquisition
+    {
+        std::string organisation;
+        double units = 0.0;
+        Handler handler;
+        int queriesLeft = maxQueries;
+        int retriesLeft = maxStartupRetries;
+        bool hasClaimed = false;
+    };
+
+    http::EventLoop &loop;
     http::BufferedClient calls;
     FleetState &fleet;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
+    std::map<std::string, OpenClaim, std::less<>> claims;
+    http::EventLoop::TimerId timer = 0;
+
+    DistributedUsageLimiter &limiter() const { return fleet.usage(); }
+
+    void proceed(Acquisition acquisition);
+    void query(const std::string &ownerId, Acquisition acquisition);
+    void onQueryAnswered(const std::string &ownerId, Instant askedAt,
+                         const http::BufferedResponse &response, Acquisition acquisition);
+    void acquireFromFallback(const Acquisition &acquisition);
 
-    void query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-               const std::string &organisation, double units, Handler handler);
-    void acquireFromFallback(const std::string &organisation, double units, const Handler &handler);
+    void claim(const std::string &organisation, std::function<void()> onEnded);
+    void sendClaim(const std::string &organisation, size_t index);
+    void onClaimReply(const std::string &organisation);
+    void finishClaim(const std::string &organisation);
+
+    void maintain();
+    void claimDueLimits();
+    void sendOffers();
+    void extend();
+
+    void handleQuery(const std::shared_ptr<http::Exchange> &exchange);
+    void answerQuery(const std::shared_ptr<http::Exchange> &exchange, const schema::UsageAsk &query,
+                     bool hasClaimed);
+    void handleClaim(http::Exchange &exchange);
+    void handleExtension(http::Exchange &exchange);
+    void handleOffer(http::Exchange &exchange);
+    /// Records the sender of a claim or an offer, which may not be in the list of VMs yet.
+    bool recordClaimant(http::Exchange &exchange, const schema::LimitClaim &message);
+    [[nodiscard]] std::string claimMessage(const std::string &organisation) const;
 };
 
 UsageTask::UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                      telemetry::EventLog &log, telemetry::Metrics &metrics,
                      UsageTaskOptions options)
-    : m_impl(new Impl{.calls = http::BufferedClient(loop, peers),
+    : m_impl(new Impl{.loop = loop,
+                      .calls = http::BufferedClient(loop, peers),
                       .fleet = fleet,
                       .log = log,
                       .metrics = metrics,
                       .options = options})
 { }
 
-UsageTask::~UsageTask() = default;
+UsageTask::~UsageTask()
+{
+    m_impl->loop.cancelTimer(m_impl->timer);
+}
+
+void UsageTask::start()
+{
+    m_impl->maintain();
+}
 
 void UsageTask::acquire(const std::string &organisation, double units, Handler handler)
 {
-    Impl &impl = *m_impl;
+    m_impl->proceed({.organisation = organisation, .units = units, .handler = std::move(handler)});
+}
+
+void UsageTask::Impl::proceed(Acquisition acquisition)
+{
     const Instant now = http::EventLoop::now();
-    const UsageVerdict verdict = impl.fleet.usage().acquire(organisation, units, now);
-    if (verdict.outcome == UsageOutcome::Granted || verdict.outcome == UsageOutcome::Refused) {
-        handler(toDecision(verdict));
+    const UsageVerdict verdict
+            = limiter().acquire(acquisition.organisation, acquisition.units, now);
+    switch (verdict.outcome) {
+    case UsageOutcome::Granted:
+    case UsageOutcome::Refused:
+        acquisition.handler(toDecision(verdict));
         return;
-    }
-    const schema::VmRecord *owner = impl.fleet.findVm(verdict.owner);
-    http::Endpoint endpoint;
-    if (owner == nullptr || impl.unresponsive.contains(owner->vm_id(), now)
-        || !http::parseEndpoint(owner->peer_address(), endpoint)) {
-        impl.acquireFromFallback(organisation, units, handler);
+    case UsageOutcome::QueryOwner:
+        query(std::string(verdict.owner), std::move(acquisition));
         return;
+    case UsageOutcome::Claim:
+        if (!acquisition.hasClaimed) {
+            acquisition.hasClaimed = true;
+            const std::string organisation = acquisition.organisation;
+            claim(organisation,
+                  [this, acquisition = std::move(acquisition)] { proceed(acquisition); });
+            return;
+        }
+        break;
+    case UsageOutcome::NoOwner:
+        break;
     }
-    impl.query(*owner, endpoint, organisation, units, std::move(handler));
+    acquireFromFallback(acquisition);
 }
 
-void UsageTask::Impl::acquireFromFallback(const std::string &organisation, double units,
-                                          const Handler &handler)
+void UsageTask::Impl::acquireFromFallback(const Acquisition &acquisition)
 {
-    const UsageVerdict verdict
-            = fleet.usage().acquireFallback(organisation, units, http::EventLoop::now());
+    const UsageVerdict verdict = limiter().acquireFallback(
+            acquisition.organisation, acquisition.units, http::EventLoop::now());
+    if (verdict.outcome == UsageOutcome::NoOwner && acquisition.retriesLeft > 0) {
+        // All VMs may have started together, and the owner is not ready yet.
+        Acquisition retried = acquisition;
+        --retried.retriesLeft;
+        retried.queriesLeft = maxQueries;
+        retried.hasClaimed = false;
+        loop.startTimer(options.startupRetryDelay, [this, retried] {
+            unresponsive.clear();
+            proceed(retried);
+        });
+        return;
+    }
     metrics.counter({"teaseldrift_usage_without_keeper_total"}).add();
-    handler(toDecision(verdict));
+    acquisition.handler(toDecision(verdict));
 }
 
-void UsageTask::Impl::query(const schema::VmRecord &owner, const http::Endpoint &endpoint,
-                            const std::string &organisation, double units, Handler handler)
+void UsageTask::Impl::query(const std::string &ownerId, Acquisition acquisition)
 {
-    schema::UsageAsk query;
-    query.set_organisation(organisation);
-    query.set_units(units);
     // The owner decides later than this, so that a refund counts as older than it is.
     const Instant askedAt = http::EventLoop::now();
-    calls.start(endpoint,
-                {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
-                options.responseTimeout,
-                [this, organisation, units, askedAt, ownerId = owner.vm_id(),
-                 handler = std::move(handler)](const http::BufferedResponse &response) {
-                    schema::UsageGrant grant;
-                    if (response.status == statusOk && grant.ParseFromString(response.body)) {
-                        unresponsive.remove(ownerId);
-                        handler({.isGranted = grant.is_granted(),
+    http::Endpoint endpoint;
+    if (acquisition.queriesLeft == 0 || unresponsive.contains(ownerId, askedAt)
+        || !http::parseEndpoint(fleet.peerAddress(ownerId), endpoint)) {
+        acquireFromFallback(acquisition);
+        return;
+    }
+    --acquisition.queriesLeft;
+    schema::UsageAsk query;
+    query.set_organisation(acquisition.organisation);
+    query.set_units(acquisition.units);
+    calls.start(
+            endpoint,
+            {.method = "POST", .path = std::string(queryPath), .body = query.SerializeAsString()},
+            options.responseTimeout,
+            [this, ownerId, askedAt,
+             acquisition = std::move(acquisition)](const http::BufferedResponse &response) {
+                onQueryAnswered(ownerId, askedAt, response, acquisition);
+            });
+}
+
+void UsageTask::Impl::onQueryAnswered(const std::string &ownerId, Instant askedAt,
+                                      const http::BufferedResponse &response,
+                                      Acquisition acquisition)
+{
+    const Instant now = http::EventLoop::now();
+    schema::UsageGrant grant;
+    if (response.status == statusOk && grant.ParseFromString(response.body)) {
+        unresponsive.remove(ownerId);
+        if (!grant.is_undecided()) {
+            acquisition.handler({.isGranted = grant.is_granted(),
                                  .retryAfter = Duration(grant.retry_after_us()),
                                  .grantedAt = askedAt});
-                        return;
-                    }
-                    unresponsive.add(ownerId, http::EventLoop::now());
-                    log.write(telemetry::EventPriority::Routine, "usage_keeper_silent",
-                              {{"keeper", std::string_view(ownerId)},
-                               {"organisation", std::string_view(organisation)}});
-                    acquireFromFallback(organisation, units, handler);
-                });
+            return;
+        }
+        if (grant.owner().empty()) {
+            limiter().setUnavailable(ownerId, now);
+        } else {
+            limiter().setOwner(acquisition.organisation, grant.owner(), now);
+        }
+        proceed(std::move(acquisition));
+        return;
+    }
+    log.write(EventPriority::Routine, "usage_keeper_silent",
+              {{"keeper", std::string_view(ownerId)},
+               {"organisation", std::string_view(acquisition.organisation)},
+               {"process_gone", response.wasRefused}});
+    if (response.wasRefused) {
+        limiter().setUnavailable(ownerId, now);
+        proceed(std::move(acquisition));
+        return;
+    }
+    unresponsive.add(ownerId, now);
+    acquireFromFallback(acquisition);
+}
+
+void UsageTask::Impl::claim(const std::string &organisation, std::function<void()> onEnded)
+{
+    const auto open = claims.find(organisation);
+    if (open != claims.end()) {
+        open->second.waiting.push_back(std::move(onEnded));
+        return;
+    }
+    OpenClaim &claim = claims[organisation];
+    claim.waiting.push_back(std::move(onEnded));
+    for (std::string &vm : limiter().beginClaim(organisation, http::EventLoop::now())) {
+        claim.results.push_back({.vm = std::move(vm)});
+    }
+    claim.repliesMissing = claim.results.size();
+    if (claim.results.empty()) {
+        finishClaim(organisation);
+        return;
+    }
+    for (size_t i = 0; i < claim.results.size(); ++i) {
+        sendClaim(organisation, i);
+    }
+}
+
+void UsageTask::Impl::sendClaim(const std::string &organisation, size_t index)
+{
+    http::Endpoint endpoint;
+    if (!http::parseEndpoint(fleet.peerAddress(claims[organisation].results[index].vm), endpoint)) {
+        // The claim must not end before all messages are sent.
+        loop.post([this, organisation] { onClaimReply(organisation); });
+        return;
+    }
+    calls.start(
+            endpoint,
+            {.method = "POST", .path = std::string(claimPath), .body = claimMessage(organisation)},
+            options.claimTimeout,
+            [this, organisation, index](const http::BufferedResponse &response) {
+                LimitClaimResult &result = claims[organisation].results[index];
+                result.isProcessGone = response.wasRefused;
+                if (response.status == statusOk) {
+                    result.reply = readLimitClaimReply(response.body);
+                }
+                onClaimReply(organisation);
+            });
+}
+
+std::string UsageTask::Impl::claimMessage(const std::string &organisation) const
+{
+    schema::LimitClaim message;
+    message.set_organisation(organisation);
+    message.set_claimant(fleet.options().vmId);
+    message.set_claimant_address(fleet.options().peerAddress);
+    return message.SerializeAsString();
+}
+
+void UsageTask::Impl::onClaimReply(const std::string &organisation)
+{
+    if (--claims[organisation].repliesMissing == 0) {
+        finishClaim(organisation);
+    }
+}
+
+void UsageTask::Impl::finishClaim(const std::string &organisation)
+{
+    const OpenClaim claim = std::move(claims[organisation]);
+    claims.erase(organisation);
+    const LimitClaimOutcome outcome
+            = limiter().finishClaim(organisation, claim.results, http::EventLoop::now());
+    metrics.counter({"teaseldrift_limit_claims_total", "outcome", name(outcome)}).add();
+    log.write(EventPriority::Routine, "limit_claimed",
+              {{"organisation", std::string_view(organisation)},
+               {"outcome", name(outcome)},
+               {"asked", static_cast<int64_t>(claim.results.size())}});
+    for (const std::function<void()> &onEnded : claim.waiting) {
+        onEnded();
+    }
+}
+
+void UsageTask::Impl::maintain()
+{
+    claimDueLimits();
+    sendOffers();
+    extend();
+    timer = loop.startTimer(options.maintenanceInterval, [this] { maintain(); });
+}
+
+void UsageTask::Impl::claimDueLimits()
+{
+    for (const std::string &organisation : limiter().limitsToClaim(http::EventLoop::now())) {
+        claim(organisation, [] {});
+    }
+}
+
+void UsageTask::Impl::sendOffers()
+{
+    for (const LimitOffer &offer : limiter().offers(http::EventLoop::now())) {
+        http::Endpoint endpoint;
+        if (http::parseEndpoint(fleet.peerAddress(offer.vm), endpoint)) {
+            calls.start(endpoint,
+                        {.method = "POST",
+                         .path = std::string(offerPath),
+                         .body = claimMessage(offer.organisation)},
+                        options.maintenanceInterval, [](const http::BufferedResponse &) {});
+        }
+    }
+}
+
+void UsageTask::Impl::extend()
+{
+    const Instant askedAt = http::EventLoop::now();
+    const std::vector<std::string> vms = limiter().extensionQueries(askedAt);
+    if (vms.empty()) {
+        return;
+    }
+    schema::OwnershipExtension message;
+    message.set_owner(fleet.options().vmId);
+    const std::string body = message.SerializeAsString();
+    const std::shared_ptr<std::vector<std::string>> agreed
+            = std::make_shared<std::vector<std::string>>();
+    for (const std::string &vm : vms) {
+        http::Endpoint endpoint;
+        if (!http::parseEndpoint(fleet.peerAddress(vm), endpoint)) {
+            continue;
+        }
+        calls.start(endpoint, {.method = "POST", .path = std::string(extensionPath), .body = body},
+                    options.maintenanceInterval,
+                    [this, askedAt, vm, agreed](const http::BufferedResponse &response) {
+                        schema::OwnershipExtensionReply reply;
+                        if (response.status == statusOk && reply.ParseFromString(response.body)
+                            && reply.is_extended()) {
+                            agreed->push_back(vm);
+                            limiter().extend(*agreed, askedAt);
+                        }
+                    });
+    }
 }
 
 void UsageTask::refund(const std::string &organisation, double units, Instant grantedAt)
 {
-    m_impl->fleet.usage().refund(organisation, units, grantedAt, http::EventLoop::now());
+    m_impl->limiter().refund(organisation, units, grantedAt, http::EventLoop::now());
+}
+
+bool UsageTask::isMessage(std::string_view path)
+{
+    return path == queryPath || path == claimPath || path == extensionPath || path == offerPath;
+}
+
+void UsageTask::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    if (exchange->path() == claimPath) {
+        m_impl->handleClaim(*exchange);
+    } else if (exchange->path() == extensionPath) {
+        m_impl->handleExtension(*exchange);
+    } else if (exchange->path() == offerPath) {
+        m_impl->handleOffer(*exchange);
+    } else {
+        m_impl->handleQuery(exchange);
+    }
 }
 
-void UsageTask::handle(http::Exchange &exchange)
+void UsageTask::Impl::handleQuery(const std::shared_ptr<http::Exchange> &exchange)
 {
     schema::UsageAsk query;
-    if (!query.ParseFromArray(exchange.body().data(), static_cast<int>(exchange.body().size()))) {
-        exchange.respond({.status = statusBadRequest});
+    if (!parse(*exchange, query)) {
+        return;
+    }
+    if (!std::isfinite(query.units()) || query.units() < 0.0) {
+        metrics.counter({"teaseldrift_usage_queries_invalid_total"}).add();
+        exchange->respond({.status = statusBadRequest});
+        return;
+    }
+    answerQuery(exchange, query, false);
+}
+
+void UsageTask::Impl::answerQuery(const std::shared_ptr<http::Exchange> &exchange,
+                                  const schema::UsageAsk &query, bool hasClaimed)
+{
+    const UsageVerdict verdict
+            = limiter().answer(query.organisation(), query.units(), http::EventLoop::now());
+    if (verdict.outcome == UsageOutcome::Claim && !hasClaimed) {
+        claim(query.organisation(),
+              [this, query, exchange] { answerQuery(exchange, query, true); });
         return;
     }
-    const UsageVerdict verdict = m_impl->fleet.usage().answer(query.organisation(), query.units(),
-                                                              http::EventLoop::now());
     schema::UsageGrant grant;
     grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
     grant.set_retry_after_us(verdict.retryAfter.count());
-    exchange.respond({.body = grant.SerializeAsString()});
+    grant.set_is_undecided(verdict.outcome != UsageOutcome::Granted
+                           && verdict.outcome != UsageOutcome::Refused);
+    grant.set_owner(std::string(verdict.owner));
+    exchange->respond({.body = grant.SerializeAsString()});
+}
+
+bool UsageTask::Impl::recordClaimant(http::Exchange &exchange, const schema::LimitClaim &message)
+{
+    if (message.claimant().empty() || message.claimant() == fleet.options().vmId) {
+        metrics.counter({"teaseldrift_limit_claims_invalid_total"}).add();
+        log.write(EventPriority::Routine, "limit_claim_ignored",
+                  {{"claimant", std::string_view(message.claimant())}});
+        exchange.respond({.status = statusBadRequest});
+        return false;
+    }
+    fleet.setPeerAddress(message.claimant(), message.claimant_address(), http::EventLoop::now());
+    return true;
+}
+
+void UsageTask::Impl::handleOffer(http::Exchange &exchange)
+{
+    schema::LimitClaim message;
+    if (!parse(exchange, message) || !recordClaimant(exchange, message)) {
+        return;
+    }
+    limiter().setOwner(message.organisation(), message.claimant(), http::EventLoop::now());
+    exchange.respond({});
+    claimDueLimits();
+}
+
+void UsageTask::Impl::handleClaim(http::Exchange &exchange)
+{
+    schema::LimitClaim message;
+    if (!parse(exchange, message) || !recordClaimant(exchange, message)) {
+        return;
+    }
+    const LimitClaimReply reply = limiter().answerClaim(message.organisation(), message.claimant(),
+                                                        http::EventLoop::now());
+    if (reply.outcome == LimitClaimReply::Outcome::HandedOver) {
+        log.write(EventPriority::Routine, "limit_handed_over",
+                  {{"organisation", std::string_view(message.organisation())},
+                   {"to", std::string_view(message.claimant())},
+                   {"level", reply.level.value_or(0.0)}});
+    }
+    exchange.respond({.body = writeLimitClaimReply(reply)});
+}
+
+void UsageTask::Impl::handleExtension(http::Exchange &exchange)
+{
+    schema::OwnershipExtension message;
+    if (!parse(exchange, message)) {
+        return;
+    }
+    schema::OwnershipExtensionReply reply;
+    reply.set_is_extended(!message.owner().empty()
+                          && limiter().answerExtension(message.owner(), http::EventLoop::now()));
+    exchange.respond({.body = reply.SerializeAsString()});
 }
 
 } // namespace teaseldrift::relay
