Usage limits: an extension of the ownership is for one limit

Cause: a VM remembered whose ownership it had extended, whatever the limit, and named that VM to claimants of all limits. A VM that refuses a claim is also no longer overwritten by another one's hint.

--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -160,14 +160,15 @@
                                   std::span<const LimitClaimResult> results, Instant now);
 
     /// @brief VMs to ask not to claim this VM's limits, because its lease could not be renewed.
-    [[nodiscard]] std::vector<std::string> extensionQueries(Instant now);
+    [[nodiscard]] ExtensionQuery extensionQuery(Instant now);
 
     /// @brief The VMs that agreed to an extension, asked at `askedAt`.
     void extend(std::span<const std::string> vms, Instant askedAt);
 
     /// @brief Another VM asks this one not to claim its limits for a term.
     /// @return whether this VM agrees
-    [[nodiscard]] bool answerExtension(std::string_view owner, Instant now);
+    [[nodiscard]] bool answerExtension(std::string_view owner,
+                                       std::span<const std::string> organisations, Instant now);
 
     /// @brief Whether this VM owns a limit.
     [[nodiscard]] bool isOwner(std::string_view organisation, Instant now);
@@ -193,6 +194,9 @@
         std::optional<Instant> ownedUntil;
         /// When the VMs that could claim the limit were last asked and agreed not to.
         std::optional<Instant> extendedAt;
+        /// The VM whose ownership this VM has extended, and until when.
+        std::string extendedOwner;
+        Instant extendedUntil;
         /// Another VM that owns the limit, and until when that is assumed.
         std::string otherOwner;
         Instant otherOwnerUntil;
@@ -228,7 +232,7 @@
     bool learnCandidates(std::string_view organisation, std::span<const LimitClaimResult> results,
                          Instant now);
     /// Whether a VM that does not reply to a claim may own limits.
-    [[nodiscard]] bool maySilentVmOwn(std::string_view vm, Instant now) const;
+    [[nodiscard]] bool maySilentVmOwn(std::string_view vm, const Entry &entry, Instant now) const;
     /// First VM in rendezvous order that may own limits; empty if there is none.
     [[nodiscard]] std::string_view firstInOrder(std::string_view organisation, Entry &entry,
                                                 bool includesLocal, Instant now) const;
@@ -253,8 +257,6 @@
     std::map<std::string, Instant, std::less<>> m_listedAt;
     /// Until when VMs are taken for unable to own limits.
     std::map<std::string, Instant, std::less<>> m_unavailableUntil;
-    /// Until when this VM has agreed not to claim the limits of other VMs.
-    std::map<std::string, Instant, std::less<>> m_extendedUntil;
     std::optional<Instant> m_leaseRenewedAt;
     /// When this VM's record was first written.
     std::optional<Instant> m_joinedAt;
--- a/packages/policy/include/teaseldrift/usage/limit_claim.hpp
+++ b/packages/policy/include/teaseldrift/usage/limit_claim.hpp
@@ -34,7 +34,7 @@
     std::optional<double> level = {};
     /// The VM started within the last window; its earlier incarnation may have granted units.
     bool startedRecently = false;
-    /// VM whose ownership this VM has extended; empty if there is none.
+    /// VM whose ownership of the limit this VM has extended; empty if there is none.
     std::string extendedOwner = {};
     /// The first VMs in rendezvous order that the VM knows of, including those that left the list.
     std::vector<LimitCandidate> candidates = {};
@@ -50,6 +50,13 @@
     bool isProcessGone = false;
 };
 
+/// @brief VMs to ask for an extension of the ownership of limits.
+struct ExtensionQuery
+{
+    std::vector<std::string> vms;
+    std::vector<std::string> organisations;
+};
+
 /// @brief A limit that its owner offers to another VM.
 struct LimitOffer
 {
--- a/packages/policy/src/teaseldrift/usage/limit_ownership.cpp
+++ b/packages/policy/src/teaseldrift/usage/limit_ownership.cpp
@@ -245,10 +245,8 @@
             asked.push_back(vm);
         }
     };
-    for (const std::pair<const std::string, Instant> &vm : m_extendedUntil) {
-        if (now < vm.second) {
-            add(vm.first);
-        }
+    if (now < found->second.extendedUntil) {
+        add(found->second.extendedOwner);
     }
     if (hasOtherOwner(found->second, now)) {
         add(found->second.otherOwner);
@@ -268,11 +266,6 @@
                                                      std::string_view claimant, Instant now)
 {
     LimitClaimReply reply{.startedRecently = now - m_startedAt < m_options.window};
-    for (const std::pair<const std::string, Instant> &vm : m_extendedUntil) {
-        if (now < vm.second && vm.first != claimant) {
-            reply.extendedOwner = vm.first;
-        }
-    }
     if (claimant == m_options.vmId) {
         return reply;
     }
@@ -306,6 +299,9 @@
         reply.candidates.push_back({.vm = std::move(vm), .age = age});
     }
     reply.level = knownLevel(entry, now);
+    if (now < entry.extendedUntil && entry.extendedOwner != claimant) {
+        reply.extendedOwner = entry.extendedOwner;
+    }
     if (hasOtherOwner(entry, now) && entry.otherOwner != claimant) {
         reply.owner = entry.otherOwner;
     }
@@ -336,10 +332,10 @@
     });
 }
 
-bool DistributedUsageLimiter::maySilentVmOwn(std::string_view vm, Instant now) const
+bool DistributedUsageLimiter::maySilentVmOwn(std::string_view vm, const Entry &entry,
+                                             Instant now) const
 {
-    const auto extended = m_extendedUntil.find(vm);
-    if (m_vms.contains(vm) || (extended != m_extendedUntil.end() && now < extended->second)) {
+    if (m_vms.contains(vm) || (now < entry.extendedUntil && vm == entry.extendedOwner)) {
         return true;
     }
     // A VM that left the list has not renewed its lease for longer than the term. If many left it
@@ -363,16 +359,17 @@
     bool isBlocked = entry.isClaimOvertaken || !canClaim(now);
     bool isHistoryKnown = now - m_startedAt >= m_options.window;
     std::optional<double> level = knownLevel(entry, now);
+    std::string refusedBy;
     std::string otherOwner;
     for (const LimitClaimResult &result : results) {
         if (!result.reply) {
-            isBlocked = isBlocked || (!result.isProcessGone && maySilentVmOwn(result.vm, now));
+            isBlocked = isBlocked || (!result.isProcessGone && maySilentVmOwn(result.vm, entry, now));
             isHistoryKnown = false;
             continue;
         }
         const LimitClaimReply &reply = *result.reply;
         if (reply.outcome == LimitClaimReply::Outcome::Refused) {
-            otherOwner = result.vm;
+            refusedBy = result.vm;
             continue;
         }
         isHandedOver = isHandedOver || reply.outcome == LimitClaimReply::Outcome::HandedOver;
@@ -394,6 +391,9 @@
         becomeOwner(entry, level, true, now);
         return LimitClaimOutcome::HandedOver;
     }
+    if (!refusedBy.empty()) {
+        otherOwner = refusedBy;
+    }
     if (!otherOwner.empty()) {
         setOwner(organisation, otherOwner, now);
         return LimitClaimOutcome::OwnedByOther;
@@ -427,12 +427,13 @@
     }
 }
 
-std::vector<std::string> DistributedUsageLimiter::extensionQueries(Instant now)
+ExtensionQuery DistributedUsageLimiter::extensionQuery(Instant now)
 {
     if (m_leaseRenewedAt && now - *m_leaseRenewedAt < extensionDelay) {
         return {};
     }
-    std::vector<std::string> asked;
+    ExtensionQuery query;
+    std::vector<std::string> &asked = query.vms;
     for (std::pair<const std::string, Entry> &entry : m_entries) {
         if (!checkOwner(entry.second, now)) {
             continue;
@@ -442,8 +443,9 @@
                 asked.push_back(std::move(vm));
             }
         }
+        query.organisations.push_back(entry.first);
     }
-    return asked;
+    return query;
 }
 
 void DistributedUsageLimiter::extend(std::span<const std::string> vms, Instant askedAt)
@@ -462,13 +464,25 @@
     }
 }
 
-bool DistributedUsageLimiter::answerExtension(std::string_view owner, Instant now)
+bool DistributedUsageLimiter::answerExtension(std::string_view owner,
+                                              std::span<const std::string> organisations,
+                                              Instant now)
 {
-    std::erase_if(m_extendedUntil, [now](const std::pair<const std::string, Instant> &vm) {
-        return now >= vm.second;
-    });
-    m_extendedUntil.insert_or_assign(std::string(owner), now + m_options.ownershipTerm);
-    return true;
+    bool agrees = true;
+    for (const std::string &organisation : organisations) {
+        const auto found = m_entries.find(organisation);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        Entry &entry = found->second;
+        if (entry.isClaiming || checkOwner(entry, now)) {
+            agrees = false;
+            continue;
+        }
+        entry.extendedOwner = owner;
+        entry.extendedUntil = now + m_options.ownershipTerm;
+    }
+    return agrees;
 }
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
@@ -237,6 +237,31 @@
     CHECK(fleet.load(10s, unitsFor(rate, 0.8, vms)) == 0);
 }
 
+// The VMs took owners of other limits, which had asked for extensions, for the owner of this one.
+TEST_CASE("usage fleet: a third of the VMs is cut off from the store for long")
+{
+    const double rate = GENERATE(smallRate, largeRate);
+    const size_t vms = GENERATE(6, 84);
+    UsageSimulation fleet({.vms = vms, .rate = rate, .burst = rate, .readStagger = 5ms});
+    fleet.advance(10s);
+    size_t refused = fleet.load(1s, unitsFor(rate, 0.8, vms));
+    const size_t owner = fleet.owner();
+    fleet.vm(owner).reachesStore = false;
+    for (size_t i = 0; i < fleet.size(); i += 3) {
+        fleet.vm(i).reachesStore = false;
+        const std::vector<std::string> others{"other"};
+        CHECK(fleet.vm(i).limiter->answerExtension(fleet.vm((owner + 1) % vms).id, others,
+                                                   fleet.now()));
+    }
+    refused += fleet.load(12s, unitsFor(rate, 0.8, vms));
+    for (size_t i = 0; i < fleet.size(); ++i) {
+        fleet.vm(i).reachesStore = true;
+    }
+    refused += fleet.load(4s, unitsFor(rate, 0.8, vms));
+    CHECK(refused == 0);
+    CHECK(fleet.excess() <= 0.0);
+}
+
 TEST_CASE("usage fleet: requests within the limit are granted while all VMs leave in turn")
 {
     const double rate = GENERATE(smallRate, largeRate);
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -355,9 +355,11 @@
         }
         claimIfDue(index);
         std::vector<std::string> agreed;
-        for (const std::string &id : owner.limiter->extensionQueries(m_now)) {
+        const ExtensionQuery extension = owner.limiter->extensionQuery(m_now);
+        for (const std::string &id : extension.vms) {
             const size_t asked = indexOf(id);
-            if (reaches(owner, asked) && m_vms[asked].limiter->answerExtension(owner.id, m_now)
+            if (reaches(owner, asked)
+                && m_vms[asked].limiter->answerExtension(owner.id, extension.organisations, m_now)
                 && owner.link != Link::Slow) {
                 agreed.push_back(id);
             }
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -353,16 +353,19 @@
 void UsageTask::Impl::extend()
 {
     const Instant askedAt = http::EventLoop::now();
-    const std::vector<std::string> vms = limiter().extensionQueries(askedAt);
-    if (vms.empty()) {
+    const ExtensionQuery query = limiter().extensionQuery(askedAt);
+    if (query.vms.empty()) {
         return;
     }
     schema::OwnershipExtension message;
+    for (const std::string &organisation : query.organisations) {
+        message.add_organisations(organisation);
+    }
     message.set_owner(fleet.options().vmId);
     const std::string body = message.SerializeAsString();
     const std::shared_ptr<std::vector<std::string>> agreed
             = std::make_shared<std::vector<std::string>>();
-    for (const std::string &vm : vms) {
+    for (const std::string &vm : query.vms) {
         http::Endpoint endpoint;
         if (!http::parseEndpoint(fleet.peerAddress(vm), endpoint)) {
             continue;
@@ -483,9 +486,12 @@
     if (!parse(exchange, message)) {
         return;
     }
+    const std::vector<std::string> organisations(message.organisations().begin(),
+                                                 message.organisations().end());
     schema::OwnershipExtensionReply reply;
     reply.set_is_extended(!message.owner().empty()
-                          && limiter().answerExtension(message.owner(), http::EventLoop::now()));
+                          && limiter().answerExtension(message.owner(), organisations,
+                                                       http::EventLoop::now()));
     exchange.respond({.body = reply.SerializeAsString()});
 }
 
