--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -29,9 +29,8 @@
     /// this many VMs.
     size_t minVmCount = 3;
     Duration settlingTime = 3s;
-    /// Time for which a VM may own limits after it sent a successful renewal of its lease at the
-    /// store. Shorter than the lease, so that the VM stops granting before the others take over.
-    Duration ownershipTerm = 2500ms;
+    /// Time for which other VMs agree not to claim a VM's limits.
+    Duration extensionTerm = 2500ms;
 };
 
 /// @brief An organisation's usage limit, for all VMs together.
@@ -132,7 +131,9 @@
 
     /// @brief The record under this VM's lease is in the store; the lease was granted or renewed by
     /// a call sent at `sentAt`.
-    void leaseRenewed(Instant sentAt, Instant now);
+    /// @param term time from `sentAt` for which this VM may own limits: shorter than the lease, so
+    /// that it stops granting before the others take over
+    void leaseRenewed(Instant sentAt, Duration term, Instant now);
 
     /// @brief A VM cannot own limits at present: its process is gone, or it says so itself.
     void setUnavailable(std::string_view vm, Instant now);
@@ -258,6 +259,7 @@
     /// Until when VMs are taken for unable to own limits.
     std::map<std::string, Instant, std::less<>> m_unavailableUntil;
     std::optional<Instant> m_leaseRenewedAt;
+    Duration m_leaseTerm{0};
     /// When this VM's record was first written.
     std::optional<Instant> m_joinedAt;
     bool m_hasReadListSinceJoining = false;
--- a/packages/policy/src/teaseldrift/usage/limit_ownership.cpp
+++ b/packages/policy/src/teaseldrift/usage/limit_ownership.cpp
@@ -23,8 +23,9 @@
 /// Delay after a claim that was blocked.
 constexpr Duration blockedClaimDelay = 300ms;
 
-/// A lease that was not renewed for this long may not be renewed within the term.
-constexpr Duration extensionDelay = 1200ms;
+/// A lease that was not renewed for this fraction of its term may not be renewed within it. Longer
+/// than the interval of renewals.
+constexpr double extensionFraction = 0.48;
 
 } // namespace
 
@@ -114,7 +115,7 @@
     }
 }
 
-void DistributedUsageLimiter::leaseRenewed(Instant sentAt, Instant now)
+void DistributedUsageLimiter::leaseRenewed(Instant sentAt, Duration term, Instant now)
 {
     if (!m_joinedAt) {
         m_joinedAt = now;
@@ -127,6 +128,7 @@
         checkOwner(entry.second, sentAt);
     }
     m_leaseRenewedAt = sentAt;
+    m_leaseTerm = term;
 }
 
 bool DistributedUsageLimiter::canClaim(Instant now) const
@@ -139,13 +141,13 @@
 
 bool DistributedUsageLimiter::isLeaseFresh(Instant now) const
 {
-    return m_leaseRenewedAt && now - *m_leaseRenewedAt < m_options.ownershipTerm;
+    return m_leaseRenewedAt && now - *m_leaseRenewedAt < m_leaseTerm;
 }
 
 bool DistributedUsageLimiter::isWithinTerm(const Entry &entry, Instant now) const
 {
     return isLeaseFresh(now)
-           || (entry.extendedAt && now - *entry.extendedAt < m_options.ownershipTerm);
+           || (entry.extendedAt && now - *entry.extendedAt < m_options.extensionTerm);
 }
 
 bool DistributedUsageLimiter::checkOwner(Entry &entry, Instant now)
@@ -340,7 +342,7 @@
     }
     // A VM that left the list has not renewed its lease for longer than the term. If many left it
     // together, the store may have lost their leases, and they are still to write their records.
-    return m_shortListSince && now - *m_shortListSince < m_options.ownershipTerm;
+    return m_shortListSince && now - *m_shortListSince < m_leaseTerm;
 }
 
 LimitClaimOutcome DistributedUsageLimiter::finishClaim(std::string_view organisation,
@@ -363,7 +365,8 @@
     std::string otherOwner;
     for (const LimitClaimResult &result : results) {
         if (!result.reply) {
-            isBlocked = isBlocked || (!result.isProcessGone && maySilentVmOwn(result.vm, entry, now));
+            isBlocked
+                    = isBlocked || (!result.isProcessGone && maySilentVmOwn(result.vm, entry, now));
             isHistoryKnown = false;
             continue;
         }
@@ -429,7 +432,8 @@
 
 ExtensionQuery DistributedUsageLimiter::extensionQuery(Instant now)
 {
-    if (m_leaseRenewedAt && now - *m_leaseRenewedAt < extensionDelay) {
+    if (m_leaseRenewedAt
+        && toSeconds(now - *m_leaseRenewedAt) < extensionFraction * toSeconds(m_leaseTerm)) {
         return {};
     }
     ExtensionQuery query;
@@ -480,7 +484,7 @@
             continue;
         }
         entry.extendedOwner = owner;
-        entry.extendedUntil = now + m_options.ownershipTerm;
+        entry.extendedUntil = now + m_options.extensionTerm;
     }
     return agrees;
 }
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -375,7 +375,7 @@
         const Duration noticed = 150ms * static_cast<int64_t>(index % differentTimes + 1);
         if (!vm.isSuspended && !vm.isGone && vm.reachesStore && m_now >= m_reregisterAt + noticed) {
             vm.renewedAt = m_now;
-            vm.limiter->leaseRenewed(m_now, m_now);
+            vm.limiter->leaseRenewed(m_now, leaseTtl - 500ms, m_now);
             m_registered[index] = true;
         } else if (m_now - vm.renewedAt > leaseTtl) {
             m_registered[index] = false;
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -32,6 +32,9 @@
         /// Delay between the writes of two VMs: all would write the same record, and one write
         /// suffices.
         Duration writeStagger = 200ms;
+        /// A VM that has been connected to the store for this long learns of a change in time, so
+        /// that a stale read suffices.
+        Duration connectedTime = 5s;
         /// Delay after a read without a response.
         Duration retryDelay = 500ms;
         /// Returns the wall-clock time.
@@ -55,16 +58,17 @@
                 const std::function<void()> &onApplied)
     {
         if (!isLiveChange) {
-            readRecord(record, [this, record, onApplied](bool isRecorded) {
-                if (!isRecorded) {
-                    // The version may be new, or all VMs may have failed before one of them wrote
-                    // the record.
-                    apply(record, m_fleet.options().olderWeightsGracePeriod / 2,
-                          ChangeTimeSource::Assumed);
-                    scheduleSave(record);
-                }
-                onApplied();
-            });
+            readRecord(record, store::ReadConsistency::Current,
+                       [this, record, onApplied](bool isRecorded) {
+                           if (!isRecorded) {
+                               // The version may be new, or all VMs may have failed before one of
+                               // them wrote the record.
+                               apply(record, m_fleet.options().olderWeightsGracePeriod / 2,
+                                     ChangeTimeSource::Assumed);
+                               scheduleSave(record);
+                           }
+                           onApplied();
+                       });
             return;
         }
         const Instant now = http::EventLoop::now();
@@ -76,7 +80,11 @@
             apply(record, Duration(0), ChangeTimeSource::Observed);
         }
         onApplied();
-        readRecord(record, [](bool) {});
+        const bool isTimely
+                = !suspendedSince && m_fleet.isStoreConnectedSince(now - m_options.connectedTime);
+        readRecord(record,
+                   isTimely ? store::ReadConsistency::AllowStale : store::ReadConsistency::Current,
+                   [](bool) {});
         scheduleSave(record);
     }
 
@@ -109,9 +117,10 @@
 
     /// Applies the recorded time of the change; repeats the read until the store responds.
     /// @param onFirstRead called once, with whether the store has a record of the change
-    void readRecord(const WeightsRecord &record, const std::function<void(bool)> &onFirstRead)
+    void readRecord(const WeightsRecord &record, store::ReadConsistency consistency,
+                    const std::function<void(bool)> &onFirstRead)
     {
-        m_store.readPrefix(m_options.prefix + record.model, store::ReadConsistency::Current,
+        m_store.readPrefix(m_options.prefix + record.model, consistency,
                            [this, record, onFirstRead](std::error_code error,
                                                        const store::StoreSnapshot &snapshot) {
                                const std::optional<Duration> age
@@ -122,7 +131,8 @@
                                onFirstRead(age.has_value());
                                if (error && isDesired(record)) {
                                    m_loop.startTimer(m_options.retryDelay, [this, record] {
-                                       readRecord(record, [](bool) {});
+                                       readRecord(record, store::ReadConsistency::Current,
+                                                  [](bool) {});
                                    });
                                }
                            });
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -120,7 +120,10 @@
     DistributedUsageLimiter &usage() { return m_usage; }
 
     /// @brief This VM's record is in the store, see DistributedUsageLimiter::leaseRenewed().
-    void leaseRenewed(Instant sentAt, Instant now) { m_usage.leaseRenewed(sentAt, now); }
+    void leaseRenewed(Instant sentAt, Duration term, Instant now)
+    {
+        m_usage.leaseRenewed(sentAt, term, now);
+    }
 
     /// @brief Address of a VM for other VMs; empty if it is not known.
     [[nodiscard]] std::string peerAddress(std::string_view vmId) const;
@@ -142,6 +145,12 @@
     zoneRepresentative(std::string_view availabilityZone,
                        const std::function<bool(const std::string &)> &isExcluded) const;
 
+    /// @brief Whether this VM is among the first `count` VMs in rendezvous order for a key.
+    [[nodiscard]] bool isAmongFirst(std::string_view key, size_t count) const;
+
+    /// @brief Whether the store has answered this VM without interruption since `since`.
+    [[nodiscard]] bool isStoreConnectedSince(Instant since) const;
+
     /// @brief Availability zones that have VMs, except this VM's own zone.
     [[nodiscard]] std::set<std::string> otherZones() const;
 
@@ -213,6 +222,8 @@
     size_t m_limitDivisor = 0;
     uint64_t m_invalidTargetHeaders = 0;
     bool m_isLeaving = false;
+    bool m_isStoreConnected = false;
+    Instant m_storeConnectedAt;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/leased_record.hpp
+++ b/packages/relay/include/teaseldrift/relay/leased_record.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -21,10 +22,12 @@
         std::string key;
         Duration ttl = 3s;
         Duration renewInterval = 1s;
+        /// Delay after a failed call; it doubles with each consecutive failure.
         Duration retryDelay = 300ms;
+        Duration maxRetryDelay = 1200ms;
         /// Optional; the record is in the store under a lease that was granted or renewed by a call
         /// sent at `sentAt`.
-        std::function<void(Instant sentAt)> onRenewed = {};
+        std::function<void(Instant sentAt, Duration ttl)> onRenewed = {};
     };
 
     LeasedRecord(http::EventLoop &loop, Store &store, Options options)
@@ -45,10 +48,18 @@
         step();
     }
 
+    /// @brief Sets the lease's time to live and the interval of its renewals. The record moves to a
+    /// new lease at its next renewal.
+    void setTimes(Duration ttl, Duration renewInterval)
+    {
+        m_options.ttl = ttl;
+        m_options.renewInterval = renewInterval;
+    }
+
 private:
     void step()
     {
-        if (m_lease == 0) {
+        if (m_lease == 0 || m_leaseTtl != m_options.ttl) {
             grant();
         } else if (!m_isWritten) {
             write();
@@ -63,19 +74,28 @@
         m_timer = m_loop.startTimer(delay, [this] { step(); });
     }
 
+    void scheduleRetry()
+    {
+        m_nextRetryDelay = std::max(m_nextRetryDelay, m_options.retryDelay);
+        scheduleStep(m_nextRetryDelay);
+        m_nextRetryDelay = std::min(2 * m_nextRetryDelay, m_options.maxRetryDelay);
+    }
+
     void grant()
     {
-        m_store.grantLease(m_options.ttl, [this, sentAt = http::EventLoop::now()](
-                                                  std::error_code error, uint64_t lease) {
-            if (error) {
-                scheduleStep(m_options.retryDelay);
-                return;
-            }
-            m_lease = lease;
-            m_renewedAt = sentAt;
-            m_isWritten = false;
-            write();
-        });
+        m_store.grantLease(m_options.ttl,
+                           [this, sentAt = http::EventLoop::now(),
+                            ttl = m_options.ttl](std::error_code error, uint64_t lease) {
+                               if (error) {
+                                   scheduleRetry();
+                                   return;
+                               }
+                               m_lease = lease;
+                               m_leaseTtl = ttl;
+                               m_renewedAt = sentAt;
+                               m_isWritten = false;
+                               write();
+                           });
     }
 
     void write()
@@ -94,7 +114,7 @@
             if (result.outcome == store::StoreOutcome::LeaseExpired) {
                 m_lease = 0;
             }
-            scheduleStep(m_options.retryDelay);
+            scheduleRetry();
         });
     }
 
@@ -110,14 +130,19 @@
                 m_renewedAt = sentAt;
                 notifyRenewed();
             }
-            scheduleStep(error ? m_options.retryDelay : m_options.renewInterval);
+            if (error) {
+                scheduleRetry();
+            } else {
+                scheduleStep(m_options.renewInterval);
+            }
         });
     }
 
     void notifyRenewed()
     {
+        m_nextRetryDelay = Duration(0);
         if (m_options.onRenewed) {
-            m_options.onRenewed(m_renewedAt);
+            m_options.onRenewed(m_renewedAt, m_leaseTtl);
         }
     }
 
@@ -126,7 +151,9 @@
     Options m_options;
     std::string m_value;
     uint64_t m_lease = 0;
+    Duration m_leaseTtl{0};
     Instant m_renewedAt;
+    Duration m_nextRetryDelay{0};
     bool m_isWritten = false;
     http::EventLoop::TimerId m_timer = 0;
 };
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <algorithm>
+#include <concepts>
+#include <functional>
 #include <map>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "teaseldrift/relay/fleet_state.hpp"
@@ -9,8 +13,21 @@
 
 namespace teaseldrift::relay {
 
+/// @brief A store whose changes other VMs may relay, see RelayedStore.
+template <typename Store>
+concept RelayingStore
+        = store::LongPollStore<Store> && requires(Store &store, std::string_view prefix,
+                                                  uint64_t revision, Duration wait)
+{
+    {
+        store.relaysChanges()
+        } -> std::same_as<bool>;
+    store.followChanges(prefix, revision, wait,
+                        std::function<void(std::error_code, const store::StoreSnapshot &)>());
+};
+
 /// @brief Publishes this VM's record in the store and reads the records of the other VMs.
-template <store::LongPollStore Store>
+template <RelayingStore Store>
 class MembershipTask
 {
 public:
@@ -21,13 +38,32 @@
         /// A stale read costs a tenth of a current one, and callers cache directory responses for
         /// about this long.
         Duration readInterval = 1s;
+        /// Longest time that a call waits for a change of the list.
+        Duration changesWait = 2500ms;
+        /// Delay after a change: many VMs may join or leave within a short time.
+        Duration changesDelay = 300ms;
+        Duration leaseTtl = 3s;
+        Duration renewInterval = 1s;
+        /// In larger fleets renewals are rarer: their cost grows with the fleet, and a VM that is
+        /// gone is a smaller part of it.
+        size_t largeFleet = 20;
+        Duration largeFleetTtl = 5s;
+        Duration largeFleetRenewInterval = 2s;
+        /// Time after its start for which a VM may not know of all others and renews as in a large
+        /// fleet.
+        Duration settlingTime = 3s;
+        /// The term of what a VM owns ends this long before its lease.
+        Duration termMargin = 500ms;
     };
 
     MembershipTask(http::EventLoop &loop, Store &store, FleetState &fleet, Options options = {})
         : m_loop(loop), m_store(store), m_fleet(fleet), m_options(std::move(options)),
-          m_localRecord(loop, store,
-                        {.key = m_options.prefix + fleet.options().vmId,
-                         .onRenewed = [this](Instant sentAt) { onRenewed(sentAt); }})
+          m_localRecord(
+                  loop, store,
+                  {.key = m_options.prefix + fleet.options().vmId,
+                   .ttl = m_options.largeFleetTtl,
+                   .renewInterval = m_options.renewInterval,
+                   .onRenewed = [this](Instant sentAt, Duration ttl) { onRenewed(sentAt, ttl); }})
     { }
 
     ~MembershipTask() { m_loop.cancelTimer(m_timer); }
@@ -36,8 +72,9 @@
 
     void start()
     {
+        m_startedAt = http::EventLoop::now();
         announce(false);
-        read(store::ReadConsistency::Current);
+        read(store::ReadConsistency::AllowStale);
     }
 
     /// @brief Announces to the other VMs that this one accepts no new callers.
@@ -55,9 +92,9 @@
         m_localRecord.set(record.SerializeAsString());
     }
 
-    void onRenewed(Instant sentAt)
+    void onRenewed(Instant sentAt, Duration ttl)
     {
-        m_fleet.leaseRenewed(sentAt, http::EventLoop::now());
+        m_fleet.leaseRenewed(sentAt, ttl - m_options.termMargin, http::EventLoop::now());
         if (!m_hasJoined) {
             m_hasJoined = true;
             m_loop.cancelTimer(m_timer);
@@ -65,33 +102,86 @@
         }
     }
 
+    /// Reads the list, or waits for its changes where that costs less.
+    void proceed()
+    {
+        const bool mayBeIncomplete = !m_hasReadSinceJoining || m_revision == 0;
+        if (!mayBeIncomplete && m_store.relaysChanges()) {
+            waitForChanges();
+        } else {
+            read(m_hasJoined && !m_hasReadSinceJoining ? store::ReadConsistency::Current
+                                                       : store::ReadConsistency::AllowStale);
+        }
+    }
+
+    void scheduleNext(Duration delay)
+    {
+        m_loop.cancelTimer(m_timer);
+        m_timer = m_loop.startTimer(delay, [this] { proceed(); });
+    }
+
     void read(store::ReadConsistency consistency)
     {
         m_store.readPrefix(m_options.prefix, consistency,
                            [this, readAt = http::EventLoop::now(), hasJoined = m_hasJoined](
                                    std::error_code error, const store::StoreSnapshot &snapshot) {
                                if (!error && readAt >= m_newestReadAt) {
-                                   m_newestReadAt = readAt;
                                    applySnapshot(snapshot, readAt);
                                    m_hasReadSinceJoining = m_hasReadSinceJoining || hasJoined;
                                }
-                               m_loop.cancelTimer(m_timer);
-                               m_timer = m_loop.startTimer(m_options.readInterval, [this] {
-                                   read(m_hasReadSinceJoining ? store::ReadConsistency::AllowStale
-                                                              : store::ReadConsistency::Current);
-                               });
+                               scheduleNext(m_options.readInterval);
                            });
     }
 
+    void waitForChanges()
+    {
+        m_store.followChanges(
+                m_options.prefix, m_revision, m_options.changesWait,
+                [this, readAt = http::EventLoop::now()](std::error_code error,
+                                                        const store::StoreSnapshot &changes) {
+                    if (error || changes.epoch != m_epoch) {
+                        // The changes since the last read are not known.
+                        m_revision = 0;
+                        scheduleNext(m_options.changesDelay);
+                        return;
+                    }
+                    applyChanges(changes, readAt);
+                    scheduleNext(changes.entries.empty() ? Duration(0) : m_options.changesDelay);
+                });
+    }
+
     void applySnapshot(const store::StoreSnapshot &snapshot, Instant readAt)
     {
-        std::map<std::string, schema::VmRecord, std::less<>> vms;
-        for (const store::StoreEntry &entry : snapshot.entries) {
+        m_records.clear();
+        m_revision = snapshot.revision;
+        m_epoch = snapshot.epoch;
+        applyChanges(snapshot, readAt);
+    }
+
+    void applyChanges(const store::StoreSnapshot &changes, Instant readAt)
+    {
+        for (const store::StoreEntry &entry : changes.entries) {
             schema::VmRecord record;
-            if (record.ParseFromString(entry.value) && !record.vm_id().empty()) {
-                vms[record.vm_id()] = std::move(record);
+            if (!entry.deleted && record.ParseFromString(entry.value) && !record.vm_id().empty()) {
+                m_records.insert_or_assign(entry.key, std::move(record));
+            } else {
+                m_records.erase(entry.key);
             }
         }
+        m_revision = std::max(m_revision, changes.revision);
+        m_newestReadAt = readAt;
+        std::map<std::string, schema::VmRecord, std::less<>> vms;
+        for (const std::pair<const std::string, schema::VmRecord> &record : m_records) {
+            vms.insert_or_assign(record.second.vm_id(), record.second);
+        }
+        if (vms.size() >= m_options.largeFleet) {
+            m_localRecord.setTimes(m_options.largeFleetTtl, m_options.largeFleetRenewInterval);
+            m_isLargeFleet = true;
+        } else if (!m_isLargeFleet
+                   && http::EventLoop::now() - m_startedAt >= m_options.settlingTime) {
+            // A fleet that shrinks below the size keeps its leases, as each change costs calls.
+            m_localRecord.setTimes(m_options.leaseTtl, m_options.renewInterval);
+        }
         m_fleet.applyVms(std::move(vms), readAt, http::EventLoop::now());
     }
 
@@ -101,6 +191,12 @@
     Options m_options;
     LeasedRecord<Store> m_localRecord;
     http::EventLoop::TimerId m_timer = 0;
+    /// Records by key, as of `m_revision`; 0 if a read is due.
+    std::map<std::string, schema::VmRecord, std::less<>> m_records;
+    uint64_t m_revision = 0;
+    uint64_t m_epoch = 0;
+    Instant m_startedAt;
+    bool m_isLargeFleet = false;
     /// This VM's record has been written.
     bool m_hasJoined = false;
     bool m_hasReadSinceJoining = false;
--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -40,6 +40,35 @@
         queryRelays(std::string(prefix), revision, wait, maxRelayAttempts, std::move(handler));
     }
 
+    /// @brief Whether followChanges() costs no call of this VM, or serves other VMs.
+    [[nodiscard]] bool relaysChanges() const
+    {
+        const Instant now = http::EventLoop::now();
+        return m_relay.usesRelay(now) || m_relay.servesOthers(now);
+    }
+
+    /// @brief Like waitForChanges(), but a VM to which another one relays changes does not call the
+    /// store itself: it gets StoreError::Unavailable if the other VM cannot relay them.
+    void followChanges(std::string_view prefix, uint64_t revision, Duration wait,
+                       ReadHandler handler)
+    {
+        if (!m_relay.usesRelay(http::EventLoop::now())) {
+            queryStore(std::string(prefix), revision, wait, std::move(handler));
+            return;
+        }
+        m_relay.query(
+                std::string(prefix), revision, m_epoch,
+                [this, prefix = std::string(prefix), revision, handler = std::move(handler)](
+                        RelayResult end, const store::StoreSnapshot &changes, Instant confirmedAt) {
+                    if (end != RelayResult::Changes) {
+                        handler(store::StoreError::Unavailable, {});
+                        return;
+                    }
+                    m_relay.recordChanges(prefix, revision, changes, confirmedAt);
+                    handler({}, changes);
+                });
+    }
+
     void write(std::span<const store::StoreWrite> writes,
                std::function<void(store::StoreWriteResult)> handler)
     {
@@ -62,10 +91,7 @@
     /// @param directDelay delay of a VM that polls the store for itself only
     [[nodiscard]] Duration pollDelay(Duration directDelay) const
     {
-        const Instant now = http::EventLoop::now();
-        return m_relay.usesRelay(now) || m_relay.servesOthers(now)
-                       ? std::min(directDelay, m_relay.options().pollDelay)
-                       : directDelay;
+        return relaysChanges() ? std::min(directDelay, m_relay.options().pollDelay) : directDelay;
     }
 
 private:
@@ -80,26 +106,32 @@
             queryStore(prefix, revision, wait, std::move(handler));
             return;
         }
-        m_relay.query(prefix, revision, m_epoch,
-                      [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
-                              RelayResult end, const store::StoreSnapshot &changes) {
-                          switch (end) {
-                          case RelayResult::Changes:
-                              handler({}, changes);
-                              return;
-                          case RelayResult::NotRetained:
-                              queryStore(prefix, revision, wait, handler);
-                              return;
-                          case RelayResult::Failed:
-                              queryRelays(prefix, revision, wait, attemptsLeft - 1, handler);
-                              return;
-                          }
-                      });
+        m_relay.query(
+                prefix, revision, m_epoch,
+                [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
+                        RelayResult end, const store::StoreSnapshot &changes, Instant confirmedAt) {
+                    switch (end) {
+                    case RelayResult::Changes:
+                        m_relay.recordChanges(prefix, revision, changes, confirmedAt);
+                        handler({}, changes);
+                        return;
+                    case RelayResult::NotRetained:
+                        queryStore(prefix, revision, wait, handler);
+                        return;
+                    case RelayResult::Failed:
+                        queryRelays(prefix, revision, wait, attemptsLeft - 1, handler);
+                        return;
+                    }
+                });
     }
 
     void queryStore(const std::string &prefix, uint64_t revision, Duration wait,
                     ReadHandler handler)
     {
+        if (m_relay.hasRepresentative() && http::EventLoop::now() < m_directRetryAt) {
+            handler(store::StoreError::Unavailable, {});
+            return;
+        }
         const Duration maxWait = m_relay.servesOthers(http::EventLoop::now())
                                          ? std::min(wait, m_relay.options().maxStoreWait)
                                          : wait;
@@ -109,8 +141,12 @@
                                    m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
                                        m_relay.markStoreUnavailable(prefix);
+                                       m_directRetryAt = http::EventLoop::now()
+                                                         + m_relay.options().directRetryDelay;
                                    } else {
-                                       m_relay.recordChanges(prefix, revision, changes);
+                                       m_directRetryAt = {};
+                                       m_relay.recordChanges(prefix, revision, changes,
+                                                             http::EventLoop::now());
                                    }
                                    handler(error, changes);
                                });
@@ -120,6 +156,9 @@
     StoreRelay &m_relay;
     /// Newest epoch that a response of the store showed.
     uint64_t m_epoch = 0;
+    /// After a failed call, when this VM calls the store again for changes of any prefix although
+    /// others do so for it.
+    Instant m_directRetryAt;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -69,6 +69,11 @@
         Duration acquireStagger = 30ms;
         /// Period over which the attempts are spread while a VM has not read the list of VMs.
         Duration startupAcquireSpread = 500ms;
+        /// In larger fleets only the first VMs in rendezvous order compete for the lease, as each
+        /// competitor watches the key.
+        size_t maxCompetitors = 8;
+        /// Time after which a VM competes although it has not read the list of VMs.
+        Duration listTimeout = 2s;
         /// Longest time that a call waits for a change of the controller's key.
         Duration watchTimeout = 20s;
     };
@@ -87,7 +92,7 @@
 
     void start()
     {
-        m_watcher.start();
+        m_startedAt = http::EventLoop::now();
         tick();
     }
 
@@ -127,8 +132,22 @@
     }
 
 private:
+    /// Starts the watch of the key once this VM is one of the competitors.
+    void compete()
+    {
+        const bool hasList = m_fleet.hasVmList();
+        const bool isTimedOut = http::EventLoop::now() - m_startedAt >= m_options.listTimeout;
+        m_isCompetitor = hasList ? m_fleet.isAmongFirst(m_options.key, m_options.maxCompetitors)
+                                 : isTimedOut;
+        if (m_isCompetitor && !m_isWatching) {
+            m_isWatching = true;
+            m_watcher.start();
+        }
+    }
+
     void tick()
     {
+        compete();
         if (!m_isStopped && !m_isCallPending) {
             const LeaseAction action = m_lease.nextAction(http::EventLoop::now());
             if (action == LeaseAction::Acquire) {
@@ -178,7 +197,8 @@
 
     void acquire()
     {
-        if (!m_isKeyFree || !m_watcher.isConnected() || http::EventLoop::now() < m_acquireAt) {
+        if (!m_isCompetitor || !m_isKeyFree || !m_watcher.isConnected()
+            || http::EventLoop::now() < m_acquireAt) {
             m_lease.retryLater(http::EventLoop::now(), m_options.tick);
             return;
         }
@@ -368,7 +388,10 @@
     ControllerLease m_lease;
     /// Notices when the controller's key becomes free.
     PrefixWatcher<Store> m_watcher;
+    bool m_isWatching = false;
+    bool m_isCompetitor = false;
     bool m_isKeyFree = false;
+    Instant m_startedAt;
     Instant m_acquireAt;
     uint64_t m_leaseId = 0;
     /// Last announced plan of each model.
--- a/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -24,9 +24,10 @@
 public:
     explicit RecordStore(http::EventLoop &loop) : m_loop(loop) { }
 
-    void readPrefix(std::string_view, store::ReadConsistency,
+    void readPrefix(std::string_view, store::ReadConsistency consistency,
                     std::function<void(std::error_code, const store::StoreSnapshot &)> handler)
     {
+        currentReads += consistency == store::ReadConsistency::Current ? 1 : 0;
         if (failedReads > 0) {
             --failedReads;
             m_loop.post([handler = std::move(handler)] {
@@ -71,6 +72,7 @@
     std::optional<schema::WeightsNaming> record;
     std::optional<schema::WeightsNaming> otherModel;
     int failedReads = 0;
+    int currentReads = 0;
 
 private:
     http::EventLoop &m_loop;
@@ -195,4 +197,34 @@
     CHECK(vm.store.record->version() == 3);
 }
 
+// With hundreds of VMs, current reads of the record at each change were the dearest calls.
+TEST_CASE("a VM that has been connected to the store for long reads no current record of a change")
+{
+    Vm vm;
+    vm.fleet.storeRegained(http::EventLoop::now() - 6s);
+    vm.learn(2);
+    CHECK(vm.store.currentReads == 0);
+}
+
+TEST_CASE("a VM that was disconnected or suspended reads the current record of a change")
+{
+    Vm vm;
+    SECTION("connected again a moment ago")
+    {
+        vm.fleet.storeRegained(http::EventLoop::now() - 1s);
+    }
+    SECTION("disconnected")
+    {
+        vm.fleet.storeRegained(http::EventLoop::now() - 10s);
+        vm.fleet.storeLost(http::EventLoop::now());
+    }
+    SECTION("suspended")
+    {
+        vm.fleet.storeRegained(http::EventLoop::now() - 10s);
+        vm.suspendedSince = http::EventLoop::now() - 2s;
+    }
+    vm.learn(2);
+    CHECK(vm.store.currentReads == 1);
+}
+
 } // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -255,12 +255,15 @@
 
 void FleetState::storeLost(Instant now)
 {
+    m_isStoreConnected = false;
     m_directory.storeLost(now);
     m_log.write(EventPriority::Important, "dependency_lost", {{"dependency", "store"}});
 }
 
 void FleetState::storeRegained(Instant now)
 {
+    m_isStoreConnected = true;
+    m_storeConnectedAt = now;
     m_directory.storeRegained(now);
     m_log.write(EventPriority::Important, "dependency_regained", {{"dependency", "store"}});
 }
@@ -344,6 +347,24 @@
             });
 }
 
+bool FleetState::isAmongFirst(std::string_view key, size_t count) const
+{
+    const uint64_t hash = rendezvousKey(key);
+    const double local = localScore(hash);
+    const ptrdiff_t preceding
+            = std::count_if(m_vms.begin(), m_vms.end(),
+                            [&](const std::pair<const std::string, schema::VmRecord> &vm) {
+                                return vm.first != m_options.vmId && !vm.second.is_leaving()
+                                       && rendezvousScore(hash, vm.first) > local;
+                            });
+    return static_cast<size_t>(preceding) < count;
+}
+
+bool FleetState::isStoreConnectedSince(Instant since) const
+{
+    return m_isStoreConnected && m_storeConnectedAt <= since;
+}
+
 std::set<std::string> FleetState::otherZones() const
 {
     std::set<std::string> zones;
--- a/packages/relay/src/teaseldrift/relay/usage_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task_test.cpp
@@ -29,7 +29,7 @@
                 log, http::EventLoop::now() - 60s),
           peers(loop, {.connectTimeout = 50ms}), usage(loop, peers, fleet, log, metrics)
     {
-        fleet.leaseRenewed(http::EventLoop::now(), http::EventLoop::now());
+        fleet.leaseRenewed(http::EventLoop::now(), 60s, http::EventLoop::now());
     }
 
     uint16_t listen()
