--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -72,6 +72,8 @@
         /// In larger fleets only the first VMs in rendezvous order compete for the lease, as each
         /// competitor watches the key.
         size_t maxCompetitors = 8;
+        /// Interval at which a VM checks whether it is one of them.
+        Duration competeInterval = 500ms;
         /// Time after which a VM competes although it has not read the list of VMs.
         Duration listTimeout = 2s;
         /// Longest time that a call waits for a change of the controller's key.
@@ -147,7 +149,10 @@
 
     void tick()
     {
-        compete();
+        if (http::EventLoop::now() >= m_competeAt) {
+            m_competeAt = http::EventLoop::now() + m_options.competeInterval;
+            compete();
+        }
         if (!m_isStopped && !m_isCallPending) {
             const LeaseAction action = m_lease.nextAction(http::EventLoop::now());
             if (action == LeaseAction::Acquire) {
@@ -392,6 +397,7 @@
     bool m_isCompetitor = false;
     bool m_isKeyFree = false;
     Instant m_startedAt;
+    Instant m_competeAt;
     Instant m_acquireAt;
     uint64_t m_leaseId = 0;
     /// Last announced plan of each model.
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -489,9 +489,9 @@
     const std::vector<std::string> organisations(message.organisations().begin(),
                                                  message.organisations().end());
     schema::OwnershipExtensionReply reply;
-    reply.set_is_extended(!message.owner().empty()
-                          && limiter().answerExtension(message.owner(), organisations,
-                                                       http::EventLoop::now()));
+    reply.set_is_extended(
+            !message.owner().empty()
+            && limiter().answerExtension(message.owner(), organisations, http::EventLoop::now()));
     exchange.respond({.body = reply.SerializeAsString()});
 }
 
