Usage limits: an owner that another owner refuses gives the limit up

Found by reading: an owner claims again when another VM offers it the same limit. If a third VM that owns the limit and precedes it refused that claim, the owner recorded this and went on granting. Test: 'an owner that another owner refuses gives the limit up' (not run against the old code, which has no line that clears the ownership there). With it: expired entries of unavailable VMs are erased.

--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -167,6 +167,9 @@
     std::erase_if(m_listedAt, [&](const std::pair<const std::string, Instant> &vm) {
         return !m_vms.contains(vm.first) && now - vm.second > maxAge;
     });
+    std::erase_if(m_unavailableUntil, [now](const std::pair<const std::string, Instant> &vm) {
+        return now >= vm.second;
+    });
     m_vmCount = m_listedAt.size() + (m_listedAt.contains(m_options.vmId) ? 0 : 1);
     if (now - m_startedAt < m_options.settlingTime) {
         m_vmCount = std::max(m_vmCount, m_options.minVmCount);
--- a/packages/policy/src/teaseldrift/usage/limit_claims.cpp
+++ b/packages/policy/src/teaseldrift/usage/limit_claims.cpp
@@ -197,6 +197,8 @@
         return LimitClaimOutcome::HandedOver;
     }
     if (!refusedBy.empty()) {
+        // If this VM has owned the limit, the two claimed it with lists that lacked the other.
+        entry.isOwner = false;
         otherOwner = refusedBy;
     }
     if (!otherOwner.empty()) {
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.cpp
@@ -279,6 +279,20 @@
     CHECK(refused == 0);
 }
 
+TEST_CASE("usage fleet: an owner that another owner refuses gives the limit up")
+{
+    UsageSimulation fleet;
+    fleet.advance(10s);
+    DistributedUsageLimiter &owner = *fleet.vm(fleet.owner()).limiter;
+    REQUIRE(owner.isOwner("shop", fleet.now()));
+    const std::vector<LimitClaimResult> results{
+            {.vm = "vm-x", .reply = LimitClaimReply{.outcome = LimitClaimReply::Outcome::Refused}}};
+    CHECK_FALSE(owner.beginClaim("shop", fleet.now()).empty());
+    CHECK(owner.finishClaim("shop", results, fleet.now()) == LimitClaimOutcome::OwnedByOther);
+    CHECK_FALSE(owner.isOwner("shop", fleet.now()));
+    CHECK(owner.acquire("shop", 1.0, fleet.now()).outcome == UsageOutcome::QueryOwner);
+}
+
 // All lists are empty, and the processes read them before the records of the others are written.
 TEST_CASE("usage fleet: all processes are killed and start at the same time")
 {
