Take back: changes relayed between zones, and rare direct calls while the store is away

Which of the two steps kept the configuration back is not traced; both are taken back, with their three tests, which test only them. What stays: list of VMs through the zone's representative, longer leases, 8 competitors, stale reads.

--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -56,17 +56,13 @@
             queryStore(std::string(prefix), revision, wait, std::move(handler));
             return;
         }
-        m_relay.query(
-                std::string(prefix), revision, m_epoch,
-                [this, prefix = std::string(prefix), revision, handler = std::move(handler)](
-                        RelayResult end, const store::StoreSnapshot &changes, Instant confirmedAt) {
-                    if (end != RelayResult::Changes) {
-                        handler(store::StoreError::Unavailable, {});
-                        return;
-                    }
-                    m_relay.recordChanges(prefix, revision, changes, confirmedAt);
-                    handler({}, changes);
-                });
+        m_relay.query(std::string(prefix), revision, m_epoch,
+                      [handler = std::move(handler)](RelayResult end,
+                                                     const store::StoreSnapshot &changes) {
+                          handler(end == RelayResult::Changes ? std::error_code()
+                                                              : store::StoreError::Unavailable,
+                                  changes);
+                      });
     }
 
     void write(std::span<const store::StoreWrite> writes,
@@ -106,32 +102,26 @@
             queryStore(prefix, revision, wait, std::move(handler));
             return;
         }
-        m_relay.query(
-                prefix, revision, m_epoch,
-                [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
-                        RelayResult end, const store::StoreSnapshot &changes, Instant confirmedAt) {
-                    switch (end) {
-                    case RelayResult::Changes:
-                        m_relay.recordChanges(prefix, revision, changes, confirmedAt);
-                        handler({}, changes);
-                        return;
-                    case RelayResult::NotRetained:
-                        queryStore(prefix, revision, wait, handler);
-                        return;
-                    case RelayResult::Failed:
-                        queryRelays(prefix, revision, wait, attemptsLeft - 1, handler);
-                        return;
-                    }
-                });
+        m_relay.query(prefix, revision, m_epoch,
+                      [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
+                              RelayResult end, const store::StoreSnapshot &changes) {
+                          switch (end) {
+                          case RelayResult::Changes:
+                              handler({}, changes);
+                              return;
+                          case RelayResult::NotRetained:
+                              queryStore(prefix, revision, wait, handler);
+                              return;
+                          case RelayResult::Failed:
+                              queryRelays(prefix, revision, wait, attemptsLeft - 1, handler);
+                              return;
+                          }
+                      });
     }
 
     void queryStore(const std::string &prefix, uint64_t revision, Duration wait,
                     ReadHandler handler)
     {
-        if (m_relay.hasRepresentative() && http::EventLoop::now() < m_directRetryAt) {
-            handler(store::StoreError::Unavailable, {});
-            return;
-        }
         const Duration maxWait = m_relay.servesOthers(http::EventLoop::now())
                                          ? std::min(wait, m_relay.options().maxStoreWait)
                                          : wait;
@@ -141,12 +131,8 @@
                                    m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
                                        m_relay.markStoreUnavailable(prefix);
-                                       m_directRetryAt = http::EventLoop::now()
-                                                         + m_relay.options().directRetryDelay;
                                    } else {
-                                       m_directRetryAt = {};
-                                       m_relay.recordChanges(prefix, revision, changes,
-                                                             http::EventLoop::now());
+                                       m_relay.recordChanges(prefix, revision, changes);
                                    }
                                    handler(error, changes);
                                });
@@ -156,9 +142,6 @@
     StoreRelay &m_relay;
     /// Newest epoch that a response of the store showed.
     uint64_t m_epoch = 0;
-    /// After a failed call, when this VM calls the store again for changes of any prefix although
-    /// others do so for it.
-    Instant m_directRetryAt;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -33,14 +33,8 @@
     Duration maxAge = 1500ms;
     /// Longest time that a query waits for changes.
     Duration maxQueryWait = 800ms;
-    /// The same for a query between the representatives of zones, whose responses are relayed
-    /// again: the sum of both waits is less than `maxAge`.
-    Duration maxZoneQueryWait = 400ms;
     /// Time allowed for the network in addition to maxQueryWait.
     Duration roundTripTime = 300ms;
-    /// Delay after a failed call of a VM for which another one polls the store: in an outage, all
-    /// VMs together would call the store as often as without relays.
-    Duration directRetryDelay = 3s;
     /// Time for which a VM is not queried after a query to it failed.
     Duration unresponsiveCooldown = 2s;
     /// Time after the last query for which a VM continues to relay changes.
@@ -57,19 +51,16 @@
     Failed,
 };
 
-/// @brief Relays changes of the store between the VMs.
+/// @brief Relays changes of the store between the VMs of an availability zone.
 ///
-/// The VMs of an availability zone query the zone's representative, which all of them determine by
-/// rendezvous hashing, and the representatives query that of the first zone, which polls the store.
-/// A VM whose query fails, or that learns that the representative cannot reach the store, queries
-/// the next candidate or polls the store itself.
+/// The zone's representative, which all VMs determine by rendezvous hashing, polls the store for
+/// all of them. A VM whose query fails, or that learns that the representative cannot reach the
+/// store, queries the next candidate or polls the store itself.
 class StoreRelay
 {
 public:
     using ReadHandler = std::function<void(std::error_code, const store::StoreSnapshot &)>;
-    /// Receives with the changes when the store confirmed them.
-    using RelayHandler
-            = std::function<void(RelayResult, const store::StoreSnapshot &, Instant confirmedAt)>;
+    using RelayHandler = std::function<void(RelayResult, const store::StoreSnapshot &)>;
 
     StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                telemetry::EventLog &log, telemetry::Metrics &metrics,
@@ -81,9 +72,6 @@
     /// @brief Whether this VM should query another one instead of the store.
     [[nodiscard]] bool usesRelay(Instant now) const;
 
-    /// @brief Whether another VM, responsive or not, represents this VM's zone.
-    [[nodiscard]] bool hasRepresentative() const;
-
     /// @brief Whether this VM retains changes for others: one of them queried it recently, or it
     /// represents its zone in a fleet of at least `minVmCount` VMs.
     [[nodiscard]] bool servesOthers(Instant now) const;
@@ -91,11 +79,10 @@
     /// @brief Queries the relaying VM; call it only while usesRelay() holds.
     void query(const std::string &prefix, uint64_t revision, uint64_t epoch, RelayHandler handler);
 
-    /// @brief Records changes that this VM received, to relay them.
+    /// @brief Records changes that this VM received from the store.
     /// @param after the revision that the changes follow
-    /// @param confirmedAt when the store confirmed them
     void recordChanges(const std::string &prefix, uint64_t after,
-                       const store::StoreSnapshot &changes, Instant confirmedAt);
+                       const store::StoreSnapshot &changes);
 
     /// @brief Records that a call of this VM to the store failed.
     void markStoreUnavailable(const std::string &prefix);
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -1,8 +1,6 @@
 #include "teaseldrift/relay/store_relay.hpp"
 
-#include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -38,10 +36,9 @@
     return changes;
 }
 
-std::string write(const store::StoreSnapshot &changes, Duration age)
+std::string write(const store::StoreSnapshot &changes)
 {
     schema::ChangesAnswer response;
-    response.set_age_ms(static_cast<uint32_t>(std::max(age, Duration(0)) / 1ms));
     response.set_revision(changes.revision);
     response.set_epoch(changes.epoch);
     for (const store::StoreEntry &entry : changes.entries) {
@@ -82,10 +79,7 @@
     void tick();
     void answerPendingQueries(Instant now);
     bool tryAnswer(const PendingQuery &pendingQuery, Instant now);
-    [[nodiscard]] const schema::VmRecord *zoneRepresentative(std::string_view availabilityZone,
-                                                             Instant now) const;
-    /// The VM that relays changes to this one; null if this VM polls the store.
-    [[nodiscard]] const schema::VmRecord *relayingVm(Instant now) const;
+    [[nodiscard]] const schema::VmRecord *zoneRepresentative(Instant now) const;
     void onQueryFailed(const std::string &vmId, int status);
 };
 
@@ -110,39 +104,17 @@
     return m_impl->options;
 }
 
-const schema::VmRecord *StoreRelay::Impl::zoneRepresentative(std::string_view availabilityZone,
-                                                             Instant now) const
+const schema::VmRecord *StoreRelay::Impl::zoneRepresentative(Instant now) const
 {
-    return fleet.zoneRepresentative(availabilityZone, [&](const std::string &vmId) {
+    return fleet.zoneRepresentative(fleet.options().availabilityZone, [&](const std::string &vmId) {
         return unresponsive.contains(vmId, now);
     });
 }
 
-const schema::VmRecord *StoreRelay::Impl::relayingVm(Instant now) const
-{
-    const std::string &zone = fleet.options().availabilityZone;
-    if (const schema::VmRecord *vm = zoneRepresentative(zone, now)) {
-        return vm;
-    }
-    const std::set<std::string> otherZones = fleet.otherZones();
-    return otherZones.empty() || zone < *otherZones.begin()
-                   ? nullptr
-                   : zoneRepresentative(*otherZones.begin(), now);
-}
-
 bool StoreRelay::usesRelay(Instant now) const
 {
     return m_impl->fleet.vmCount() >= m_impl->options.minVmCount
-           && m_impl->relayingVm(now) != nullptr;
-}
-
-bool StoreRelay::hasRepresentative() const
-{
-    const FleetState &fleet = m_impl->fleet;
-    return fleet.vmCount() >= m_impl->options.minVmCount
-           && fleet.zoneRepresentative(fleet.options().availabilityZone, [](const std::string &) {
-                  return false;
-              }) != nullptr;
+           && m_impl->zoneRepresentative(now) != nullptr;
 }
 
 bool StoreRelay::servesOthers(Instant now) const
@@ -152,8 +124,7 @@
     // The zone's representative retains changes from its start, before the first query arrives.
     return wasQueried
            || (m_impl->fleet.vmCount() >= m_impl->options.minVmCount
-               && m_impl->zoneRepresentative(m_impl->fleet.options().availabilityZone, now)
-                          == nullptr);
+               && m_impl->zoneRepresentative(now) == nullptr);
 }
 
 void StoreRelay::Impl::onQueryFailed(const std::string &vmId, int status)
@@ -168,50 +139,45 @@
                        RelayHandler handler)
 {
     Impl &impl = *m_impl;
-    const schema::VmRecord *vm = impl.relayingVm(http::EventLoop::now());
+    const schema::VmRecord *vm = impl.zoneRepresentative(http::EventLoop::now());
     http::Endpoint endpoint;
     if (vm == nullptr || !http::parseEndpoint(vm->peer_address(), endpoint)) {
-        handler(RelayResult::NotRetained, {}, {});
+        handler(RelayResult::NotRetained, {});
         return;
     }
-    const bool isInOwnZone = vm->availability_zone() == impl.fleet.options().availabilityZone;
-    const Duration maxWait
-            = isInOwnZone ? impl.options.maxQueryWait : impl.options.maxZoneQueryWait;
     schema::ChangesAsk query;
     query.set_prefix(prefix);
     query.set_revision(revision);
     query.set_epoch(epoch);
-    query.set_max_wait_ms(static_cast<uint32_t>(maxWait / 1ms));
     impl.calls.start(
             endpoint,
             {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
-            maxWait + impl.options.roundTripTime,
+            impl.options.maxQueryWait + impl.options.roundTripTime,
             [&impl, vmId = vm->vm_id(),
              handler = std::move(handler)](const http::BufferedResponse &response) {
                 schema::ChangesAnswer changes;
                 if (response.status == statusOk && changes.ParseFromString(response.body)) {
-                    handler(RelayResult::Changes, read(changes),
-                            http::EventLoop::now() - changes.age_ms() * 1ms);
+                    handler(RelayResult::Changes, read(changes));
                     return;
                 }
                 if (response.status == statusGone) {
-                    handler(RelayResult::NotRetained, {}, {});
+                    handler(RelayResult::NotRetained, {});
                     return;
                 }
                 impl.onQueryFailed(vmId, response.status);
-                handler(RelayResult::Failed, {}, {});
+                handler(RelayResult::Failed, {});
             });
 }
 
 void StoreRelay::recordChanges(const std::string &prefix, uint64_t after,
-                               const store::StoreSnapshot &changes, Instant confirmedAt)
+                               const store::StoreSnapshot &changes)
 {
     const Instant now = http::EventLoop::now();
     if (!servesOthers(now)) {
         m_impl->logs.clear();
         return;
     }
-    m_impl->logs[prefix].append(after, changes, confirmedAt);
+    m_impl->logs[prefix].append(after, changes, now);
     m_impl->answerPendingQueries(now);
 }
 
@@ -234,13 +200,10 @@
     Impl &impl = *m_impl;
     const Instant now = http::EventLoop::now();
     impl.lastQueryAt = now;
-    const Duration wait = query.max_wait_ms() == 0 ? impl.options.maxQueryWait
-                                                   : std::min(impl.options.maxQueryWait,
-                                                              Duration(query.max_wait_ms() * 1ms));
     Impl::PendingQuery pendingQuery{.prefix = query.prefix(),
                                     .revision = query.revision(),
                                     .epoch = query.epoch(),
-                                    .until = now + wait,
+                                    .until = now + impl.options.maxQueryWait,
                                     .exchange = exchange};
     if (!impl.tryAnswer(pendingQuery, now)) {
         impl.pendingQueries.push_back(std::move(pendingQuery));
@@ -268,7 +231,7 @@
     if (changesSince->entries.empty() && now < pendingQuery.until) {
         return false;
     }
-    pendingQuery.exchange->respond({.body = write(*changesSince, now - log->second.confirmedAt())});
+    pendingQuery.exchange->respond({.body = write(*changesSince)});
     return true;
 }
 
--- a/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -81,10 +81,9 @@
 /// A VM that watches a prefix, with its own loopback server for other VMs.
 struct Vm
 {
-    Vm(http::EventLoop &loop, const std::string &id, StoreRelayOptions options,
-       const std::string &zone = "north")
+    Vm(http::EventLoop &loop, const std::string &id, StoreRelayOptions options)
         : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
-          fleet({.vmId = id, .availabilityZone = zone, .minVmCount = 1}, log,
+          fleet({.vmId = id, .availabilityZone = "north", .minVmCount = 1}, log,
                 http::EventLoop::now()),
           peers(loop, {.connectTimeout = 50ms}), relay(loop, peers, fleet, log, metrics, options),
           store(loop), relayed(store, relay),
@@ -115,7 +114,7 @@
     {
         schema::VmRecord record;
         record.set_vm_id(fleet.options().vmId);
-        record.set_availability_zone(fleet.options().availabilityZone);
+        record.set_availability_zone("north");
         record.set_peer_address("127.0.0.1:" + std::to_string(server.port()));
         return record;
     }
@@ -135,12 +134,11 @@
     http::Server server;
 };
 
-/// Two VMs; `relaying` polls the store for `other`.
+/// Two VMs of one zone; `relaying` polls the store for `other`.
 struct VmPair
 {
-    explicit VmPair(StoreRelayOptions options = {.minVmCount = 2},
-                    const std::string &zoneOfB = "north")
-        : a(loop, "a", options), b(loop, "b", options, zoneOfB)
+    explicit VmPair(StoreRelayOptions options = {.minVmCount = 2})
+        : a(loop, "a", options), b(loop, "b", options)
     {
         const std::map<std::string, schema::VmRecord, std::less<>> vms{{"a", a.record()},
                                                                        {"b", b.record()}};
@@ -148,7 +146,9 @@
             vm->fleet.applyDefinition({.version = 1}, {}, http::EventLoop::now());
             vm->fleet.applyVms(vms, http::EventLoop::now(), http::EventLoop::now());
         }
-        const bool isAFirst = !a.relay.usesRelay(http::EventLoop::now());
+        const bool isAFirst = a.fleet.zoneRepresentative("north", [](const std::string &) {
+            return false;
+        }) == nullptr;
         relaying = isAFirst ? &a : &b;
         other = isAFirst ? &b : &a;
         for (Vm *vm : {&a, &b}) {
@@ -212,32 +212,6 @@
     CHECK(vms.relaying->store.maxStoreWait <= StoreRelayOptions().maxStoreWait);
 }
 
-// The calls of the representatives grew with the number of zones.
-TEST_CASE("the representative of another zone receives changes from that of the first zone")
-{
-    VmPair vms({.minVmCount = 2}, "south");
-    REQUIRE(vms.relaying == &vms.a);
-    vms.settle();
-    for (int i = 0; i < 5; ++i) {
-        vms.put("key", std::to_string(i));
-        REQUIRE(vms.waitFor([&] { return vms.other->seen["key"] == std::to_string(i); }));
-    }
-    CHECK(vms.other->store.calls == 0);
-    // Its own zone is served without gaps while nothing changes.
-    CHECK(vms.other->relay.servesOthers(http::EventLoop::now()));
-    vms.waitFor([] { return false; }, 2s);
-    CHECK(vms.other->store.calls == 0);
-}
-
-TEST_CASE("if the first zone's representative cannot reach the store, the others poll it")
-{
-    VmPair vms({.minVmCount = 2}, "south");
-    vms.settle();
-    vms.relaying->store.isUnavailable = true;
-    vms.put("key", "new");
-    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 2s));
-}
-
 TEST_CASE("if the relaying VM cannot reach the store, the other polls it directly within 2 s")
 {
     VmPair vms;
@@ -248,28 +222,6 @@
     CHECK(vms.other->store.calls > 0);
 }
 
-// In an outage each VM called the store for each prefix as often as if there were no relays.
-TEST_CASE("while the store is down, a VM that uses relays calls it at most once in 3 s")
-{
-    VmPair vms;
-    vms.settle();
-    for (Vm *vm : {vms.relaying, vms.other}) {
-        vm->store.isUnavailable = true;
-    }
-    vms.waitFor([] { return false; }, 1s);
-    vms.other->store.calls = 0;
-    vms.relaying->store.calls = 0;
-    vms.waitFor([] { return false; }, 3s);
-    CHECK(vms.other->store.calls <= 1);
-    // The relaying VM notices the store's return for both.
-    CHECK(vms.relaying->store.calls >= 2);
-    for (Vm *vm : {vms.relaying, vms.other}) {
-        vm->store.isUnavailable = false;
-    }
-    vms.put("key", "new");
-    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 3s));
-}
-
 TEST_CASE("if the relaying VM is unresponsive, the other polls the store directly within 2 s")
 {
     VmPair vms;
