Event loop: a timer that is started again in the past does not hold up the others

Cause in the loop: due timers were fired until none was left, so a timer that is started again with a time in the past kept sockets, posted tasks and later timers waiting. Test: timer due after 20 ms fired after 300 ms before the change; now within its bound of 120 ms.

--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -46,19 +46,28 @@
     return static_cast<int32_t>(std::min<uint64_t>(toMilliseconds(left), maxWaitMs));
 }
 
+/// Timers that are started meanwhile wait for the next call, so that sockets are polled before.
 /// @return whether any timer was due
 bool fireTimers(EventLoop::Impl &impl)
 {
-    bool fired = false;
     const Instant now = EventLoop::now();
-    while (!impl.timers.empty() && impl.timers.begin()->first <= now) {
-        const EventLoop::Impl::Timer timer = impl.timers.begin()->second;
-        impl.timers.erase(impl.timers.begin());
+    const EventLoop::TimerId lastTimer = impl.lastTimer;
+    const auto isReady = [&](const std::pair<const Instant, EventLoop::Impl::Timer> &entry) {
+        return entry.second.id <= lastTimer;
+    };
+    bool wasDue = false;
+    while (true) {
+        const auto end = impl.timers.upper_bound(now);
+        const auto next = std::find_if(impl.timers.begin(), end, isReady);
+        wasDue = wasDue || impl.timers.begin() != end;
+        if (next == end) {
+            return wasDue;
+        }
+        const EventLoop::Impl::Timer timer = next->second;
+        impl.timers.erase(next);
         impl.timersById.erase(timer.id);
         timer.action();
-        fired = true;
     }
-    return fired;
 }
 
 } // namespace
