Event loop: poll the sockets before firing timers that are late

A VM that was busy or suspended for longer than the time-out of a call ended the call although its response had arrived: timers were fired before the sockets were read again. Timers more than 20 ms late now wait until the sockets were polled; others fire at once as before, so a wake-up costs no further system call.

--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -46,18 +46,25 @@
     return static_cast<int32_t>(std::min<uint64_t>(toMilliseconds(left), maxWaitMs));
 }
 
+/// Timers that are later than this are fired only after the sockets were polled: what has arrived
+/// meanwhile may be what they wait for.
+constexpr Duration timerTolerance = 20ms;
+
 /// Timers that are started meanwhile wait for the next call, so that sockets are polled before.
+/// @param polledAt when polling of the sockets began
 /// @return whether any timer was due
-bool fireTimers(EventLoop::Impl &impl)
+bool fireTimers(EventLoop::Impl &impl, Instant polledAt)
 {
-    const Instant now = EventLoop::now();
+    const Instant limit = std::max(polledAt, EventLoop::now());
+    const Instant lateLimit = limit - timerTolerance;
     const EventLoop::TimerId lastTimer = impl.lastTimer;
     const auto isReady = [&](const std::pair<const Instant, EventLoop::Impl::Timer> &entry) {
-        return entry.second.id <= lastTimer;
+        return entry.second.id <= lastTimer
+               && (entry.first <= polledAt || entry.first >= lateLimit);
     };
     bool wasDue = false;
     while (true) {
-        const auto end = impl.timers.upper_bound(now);
+        const auto end = impl.timers.upper_bound(limit);
         const auto next = std::find_if(impl.timers.begin(), end, isReady);
         wasDue = wasDue || impl.timers.begin() != end;
         if (next == end) {
@@ -114,9 +121,10 @@
     bool mayWait = false;
     m_impl->thread = std::this_thread::get_id();
     while (!m_impl->stopped) {
+        const Instant polledAt = now();
         h2o_evloop_run(m_impl->loop, mayWait ? pollTimeoutMs(*m_impl) : 0);
         const bool ranTasks = runPostedTasks(*m_impl);
-        const bool firedTimers = fireTimers(*m_impl);
+        const bool firedTimers = fireTimers(*m_impl, polledAt);
         // Completes writes that were sent immediately. Otherwise h2o polls their sockets for
         // writability, and an assertion fails if more than 256 of them are ready at once.
         h2o_timeout__do_post_callback(m_impl->loop);
--- a/packages/http/src/teaseldrift/http/event_loop_test.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop_test.cpp
@@ -1,8 +1,13 @@
 /// Tests of the order in which an event loop runs timers, posted tasks and reads sockets.
 
+#include <thread>
+
 #include <catch2/catch.hpp>
 
+#include "teaseldrift/http/buffered_client.hpp"
+#include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/http/server.hpp"
 
 namespace teaseldrift::http {
 
@@ -31,4 +36,38 @@
     CHECK(timerRanAt - startedAt < 120ms);
 }
 
+// Guards against calls that fail on a VM that was busy or suspended although the response is there.
+TEST_CASE("a response that arrived while the event loop was busy is read before the call times out")
+{
+    EventLoop serverLoop;
+    Server server(serverLoop, {},
+                  [](const std::shared_ptr<Exchange> &exchange) { exchange->respond({}); });
+    REQUIRE_FALSE(server.listen());
+    const Endpoint endpoint{.address = "127.0.0.1", .port = server.port()};
+    std::thread serverThread([&] { serverLoop.run(); });
+    EventLoop loop;
+    Client client(loop, {});
+    BufferedClient calls(loop, client);
+    int status = 0;
+    const auto call = [&](Duration timeout) {
+        calls.start(endpoint, {}, timeout, [&](const BufferedResponse &received) {
+            status = received.status;
+            loop.stop();
+        });
+    };
+    // The second call uses the connection of the first.
+    call(10s);
+    loop.run();
+    CHECK(status == 200);
+    status = 0;
+    loop.post([&] {
+        call(50ms);
+        std::this_thread::sleep_for(200ms);
+    });
+    loop.run();
+    CHECK(status == 200);
+    serverLoop.stop();
+    serverThread.join();
+}
+
 } // namespace teaseldrift::http
