--- a/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
+++ b/packages/policy/include/teaseldrift/attempts/request_state_machine.hpp
@@ -108,7 +108,10 @@
     RequestStateMachine(RequestOptions options, RetryBudget &organisationBudget);
 
     /// @brief Starts the first attempt. Must be called exactly once.
-    RequestActions start(Instant now);
+    RequestActions start(Instant now) { return start(now, now); }
+
+    /// @brief The same for a request that arrived earlier; its deadline counts from its arrival.
+    RequestActions start(Instant arrivedAt, Instant now);
 
     /// @brief A target was selected for the attempt, and a connection to it is being established.
     void targetSelected(AttemptId id, std::string_view target, Instant now);
--- a/packages/policy/src/teaseldrift/attempts/request_state_machine.cpp
+++ b/packages/policy/src/teaseldrift/attempts/request_state_machine.cpp
@@ -22,9 +22,9 @@
     : m_options(options), m_organisationBudget(organisationBudget)
 { }
 
-RequestActions RequestStateMachine::start(Instant now)
+RequestActions RequestStateMachine::start(Instant arrivedAt, Instant now)
 {
-    m_deadline = now + m_options.deadline;
+    m_deadline = arrivedAt + m_options.deadline;
     m_organisationBudget.countRequest();
     return startNextAttempt(now);
 }
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -122,7 +122,7 @@
             task->m_call->resume();
         }
     });
-    perform(m_machine.start(http::EventLoop::now()));
+    perform(m_machine.start(m_admitted.arrivedAt, http::EventLoop::now()));
 }
 
 template <Dialect D>
