Check the caller's connection and the deadline right before each attempt

A request whose caller left while it waited for its admission, for a target, or in a VM that was busy was sent all the same (GONE). Its body was no longer there, either: the request's memory is freed with the connection. The check is made in one place, for first attempts, retries and attempts after a wait. Test: the target got one request instead of none before the change.

--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -158,6 +158,16 @@
 void RequestTask<D>::startAttempt(const StartAttempt &action)
 {
     const Instant now = http::EventLoop::now();
+    // The caller may have left during the admission, a wait for a target, or while this VM was
+    // busy.
+    if (m_exchange->isCallerDisconnected()) {
+        callerDisconnected();
+        return;
+    }
+    if (now >= deadline()) {
+        perform(m_machine.targetsUnavailable(action.id, now));
+        return;
+    }
     const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
