A change reaches a VM in time although all VMs that could relay it are suspended (CONFIG)

What callers may see: a request refused with 401 or 404 as an older configuration says, more than config-apply-ms (3 s in large fleets) after a newer one was acknowledged, by a VM without any trouble of its own. Each wait has a bound, their sum had none. Class: time-outs in sequence against one bound. Now a query that fails late is followed by the store at once, and a failed call to the store is repeated without new queries. VMs that refuse quickly, since they cannot reach the store, still pass on to the next. Not tried: asking VMs and the store at the same time (one more call for each change and VM).

--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,6 +38,10 @@
     void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
                         ReadHandler handler)
     {
+        if (m_failedPrefixes.contains(prefix)) {
+            queryStore(std::string(prefix), revision, wait, std::move(handler));
+            return;
+        }
         queryRelays(std::string(prefix), revision, wait, maxRelayAttempts, std::move(handler));
     }
 
@@ -95,6 +100,10 @@
     /// store, the next one may. More attempts would take too long.
     static constexpr int maxRelayAttempts = 2;
 
+    /// After a query that failed later than this, the store is called at once: the time-outs of
+    /// several VMs would add up to more than the time in which a change must be in force.
+    static constexpr Duration maxFailoverTime = 300ms;
+
     void queryRelays(const std::string &prefix, uint64_t revision, Duration wait, int attemptsLeft,
                      ReadHandler handler)
     {
@@ -102,9 +111,12 @@
             queryStore(prefix, revision, wait, std::move(handler));
             return;
         }
+        const Instant startedAt = http::EventLoop::now();
         m_relay.query(prefix, revision, m_epoch,
-                      [this, prefix, revision, wait, attemptsLeft, handler = std::move(handler)](
-                              RelayResult end, const store::StoreSnapshot &changes) {
+                      [this, prefix, revision, wait, attemptsLeft, startedAt,
+                       handler = std::move(handler)](RelayResult end,
+                                                     const store::StoreSnapshot &changes) {
+                          const bool isLate = http::EventLoop::now() - startedAt > maxFailoverTime;
                           switch (end) {
                           case RelayResult::Changes:
                               handler({}, changes);
@@ -113,7 +125,8 @@
                               queryStore(prefix, revision, wait, handler);
                               return;
                           case RelayResult::Failed:
-                              queryRelays(prefix, revision, wait, attemptsLeft - 1, handler);
+                              queryRelays(prefix, revision, wait, isLate ? 0 : attemptsLeft - 1,
+                                          handler);
                               return;
                           }
                       });
@@ -131,7 +144,9 @@
                                    m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
                                        m_relay.markStoreUnavailable(prefix);
+                                       m_failedPrefixes.insert(prefix);
                                    } else {
+                                       m_failedPrefixes.erase(prefix);
                                        m_relay.recordChanges(prefix, revision, changes);
                                    }
                                    handler(error, changes);
@@ -142,6 +157,9 @@
     StoreRelay &m_relay;
     /// Newest epoch that a response of the store showed.
     uint64_t m_epoch = 0;
+    /// Prefixes whose last call to the store failed. It is repeated without another wait for VMs,
+    /// since it is made only after they failed.
+    std::set<std::string, std::less<>> m_failedPrefixes;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -48,6 +48,8 @@
     void revokeLease(uint64_t) { }
 
     bool isUnavailable = false;
+    /// Number of long polls that fail.
+    int failuresLeft = 0;
     int calls = 0;
     Duration maxStoreWait{0};
 
@@ -55,7 +57,8 @@
     void poll(uint64_t revision, Instant until, ReadHandler handler)
     {
         m_loop.startTimer(5ms, [this, revision, until, handler = std::move(handler)] {
-            if (isUnavailable) {
+            if (isUnavailable || failuresLeft > 0) {
+                failuresLeft = std::max(0, failuresLeft - 1);
                 handler(StoreError::Unavailable, {});
                 return;
             }
@@ -134,32 +137,36 @@
     http::Server server;
 };
 
-/// Two VMs of one zone; `relaying` polls the store for `other`.
-struct VmPair
+/// VMs of one zone. The first in rendezvous order, `relaying`, polls the store for the others.
+struct VmZone
 {
-    explicit VmPair(StoreRelayOptions options = {.minVmCount = 2})
-        : a(loop, "a", options), b(loop, "b", options)
+    explicit VmZone(size_t count, StoreRelayOptions options)
     {
-        const std::map<std::string, schema::VmRecord, std::less<>> vms{{"a", a.record()},
-                                                                       {"b", b.record()}};
-        for (Vm *vm : {&a, &b}) {
+        std::map<std::string, schema::VmRecord, std::less<>> list;
+        for (size_t i = 0; i < count; ++i) {
+            const std::string id(1, static_cast<char>('a' + i));
+            vms.push_back(std::make_unique<Vm>(loop, id, options));
+            list.emplace(id, vms.back()->record());
+        }
+        for (const std::unique_ptr<Vm> &vm : vms) {
             vm->fleet.applyDefinition({.version = 1}, {}, http::EventLoop::now());
-            vm->fleet.applyVms(vms, http::EventLoop::now(), http::EventLoop::now());
+            vm->fleet.applyVms(list, http::EventLoop::now(), http::EventLoop::now());
+            if (vm->fleet.isAmongFirst("north", 1)) {
+                relaying = vm.get();
+            } else if (!vm->fleet.isAmongFirst("north", count - 1)) {
+                other = vm.get();
+            }
         }
-        const bool isAFirst = a.fleet.zoneRepresentative("north", [](const std::string &) {
-            return false;
-        }) == nullptr;
-        relaying = isAFirst ? &a : &b;
-        other = isAFirst ? &b : &a;
-        for (Vm *vm : {&a, &b}) {
+        for (const std::unique_ptr<Vm> &vm : vms) {
             vm->watcher.start();
         }
     }
 
     void put(const std::string &key, const std::string &value)
     {
-        a.store.put(key, value);
-        b.store.put(key, value);
+        for (const std::unique_ptr<Vm> &vm : vms) {
+            vm->store.put(key, value);
+        }
     }
 
     bool waitFor(const std::function<bool()> &condition, Duration timeout = 5s)
@@ -191,12 +198,17 @@
     }
 
     http::EventLoop loop;
-    Vm a;
-    Vm b;
+    std::vector<std::unique_ptr<Vm>> vms;
     Vm *relaying = nullptr;
+    /// The last in order.
     Vm *other = nullptr;
 };
 
+struct VmPair : VmZone
+{
+    explicit VmPair(StoreRelayOptions options = {.minVmCount = 2}) : VmZone(2, options) { }
+};
+
 } // namespace
 
 TEST_CASE("a VM receives changes from the relaying VM of its zone without calling the store")
@@ -249,4 +261,19 @@
     CHECK(vms.other->store.calls > 0);
 }
 
+// Guards against time-outs that add up: of the VMs that relay changes, and of a call to the store
+// that failed (CONFIG). Changes must be in force within 3 s.
+TEST_CASE("a VM learns of a change in time although all VMs that could relay it are suspended")
+{
+    VmZone vms(4, {.minVmCount = 4});
+    vms.settle();
+    for (const std::unique_ptr<Vm> &vm : vms.vms) {
+        vm->isUnresponsive = vm.get() != vms.other;
+    }
+    REQUIRE(vms.waitFor([&] { return !vms.relaying->unanswered.empty(); }));
+    vms.other->store.failuresLeft = 1;
+    vms.put("key", "new");
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 3s));
+}
+
 } // namespace teaseldrift::relay
