Bounds for responses that do not end

A target in trouble may send a head or a body without end. A chunk size, an extension or a trailer without an end was kept without a bound, too; more than 64 KB that cannot be parsed end the response.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -39,6 +39,9 @@
     BufferedClient(const BufferedClient &) = delete;
     BufferedClient &operator=(const BufferedClient &) = delete;
 
+    /// Largest response body, unless the request sets another limit.
+    static constexpr size_t defaultMaxResponseBytes = 16U << 20U;
+
     /// @brief Starts a call. The handler is called once, never inside start(). A call that times
     /// out may still take effect; its connection is closed.
     void start(const Endpoint &endpoint, Request request, Duration timeout, Handler handler);
--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -21,6 +21,9 @@
     std::string authority;
     Headers headers;
     std::string body;
+    /// Largest body of the response; a call whose response is larger ends as Broken. 0 for no
+    /// limit.
+    size_t maxResponseBytes = 0;
 };
 
 /// @brief Which connection a call goes over.
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -41,6 +41,9 @@
                            Handler handler)
 {
     Impl &impl = *m_impl;
+    if (request.maxResponseBytes == 0) {
+        request.maxResponseBytes = defaultMaxResponseBytes;
+    }
     const uint64_t number = ++impl.lastCall;
     Impl::Pending &entry = impl.pending[number];
     entry.handler = std::move(handler);
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -73,6 +73,8 @@
     Endpoint endpoint;
     std::string wire;
     bool isHead = false;
+    size_t maxResponseBytes = 0;
+    size_t responseBytes = 0;
     CallHandlers handlers;
     ClientOptions options;
     h2o_socket_t *connecting = nullptr;
@@ -88,6 +90,7 @@
     void onConnected(const char *error);
     void send();
     void startIoTimer();
+    void receive(std::string_view data);
     void postEnd(CallOutcome outcome);
     void end(CallOutcome outcome);
     void cancel();
@@ -170,11 +173,7 @@
                         lastByteAt = EventLoop::now();
                         handlers.onHead(head);
                     },
-            .onData =
-                    [this](std::string_view data) {
-                        lastByteAt = EventLoop::now();
-                        handlers.onData(data);
-                    },
+            .onData = [this](std::string_view data) { receive(data); },
             .onEnd =
                     [this](ConnectionOutcome end) {
                         const std::shared_ptr<Connection> used = std::move(connection);
@@ -187,6 +186,18 @@
                     }};
 }
 
+void Call::Impl::receive(std::string_view data)
+{
+    lastByteAt = EventLoop::now();
+    responseBytes += data.size();
+    if (maxResponseBytes > 0 && responseBytes > maxResponseBytes) {
+        std::exchange(connection, nullptr)->close();
+        postEnd(CallOutcome::Broken);
+        return;
+    }
+    handlers.onData(data);
+}
+
 void Call::Impl::connect()
 {
     sockaddr_in address{};
@@ -343,6 +354,7 @@
     call->handlers = std::move(handlers);
     call->options = m_impl->options;
     call->isHead = request.method == "HEAD";
+    call->maxResponseBytes = request.maxResponseBytes;
     call->wire = serialize(endpoint, request);
     std::unique_ptr<Call> result = std::make_unique<Call>(std::move(impl));
     if (use == ConnectionUse::Pooled) {
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -112,6 +112,10 @@
         }
         h2o_buffer_consume(&m_socket->input, used);
         if (failure == boost::beast::http::error::need_more) {
+            // A chunk's size or an interim head, for example, that does not end.
+            if (m_socket->input->size > ResponseParser::maxHeadBytes) {
+                finish(ConnectionOutcome::Broken);
+            }
             return;
         }
         if (failure) {
--- a/packages/http/src/teaseldrift/http/response_parser.cpp
+++ b/packages/http/src/teaseldrift/http/response_parser.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Largest head of a response.
-constexpr std::uint32_t maxHeadBytes = 64U << 10U;
-
 std::string_view toView(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
--- a/packages/http/src/teaseldrift/http/response_parser.hpp
+++ b/packages/http/src/teaseldrift/http/response_parser.hpp
@@ -21,6 +21,9 @@
         std::function<void(std::string_view)> onData;
     };
 
+    /// Largest head of a response.
+    static constexpr std::uint32_t maxHeadBytes = 64U << 10U;
+
     ResponseParser(bool isHeadResponse, Handlers handlers);
 
     /// @brief Whether the connection must be closed after the response.
--- a/packages/http/src/teaseldrift/http/wire_test.cpp
+++ b/packages/http/src/teaseldrift/http/wire_test.cpp
@@ -207,6 +207,43 @@
           == CallOutcome::Broken);
 }
 
+// Guards against targets that send bytes without end until their connection is closed.
+TEST_CASE("a response head, a chunk size or a trailer without an end ends the call as Broken")
+{
+    const std::string chunked = std::string(okHead) + "transfer-encoding: chunked\r\n\r\n";
+    const std::string endless(1U << 20U, '0');
+    const std::string unfinished
+            = GENERATE_COPY(okHead + std::string("x: ") + endless, chunked + endless,
+                            chunked + "5;" + endless, chunked + "0\r\nx: " + endless);
+    const Instant startedAt = EventLoop::now();
+    CHECK(sendSingleRequest({unfinished}, CloseMode::Keep).end == CallOutcome::Broken);
+    CHECK(EventLoop::now() - startedAt < 5s);
+}
+
+TEST_CASE("a response body larger than the request allows ends the call as Broken")
+{
+    constexpr size_t limit = 64U << 10U;
+    const ScriptedTarget target({okHead + std::string("\r\n") + std::string(1U << 20U, 'x')},
+                                CloseMode::Keep);
+    EventLoop loop;
+    Client client(loop, {});
+    size_t received = 0;
+    CallOutcome end = CallOutcome::NotSent;
+    const std::unique_ptr<Call> call = client.start(
+            target.endpoint(), {.maxResponseBytes = limit}, ConnectionUse::Pooled,
+            {.onHead = [](const ResponseHead &) {},
+             .onData = [&received](std::string_view data) { received += data.size(); },
+             .onEnd =
+                     [&](CallOutcome outcome) {
+                         end = outcome;
+                         loop.stop();
+                     }});
+    loop.startTimer(5s, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(end == CallOutcome::Broken);
+    CHECK(received <= limit);
+}
+
 TEST_CASE("interim responses are skipped")
 {
     const ReceivedResponse received
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -16,6 +16,9 @@
 
 using nlohmann::json;
 
+/// Largest load report or health response.
+constexpr size_t maxReportBytes = 64U << 10U;
+
 /// @return false if the body is not a load report
 bool parseReport(const std::string &body, TargetLoad &report)
 {
@@ -112,7 +115,8 @@
     pendingPoll.timer = loop.startTimer(options.timeout,
                                         [this, id] { finish(id, HealthObservation::TimedOut); });
     pendingPoll.call = client.start(
-            target.endpoint, {.path = target.isEngine ? "/load" : "/healthz"},
+            target.endpoint,
+            {.path = target.isEngine ? "/load" : "/healthz", .maxResponseBytes = maxReportBytes},
             http::ConnectionUse::Pooled,
             {
                     .onHead = [](const http::ResponseHead &) {},
--- a/packages/store/src/teaseldrift/store/etcd_store.cpp
+++ b/packages/store/src/teaseldrift/store/etcd_store.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/store/base64.hpp"
@@ -167,7 +168,8 @@
             {.method = "POST",
              .path = std::move(path),
              .headers = {{"content-type", "application/json"}},
-             .body = body.dump()},
+             .body = body.dump(),
+             .maxResponseBytes = http::BufferedClient::defaultMaxResponseBytes},
             http::ConnectionUse::Fresh,
             {
                     .onHead
--- a/packages/store/src/teaseldrift/store/http_vm_list.cpp
+++ b/packages/store/src/teaseldrift/store/http_vm_list.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
@@ -115,7 +116,8 @@
     impl->body.clear();
     impl->head = {};
     impl->done = std::move(done);
-    http::Request request{.path = "/vms"};
+    http::Request request{.path = "/vms",
+                          .maxResponseBytes = http::BufferedClient::defaultMaxResponseBytes};
     if (!impl->etag.empty()) {
         request.headers.push_back({"if-none-match", impl->etag});
     }
