Orders and reports: pass over responses that belong to callers' requests

A target may send a second copy of a response, late, on a connection that is in use again. Requests are protected by their id; orders, reports and cache events go over the same connections and took whatever came. A stray 200 read as "these weights are loaded already".

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -44,7 +44,9 @@
 
     /// @brief Starts a call. The handler is called once, never inside start(). A call that times
     /// out may still take effect; its connection is closed.
-    void start(const Endpoint &endpoint, Request request, Duration timeout, Handler handler);
+    /// @param matchesRequest optional; see CallHandlers
+    void start(const Endpoint &endpoint, Request request, Duration timeout, Handler handler,
+               std::function<bool(const ResponseHead &)> matchesRequest = nullptr);
 
 private:
     struct Impl;
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -38,7 +38,8 @@
 BufferedClient::~BufferedClient() = default;
 
 void BufferedClient::start(const Endpoint &endpoint, Request request, Duration timeout,
-                           Handler handler)
+                           Handler handler,
+                           std::function<bool(const ResponseHead &)> matchesRequest)
 {
     Impl &impl = *m_impl;
     if (request.maxResponseBytes == 0) {
@@ -51,7 +52,8 @@
             timeout, [&impl, number] { impl.finish(number, CallOutcome::Broken); });
     entry.call = impl.client.start(
             endpoint, std::move(request), ConnectionUse::Pooled,
-            {.onHead =
+            {.matchesRequest = std::move(matchesRequest),
+             .onHead =
                      [&impl, number](const ResponseHead &head) {
                          if (Impl::Pending *open = impl.find(number)) {
                              open->response.status = head.status;
