A representative's confirmation counts from when the store can have sent it (CONFIG)

A VM that relays changes counted them as confirmed from the moment at which it read the store's response. After a suspension it reads a response that had arrived before, and told its zone for another 1.5 s that nothing had changed; with a store connection that died meanwhile, until its call timed out. Now a response counts from the latest time at which the store can have sent it: the call's start and its wait. Test: Changes instead of Failed with the old time.

--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -138,8 +138,10 @@
         const Duration maxWait = m_relay.servesOthers(http::EventLoop::now())
                                          ? std::min(wait, m_relay.options().maxStoreWait)
                                          : wait;
+        // A response is read later if this VM was suspended meanwhile.
+        const Instant sentBefore = http::EventLoop::now() + maxWait;
         m_store.waitForChanges(prefix, revision, maxWait,
-                               [this, prefix, revision, handler = std::move(handler)](
+                               [this, prefix, revision, sentBefore, handler = std::move(handler)](
                                        std::error_code error, const store::StoreSnapshot &changes) {
                                    m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
@@ -147,7 +149,9 @@
                                        m_failedPrefixes.insert(prefix);
                                    } else {
                                        m_failedPrefixes.erase(prefix);
-                                       m_relay.recordChanges(prefix, revision, changes);
+                                       m_relay.recordChanges(
+                                               prefix, revision, changes,
+                                               std::min(http::EventLoop::now(), sentBefore));
                                    }
                                    handler(error, changes);
                                });
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -81,8 +81,9 @@
 
     /// @brief Records changes that this VM received from the store.
     /// @param after the revision that the changes follow
+    /// @param confirmedAt latest time at which the store can have sent them
     void recordChanges(const std::string &prefix, uint64_t after,
-                       const store::StoreSnapshot &changes);
+                       const store::StoreSnapshot &changes, Instant confirmedAt);
 
     /// @brief Records that a call of this VM to the store failed.
     void markStoreUnavailable(const std::string &prefix);
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -170,14 +170,14 @@
 }
 
 void StoreRelay::recordChanges(const std::string &prefix, uint64_t after,
-                               const store::StoreSnapshot &changes)
+                               const store::StoreSnapshot &changes, Instant confirmedAt)
 {
     const Instant now = http::EventLoop::now();
     if (!servesOthers(now)) {
         m_impl->logs.clear();
         return;
     }
-    m_impl->logs[prefix].append(after, changes, now);
+    m_impl->logs[prefix].append(after, changes, confirmedAt);
     m_impl->answerPendingQueries(now);
 }
 
--- a/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -35,10 +35,17 @@
                 [this, handler] { handler({}, {.entries = m_changes, .revision = m_revision}); });
     }
 
-    void waitForChanges(std::string_view, uint64_t revision, Duration wait, ReadHandler handler)
+    void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
+                        ReadHandler handler)
     {
         ++calls;
         maxStoreWait = std::max(maxStoreWait, wait);
+        if (prefix == latePrefix) {
+            m_loop.startTimer(wait + readDelay, [handler = std::move(handler), revision] {
+                handler({}, {.revision = revision});
+            });
+            return;
+        }
         poll(revision, http::EventLoop::now() + wait, std::move(handler));
     }
 
@@ -50,6 +57,9 @@
     bool isUnavailable = false;
     /// Number of long polls that fail.
     int failuresLeft = 0;
+    /// The VM reads responses for this prefix late, as if it had been suspended.
+    std::string latePrefix;
+    Duration readDelay{0};
     int calls = 0;
     Duration maxStoreWait{0};
 
@@ -276,4 +286,23 @@
     CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 3s));
 }
 
+// Guards against a representative that resumes and confirms what the store said before (CONFIG).
+TEST_CASE("a VM that reads the store's response late does not relay it as confirmed")
+{
+    VmPair vms;
+    vms.settle();
+    vms.relaying->store.latePrefix = "late/";
+    vms.relaying->store.readDelay = StoreRelayOptions().maxAge + 500ms;
+    std::optional<RelayResult> result;
+    constexpr uint64_t revision = 1000;
+    vms.relaying->relayed.waitForChanges(
+            "late/", revision, 10s, [&](std::error_code, const StoreSnapshot &) {
+                vms.other->relay.query(
+                        "late/", revision, 0,
+                        [&](RelayResult end, const StoreSnapshot &) { result = end; });
+            });
+    REQUIRE(vms.waitFor([&] { return result.has_value(); }));
+    CHECK(*result == RelayResult::Failed);
+}
+
 } // namespace teaseldrift::relay
--- a/packages/store/include/teaseldrift/store/change_log.hpp
+++ b/packages/store/include/teaseldrift/store/change_log.hpp
@@ -38,7 +38,8 @@
     /// Writes that leave a value unchanged are skipped, since registrations are renewed that way.
     /// Changes of a new epoch replace those of the old one.
     /// @param after revision whose following changes were requested
-    void append(uint64_t after, const StoreSnapshot &changes, Instant now);
+    /// @param confirmedAt latest time at which the store can have sent the response
+    void append(uint64_t after, const StoreSnapshot &changes, Instant confirmedAt);
 
     /// @brief Records that the store did not respond, so that the log is no longer confirmed.
     void markStoreUnavailable() { m_confirmedAt = Instant(); }
@@ -53,7 +54,8 @@
     /// @brief Epoch of the store's data.
     [[nodiscard]] uint64_t epoch() const { return m_epoch; }
 
-    /// @brief When the store last responded; the clock's epoch if it has been unavailable since.
+    /// @brief When the store last sent a response; the clock's epoch if it has been unavailable
+    /// since.
     [[nodiscard]] Instant confirmedAt() const { return m_confirmedAt; }
 
 private:
--- a/packages/store/src/teaseldrift/store/change_log.cpp
+++ b/packages/store/src/teaseldrift/store/change_log.cpp
@@ -17,9 +17,9 @@
     m_valueHashes.clear();
 }
 
-void ChangeLog::append(uint64_t after, const StoreSnapshot &changes, Instant now)
+void ChangeLog::append(uint64_t after, const StoreSnapshot &changes, Instant confirmedAt)
 {
-    m_confirmedAt = now;
+    m_confirmedAt = confirmedAt;
     if (after != m_revision || changes.epoch != m_epoch) {
         m_epoch = changes.epoch;
         restartAt(after);
