A VM that the store turns away receives changes from other VMs again

Since a failed call to the store was repeated without a query to another VM until one succeeded: a VM that the store turns away while it serves the others kept an old configuration and old registrations for as long, although its zone's representative had the new ones. Found by reading the change. Now the call is repeated once, and VMs are queried again after it.

--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -38,7 +38,9 @@
     void waitForChanges(std::string_view prefix, uint64_t revision, Duration wait,
                         ReadHandler handler)
     {
-        if (m_failedPrefixes.contains(prefix)) {
+        const auto failed = m_failedPrefixes.find(prefix);
+        if (failed != m_failedPrefixes.end()) {
+            m_failedPrefixes.erase(failed);
             queryStore(std::string(prefix), revision, wait, std::move(handler));
             return;
         }
@@ -108,7 +110,14 @@
                      ReadHandler handler)
     {
         if (attemptsLeft == 0 || !m_relay.usesRelay(http::EventLoop::now())) {
-            queryStore(prefix, revision, wait, std::move(handler));
+            queryStore(prefix, revision, wait,
+                       [this, prefix, handler = std::move(handler)](
+                               std::error_code error, const store::StoreSnapshot &changes) {
+                           if (error) {
+                               m_failedPrefixes.insert(prefix);
+                           }
+                           handler(error, changes);
+                       });
             return;
         }
         const Instant startedAt = http::EventLoop::now();
@@ -146,9 +155,7 @@
                                    m_epoch = std::max(m_epoch, changes.epoch);
                                    if (error) {
                                        m_relay.markStoreUnavailable(prefix);
-                                       m_failedPrefixes.insert(prefix);
                                    } else {
-                                       m_failedPrefixes.erase(prefix);
                                        m_relay.recordChanges(
                                                prefix, revision, changes,
                                                std::min(http::EventLoop::now(), sentBefore));
@@ -161,8 +168,8 @@
     StoreRelay &m_relay;
     /// Newest epoch that a response of the store showed.
     uint64_t m_epoch = 0;
-    /// Prefixes whose last call to the store failed. It is repeated without another wait for VMs,
-    /// since it is made only after they failed.
+    /// Prefixes for which other VMs failed, and then the call to the store. The call is repeated
+    /// once before VMs are queried again.
     std::set<std::string, std::less<>> m_failedPrefixes;
 };
 
--- a/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -286,6 +286,21 @@
     CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; }, 3s));
 }
 
+// Guards against a VM that relies on the store alone once a call to it has failed.
+TEST_CASE("a VM that the store turns away receives changes from another VM again")
+{
+    VmPair vms;
+    vms.settle();
+    vms.relaying->isUnresponsive = true;
+    vms.other->store.isUnavailable = true;
+    REQUIRE(vms.waitFor([&] { return !vms.other->watcher.isConnected(); }));
+    vms.relaying->isUnresponsive = false;
+    vms.put("key", "new");
+    // The VM queries the other one again after the cooldown.
+    CHECK(vms.waitFor([&] { return vms.other->seen["key"] == "new"; },
+                      StoreRelayOptions().unresponsiveCooldown + 2s));
+}
+
 // Guards against a representative that resumes and confirms what the store said before (CONFIG).
 TEST_CASE("a VM that reads the store's response late does not relay it as confirmed")
 {
