Tests of the event loop and of late admissions: more distance between right and wrong

On a busy machine 150 ms may pass between a timer and its handling. The times that the fault adds are 1 s now instead of 300 ms, the bounds 500 ms after the right time.

--- a/packages/http/src/teaseldrift/http/event_loop_test.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop_test.cpp
@@ -19,7 +19,7 @@
     const Instant startedAt = EventLoop::now();
     const std::function<void()> restart = [&] {
         const Instant now = EventLoop::now();
-        if (now - startedAt < 300ms) {
+        if (now - startedAt < 1s) {
             loop.startTimer(startedAt - now, restart);
         }
     };
@@ -30,10 +30,10 @@
         restart();
     });
     loop.startTimer(20ms, [&] { timerRanAt = EventLoop::now(); });
-    loop.startTimer(400ms, [&] { loop.stop(); });
+    loop.startTimer(1100ms, [&] { loop.stop(); });
     loop.run();
-    CHECK(taskRanAt - startedAt < 100ms);
-    CHECK(timerRanAt - startedAt < 120ms);
+    CHECK(taskRanAt - startedAt < 500ms);
+    CHECK(timerRanAt - startedAt < 500ms);
 }
 
 // Guards against calls that fail on a VM that was busy or suspended although the response is there.
@@ -61,8 +61,8 @@
     CHECK(status == 200);
     status = 0;
     loop.post([&] {
-        call(50ms);
-        std::this_thread::sleep_for(200ms);
+        call(100ms);
+        std::this_thread::sleep_for(1s);
     });
     loop.run();
     CHECK(status == 200);
