--- a/packages/policy/include/teaseldrift/targets/target_notice.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_notice.hpp
@@ -21,8 +21,13 @@
     bool isLeaving = false;
     /// Time for which the target asks this VM to send nothing; 0 for no such request.
     Duration quietTime{0};
+    /// Requests a second that the target takes from all VMs together.
+    std::optional<double> requestsPerSecond;
+    /// Whether a target with a limit would have named it in this response.
+    bool wouldNameLimit = false;
     std::optional<InvalidHeader> invalidLeaving;
     std::optional<InvalidHeader> invalidQuietTime;
+    std::optional<InvalidHeader> invalidLimit;
 };
 
 } // namespace teaseldrift
--- /dev/null
+++ b/packages/policy/src/teaseldrift/targets/target_limits.cpp
@@ -0,0 +1,123 @@
+#include "teaseldrift/targets/target_limits.hpp"
+
+#include <algorithm>
+#include <bit>
+
+#include "teaseldrift/base/rendezvous.hpp"
+
+namespace teaseldrift {
+
+bool TargetLimits::named(TargetLimitKey key, double perSecond, Instant now)
+{
+    return merge({.key = key, .perSecond = perSecond, .statedAt = now}, now);
+}
+
+bool TargetLimits::notNamed(TargetLimitKey key, Instant sentAt, Instant now)
+{
+    const auto found = m_states.find(key);
+    if (found == m_states.end() || !found->second.perSecond || sentAt <= found->second.statedAt) {
+        return false;
+    }
+    State &state = found->second;
+    state.lackedSince = state.lackedSince.value_or(now);
+    if (now - *state.lackedSince < m_options.endConfirmation) {
+        return false;
+    }
+    return set(state, std::nullopt, now);
+}
+
+bool TargetLimits::merge(const TargetLimit &limit, Instant now)
+{
+    expire(now);
+    auto found = m_states.find(limit.key);
+    if (found == m_states.end()) {
+        const bool isOld = now - limit.statedAt > m_options.endMemory;
+        if ((!limit.perSecond && isOld) || m_states.size() >= m_options.maxTargets) {
+            return false;
+        }
+        found = m_states.try_emplace(limit.key).first;
+    } else if (limit.statedAt <= found->second.statedAt) {
+        return false;
+    }
+    const std::optional<double> perSecond
+            = limit.perSecond ? std::optional(std::max(*limit.perSecond, m_options.minPerSecond))
+                              : std::nullopt;
+    return set(found->second, perSecond, limit.statedAt);
+}
+
+bool TargetLimits::set(State &state, std::optional<double> perSecond, Instant statedAt)
+{
+    state.statedAt = statedAt;
+    state.lackedSince.reset();
+    const bool isSmallIncrease
+            = state.perSecond && perSecond && *perSecond >= *state.perSecond
+              && *perSecond < *state.perSecond * (1.0 + m_options.increaseThreshold);
+    if (isSmallIncrease || state.perSecond == perSecond) {
+        return false;
+    }
+    state.perSecond = perSecond;
+    return true;
+}
+
+std::optional<double> TargetLimits::of(TargetLimitKey key) const
+{
+    const auto found = m_states.find(key);
+    return found == m_states.end() ? std::nullopt : found->second.perSecond;
+}
+
+std::vector<TargetLimit> TargetLimits::statements(Instant now) const
+{
+    std::vector<TargetLimit> statements;
+    for (const std::pair<const TargetLimitKey, State> &state : m_states) {
+        if (state.second.perSecond || now - state.second.statedAt <= m_options.endMemory) {
+            statements.push_back({.key = state.first,
+                                  .perSecond = state.second.perSecond,
+                                  .statedAt = state.second.statedAt});
+        }
+    }
+    return statements;
+}
+
+size_t TargetLimits::count() const
+{
+    return static_cast<size_t>(
+            std::count_if(m_states.begin(), m_states.end(),
+                          [](const std::pair<const TargetLimitKey, State> &state) {
+                              return state.second.perSecond.has_value();
+                          }));
+}
+
+uint64_t TargetLimits::digest() const
+{
+    uint64_t digest = 0;
+    for (const std::pair<const TargetLimitKey, State> &state : m_states) {
+        if (state.second.perSecond) {
+            const std::string text
+                    = std::to_string(state.first.target) + '/'
+                      + std::to_string(state.first.startedAtMs) + '/'
+                      + std::to_string(std::bit_cast<uint64_t>(*state.second.perSecond));
+            digest ^= rendezvousKey(text);
+        }
+    }
+    return digest;
+}
+
+bool TargetLimits::remove(uint32_t target)
+{
+    bool wasInForce = false;
+    std::erase_if(m_states, [&](const std::pair<const TargetLimitKey, State> &state) {
+        const bool isRemoved = state.first.target == target;
+        wasInForce = wasInForce || (isRemoved && state.second.perSecond);
+        return isRemoved;
+    });
+    return wasInForce;
+}
+
+void TargetLimits::expire(Instant now)
+{
+    std::erase_if(m_states, [&](const std::pair<const TargetLimitKey, State> &state) {
+        return !state.second.perSecond && now - state.second.statedAt > m_options.endMemory;
+    });
+}
+
+} // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -206,6 +206,7 @@
     {
         cache.isPolling = true;
         cache.nextPoll = now + m_options.pollInterval;
+        m_fleet.countTargetCall(id, cache.startedAtMs, TargetCall::CacheEvents);
         m_channel.requestCacheEvents(
                 cache.address, cache.next,
                 [this, id, address = cache.address, startedAtMs = cache.startedAtMs](
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,6 +19,7 @@
 #include "teaseldrift/routing/route_table.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/targets/target_directory.hpp"
+#include "teaseldrift/targets/target_limits.hpp"
 #include "teaseldrift/targets/target_notice.hpp"
 #include "teaseldrift/targets/target_selector.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
@@ -25,6 +29,12 @@
 
 namespace teaseldrift::relay {
 
+/// @brief What is sent to targets.
+enum class TargetCall { Request, CacheEvents, Report, Order };
+
+inline constexpr std::array<std::string_view, 4> targetCallNames{"request", "cache_events",
+                                                                 "report", "order"};
+
 /// @brief Identity of this VM and the limits that the deployment configures.
 struct FleetOptions
 {
@@ -66,8 +76,21 @@
 
     /// @brief Applies what a response stated about its target.
     /// @param startedAtMs incarnation that was sent the request
+    /// @param sentAt when the request was sent; empty if it is not known
     void applyNotice(std::string_view target, uint64_t startedAtMs, const TargetNotice &notice,
-                     Instant now);
+                     Instant now, std::optional<Instant> sentAt = std::nullopt);
+
+    /// @brief Limits that targets name in their responses.
+    [[nodiscard]] const TargetLimits &targetLimits() const { return m_targetLimits; }
+
+    /// @brief Counts a call to a target, if that target names a limit.
+    void countTargetCall(std::string_view target, uint64_t startedAtMs, TargetCall call);
+
+    /// @brief Calls to targets that named a limit at that time.
+    [[nodiscard]] uint64_t limitedTargetCalls(TargetCall call) const
+    {
+        return m_limitedTargetCalls[static_cast<size_t>(call)];
+    }
 
     /// @brief Number of headers of targets that were ignored or capped, see InvalidHeader.
     [[nodiscard]] uint64_t invalidTargetHeaders() const { return m_invalidTargetHeaders; }
@@ -217,6 +240,8 @@
     [[nodiscard]] double localScore(uint64_t key) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
     void logQuarantine(Instant now);
+    void applyLimit(std::string_view target, uint64_t startedAtMs, const TargetNotice &notice,
+                    std::optional<Instant> sentAt, Instant now);
     void logInvalid(std::string_view target, const std::optional<InvalidHeader> &header);
 
     FleetOptions m_options;
@@ -227,6 +252,8 @@
     ServiceRetryBudgets m_retryBudgets;
     WeightRollout m_weightRollout;
     SegmentQuarantine m_quarantine;
+    TargetLimits m_targetLimits;
+    std::array<uint64_t, targetCallNames.size()> m_limitedTargetCalls{};
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     DistributedUsageLimiter m_usage;
     std::map<std::string, schema::VmRecord, std::less<>> m_vms;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -333,6 +333,7 @@
     m_triedTargets += m_triedTargets.empty() ? "" : ",";
     m_triedTargets += m_choice->id;
     m_context.fleet.targetSelector().sent(*m_choice, now);
+    m_context.fleet.countTargetCall(m_choice->id, m_choice->startedAtMs, TargetCall::Request);
     if (action.id > 1) {
         m_context.metrics.counter({"teaseldrift_retries_total", "service", m_service}).add();
     }
@@ -392,7 +393,8 @@
 void RequestTask<D>::recordResponse(const ResponseMetadata &metadata, int status, Instant now)
 {
     TargetSelector &targetSelector = m_context.fleet.targetSelector();
-    m_context.fleet.applyNotice(m_choice->id, m_choice->startedAtMs, metadata.notice, now);
+    m_context.fleet.applyNotice(m_choice->id, m_choice->startedAtMs, metadata.notice, now,
+                                m_sentAt);
     if (metadata.load) {
         targetSelector.reportLoad(m_choice->id, *metadata.load, now);
     }
--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -317,6 +317,7 @@
                                  .version = m_fleet.weightRollout().desiredVersion(model),
                                  .controller = m_fleet.options().vmId,
                                  .fencing = m_lease.fencing()};
+        m_fleet.countTargetCall(order.target, order.startedAtMs, TargetCall::Report);
         m_channel.requestReport(order, [this, order](std::optional<WeightsReport> report,
                                                      const TargetNotice &notice) {
             m_fleet.applyNotice(order.target, order.startedAtMs, notice, http::EventLoop::now());
@@ -355,6 +356,7 @@
                      {"version", static_cast<int64_t>(order.version)},
                      {"reported", static_cast<int64_t>(report->version)},
                      {"fencing", static_cast<int64_t>(order.fencing)}});
+        m_fleet.countTargetCall(order.target, order.startedAtMs, TargetCall::Order);
         m_channel.sendOrder(order, [this, order](WeightOrderOutcome end,
                                                  const TargetNotice &notice) {
             m_fleet.applyNotice(order.target, order.startedAtMs, notice, http::EventLoop::now());
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -121,6 +121,7 @@
     const TargetEntry entry = *known;
     const TargetChange change = m_directory.remove(id, now);
     if (change == TargetChange::Removed) {
+        m_targetLimits.remove(targetKeyOf(entry.id));
         m_targetSelector.remove(entry.id);
     } else if (change == TargetChange::Lapsed) {
         m_targetSelector.update(entry, change, now);
@@ -277,6 +278,7 @@
 void FleetState::tick(Instant now)
 {
     for (const std::string &id : m_directory.expire(now)) {
+        m_targetLimits.remove(targetKeyOf(id));
         m_targetSelector.remove(id);
         m_log.write(EventPriority::Important, "target",
                     {{"target", std::string_view(id)}, {"change", "gone_after_outage"}});
--- a/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
@@ -6,10 +6,12 @@
 using telemetry::EventPriority;
 
 void FleetState::applyNotice(std::string_view target, uint64_t startedAtMs,
-                             const TargetNotice &notice, Instant now)
+                             const TargetNotice &notice, Instant now, std::optional<Instant> sentAt)
 {
     logInvalid(target, notice.invalidLeaving);
     logInvalid(target, notice.invalidQuietTime);
+    logInvalid(target, notice.invalidLimit);
+    applyLimit(target, startedAtMs, notice, sentAt, now);
     if (notice.quietTime > Duration(0)) {
         m_targetSelector.startQuietPeriod(target, startedAtMs, notice.quietTime, now);
         m_log.write(EventPriority::Routine, "target_quiet",
@@ -22,6 +24,30 @@
     }
 }
 
+void FleetState::applyLimit(std::string_view target, uint64_t startedAtMs,
+                            const TargetNotice &notice, std::optional<Instant> sentAt, Instant now)
+{
+    const TargetLimitKey key{.target = targetKeyOf(target), .startedAtMs = startedAtMs};
+    const bool hasChanged
+            = notice.requestsPerSecond ? m_targetLimits.named(key, *notice.requestsPerSecond, now)
+              : notice.wouldNameLimit && sentAt ? m_targetLimits.notNamed(key, *sentAt, now)
+                                                : false;
+    if (hasChanged) {
+        m_log.write(EventPriority::Important, "target_limit",
+                    {{"target", target},
+                     {"incarnation", static_cast<int64_t>(startedAtMs)},
+                     {"per_second", m_targetLimits.of(key).value_or(-1.0)},
+                     {"source", "response"}});
+    }
+}
+
+void FleetState::countTargetCall(std::string_view target, uint64_t startedAtMs, TargetCall call)
+{
+    if (m_targetLimits.of({.target = targetKeyOf(target), .startedAtMs = startedAtMs})) {
+        ++m_limitedTargetCalls[static_cast<size_t>(call)];
+    }
+}
+
 void FleetState::logInvalid(std::string_view target, const std::optional<InvalidHeader> &header)
 {
     if (!header) {
