--- a/packages/policy/include/teaseldrift/targets/target_limits.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_limits.hpp
@@ -25,6 +25,15 @@
     auto operator<=>(const TargetLimitKey &) const = default;
 };
 
+/// @brief Key of the incarnation of a target.
+[[nodiscard]] TargetLimitKey limitKeyOf(std::string_view targetId, uint64_t startedAtMs);
+
+/// @brief Name of an incarnation's limit, by which the VMs agree on its owner.
+[[nodiscard]] std::string limitName(TargetLimitKey key);
+
+/// @brief The incarnation that limitName() names; an empty key for any other text.
+[[nodiscard]] TargetLimitKey targetOfLimit(std::string_view name);
+
 /// @brief What an incarnation of a target last stated about its limit.
 struct TargetLimit
 {
@@ -75,6 +84,9 @@
     /// @brief Requests a second that an incarnation takes; empty if it names no limit.
     [[nodiscard]] std::optional<double> of(TargetLimitKey key) const;
 
+    /// @brief What an incarnation last stated; empty if that is not known.
+    [[nodiscard]] std::optional<TargetLimit> find(TargetLimitKey key) const;
+
     /// @brief Limits in force and those that ended lately.
     [[nodiscard]] std::vector<TargetLimit> statements(Instant now) const;
 
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -92,6 +92,18 @@
     Duration expectedRun{0};
     /// Arbitrary number that spreads requests over equal targets.
     uint64_t seed = 0;
+    /// Target that is selected if it may take the request, since the request has a permit for it;
+    /// empty for none.
+    std::string_view permitted = {};
+};
+
+/// @brief When and where a request can be sent that no target may take now.
+struct TargetAvailability
+{
+    Instant from;
+    std::string_view target;
+    /// See TargetEntry::startedAtMs.
+    uint64_t startedAtMs = 0;
 };
 
 /// @brief A selected target and the instructions to send with the request.
@@ -149,8 +161,8 @@
     /// @brief Earliest time at which some target may take the request, regardless of
     /// TargetQuery::excluded; not after `now` if at once.
     /// @return empty if no target can be expected to take it
-    [[nodiscard]] std::optional<Instant> availableFrom(const TargetDirectory &directory,
-                                                       const TargetQuery &query, Instant now) const;
+    [[nodiscard]] std::optional<TargetAvailability>
+    availableFrom(const TargetDirectory &directory, const TargetQuery &query, Instant now) const;
 
     /// @brief Records that a target has asked this VM to send it nothing for some time.
     /// @param startedAtMs incarnation that was sent the request
@@ -165,6 +177,17 @@
         return m_quietPeriods.isQuiet(target.id, target.startedAtMs, now);
     }
 
+    /// @brief Records that no request may be sent to a target that names a limit before a time.
+    void setPermitAvailable(std::string_view id, Instant from);
+    /// @param targetKey targetKeyOf() of the target
+    void setPermitAvailable(uint32_t targetKey, Instant from)
+    {
+        setPermitAvailable(idOf(targetKey), from);
+    }
+
+    /// @brief Id of the target with a key; empty if it is not known.
+    [[nodiscard]] std::string_view idOf(uint32_t targetKey) const;
+
     /// @brief Records that the request was sent to the target.
     void sent(TargetChoice &choice, Instant now);
 
@@ -236,6 +259,8 @@
         /// Own requests in flight when the load report arrived.
         uint32_t inFlightAtReport = 0;
         Instant avoidedUntil;
+        /// The target names a limit, and no permit is available before this time.
+        Instant permitAvailableFrom;
         uint32_t consecutiveRefusals = 0;
         SegmentIndex cache;
         QueueDelayEstimator queue;
@@ -272,6 +297,7 @@
 
     struct PreferredTargets;
 
+    [[nodiscard]] Instant availableFrom(const TargetEntry &target, Instant now) const;
     [[nodiscard]] bool mayTake(const TargetEntry &target, const TargetQuery &query) const;
     [[nodiscard]] PreferredTargets
     preferredTargetsOf(const std::vector<const TargetEntry *> &targets,
--- a/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/distributed_usage_limiter.hpp
@@ -31,6 +31,8 @@
     Duration settlingTime = 3s;
     /// Time for which other VMs agree not to claim a VM's limits.
     Duration extensionTerm = 2500ms;
+    /// Whether VMs that are refused one after the other are told to come back one after the other.
+    bool spreadsRefusals = false;
 };
 
 /// @brief An organisation's usage limit, for all VMs together.
@@ -69,6 +71,8 @@
     Duration retryAfter{0};
     /// When a limiter granted the units; for `Granted`. Passed to refund().
     Instant grantedAt;
+    /// Time to wait before the units are used; for `Granted`.
+    Duration wait{0};
     /// For `QueryOwner`; valid until the next call to the limiter.
     std::string_view owner;
 };
@@ -122,7 +126,9 @@
     [[nodiscard]] std::string_view ownerOf(std::string_view organisation) const;
 
     /// @brief Requests units for this VM.
-    [[nodiscard]] UsageVerdict acquire(std::string_view organisation, double units, Instant now);
+    /// @param maxWait longest time after which the units may be there
+    [[nodiscard]] UsageVerdict acquire(std::string_view organisation, double units, Instant now,
+                                       Duration maxWait = Duration(0));
 
     /// @brief Requests units from this VM's own part, because the owner did not decide.
     /// @return `NoOwner` if the VM has started too recently to have a part
@@ -175,7 +181,8 @@
     [[nodiscard]] bool isOwner(std::string_view organisation, Instant now);
 
     /// @brief Decides as the owner about another VM's request.
-    [[nodiscard]] UsageVerdict answer(std::string_view organisation, double units, Instant now);
+    [[nodiscard]] UsageVerdict answer(std::string_view organisation, double units, Instant now,
+                                      Duration maxWait = Duration(0));
 
     /// @brief Refunds units of a request that did not run.
     /// @param grantedAt as in the verdict that granted them
@@ -191,6 +198,8 @@
         bool hasFallback = false;
         RefundPool refunds;
         bool isOwner = false;
+        /// Requests that this VM has refused as the owner since it last granted one.
+        uint32_t refusedSinceGrant = 0;
         /// When this VM last owned the limit.
         std::optional<Instant> ownedUntil;
         /// When the VMs that could claim the limit were last asked and agreed not to.
@@ -211,7 +220,10 @@
         uint64_t rankedList = 0;
     };
 
-    [[nodiscard]] UsageVerdict decide(UsageLimiter &limiter, double units, Instant now);
+    [[nodiscard]] static UsageVerdict decide(UsageLimiter &limiter, double units, Duration maxWait,
+                                             Instant now);
+    [[nodiscard]] UsageVerdict decideAsOwner(Entry &entry, double units, Duration maxWait,
+                                             Instant now);
     [[nodiscard]] UsageVerdict verdictWithoutOwnership(const Entry &entry, Instant now) const;
     /// Ends the ownership if its term is over.
     bool checkOwner(Entry &entry, Instant now);
--- a/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/usage_limiter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "teaseldrift/base/time.hpp"
 
@@ -42,6 +43,10 @@
     /// @return whether the units were removed or there is no limit
     [[nodiscard]] bool tryAcquire(double units, Instant now);
 
+    /// @brief Removes units that will be there within `maxWait`; the level may become negative.
+    /// @return time until they are there; empty, and nothing removed, if that is longer
+    [[nodiscard]] std::optional<Duration> tryReserve(double units, Duration maxWait, Instant now);
+
     /// @brief Units in the bucket; negative after a request larger than the capacity.
     [[nodiscard]] double level(Instant now);
 
--- a/packages/policy/src/teaseldrift/targets/quiet_periods_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/quiet_periods_test.cpp
@@ -48,7 +48,11 @@
     fixture.selector.startQuietPeriod("b", 1, 5s, start);
     CHECK_FALSE(fixture.choose(start));
     CHECK_FALSE(fixture.choose(start + 4999ms));
-    CHECK(fixture.selector.availableFrom(fixture.directory, {.service = "s"}, start) == start + 5s);
+    const std::optional<TargetAvailability> earliest
+            = fixture.selector.availableFrom(fixture.directory, {.service = "s"}, start);
+    REQUIRE(earliest);
+    CHECK(earliest->from == start + 5s);
+    CHECK(earliest->target == "b");
     REQUIRE(fixture.choose(start + 5s));
     CHECK(fixture.choose(start + 5s)->id == "b");
 }
--- a/packages/policy/src/teaseldrift/targets/target_limits.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_limits.cpp
@@ -2,11 +2,35 @@
 
 #include <algorithm>
 #include <bit>
+#include <charconv>
 
 #include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/targets/peer_load_tracker.hpp"
 
 namespace teaseldrift {
 
+TargetLimitKey limitKeyOf(std::string_view targetId, uint64_t startedAtMs)
+{
+    return {.target = targetKeyOf(targetId), .startedAtMs = startedAtMs};
+}
+
+std::string limitName(TargetLimitKey key)
+{
+    return std::to_string(key.target) + '/' + std::to_string(key.startedAtMs);
+}
+
+TargetLimitKey targetOfLimit(std::string_view name)
+{
+    TargetLimitKey key;
+    const char *const end = name.data() + name.size();
+    const std::from_chars_result target = std::from_chars(name.data(), end, key.target);
+    if (target.ec != std::errc() || target.ptr == end || *target.ptr != '/'
+        || std::from_chars(target.ptr + 1, end, key.startedAtMs).ec != std::errc()) {
+        return {};
+    }
+    return key;
+}
+
 bool TargetLimits::named(TargetLimitKey key, double perSecond, Instant now)
 {
     return merge({.key = key, .perSecond = perSecond, .statedAt = now}, now);
@@ -65,6 +89,16 @@
     return found == m_states.end() ? std::nullopt : found->second.perSecond;
 }
 
+std::optional<TargetLimit> TargetLimits::find(TargetLimitKey key) const
+{
+    const auto found = m_states.find(key);
+    if (found == m_states.end()) {
+        return std::nullopt;
+    }
+    return TargetLimit{
+            .key = key, .perSecond = found->second.perSecond, .statedAt = found->second.statedAt};
+}
+
 std::vector<TargetLimit> TargetLimits::statements(Instant now) const
 {
     std::vector<TargetLimit> statements;
@@ -93,8 +127,7 @@
     for (const std::pair<const TargetLimitKey, State> &state : m_states) {
         if (state.second.perSecond) {
             const std::string text
-                    = std::to_string(state.first.target) + '/'
-                      + std::to_string(state.first.startedAtMs) + '/'
+                    = limitName(state.first) + '/'
                       + std::to_string(std::bit_cast<uint64_t>(*state.second.perSecond));
             digest ^= rendezvousKey(text);
         }
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -311,19 +311,43 @@
            || (weights != target.weights.end() && weights->second >= query.minWeights);
 }
 
-std::optional<Instant> TargetSelector::availableFrom(const TargetDirectory &directory,
-                                                     const TargetQuery &query, Instant now) const
+/// Earliest time at which a target may be sent a request; not after `now` if at once.
+Instant TargetSelector::availableFrom(const TargetEntry &target, Instant now) const
 {
-    std::optional<Instant> earliest;
+    const Instant from = m_quietPeriods.availableFrom(target.id, target.startedAtMs, now);
+    const State *state = stateOf(target.id);
+    return state == nullptr ? from : std::max(from, state->permitAvailableFrom);
+}
+
+std::optional<TargetAvailability> TargetSelector::availableFrom(const TargetDirectory &directory,
+                                                                const TargetQuery &query,
+                                                                Instant now) const
+{
+    std::optional<TargetAvailability> earliest;
     for (const TargetEntry *target : directory.ofService(query.service)) {
         if (mayTake(*target, query)) {
-            const Instant from = m_quietPeriods.availableFrom(target->id, target->startedAtMs, now);
-            earliest = earliest ? std::min(*earliest, from) : from;
+            const Instant from = availableFrom(*target, now);
+            if (!earliest || from < earliest->from) {
+                earliest = {.from = from, .target = target->id, .startedAtMs = target->startedAtMs};
+            }
         }
     }
     return earliest;
 }
 
+void TargetSelector::setPermitAvailable(std::string_view id, Instant from)
+{
+    if (State *state = mutableState(id)) {
+        state->permitAvailableFrom = from;
+    }
+}
+
+std::string_view TargetSelector::idOf(uint32_t targetKey) const
+{
+    const std::map<uint32_t, std::string>::const_iterator found = m_idsByKey.find(targetKey);
+    return found == m_idsByKey.end() ? std::string_view() : std::string_view(found->second);
+}
+
 std::optional<TargetChoice> TargetSelector::choose(const TargetDirectory &directory,
                                                    const TargetQuery &query, Instant now) const
 {
@@ -339,8 +363,11 @@
         const State *state = stateOf(target->id);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), target->id)
                                 != query.excluded.end();
-        if (isExcluded || !mayTake(*target, query)
-            || m_quietPeriods.availableFrom(target->id, target->startedAtMs, now) > now) {
+        const bool isPermitted = target->id == query.permitted;
+        const Instant from
+                = isPermitted ? m_quietPeriods.availableFrom(target->id, target->startedAtMs, now)
+                              : availableFrom(*target, now);
+        if (isExcluded || !mayTake(*target, query) || from > now) {
             continue;
         }
         Candidate candidate{.target = target, .state = state};
@@ -367,6 +394,10 @@
                     += static_cast<double>((rendezvousKey(target->id) ^ query.seed) % jitterSteps)
                        / static_cast<double>(jitterSteps);
         }
+        if (isPermitted) {
+            best = candidate;
+            break;
+        }
         std::optional<Candidate> &cheapest = now < state->avoidedUntil ? avoided : best;
         if (!cheapest || candidate.costMs < cheapest->costMs) {
             cheapest = candidate;
@@ -493,10 +524,7 @@
 void TargetSelector::applyPrefilledSegments(std::span<const PrefilledSegment> prefilled)
 {
     for (const PrefilledSegment &segment : prefilled) {
-        const std::map<uint32_t, std::string>::const_iterator id
-                = m_idsByKey.find(segment.targetKey);
-        State *state = id == m_idsByKey.end() ? nullptr : mutableState(id->second);
-        if (state != nullptr) {
+        if (State *state = mutableState(idOf(segment.targetKey))) {
             state->cache.apply(segment.event);
         }
     }
--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -29,6 +29,11 @@
 
 constexpr Duration maxRefundAgeOfAnyLimit = 1s;
 
+/// Longest time that is added to spread VMs that are refused.
+constexpr Duration maxRefusalSpread = 2s;
+/// Units of the limit for each VM that is refused: some of them do not come back.
+constexpr double refusalSpreadUnits = 0.5;
+
 } // namespace
 
 DistributedUsageLimiter::DistributedUsageLimiter(DistributedUsageLimiterOptions options,
@@ -82,7 +87,7 @@
 }
 
 UsageVerdict DistributedUsageLimiter::acquire(std::string_view organisation, double units,
-                                              Instant now)
+                                              Instant now, Duration maxWait)
 {
     const auto found = m_entries.find(organisation);
     if (found == m_entries.end() || found->second.limit.unitsPerSecond <= 0.0) {
@@ -95,7 +100,7 @@
     }
     // A VM that leaves queries its successor, which then claims the limit.
     if (!m_isLeaving && checkOwner(entry, now)) {
-        return decide(entry.owned, units, now);
+        return decideAsOwner(entry, units, maxWait, now);
     }
     if (const std::string_view owner = firstInOrder(organisation, entry, canClaim(now), now);
         owner != m_options.vmId && !hasOtherOwner(entry, now)) {
@@ -119,11 +124,11 @@
     if (allowedExcess(found->second) <= 0.0) {
         return {.outcome = UsageOutcome::Refused, .retryAfter = noOwnerRetryDelay};
     }
-    return decide(found->second.fallback, units, now);
+    return decide(found->second.fallback, units, Duration(0), now);
 }
 
 UsageVerdict DistributedUsageLimiter::answer(std::string_view organisation, double units,
-                                             Instant now)
+                                             Instant now, Duration maxWait)
 {
     const auto found = m_entries.find(organisation);
     if (found == m_entries.end()) {
@@ -134,7 +139,7 @@
         return {.outcome = UsageOutcome::Granted, .grantedAt = now};
     }
     if (checkOwner(entry, now)) {
-        return decide(entry.owned, units, now);
+        return decideAsOwner(entry, units, maxWait, now);
     }
     if (m_isLeaving && !hasOtherOwner(entry, now)) {
         const std::string_view owner = firstInOrder(organisation, entry, false, now);
@@ -153,10 +158,28 @@
     }
 }
 
-UsageVerdict DistributedUsageLimiter::decide(UsageLimiter &limiter, double units, Instant now)
+UsageVerdict DistributedUsageLimiter::decideAsOwner(Entry &entry, double units, Duration maxWait,
+                                                    Instant now)
 {
-    if (limiter.tryAcquire(units, now)) {
-        return {.outcome = UsageOutcome::Granted, .grantedAt = now};
+    UsageVerdict verdict = decide(entry.owned, units, maxWait, now);
+    if (verdict.outcome == UsageOutcome::Granted) {
+        entry.refusedSinceGrant = 0;
+    } else if (m_options.spreadsRefusals) {
+        const std::chrono::duration<double> spread(refusalSpreadUnits * units
+                                                   * entry.refusedSinceGrant++
+                                                   / entry.limit.unitsPerSecond);
+        verdict.retryAfter += spread < maxRefusalSpread
+                                      ? std::chrono::duration_cast<Duration>(spread)
+                                      : maxRefusalSpread;
+    }
+    return verdict;
+}
+
+UsageVerdict DistributedUsageLimiter::decide(UsageLimiter &limiter, double units, Duration maxWait,
+                                             Instant now)
+{
+    if (const std::optional<Duration> wait = limiter.tryReserve(units, maxWait, now)) {
+        return {.outcome = UsageOutcome::Granted, .grantedAt = now, .wait = *wait};
     }
     return {.outcome = UsageOutcome::Refused, .retryAfter = limiter.timeUntilAvailable(units, now)};
 }
--- a/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
@@ -33,6 +33,19 @@
     return true;
 }
 
+std::optional<Duration> UsageLimiter::tryReserve(double units, Duration maxWait, Instant now)
+{
+    if (tryAcquire(units, now)) {
+        return Duration(0);
+    }
+    const Duration wait = timeUntilAvailable(units, now);
+    if (m_limit.unitsPerSecond * m_share <= 0.0 || wait > maxWait) {
+        return std::nullopt;
+    }
+    m_level -= units;
+    return wait;
+}
+
 double UsageLimiter::level(Instant now)
 {
     refill(now);
--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -88,8 +88,8 @@
         updateCaches(now);
         std::map<std::string, std::vector<std::string>> byPoller;
         for (std::pair<const std::string, PolledCache> &cache : m_caches) {
-            if (cache.second.isPolling || now < cache.second.nextPoll
-                || isQuiet(cache.first, now)) {
+            if (cache.second.isPolling || now < cache.second.nextPoll || isQuiet(cache.first, now)
+                || isLimited(cache.first)) {
                 continue;
             }
             const schema::VmRecord *poller
@@ -114,6 +114,14 @@
         return target != nullptr && m_fleet.targetSelector().isQuiet(*target, now);
     }
 
+    /// Polls of all VMs would exceed a low limit without any request of a caller.
+    [[nodiscard]] bool isLimited(const std::string &id) const
+    {
+        const TargetEntry *target = m_fleet.directory().find(id);
+        return target != nullptr
+               && m_fleet.targetLimits().of(limitKeyOf(target->id, target->startedAtMs));
+    }
+
     [[nodiscard]] bool usesPollers() const
     {
         const double calls = static_cast<double>(m_caches.size() * m_fleet.vmCount());
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -51,6 +51,12 @@
     /// The same as a fraction of the limit.
     double usageOverrun = 0.0;
     Duration usageWindow = 8s;
+    /// Requests to a target by which all VMs together may exceed the limit that it names within
+    /// `targetLimitWindow`, less one that a limit's owner grants as a burst.
+    double targetLimitSlack = 4.0;
+    /// The same as a fraction of the limit.
+    double targetLimitOverrun = 0.5;
+    Duration targetLimitWindow = 4s;
     /// Time after a change of the desired weights version during which requests may still start on
     /// older weights.
     Duration olderWeightsGracePeriod = 6s;
@@ -83,6 +89,18 @@
     /// @brief Limits that targets name in their responses.
     [[nodiscard]] const TargetLimits &targetLimits() const { return m_targetLimits; }
 
+    /// @brief Applies another VM's statement about a target's limit.
+    void applyTargetLimit(const schema::TargetLimit &message, Instant now);
+
+    /// @brief Requests that limited targets take from all VMs together.
+    DistributedUsageLimiter &targetLimiter() { return m_targetLimiter; }
+
+    /// @brief Whether limits that targets name have changed since `since`.
+    [[nodiscard]] bool haveTargetLimitsChangedSince(Instant since) const
+    {
+        return m_targetLimitsChangedAt && *m_targetLimitsChangedAt > since;
+    }
+
     /// @brief Counts a call to a target, if that target names a limit.
     void countTargetCall(std::string_view target, uint64_t startedAtMs, TargetCall call);
 
@@ -157,6 +175,7 @@
     void leaseRenewed(Instant sentAt, Duration term, Instant now)
     {
         m_usage.leaseRenewed(sentAt, term, now);
+        m_targetLimiter.leaseRenewed(sentAt, term, now);
     }
 
     /// @brief Address of a VM for other VMs; empty if it is not known.
@@ -242,6 +261,10 @@
     void logQuarantine(Instant now);
     void applyLimit(std::string_view target, uint64_t startedAtMs, const TargetNotice &notice,
                     std::optional<Instant> sentAt, Instant now);
+    void logLimit(std::string_view target, TargetLimitKey key, std::string_view source);
+    /// Applies limits that have changed.
+    void updateTargetLimiter(Instant now);
+    void removeLimits(std::string_view target, Instant now);
     void logInvalid(std::string_view target, const std::optional<InvalidHeader> &header);
 
     FleetOptions m_options;
@@ -253,6 +276,8 @@
     WeightRollout m_weightRollout;
     SegmentQuarantine m_quarantine;
     TargetLimits m_targetLimits;
+    DistributedUsageLimiter m_targetLimiter;
+    std::optional<Instant> m_targetLimitsChangedAt;
     std::array<uint64_t, targetCallNames.size()> m_limitedTargetCalls{};
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     DistributedUsageLimiter m_usage;
--- a/packages/relay/include/teaseldrift/relay/relay_context.hpp
+++ b/packages/relay/include/teaseldrift/relay/relay_context.hpp
@@ -5,6 +5,7 @@
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/target_permits.hpp"
 #include "teaseldrift/relay/usage_task.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/telemetry/metrics.hpp"
@@ -18,6 +19,7 @@
     http::Client &targets;
     FleetState &fleet;
     UsageTask &usage;
+    TargetPermits &permits;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
 };
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -56,7 +56,13 @@
     void perform(const RequestActions &actions);
     void startAttempt(const StartAttempt &action);
     void send(const StartAttempt &action, Instant now);
-    void handleNoTarget(AttemptId id, const TargetQuery &query, Instant now);
+    void acquirePermit(const StartAttempt &action, TargetLimitKey target, Duration maxWait);
+    void onPermitDecided(const StartAttempt &action, TargetLimitKey target, Duration maxWait,
+                         const PermitDecision &decision);
+    void refundPermit();
+    [[nodiscard]] bool mayQueryPermit(AttemptId id) const;
+    [[nodiscard]] TargetQuery makeQuery(const StartAttempt &action, Instant now);
+    void handleNoTarget(const StartAttempt &action, const TargetQuery &query, Instant now);
     void cancelAttempt();
     [[nodiscard]] bool isOfRequest(const http::ResponseHead &head) const;
     void onHead(AttemptId id, const http::ResponseHead &head);
@@ -99,6 +105,11 @@
     RequestStateMachine m_machine;
     std::unique_ptr<http::Call> m_call;
     std::optional<TargetChoice> m_choice;
+    /// For the current attempt; not used yet.
+    std::optional<TargetPermit> m_permit;
+    /// Permits requested for `m_permitAttempt`.
+    int m_permitQueries = 0;
+    AttemptId m_permitAttempt = 0;
     bool m_isPrefillFinished = false;
     /// When the current attempt was sent.
     Instant m_sentAt;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -41,6 +41,9 @@
 /// Time over which requests and callers return to a target that had asked to be left alone.
 inline constexpr Duration returnSpread = 200ms;
 
+/// Permits for limited targets that are requested for one attempt: each is a query to another VM.
+inline constexpr int maxPermitQueries = 4;
+
 /// Factor between 0.5 and 1 that spreads the Retry-After of callers refused together.
 inline double spreadFactor(std::string_view requestId)
 {
@@ -116,6 +119,7 @@
 template <Dialect D>
 RequestTask<D>::~RequestTask()
 {
+    refundPermit();
     m_context.loop.cancelTimer(m_timer);
 }
 
@@ -189,11 +193,46 @@
             return;
         }
     }
+    const TargetQuery query = makeQuery(action, now);
+    m_choice = m_context.fleet.targetSelector().choose(m_context.fleet.directory(), query, now);
+    if (!m_choice) {
+        handleNoTarget(action, query, now);
+        return;
+    }
+    m_expectedWait = m_choice->expectedWait;
+    m_loadAge = m_choice->loadAge;
+    if (!request.model.empty() && isTooLate(m_choice->expectedWait, now)) {
+        m_choice.reset();
+        refundPermit();
+        perform(m_machine.noTargetAvailable(action.id, now));
+        return;
+    }
+    const TargetLimitKey target = limitKeyOf(m_choice->id, m_choice->startedAtMs);
+    if (m_permit && m_permit->target == target) {
+        m_permit.reset();
+    } else if (m_context.permits.isLimited(target)) {
+        refundPermit();
+        m_choice.reset();
+        if (mayQueryPermit(action.id)) {
+            acquirePermit(action, target, Duration(0));
+        } else {
+            perform(m_machine.targetsUnavailable(action.id, now));
+        }
+        return;
+    }
+    refundPermit();
+    m_machine.targetSelected(action.id, m_choice->id, now);
+    send(action, now);
+}
+
+template <Dialect D>
+TargetQuery RequestTask<D>::makeQuery(const StartAttempt &action, Instant now)
+{
+    const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
     m_minWeights = m_context.fleet.minWeights(request.model, now);
-    const TargetQuery query{
-            .service = m_service,
+    return {.service = m_service,
             .model = request.model,
             .segments = request.segments,
             .isolatedOrganisation
@@ -203,21 +242,84 @@
             .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
             .priority = priority(),
             .expectedRun = expectedRun(request),
-            .seed = m_seed};
-    m_choice = m_context.fleet.targetSelector().choose(m_context.fleet.directory(), query, now);
-    if (!m_choice) {
-        handleNoTarget(action.id, query, now);
+            .seed = m_seed,
+            .permitted = m_permit ? m_context.fleet.targetSelector().idOf(m_permit->target.target)
+                                  : std::string_view()};
+}
+
+template <Dialect D>
+bool RequestTask<D>::mayQueryPermit(AttemptId id) const
+{
+    return m_permitAttempt != id || m_permitQueries < maxPermitQueries;
+}
+
+/// Continues the attempt when the permit is granted or refused. The attempt remains without a
+/// target meanwhile, so that only its deadline ends it.
+template <Dialect D>
+void RequestTask<D>::acquirePermit(const StartAttempt &action, TargetLimitKey target,
+                                   Duration maxWait)
+{
+    if (m_permitAttempt != action.id) {
+        m_permitAttempt = action.id;
+        m_permitQueries = 0;
+    }
+    ++m_permitQueries;
+    TargetPermits &permits = m_context.permits;
+    std::weak_ptr<RequestTask> weak = this->weak_from_this();
+    permits.acquire(target, maxWait,
+                    [weak, &permits, action, target, maxWait](const PermitDecision &decision) {
+                        if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                            task->onPermitDecided(action, target, maxWait, decision);
+                        } else if (decision.permit) {
+                            permits.refund(*decision.permit);
+                        }
+                    });
+}
+
+template <Dialect D>
+void RequestTask<D>::onPermitDecided(const StartAttempt &action, TargetLimitKey target,
+                                     Duration maxWait, const PermitDecision &decision)
+{
+    const Instant now = http::EventLoop::now();
+    TargetSelector &targetSelector = m_context.fleet.targetSelector();
+    const bool isCurrent = !m_isEnded && m_machine.isCurrent(action.id);
+    if (!decision.permit) {
+        targetSelector.setPermitAvailable(target.target, now + decision.retryAfter);
+        if (isCurrent && maxWait > Duration(0)) {
+            m_targetReturnsAt = now + decision.retryAfter;
+            perform(m_machine.targetsUnavailable(action.id, now, decision.retryAfter));
+        } else if (isCurrent) {
+            startAttempt(action);
+        }
         return;
     }
-    m_expectedWait = m_choice->expectedWait;
-    m_loadAge = m_choice->loadAge;
-    if (!request.model.empty() && isTooLate(m_choice->expectedWait, now)) {
-        m_choice.reset();
-        perform(m_machine.noTargetAvailable(action.id, now));
+    m_permit = decision.permit;
+    if (!isCurrent) {
+        refundPermit();
         return;
     }
-    m_machine.targetSelected(action.id, m_choice->id, now);
-    send(action, now);
+    if (decision.wait <= Duration(0)) {
+        startAttempt(action);
+        return;
+    }
+    // Permits until then are taken.
+    targetSelector.setPermitAvailable(target.target, now + decision.wait);
+    std::weak_ptr<RequestTask> weak = this->weak_from_this();
+    m_context.loop.startTimer(decision.wait, [weak, action] {
+        const std::shared_ptr<RequestTask> task = weak.lock();
+        if (task && !task->m_isEnded && task->m_machine.isCurrent(action.id)) {
+            task->startAttempt(action);
+        }
+    });
+}
+
+template <Dialect D>
+void RequestTask<D>::refundPermit()
+{
+    if (m_permit) {
+        m_context.permits.refund(*m_permit);
+        m_permit.reset();
+    }
 }
 
 template <Dialect D>
@@ -236,29 +338,37 @@
 }
 
 template <Dialect D>
-void RequestTask<D>::handleNoTarget(AttemptId id, const TargetQuery &query, Instant now)
+void RequestTask<D>::handleNoTarget(const StartAttempt &action, const TargetQuery &query,
+                                    Instant now)
 {
+    const AttemptId id = action.id;
     const TargetDirectory &directory = m_context.fleet.directory();
+    refundPermit();
     if (directory.ofService(query.service).empty()) {
         perform(m_machine.targetsUnavailable(id, now));
         return;
     }
-    const std::optional<Instant> earliest
+    const std::optional<TargetAvailability> earliest
             = m_context.fleet.targetSelector().availableFrom(directory, query, now);
-    if (!earliest || *earliest <= now) {
+    if (!earliest || earliest->from <= now) {
         perform(m_machine.noTargetAvailable(id, now));
         return;
     }
     // Spreads requests that wait for the same target, and callers that are refused because of it.
     constexpr int64_t steps = 1024;
     const int64_t step = static_cast<int64_t>(query.seed % steps);
-    m_targetReturnsAt = *earliest + returnSpread * step / steps;
-    const bool leavesTime = *m_targetReturnsAt - now <= (deadline() - now) / 2;
-    const bool isOnTime
-            = *m_targetReturnsAt - m_admitted.arrivedAt <= m_admitted.route->latencyObjective;
-    perform(leavesTime && isOnTime
-                    ? m_machine.waitForTarget(id, *m_targetReturnsAt, now)
-                    : m_machine.targetsUnavailable(id, now, *m_targetReturnsAt - now));
+    m_targetReturnsAt = earliest->from + returnSpread * step / steps;
+    const Instant latest = std::min(now + (deadline() - now) / 2,
+                                    m_admitted.arrivedAt + m_admitted.route->latencyObjective);
+    const TargetLimitKey target = limitKeyOf(earliest->target, earliest->startedAtMs);
+    const bool isLimited = m_context.permits.isLimited(target);
+    if (*m_targetReturnsAt > latest || (isLimited && !mayQueryPermit(id))) {
+        perform(m_machine.targetsUnavailable(id, now, *m_targetReturnsAt - now));
+    } else if (isLimited) {
+        acquirePermit(action, target, latest - now);
+    } else {
+        perform(m_machine.waitForTarget(id, *m_targetReturnsAt, now));
+    }
 }
 
 template <Dialect D>
@@ -733,6 +843,7 @@
         return;
     }
     m_isEnded = true;
+    refundPermit();
     const Instant now = http::EventLoop::now();
     m_context.loop.cancelTimer(m_timer);
     const bool isPlainSuccess = status == statusOk && outcome == "answered";
--- a/packages/relay/include/teaseldrift/relay/usage_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/usage_task.hpp
@@ -22,6 +22,8 @@
     Duration retryAfter{0};
     /// Passed to refund().
     Instant grantedAt;
+    /// Time to wait before the units are used.
+    Duration wait{0};
 };
 
 /// @brief Timeouts of the messages between VMs about limits.
@@ -37,19 +39,35 @@
     Duration maintenanceInterval = 500ms;
     /// Delay before a VM that has started recently retries a request that no VM decided.
     Duration startupRetryDelay = 100ms;
+    int startupRetries = 3;
 };
 
-/// @brief Enforces the usage limits of organisations across all VMs.
+/// @brief Limits that all VMs share and that a UsageTask enforces.
+struct SharedLimits
+{
+    DistributedUsageLimiter &limiter;
+    /// Path of the messages between VMs, and the beginning of those about ownership.
+    std::string_view path = "/teaseldrift/usage";
+    /// Describes a limit for VMs that may not know it; null if all VMs know all limits.
+    std::function<std::string(const std::string &limit)> describe = nullptr;
+    /// Applies another VM's description of a limit.
+    std::function<void(const std::string &description)> learn = nullptr;
+};
+
+/// @brief Enforces limits across all VMs: those of organisations, or those that targets name.
 ///
-/// One VM owns the limit of an organisation and the others query it; see DistributedUsageLimiter.
+/// One VM owns each limit and the others query it; see DistributedUsageLimiter.
 /// While the owner is unresponsive, a VM grants units from a small part of the limit by itself.
 class UsageTask
 {
 public:
     using Handler = std::function<void(UsageDecision)>;
 
+    /// @brief Enforces the usage limits of organisations.
     UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
               telemetry::EventLog &log, telemetry::Metrics &metrics, UsageTaskOptions options = {});
+    UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet, SharedLimits limits,
+              telemetry::EventLog &log, telemetry::Metrics &metrics, UsageTaskOptions options = {});
     ~UsageTask();
     UsageTask(const UsageTask &) = delete;
     UsageTask &operator=(const UsageTask &) = delete;
@@ -58,14 +76,18 @@
     void start();
 
     /// @brief Acquires units. The handler may run within the call.
-    void acquire(const std::string &organisation, double units, Handler handler);
+    /// @param maxWait longest time after which the units may be there
+    void acquire(const std::string &organisation, double units, Handler handler,
+                 Duration maxWait = Duration(0));
 
     /// @brief Refunds the units of a request that did not run.
     /// @param grantedAt as in the decision that granted them
     void refund(const std::string &organisation, double units, Instant grantedAt);
 
     /// @brief Whether a path is one of the messages between VMs about limits.
-    [[nodiscard]] static bool isMessage(std::string_view path);
+    /// @param limits SharedLimits::path
+    [[nodiscard]] static bool isMessage(std::string_view path,
+                                        std::string_view limits = "/teaseldrift/usage");
 
     /// @brief Handles another VM's message.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -46,13 +46,22 @@
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
     : m_options(std::move(options)), m_log(log),
       m_targetSelector({.availabilityZone = m_options.availabilityZone}),
-      m_retryBudgets(m_options.retryLimits), m_usage({.vmId = m_options.vmId,
-                                                      .slack = m_options.usageSlack,
-                                                      .overrun = m_options.usageOverrun,
-                                                      .window = m_options.usageWindow,
-                                                      .minVmCount = m_options.minVmCount,
-                                                      .settlingTime = m_options.settlingTime},
-                                                     now)
+      m_retryBudgets(m_options.retryLimits),
+      m_targetLimiter({.vmId = m_options.vmId,
+                       .slack = m_options.targetLimitSlack,
+                       .overrun = m_options.targetLimitOverrun,
+                       .window = m_options.targetLimitWindow,
+                       .minVmCount = m_options.minVmCount,
+                       .settlingTime = m_options.settlingTime,
+                       .spreadsRefusals = true},
+                      now),
+      m_usage({.vmId = m_options.vmId,
+               .slack = m_options.usageSlack,
+               .overrun = m_options.usageOverrun,
+               .window = m_options.usageWindow,
+               .minVmCount = m_options.minVmCount,
+               .settlingTime = m_options.settlingTime},
+              now)
 { }
 
 void FleetState::applyDefinition(FleetDefinition definition,
@@ -121,7 +130,7 @@
     const TargetEntry entry = *known;
     const TargetChange change = m_directory.remove(id, now);
     if (change == TargetChange::Removed) {
-        m_targetLimits.remove(targetKeyOf(entry.id));
+        removeLimits(entry.id, now);
         m_targetSelector.remove(entry.id);
     } else if (change == TargetChange::Lapsed) {
         m_targetSelector.update(entry, change, now);
@@ -231,6 +240,7 @@
         list.push_back({.id = vm.first, .isLeaving = vm.second.is_leaving()});
     }
     m_usage.setVms(list, readAt, now);
+    m_targetLimiter.setVms(list, readAt, now);
     divideLimits(now);
 }
 
@@ -253,6 +263,7 @@
 {
     m_isLeaving = true;
     m_usage.setLeaving(now);
+    m_targetLimiter.setLeaving(now);
 }
 
 void FleetState::storeLost(Instant now)
@@ -278,12 +289,13 @@
 void FleetState::tick(Instant now)
 {
     for (const std::string &id : m_directory.expire(now)) {
-        m_targetLimits.remove(targetKeyOf(id));
+        removeLimits(id, now);
         m_targetSelector.remove(id);
         m_log.write(EventPriority::Important, "target",
                     {{"target", std::string_view(id)}, {"change", "gone_after_outage"}});
     }
     m_usage.tick(now);
+    m_targetLimiter.tick(now);
     divideLimits(now);
     logQuarantine(now);
 }
--- a/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
@@ -1,3 +1,4 @@
+#include "target_limit_messages.hpp"
 #include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 
@@ -27,23 +28,61 @@
 void FleetState::applyLimit(std::string_view target, uint64_t startedAtMs,
                             const TargetNotice &notice, std::optional<Instant> sentAt, Instant now)
 {
-    const TargetLimitKey key{.target = targetKeyOf(target), .startedAtMs = startedAtMs};
+    const TargetLimitKey key = limitKeyOf(target, startedAtMs);
     const bool hasChanged
             = notice.requestsPerSecond ? m_targetLimits.named(key, *notice.requestsPerSecond, now)
               : notice.wouldNameLimit && sentAt ? m_targetLimits.notNamed(key, *sentAt, now)
                                                 : false;
     if (hasChanged) {
-        m_log.write(EventPriority::Important, "target_limit",
-                    {{"target", target},
-                     {"incarnation", static_cast<int64_t>(startedAtMs)},
-                     {"per_second", m_targetLimits.of(key).value_or(-1.0)},
-                     {"source", "response"}});
+        logLimit(target, key, "response");
+        updateTargetLimiter(now);
     }
 }
 
+void FleetState::applyTargetLimit(const schema::TargetLimit &message, Instant now)
+{
+    const std::optional<TargetLimit> limit = readTargetLimit(message, now);
+    if (limit && m_targetLimits.merge(*limit, now)) {
+        logLimit(m_targetSelector.idOf(limit->key.target), limit->key, "vm");
+        updateTargetLimiter(now);
+    }
+}
+
+void FleetState::logLimit(std::string_view target, TargetLimitKey key, std::string_view source)
+{
+    m_log.write(EventPriority::Important, "target_limit",
+                {{"target", target},
+                 {"incarnation", static_cast<int64_t>(key.startedAtMs)},
+                 {"per_second", m_targetLimits.of(key).value_or(-1.0)},
+                 {"source", source}});
+}
+
+void FleetState::removeLimits(std::string_view target, Instant now)
+{
+    if (m_targetLimits.remove(targetKeyOf(target))) {
+        updateTargetLimiter(now);
+    }
+}
+
+void FleetState::updateTargetLimiter(Instant now)
+{
+    m_targetLimitsChangedAt = now;
+    std::vector<OrganisationLimit> limits;
+    for (const TargetLimit &limit : m_targetLimits.statements(now)) {
+        if (limit.perSecond) {
+            limits.push_back({.organisation = limitName(limit.key),
+                              .unitsPerSecond = *limit.perSecond,
+                              .burst = 1.0});
+        } else {
+            m_targetSelector.setPermitAvailable(limit.key.target, now);
+        }
+    }
+    m_targetLimiter.setLimits(limits, now);
+}
+
 void FleetState::countTargetCall(std::string_view target, uint64_t startedAtMs, TargetCall call)
 {
-    if (m_targetLimits.of({.target = targetKeyOf(target), .startedAtMs = startedAtMs})) {
+    if (m_targetLimits.of(limitKeyOf(target, startedAtMs))) {
         ++m_limitedTargetCalls[static_cast<size_t>(call)];
     }
 }
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "target_limit_messages.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/quarantine/crash_reports.hpp"
 #include "teaseldrift/relay/unresponsive_vms.hpp"
@@ -22,8 +23,9 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 
-/// Time after a change of the crash records for which the short interval is used.
-constexpr Duration crashNoticeTime = 1s;
+/// Time after a change of the crash records or of targets' limits for which the short interval is
+/// used.
+constexpr Duration changeNoticeTime = 1s;
 
 /// Other VMs whose digest is remembered: more than the availability zones of a region.
 constexpr size_t maxDigests = 32;
@@ -150,8 +152,16 @@
     PeerLoadTracker load;
     PrefilledSegmentLog prefilledSegments;
     UnresponsiveVms unresponsive{options.unresponsiveCooldown};
-    /// Digests of crash records that other VMs last responded with.
-    std::map<std::string, uint64_t, std::less<>> crashDigests;
+    /// What another VM last responded with.
+    struct Digests
+    {
+        uint64_t crashes = 0;
+        uint64_t targetLimits = 0;
+    };
+
+    std::map<std::string, Digests, std::less<>> digests;
+    /// First limit in the next message, if not all fit into one.
+    size_t firstLimit = 0;
     bool isBusy = false;
     http::EventLoop::TimerId timer = 0;
 
@@ -161,8 +171,9 @@
     void exchangeWithZones(const InFlightLoadTable &localLoad,
                            const std::vector<AnnouncedRolloutPlan> &plans, Instant now);
     void query(const schema::VmRecord &vm, schema::FleetLoad report, Handler handler);
-    void applyCrashReports(const std::string &vmId, const schema::FleetLoad &response);
-    void mergeCrashReports(const schema::FleetLoad &message, Instant now);
+    void writeRecords(schema::FleetLoad &message, const std::optional<Digests> &known, Instant now);
+    void rememberDigests(const std::string &vmId, const schema::FleetLoad &response);
+    void mergeRecords(const schema::FleetLoad &message, Instant now);
     [[nodiscard]] const schema::VmRecord *zoneRepresentative(std::string_view availabilityZone,
                                                              Instant now) const;
 };
@@ -207,7 +218,8 @@
     const InFlightLoadTable localLoad = fleet.targetSelector().inFlightLoad();
     const std::vector<AnnouncedRolloutPlan> plans = fleet.rolloutPlans(now);
     isBusy = isBusy || hasBacklog(localLoad) || !plans.empty()
-             || fleet.quarantine().hasChangedSince(now - crashNoticeTime);
+             || fleet.quarantine().hasChangedSince(now - changeNoticeTime)
+             || fleet.haveTargetLimitsChangedSince(now - changeNoticeTime);
     if (const schema::VmRecord *vm = zoneRepresentative(fleet.options().availabilityZone, now)) {
         schema::FleetLoad report;
         report.set_vm_id(fleet.options().vmId);
@@ -270,18 +282,33 @@
     }
 }
 
-void LoadTask::Impl::mergeCrashReports(const schema::FleetLoad &message, Instant now)
+/// Writes crash records and limits of targets, unless the other VM has the same.
+void LoadTask::Impl::writeRecords(schema::FleetLoad &message, const std::optional<Digests> &known,
+                                  Instant now)
+{
+    *message.mutable_crash_reports() = crashReportsFor(
+            fleet.quarantine(), known ? std::optional(known->crashes) : std::nullopt, now);
+    *message.mutable_target_limits() = targetLimitsFor(
+            fleet.targetLimits(), known ? std::optional(known->targetLimits) : std::nullopt,
+            firstLimit, now);
+    firstLimit += static_cast<size_t>(message.target_limits().limits_size());
+}
+
+void LoadTask::Impl::mergeRecords(const schema::FleetLoad &message, Instant now)
 {
     fleet.quarantine().merge(readCrashReports(message.crash_reports(), now), now);
+    for (const schema::TargetLimit &limit : message.target_limits().limits()) {
+        fleet.applyTargetLimit(limit, now);
+    }
 }
 
-void LoadTask::Impl::applyCrashReports(const std::string &vmId, const schema::FleetLoad &response)
+void LoadTask::Impl::rememberDigests(const std::string &vmId, const schema::FleetLoad &response)
 {
-    mergeCrashReports(response, http::EventLoop::now());
-    if (crashDigests.size() >= maxDigests && !crashDigests.contains(vmId)) {
-        crashDigests.clear();
+    if (digests.size() >= maxDigests && !digests.contains(vmId)) {
+        digests.clear();
     }
-    crashDigests[vmId] = response.crash_reports().digest();
+    digests[vmId] = {.crashes = response.crash_reports().digest(),
+                     .targetLimits = response.target_limits().digest()};
 }
 
 void LoadTask::Impl::query(const schema::VmRecord &vm, schema::FleetLoad report, Handler handler)
@@ -290,11 +317,9 @@
     if (!http::parseEndpoint(vm.peer_address(), endpoint)) {
         return;
     }
-    const auto known = crashDigests.find(vm.vm_id());
-    *report.mutable_crash_reports() = crashReportsFor(
-            fleet.quarantine(),
-            known == crashDigests.end() ? std::nullopt : std::optional(known->second),
-            http::EventLoop::now());
+    const auto known = digests.find(vm.vm_id());
+    writeRecords(report, known == digests.end() ? std::nullopt : std::optional(known->second),
+                 http::EventLoop::now());
     calls.start(endpoint,
                 {.method = "POST", .path = std::string(path), .body = report.SerializeAsString()},
                 options.responseTimeout,
@@ -303,7 +328,8 @@
                     schema::FleetLoad load;
                     if (response.status == statusOk && load.ParseFromString(response.body)) {
                         unresponsive.remove(vmId);
-                        applyCrashReports(vmId, load);
+                        mergeRecords(load, http::EventLoop::now());
+                        rememberDigests(vmId, load);
                         applyDesiredWeights(load, fleet, http::EventLoop::now());
                         applyPlans(load, fleet, http::EventLoop::now());
                         handler(load);
@@ -330,13 +356,15 @@
     impl.isBusy = impl.isBusy || hasBacklog(inFlight);
     applyDesiredWeights(report, impl.fleet, now);
     applyPlans(report, impl.fleet, now);
-    impl.mergeCrashReports(report, now);
+    impl.mergeRecords(report, now);
     const InFlightLoadTable localLoad = impl.fleet.targetSelector().inFlightLoad();
     schema::FleetLoad response;
     writeDesiredWeights(impl.fleet, now, response);
     write(impl.fleet.rolloutPlans(now), now, response);
-    *response.mutable_crash_reports()
-            = crashReportsFor(impl.fleet.quarantine(), report.crash_reports().digest(), now);
+    impl.writeRecords(response,
+                      Impl::Digests{.crashes = report.crash_reports().digest(),
+                                    .targetLimits = report.target_limits().digest()},
+                      now);
     if (report.vm_id().empty()) {
         impl.load.updateZone(report.availability_zone(), inFlight, now);
         impl.applyPrefilledSegments(report, false);
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -1,5 +1,6 @@
 #include "teaseldrift/relay/usage_task.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <utility>
@@ -16,10 +17,10 @@
 
 namespace {
 
-constexpr std::string_view queryPath = "/teaseldrift/usage";
-constexpr std::string_view claimPath = "/teaseldrift/usage/claim";
-constexpr std::string_view extensionPath = "/teaseldrift/usage/extension";
-constexpr std::string_view offerPath = "/teaseldrift/usage/offer";
+/// Ends of the paths of messages about the ownership of limits.
+constexpr std::string_view claimPath = "/claim";
+constexpr std::string_view extensionPath = "/extension";
+constexpr std::string_view offerPath = "/offer";
 
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
@@ -28,14 +29,12 @@
 /// names instead.
 constexpr int maxQueries = 2;
 
-/// Retries of a request for which neither an owner nor this VM can decide.
-constexpr int maxStartupRetries = 3;
-
 UsageDecision toDecision(const UsageVerdict &verdict)
 {
     return {.isGranted = verdict.outcome == UsageOutcome::Granted,
             .retryAfter = verdict.retryAfter,
-            .grantedAt = verdict.grantedAt};
+            .grantedAt = verdict.grantedAt,
+            .wait = verdict.wait};
 }
 
 /// @return false if the message was not valid; it has been answered then
@@ -67,15 +66,17 @@
     {
         std::string organisation;
         double units = 0.0;
+        Duration maxWait{0};
         Handler handler;
         int queriesLeft = maxQueries;
-        int retriesLeft = maxStartupRetries;
+        int retriesLeft = 0;
         bool hasClaimed = false;
     };
 
     http::EventLoop &loop;
     http::BufferedClient calls;
     FleetState &fleet;
+    SharedLimits limits;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
     UsageTaskOptions options;
@@ -83,7 +84,21 @@
     std::map<std::string, OpenClaim, std::less<>> claims;
     http::EventLoop::TimerId timer = 0;
 
-    DistributedUsageLimiter &limiter() const { return fleet.usage(); }
+    DistributedUsageLimiter &limiter() const { return limits.limiter; }
+    [[nodiscard]] std::string path(std::string_view end = {}) const
+    {
+        return std::string(limits.path).append(end);
+    }
+    [[nodiscard]] std::string describe(const std::string &limit) const
+    {
+        return limits.describe ? limits.describe(limit) : std::string();
+    }
+    void learn(const std::string &description) const
+    {
+        if (limits.learn && !description.empty()) {
+            limits.learn(description);
+        }
+    }
 
     void proceed(Acquisition acquisition);
     void query(const std::string &ownerId, Acquisition acquisition);
@@ -115,9 +130,16 @@
 UsageTask::UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                      telemetry::EventLog &log, telemetry::Metrics &metrics,
                      UsageTaskOptions options)
+    : UsageTask(loop, peers, fleet, {.limiter = fleet.usage()}, log, metrics, options)
+{ }
+
+UsageTask::UsageTask(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
+                     SharedLimits limits, telemetry::EventLog &log, telemetry::Metrics &metrics,
+                     UsageTaskOptions options)
     : m_impl(new Impl{.loop = loop,
                       .calls = http::BufferedClient(loop, peers),
                       .fleet = fleet,
+                      .limits = std::move(limits),
                       .log = log,
                       .metrics = metrics,
                       .options = options})
@@ -133,16 +155,21 @@
     m_impl->maintain();
 }
 
-void UsageTask::acquire(const std::string &organisation, double units, Handler handler)
+void UsageTask::acquire(const std::string &organisation, double units, Handler handler,
+                        Duration maxWait)
 {
-    m_impl->proceed({.organisation = organisation, .units = units, .handler = std::move(handler)});
+    m_impl->proceed({.organisation = organisation,
+                     .units = units,
+                     .maxWait = maxWait,
+                     .handler = std::move(handler),
+                     .retriesLeft = m_impl->options.startupRetries});
 }
 
 void UsageTask::Impl::proceed(Acquisition acquisition)
 {
     const Instant now = http::EventLoop::now();
-    const UsageVerdict verdict
-            = limiter().acquire(acquisition.organisation, acquisition.units, now);
+    const UsageVerdict verdict = limiter().acquire(acquisition.organisation, acquisition.units, now,
+                                                   acquisition.maxWait);
     switch (verdict.outcome) {
     case UsageOutcome::Granted:
     case UsageOutcome::Refused:
@@ -200,14 +227,14 @@
     schema::UsageAsk query;
     query.set_organisation(acquisition.organisation);
     query.set_units(acquisition.units);
-    calls.start(
-            endpoint,
-            {.method = "POST", .path = std::string(queryPath), .body = query.SerializeAsString()},
-            options.responseTimeout,
-            [this, ownerId, askedAt,
-             acquisition = std::move(acquisition)](const http::BufferedResponse &response) {
-                onQueryAnswered(ownerId, askedAt, response, acquisition);
-            });
+    query.set_max_wait_us(acquisition.maxWait.count());
+    query.set_limit(describe(acquisition.organisation));
+    calls.start(endpoint, {.method = "POST", .path = path(), .body = query.SerializeAsString()},
+                options.responseTimeout,
+                [this, ownerId, askedAt,
+                 acquisition = std::move(acquisition)](const http::BufferedResponse &response) {
+                    onQueryAnswered(ownerId, askedAt, response, acquisition);
+                });
 }
 
 void UsageTask::Impl::onQueryAnswered(const std::string &ownerId, Instant askedAt,
@@ -221,7 +248,8 @@
         if (!grant.is_undecided()) {
             acquisition.handler({.isGranted = grant.is_granted(),
                                  .retryAfter = Duration(grant.retry_after_us()),
-                                 .grantedAt = askedAt});
+                                 .grantedAt = askedAt,
+                                 .wait = Duration(grant.wait_us())});
             return;
         }
         if (grant.owner().empty()) {
@@ -275,18 +303,17 @@
         loop.post([this, organisation] { onClaimReply(organisation); });
         return;
     }
-    calls.start(
-            endpoint,
-            {.method = "POST", .path = std::string(claimPath), .body = claimMessage(organisation)},
-            options.claimTimeout,
-            [this, organisation, index](const http::BufferedResponse &response) {
-                LimitClaimResult &result = claims[organisation].results[index];
-                result.isProcessGone = response.wasRefused;
-                if (response.status == statusOk) {
-                    result.reply = readLimitClaimReply(response.body);
-                }
-                onClaimReply(organisation);
-            });
+    calls.start(endpoint,
+                {.method = "POST", .path = path(claimPath), .body = claimMessage(organisation)},
+                options.claimTimeout,
+                [this, organisation, index](const http::BufferedResponse &response) {
+                    LimitClaimResult &result = claims[organisation].results[index];
+                    result.isProcessGone = response.wasRefused;
+                    if (response.status == statusOk) {
+                        result.reply = readLimitClaimReply(response.body);
+                    }
+                    onClaimReply(organisation);
+                });
 }
 
 std::string UsageTask::Impl::claimMessage(const std::string &organisation) const
@@ -295,6 +322,7 @@
     message.set_organisation(organisation);
     message.set_claimant(fleet.options().vmId);
     message.set_claimant_address(fleet.options().peerAddress);
+    message.set_limit(describe(organisation));
     return message.SerializeAsString();
 }
 
@@ -343,7 +371,7 @@
         if (http::parseEndpoint(fleet.peerAddress(offer.vm), endpoint)) {
             calls.start(endpoint,
                         {.method = "POST",
-                         .path = std::string(offerPath),
+                         .path = path(offerPath),
                          .body = claimMessage(offer.organisation)},
                         options.maintenanceInterval, [](const http::BufferedResponse &) {});
         }
@@ -370,7 +398,7 @@
         if (!http::parseEndpoint(fleet.peerAddress(vm), endpoint)) {
             continue;
         }
-        calls.start(endpoint, {.method = "POST", .path = std::string(extensionPath), .body = body},
+        calls.start(endpoint, {.method = "POST", .path = path(extensionPath), .body = body},
                     options.maintenanceInterval,
                     [this, askedAt, vm, agreed](const http::BufferedResponse &response) {
                         schema::OwnershipExtensionReply reply;
@@ -388,18 +416,24 @@
     m_impl->limiter().refund(organisation, units, grantedAt, http::EventLoop::now());
 }
 
-bool UsageTask::isMessage(std::string_view path)
+bool UsageTask::isMessage(std::string_view path, std::string_view limits)
 {
-    return path == queryPath || path == claimPath || path == extensionPath || path == offerPath;
+    if (!path.starts_with(limits)) {
+        return false;
+    }
+    const std::string_view end = path.substr(limits.size());
+    return end.empty() || end == claimPath || end == extensionPath || end == offerPath;
 }
 
 void UsageTask::handle(const std::shared_ptr<http::Exchange> &exchange)
 {
-    if (exchange->path() == claimPath) {
+    const std::string_view path = exchange->path();
+    const std::string_view end = path.substr(std::min(path.size(), m_impl->limits.path.size()));
+    if (end == claimPath) {
         m_impl->handleClaim(*exchange);
-    } else if (exchange->path() == extensionPath) {
+    } else if (end == extensionPath) {
         m_impl->handleExtension(*exchange);
-    } else if (exchange->path() == offerPath) {
+    } else if (end == offerPath) {
         m_impl->handleOffer(*exchange);
     } else {
         m_impl->handleQuery(exchange);
@@ -412,11 +446,12 @@
     if (!parse(*exchange, query)) {
         return;
     }
-    if (!std::isfinite(query.units()) || query.units() < 0.0) {
+    if (!std::isfinite(query.units()) || query.units() < 0.0 || query.max_wait_us() < 0) {
         metrics.counter({"teaseldrift_usage_queries_invalid_total"}).add();
         exchange->respond({.status = statusBadRequest});
         return;
     }
+    learn(query.limit());
     answerQuery(exchange, query, false);
 }
 
@@ -424,7 +459,8 @@
                                   const schema::UsageAsk &query, bool hasClaimed)
 {
     const UsageVerdict verdict
-            = limiter().answer(query.organisation(), query.units(), http::EventLoop::now());
+            = limiter().answer(query.organisation(), query.units(), http::EventLoop::now(),
+                               Duration(query.max_wait_us()));
     if (verdict.outcome == UsageOutcome::Claim && !hasClaimed) {
         claim(query.organisation(),
               [this, query, exchange] { answerQuery(exchange, query, true); });
@@ -436,6 +472,7 @@
     grant.set_is_undecided(verdict.outcome != UsageOutcome::Granted
                            && verdict.outcome != UsageOutcome::Refused);
     grant.set_owner(std::string(verdict.owner));
+    grant.set_wait_us(verdict.wait.count());
     exchange->respond({.body = grant.SerializeAsString()});
 }
 
@@ -449,6 +486,7 @@
         return false;
     }
     fleet.setPeerAddress(message.claimant(), message.claimant_address(), http::EventLoop::now());
+    learn(message.limit());
     return true;
 }
 
