Usage limits: a VM's own part that is less than a request grants none; simulations of targets' limits

The simulation of VMs now asks at most two VMs for a request, as UsageTask does; it went on without end when a former owner kept naming one that was killed.

--- a/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter.cpp
@@ -38,8 +38,10 @@
     if (tryAcquire(units, now)) {
         return Duration(0);
     }
+    const bool isNeverGranted = m_limit.unitsPerSecond * m_share <= 0.0
+                                || (units > capacity() && !m_limit.grantsLargerThanCapacity);
     const Duration wait = timeUntilAvailable(units, now);
-    if (m_limit.unitsPerSecond * m_share <= 0.0 || wait > maxWait) {
+    if (isNeverGranted || wait > maxWait) {
         return std::nullopt;
     }
     m_level -= units;
--- a/packages/policy/src/teaseldrift/usage/usage_limiter_test.cpp
+++ b/packages/policy/src/teaseldrift/usage/usage_limiter_test.cpp
@@ -85,4 +85,36 @@
     }));
 }
 
+TEST_CASE("units that will be there in time are reserved, one request after the other")
+{
+    const Instant start(100s);
+    UsageLimiter limiter;
+    limiter.setLimit({.unitsPerSecond = 2.0, .burst = 1.0, .initialFill = 1.0}, 1.0, start);
+    CHECK(limiter.tryReserve(1.0, 0s, start) == Duration(0));
+    CHECK_FALSE(limiter.tryReserve(1.0, 499ms, start));
+    CHECK(limiter.tryReserve(1.0, 600ms, start) == Duration(500ms));
+    CHECK_FALSE(limiter.tryReserve(1.0, 600ms, start));
+    CHECK(limiter.tryReserve(1.0, 1s, start) == Duration(1s));
+    // Both have been taken from what comes until then.
+    CHECK_FALSE(limiter.tryAcquire(1.0, start + 1499ms));
+    CHECK(limiter.tryAcquire(1.0, start + 1500ms));
+}
+
+// A VM's own part of a limit is often less than one request: all VMs together granted many.
+TEST_CASE("a request larger than the capacity is not reserved unless the limit allows it")
+{
+    const Instant start(100s);
+    UsageLimiter limiter;
+    limiter.setLimit({.unitsPerSecond = 2.0,
+                      .burst = 0.5,
+                      .initialFill = 1.0,
+                      .grantsLargerThanCapacity = false},
+                     1.0, start);
+    CHECK_FALSE(limiter.tryReserve(1.0, 0s, start));
+    CHECK_FALSE(limiter.tryReserve(1.0, 10s, start));
+    limiter.setLimit({.unitsPerSecond = 2.0, .burst = 0.5}, 1.0, start);
+    CHECK(limiter.tryReserve(1.0, 0s, start) == Duration(0));
+    CHECK(limiter.tryReserve(1.0, 10s, start) == Duration(500ms));
+}
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/usage/usage_simulation_test.hpp
@@ -18,6 +18,8 @@
 class UsageSimulation
 {
 public:
+    static constexpr Duration step = 10ms;
+
     struct Options
     {
         size_t vms = 6;
@@ -28,6 +30,7 @@
         Duration window = 8s;
         /// Difference of the times at which one VM and the next one read the list.
         Duration readStagger = 150ms;
+        Duration tickInterval = step;
     };
 
     /// How queries from a VM to the owner fare.
@@ -51,6 +54,7 @@
         Instant renewedAt;
         Instant nextRead;
         Instant nextMaintenance;
+        Instant nextTick;
     };
 
     struct Grant
@@ -63,7 +67,6 @@
     };
 
     static constexpr std::string_view organisation = "shop";
-    static constexpr Duration step = 10ms;
     static constexpr Duration leaseTtl = 3s;
     static constexpr Duration readInterval = 1s;
     static constexpr Duration maintenanceInterval = 500ms;
@@ -156,7 +159,10 @@
         }
         for (size_t i = 0; i < m_vms.size(); ++i) {
             if (!m_vms[i].isSuspended && !m_vms[i].isGone) {
-                m_vms[i].limiter->tick(m_now);
+                if (m_now >= m_vms[i].nextTick) {
+                    m_vms[i].nextTick = m_now + m_options.tickInterval;
+                    m_vms[i].limiter->tick(m_now);
+                }
                 maintainOwnership(i);
             }
         }
@@ -257,8 +263,8 @@
         return static_cast<size_t>(found - m_vms.begin());
     }
 
-    /// What a VM does for a request: at most one claim, and one redirection by the queried VM.
-    UsageVerdict acquire(size_t index, double units)
+    /// What a VM does for a request: at most one claim and two queries.
+    UsageVerdict acquire(size_t index, double units, int queries = 2)
     {
         DistributedUsageLimiter &limiter = *m_vms[index].limiter;
         UsageVerdict verdict = limiter.acquire(organisation, units, m_now);
@@ -266,12 +272,12 @@
             claim(index);
             verdict = limiter.acquire(organisation, units, m_now);
         }
-        constexpr int maxQueries = 2;
-        for (int i = 0; i < maxQueries && verdict.outcome == UsageOutcome::QueryOwner; ++i) {
+        while (queries > 0 && verdict.outcome == UsageOutcome::QueryOwner) {
+            --queries;
             const std::string owner(verdict.owner);
             if (refusesConnection(indexOf(owner))) {
                 limiter.setUnavailable(owner, m_now);
-                return acquire(index, units);
+                return acquire(index, units, queries);
             }
             verdict = query(m_vms[index], owner, units);
             if (verdict.outcome == UsageOutcome::QueryOwner) {
