--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -571,6 +571,15 @@
         perform(m_machine.attemptFailed(id, now));
         return;
     }
+    if (isSuccess && m_callerHasHead && !metadata.isEventStream) {
+        // It cannot continue the stream that the caller is receiving.
+        m_context.log.write(telemetry::EventPriority::Important, "answer_not_a_stream",
+                            {{"request_id", std::string_view(m_admitted.request.id)},
+                             {"target", std::string_view(m_choice->id)},
+                             {"status", static_cast<int64_t>(head.status)}});
+        perform(m_machine.attemptFailed(id, now));
+        return;
+    }
     recordResponse(metadata, head.status, now);
     m_responseMetadata = std::move(metadata);
     m_status = head.status;
