A refusal without an id on a kept connection does not say that a request has not run

What callers could see: 'not run, try again' for a request that was running. Cause: a response that names no request was taken for the next one on its connection. A target that writes an earlier refusal once more, without the id, was believed. Now: such a refusal counts as a broken attempt, unless the connection is new. Requests that may not be repeated have new connections, so that their refusals are believed as before. Evidence: faulty_targets_test, 'a refusal without an id...', answered 503 before.

--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -116,6 +116,8 @@
     /// When the target of the current attempt began to answer.
     std::optional<Instant> m_answerBeganAt;
     bool m_isAnswerRecorded = false;
+    /// The current attempt has a connection on which nothing else has been sent.
+    bool m_hasFreshConnection = false;
     /// The response has neither a length nor chunks.
     bool m_endsWithConnection = false;
     /// The current attempt has received a whole event.
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -438,6 +438,7 @@
     m_sentAt = now;
     m_answerBeganAt.reset();
     m_isAnswerRecorded = false;
+    m_hasFreshConnection = action.useFreshConnection;
     m_endsWithConnection = false;
     m_hasEvents = false;
     m_triedTargets += m_triedTargets.empty() ? "" : ",";
@@ -571,6 +572,15 @@
         perform(m_machine.attemptFailed(id, now));
         return;
     }
+    if (metadata.reportsNotRun && metadata.requestId.empty() && !m_hasFreshConnection) {
+        // It may be the refusal of an earlier request on this connection, written once more.
+        m_context.log.write(telemetry::EventPriority::Important, "refusal_without_id",
+                            {{"request_id", std::string_view(m_admitted.request.id)},
+                             {"target", std::string_view(m_choice->id)},
+                             {"status", static_cast<int64_t>(head.status)}});
+        perform(m_machine.attemptFailed(id, now));
+        return;
+    }
     if (isSuccess && m_callerHasHead && !metadata.isEventStream) {
         // It cannot continue the stream that the caller is receiving.
         m_context.log.write(telemetry::EventPriority::Important, "answer_not_a_stream",
