--- a/packages/relay/src/teaseldrift/relay/cache_events_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/cache_events_task_test.cpp
@@ -55,4 +55,10 @@
     CHECK(pollsWithin100Ms({.quietTime = 60s}) == 1);
 }
 
+// Guards against polls of all VMs that exceed a target's limit without any request (LIMIT).
+TEST_CASE("a target that names a limit is not polled")
+{
+    CHECK(pollsWithin100Ms({.requestsPerSecond = 2.0}) == 1);
+}
+
 } // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -287,4 +287,38 @@
     CHECK(waitFor(loop, [&] { return std::none_of(all.begin(), all.end(), refuses); }));
 }
 
+// Guards against VMs that send to a target as before, because another VM got the response with the
+// limit.
+TEST_CASE("VMs of all availability zones learn of a target's limit, of its change and its end")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "south");
+    Vm d(loop, "d", "south");
+    const Vms vms = recordsOf({&a, &b, &c, &d});
+    for (Vm *vm : {&a, &b, &c, &d}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now(), http::EventLoop::now());
+        vm->load.start();
+    }
+    const auto allHave = [&](std::optional<double> limit) {
+        for (const Vm *vm : {&a, &b, &c, &d}) {
+            if (vm->fleet.targetLimits().of(limitKeyOf("t", 1)) != limit) {
+                return false;
+            }
+        }
+        return true;
+    };
+    b.fleet.applyNotice("t", 1, {.requestsPerSecond = 2.0}, http::EventLoop::now());
+    CHECK(waitFor(loop, [&] { return allHave(2.0); }));
+    d.fleet.applyNotice("t", 1, {.requestsPerSecond = 1.5}, http::EventLoop::now());
+    CHECK(waitFor(loop, [&] { return allHave(1.5); }));
+    const auto lacksLimit = [&] {
+        const Instant now = http::EventLoop::now();
+        a.fleet.applyNotice("t", 1, {.wouldNameLimit = true}, now, now);
+        return allHave(std::nullopt);
+    };
+    CHECK(waitFor(loop, lacksLimit));
+}
+
 } // namespace teaseldrift::relay
--- /dev/null
+++ b/packages/relay/src/teaseldrift/relay/target_permits_test.cpp
@@ -0,0 +1,245 @@
+#include "teaseldrift/relay/target_permits.hpp"
+
+#include <cmath>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <fcntl.h>
+
+#include <catch2/catch.hpp>
+
+#include "target_limit_messages.hpp"
+#include "teaseldrift/relay/permitted_order_channel.hpp"
+
+namespace teaseldrift::relay {
+
+namespace {
+
+/// A VM with its own loopback server for other VMs.
+struct Vm
+{
+    Vm(http::EventLoop &loop, const std::string &id)
+        : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
+          server(loop, {},
+                 [this](const std::shared_ptr<http::Exchange> &exchange) {
+                     ++messages;
+                     isOwnPath = isOwnPath && TargetPermits::isMessage(exchange->path())
+                                 && !UsageTask::isMessage(exchange->path());
+                     permits.handle(exchange);
+                 }),
+          fleet({.vmId = id,
+                 .peerAddress = "127.0.0.1:" + std::to_string(listen()),
+                 .minVmCount = 1},
+                log, http::EventLoop::now() - 60s),
+          peers(loop, {.connectTimeout = 50ms}), permits(loop, peers, fleet, log, metrics)
+    {
+        fleet.leaseRenewed(http::EventLoop::now(), 60s, http::EventLoop::now());
+    }
+
+    uint16_t listen()
+    {
+        REQUIRE_FALSE(server.listen());
+        return server.port();
+    }
+
+    telemetry::EventLog log;
+    telemetry::Metrics metrics;
+    int messages = 0;
+    bool isOwnPath = true;
+    http::Server server;
+    FleetState fleet;
+    http::Client peers;
+    TargetPermits permits;
+};
+
+void join(const std::vector<std::unique_ptr<Vm>> &vms)
+{
+    std::map<std::string, schema::VmRecord, std::less<>> list;
+    for (const std::unique_ptr<Vm> &vm : vms) {
+        schema::VmRecord &record = list[vm->fleet.options().vmId];
+        record.set_vm_id(vm->fleet.options().vmId);
+        record.set_peer_address(vm->fleet.options().peerAddress);
+    }
+    for (const std::unique_ptr<Vm> &vm : vms) {
+        vm->fleet.applyVms(list, http::EventLoop::now(), http::EventLoop::now());
+    }
+}
+
+constexpr TargetLimitKey target{.target = 7, .startedAtMs = 3};
+
+PermitDecision acquire(http::EventLoop &loop, Vm &vm, Duration maxWait = Duration(0))
+{
+    std::optional<PermitDecision> decision;
+    bool isWaiting = false;
+    vm.permits.acquire(target, maxWait, [&](const PermitDecision &result) {
+        decision = result;
+        if (isWaiting) {
+            loop.stop();
+        }
+    });
+    if (!decision) {
+        isWaiting = true;
+        const http::EventLoop::TimerId watchdog = loop.startTimer(5s, [&loop] { loop.stop(); });
+        loop.run();
+        loop.cancelTimer(watchdog);
+    }
+    REQUIRE(decision);
+    return *decision;
+}
+
+void nameLimit(Vm &vm, double perSecond)
+{
+    schema::TargetLimit limit;
+    limit.set_target_key(target.target);
+    limit.set_started_at_ms(target.startedAtMs);
+    limit.set_per_second(perSecond);
+    vm.fleet.applyTargetLimit(limit, http::EventLoop::now());
+}
+
+} // namespace
+
+// Guards against each VM granting a target's limit by itself (LIMIT), also if all but one of them
+// have not heard of it.
+TEST_CASE("VMs together grant a target's limit once")
+{
+    http::EventLoop loop;
+    std::vector<std::unique_ptr<Vm>> vms;
+    for (const char *id : {"a", "b", "c", "d"}) {
+        vms.push_back(std::make_unique<Vm>(loop, id));
+    }
+    join(vms);
+    const size_t asking = GENERATE(1, 4);
+    for (size_t i = 0; i < asking; ++i) {
+        nameLimit(*vms[i], 2.0);
+    }
+    int granted = 0;
+    for (int i = 0; i < 40; ++i) {
+        Vm &vm = *vms[static_cast<size_t>(i) % asking];
+        const PermitDecision decision = acquire(loop, vm);
+        granted += decision.permit ? 1 : 0;
+        CHECK((decision.permit || decision.retryAfter > Duration(0)));
+    }
+    CHECK(granted <= 3);
+    for (const std::unique_ptr<Vm> &vm : vms) {
+        CHECK(vm->isOwnPath);
+    }
+}
+
+TEST_CASE("permits are reserved one after the other, and returned")
+{
+    http::EventLoop loop;
+    std::vector<std::unique_ptr<Vm>> vms;
+    vms.push_back(std::make_unique<Vm>(loop, "a"));
+    vms.push_back(std::make_unique<Vm>(loop, "b"));
+    join(vms);
+    nameLimit(*vms[0], 2.0);
+    nameLimit(*vms[1], 2.0);
+    while (acquire(loop, *vms[0]).permit) { }
+    const PermitDecision first = acquire(loop, *vms[0], 3s);
+    const PermitDecision second = acquire(loop, *vms[1], 3s);
+    REQUIRE(first.permit);
+    REQUIRE(second.permit);
+    CHECK(first.wait > Duration(0));
+    CHECK(second.wait > first.wait + 400ms);
+    CHECK_FALSE(acquire(loop, *vms[1], 100ms).permit);
+    vms[0]->permits.refund(*first.permit);
+    const PermitDecision again = acquire(loop, *vms[0]);
+    REQUIRE(again.permit);
+    CHECK(again.permit->grantedAt == first.permit->grantedAt);
+}
+
+TEST_CASE("a limit that has ended grants everything")
+{
+    http::EventLoop loop;
+    Vm vm(loop, "a");
+    CHECK_FALSE(vm.permits.isLimited(target));
+    CHECK(acquire(loop, vm).permit);
+}
+
+TEST_CASE("messages with limits of targets are bounded, and cover all in turn")
+{
+    TargetLimits limits;
+    const Instant now(100s);
+    for (uint32_t i = 0; i < 150; ++i) {
+        limits.named({.target = i}, 2.0, now);
+    }
+    TargetLimits other;
+    size_t first = 0;
+    for (int message = 0; message < 3; ++message) {
+        const schema::TargetLimits part = targetLimitsFor(limits, other.digest(), first, now);
+        CHECK(part.limits_size() == maxLimitsPerMessage);
+        CHECK(part.ByteSizeLong() < 3072);
+        first += static_cast<size_t>(part.limits_size());
+        for (const schema::TargetLimit &limit : part.limits()) {
+            other.merge(*readTargetLimit(limit, now), now);
+        }
+    }
+    CHECK(other.digest() == limits.digest());
+    CHECK(targetLimitsFor(limits, other.digest(), 0, now).ByteSizeLong() < 16);
+}
+
+TEST_CASE("a limit in a message that is no number of requests is ignored")
+{
+    for (const double perSecond : {-1.0, std::nan(""), HUGE_VAL}) {
+        schema::TargetLimit message;
+        message.set_per_second(perSecond);
+        CHECK_FALSE(readTargetLimit(message, Instant(100s)));
+    }
+}
+
+namespace {
+
+struct FakeOrderChannel
+{
+    void
+    requestReport(const WeightsOrder &,
+                  const std::function<void(std::optional<WeightsReport>, const TargetNotice &)> &)
+    {
+        ++reports;
+    }
+
+    void sendOrder(const WeightsOrder &,
+                   const std::function<void(WeightOrderOutcome, const TargetNotice &)> &)
+    {
+        ++orders;
+    }
+
+    int reports = 0;
+    int orders = 0;
+};
+
+} // namespace
+
+// Guards against reports and orders of a rollout that exceed a target's limit (LIMIT).
+TEST_CASE("reports of a limited target wait for permits, and orders use them up")
+{
+    http::EventLoop loop;
+    Vm vm(loop, "a");
+    vm.fleet.applyVms({{"a", schema::VmRecord()}}, http::EventLoop::now(), http::EventLoop::now());
+    vm.fleet.applyNotice("t", 1, {.requestsPerSecond = 2.0}, http::EventLoop::now());
+    FakeOrderChannel inner;
+    PermittedOrderChannel<FakeOrderChannel> channel(loop, inner, vm.permits);
+    const WeightsOrder order{.target = "t", .startedAtMs = 1};
+    int refused = 0;
+    for (int i = 0; i < 12; ++i) {
+        channel.requestReport(order, [&refused](std::optional<WeightsReport>,
+                                                const TargetNotice &) { ++refused; });
+    }
+    // Two seconds of permits and what the limit's owner has saved are granted, the rest is not.
+    CHECK(inner.reports <= 2);
+    loop.startTimer(2200ms, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(inner.reports + refused == 12);
+    CHECK(inner.reports >= 4);
+    CHECK(inner.reports <= 6);
+    channel.sendOrder(order, [](WeightOrderOutcome, const TargetNotice &) {});
+    CHECK(inner.orders == 1);
+    const WeightsOrder unlimited{.target = "other", .startedAtMs = 1};
+    const int before = inner.reports;
+    channel.requestReport(unlimited, [](std::optional<WeightsReport>, const TargetNotice &) {});
+    CHECK(inner.reports == before + 1);
+}
+
+} // namespace teaseldrift::relay
