Registrations of targets that are gone no longer end the process; limits of former targets are dropped

The directory ignores such a registration, and the process used the entry that it then looked up. Limits are taken from other VMs for present incarnations only.

--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -116,8 +116,16 @@
 void FleetState::applyTarget(const TargetEntry &entry, Instant now)
 {
     const TargetChange change = m_directory.put(entry);
-    const TargetEntry &target = *m_directory.find(entry.id);
+    const TargetEntry *known = m_directory.find(entry.id);
+    if (known == nullptr) {
+        // An outdated registration of a target that is gone.
+        return;
+    }
+    const TargetEntry &target = *known;
     m_targetSelector.update(target, change, now);
+    if (change == TargetChange::Restarted) {
+        removeLimits(target.id, now);
+    }
     logTarget(target, change);
 }
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
@@ -42,8 +42,16 @@
 void FleetState::applyTargetLimit(const schema::TargetLimit &message, Instant now)
 {
     const std::optional<TargetLimit> limit = readTargetLimit(message, now);
-    if (limit && m_targetLimits.merge(*limit, now)) {
-        logLimit(m_targetSelector.idOf(limit->key.target), limit->key, "vm");
+    if (!limit) {
+        return;
+    }
+    const std::string_view id = m_targetSelector.idOf(limit->key.target);
+    const TargetEntry *target = m_directory.find(id);
+    // VMs learn at different times that a target is gone; its limit must not come back from
+    // another.
+    const bool isPresent = target != nullptr && target->startedAtMs == limit->key.startedAtMs;
+    if (isPresent && m_targetLimits.merge(*limit, now)) {
+        logLimit(id, limit->key, "vm");
         updateTargetLimiter(now);
     }
 }
--- a/packages/relay/src/teaseldrift/relay/target_permits_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/target_permits_test.cpp
@@ -1,5 +1,6 @@
 #include "teaseldrift/relay/target_permits.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <memory>
@@ -24,7 +25,7 @@
         : log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)}),
           server(loop, {},
                  [this](const std::shared_ptr<http::Exchange> &exchange) {
-                     ++messages;
+                     largestMessage = std::max(largestMessage, exchange->body().size());
                      isOwnPath = isOwnPath && TargetPermits::isMessage(exchange->path())
                                  && !UsageTask::isMessage(exchange->path());
                      permits.handle(exchange);
@@ -46,7 +47,7 @@
 
     telemetry::EventLog log;
     telemetry::Metrics metrics;
-    int messages = 0;
+    size_t largestMessage = 0;
     bool isOwnPath = true;
     http::Server server;
     FleetState fleet;
@@ -54,6 +55,15 @@
     TargetPermits permits;
 };
 
+const TargetLimitKey target = limitKeyOf("t", 3);
+
+void addTarget(Vm &vm, uint64_t startedAtMs)
+{
+    vm.fleet.applyTarget(
+            {.id = "t", .service = "s", .address = "10.0.0.1:80", .startedAtMs = startedAtMs},
+            http::EventLoop::now());
+}
+
 void join(const std::vector<std::unique_ptr<Vm>> &vms)
 {
     std::map<std::string, schema::VmRecord, std::less<>> list;
@@ -64,11 +74,10 @@
     }
     for (const std::unique_ptr<Vm> &vm : vms) {
         vm->fleet.applyVms(list, http::EventLoop::now(), http::EventLoop::now());
+        addTarget(*vm, target.startedAtMs);
     }
 }
 
-constexpr TargetLimitKey target{.target = 7, .startedAtMs = 3};
-
 PermitDecision acquire(http::EventLoop &loop, Vm &vm, Duration maxWait = Duration(0))
 {
     std::optional<PermitDecision> decision;
@@ -124,6 +133,7 @@
     CHECK(granted <= 3);
     for (const std::unique_ptr<Vm> &vm : vms) {
         CHECK(vm->isOwnPath);
+        CHECK(vm->largestMessage < 128);
     }
 }
 
@@ -158,6 +168,31 @@
     CHECK(acquire(loop, vm).permit);
 }
 
+// Guards against limits of former targets that VMs send each other forever.
+TEST_CASE("the limit of a target that is gone or has restarted does not come back from another VM")
+{
+    http::EventLoop loop;
+    Vm vm(loop, "a");
+    nameLimit(vm, 2.0);
+    CHECK_FALSE(vm.permits.isLimited(target));
+    addTarget(vm, target.startedAtMs);
+    nameLimit(vm, 2.0);
+    CHECK(vm.permits.isLimited(target));
+
+    SECTION("gone")
+    {
+        vm.fleet.removeTarget("t", http::EventLoop::now());
+    }
+
+    SECTION("restarted")
+    {
+        addTarget(vm, target.startedAtMs + 1);
+    }
+    CHECK(vm.fleet.targetLimits().count() == 0);
+    nameLimit(vm, 2.0);
+    CHECK(vm.fleet.targetLimits().count() == 0);
+}
+
 TEST_CASE("messages with limits of targets are bounded, and cover all in turn")
 {
     TargetLimits limits;
