--- a/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/cache_events_task.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -86,10 +87,11 @@
     {
         const Instant now = http::EventLoop::now();
         updateCaches(now);
+        const std::set<std::string, std::less<>> limited = limitedAddresses();
         std::map<std::string, std::vector<std::string>> byPoller;
         for (std::pair<const std::string, PolledCache> &cache : m_caches) {
             if (cache.second.isPolling || now < cache.second.nextPoll || isQuiet(cache.first, now)
-                || isLimited(cache.first)) {
+                || limited.contains(cache.second.address)) {
                 continue;
             }
             const schema::VmRecord *poller
@@ -114,12 +116,20 @@
         return target != nullptr && m_fleet.targetSelector().isQuiet(*target, now);
     }
 
-    /// Polls of all VMs would exceed a low limit without any request of a caller.
-    [[nodiscard]] bool isLimited(const std::string &id) const
+    /// Addresses of targets that name a limit: polls of all VMs would exceed a low limit without
+    /// any request of a caller. A former target may still be registered at the same address.
+    [[nodiscard]] std::set<std::string, std::less<>> limitedAddresses() const
     {
-        const TargetEntry *target = m_fleet.directory().find(id);
-        return target != nullptr
-               && m_fleet.targetLimits().of(limitKeyOf(target->id, target->startedAtMs));
+        std::set<std::string, std::less<>> addresses;
+        if (m_fleet.targetLimits().count() == 0) {
+            return addresses;
+        }
+        for (const std::pair<const std::string, TargetEntry> &target : m_fleet.directory().all()) {
+            if (m_fleet.targetLimits().of(limitKeyOf(target.first, target.second.startedAtMs))) {
+                addresses.insert(target.second.address);
+            }
+        }
+        return addresses;
     }
 
     [[nodiscard]] bool usesPollers() const
--- a/packages/relay/src/teaseldrift/relay/cache_events_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/cache_events_task_test.cpp
@@ -1,5 +1,7 @@
 #include "teaseldrift/relay/cache_events_task.hpp"
 
+#include <string>
+
 #include <fcntl.h>
 
 #include <catch2/catch.hpp>
@@ -24,7 +26,8 @@
 };
 
 /// Polls one target every 10 ms for 100 ms.
-int pollsWithin100Ms(const TargetNotice &notice)
+/// @param formerId another target that is still registered at the same address; empty for none
+int pollsWithin100Ms(const TargetNotice &notice, const std::string &formerId = {})
 {
     http::EventLoop loop;
     telemetry::EventLog log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)});
@@ -38,6 +41,14 @@
                        .weights = {{"m", 1}}},
                       http::EventLoop::now());
     FakeChannel channel{.notice = notice};
+    if (!formerId.empty()) {
+        fleet.applyTarget({.id = formerId,
+                           .service = "writer",
+                           .address = "10.0.0.1:80",
+                           .weights = {{"m", 1}}},
+                          http::EventLoop::now());
+        fleet.applyNotice("t", 1, {.requestsPerSecond = 2.0}, http::EventLoop::now());
+    }
     CacheEventsTask<FakeChannel> task(loop, channel, exchange, fleet,
                                       {.pollInterval = 10ms, .tick = 10ms});
     task.start();
@@ -59,6 +70,7 @@
 TEST_CASE("a target that names a limit is not polled")
 {
     CHECK(pollsWithin100Ms({.requestsPerSecond = 2.0}) == 1);
+    CHECK(pollsWithin100Ms({}, "former") == 0);
 }
 
 } // namespace teaseldrift::relay
