--- a/packages/policy/include/teaseldrift/targets/target_limits.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_limits.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,7 +23,11 @@
     /// See TargetEntry::startedAtMs.
     uint64_t startedAtMs = 0;
 
-    auto operator<=>(const TargetLimitKey &) const = default;
+    bool operator==(const TargetLimitKey &) const = default;
+    bool operator<(const TargetLimitKey &other) const
+    {
+        return std::tie(target, startedAtMs) < std::tie(other.target, other.startedAtMs);
+    }
 };
 
 /// @brief Key of the incarnation of a target.
--- a/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
@@ -14,11 +14,8 @@
     const Instant start(100s);
     FleetState fleet({.vmId = "vm"}, log, start);
     fleet.storeRegained(start);
-    TargetEntry entry{.id = "t",
-                      .service = "s",
-                      .address = "10.0.0.1:80",
-                      .startedAtMs = 1,
-                      .heartbeats = 5};
+    TargetEntry entry{
+            .id = "t", .service = "s", .address = "10.0.0.1:80", .startedAtMs = 1, .heartbeats = 5};
     fleet.applyTarget(entry, start);
     fleet.removeTarget("t", start + 5s);
     REQUIRE(fleet.directory().find("t") == nullptr);
