--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -15,7 +15,8 @@
 struct PrefixWatcherOptions
 {
     std::string prefix;
-    /// Longest time that the store holds a call until there is a change.
+    /// Longest time that the store holds a call until there is a change. After a failed call, calls
+    /// are not held until one succeeds.
     Duration wait = 10s;
     /// Optional; returns the delay between a response and the next call, which bounds the cost of
     /// prefixes that change often.
@@ -90,7 +91,10 @@
 
     void readChanges()
     {
-        m_store.waitForChanges(m_options.prefix, m_revision, m_options.wait,
+        // A store that is silent may begin to respond at any time: a call that it would hold until
+        // there is a change could only time out after that.
+        const Duration wait = m_isConnected ? m_options.wait : Duration(0);
+        m_store.waitForChanges(m_options.prefix, m_revision, wait,
                                [this](std::error_code error, const store::StoreSnapshot &changes) {
                                    if (error == store::StoreError::Compacted) {
                                        m_needsSnapshot = true;
--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -34,9 +34,10 @@
         answer(true, handler);
     }
 
-    void waitForChanges(std::string_view, uint64_t revision, Duration, ReadHandler handler)
+    void waitForChanges(std::string_view, uint64_t revision, Duration wait, ReadHandler handler)
     {
         revisions.push_back(revision);
+        waits.push_back(wait);
         answer(false, handler);
     }
 
@@ -46,6 +47,7 @@
     void revokeLease(uint64_t) { }
 
     std::vector<uint64_t> revisions;
+    std::vector<Duration> waits;
     bool isAsExpected = true;
 
 private:
@@ -162,4 +164,28 @@
     CHECK(counts.reconnected == 1);
 }
 
+// Guards against changes that are learned too late because a call sent while the store was silent
+// is waited for as long as one that the store holds until there is a change (CONFIG).
+TEST_CASE("a watcher's calls are not held by the store while it does not respond")
+{
+    http::EventLoop loop;
+    ScriptedStore scripted(loop, {{.readsAll = true, .snapshot = snapshotOf(10)},
+                                  {.error = StoreError::Unavailable},
+                                  {.error = StoreError::Unavailable},
+                                  {.snapshot = snapshotOf(11)}});
+    PrefixWatcher<ScriptedStore> watcher(loop, scripted,
+                                         {.prefix = "p/",
+                                          .wait = 2s,
+                                          .initialRetryDelay = 1ms,
+                                          .maxRetryDelay = 2ms},
+                                         {.onSnapshot = [](const StoreSnapshot &) {},
+                                          .onChanges = [](const StoreSnapshot &) {},
+                                          .onDisconnected = [](std::error_code) {},
+                                          .onReconnected = [] {}});
+    loop.startTimer(10s, [&loop] { loop.stop(); });
+    watcher.start();
+    loop.run();
+    CHECK(scripted.waits == std::vector<Duration>{2s, Duration(0), Duration(0), 2s});
+}
+
 } // namespace teaseldrift::relay
