--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.cpp
@@ -252,6 +252,15 @@
     collectActions(name);
 }
 
+void FleetSimulation::setLimits(const Limits &changed)
+{
+    limits = changed;
+    for (auto &[vm, process] : m_processes) {
+        process.manager.configure(organisation, limits, localTime(process));
+        collectActions(vm);
+    }
+}
+
 void FleetSimulation::spendAll()
 {
     for (size_t vm = 0; vm < m_processes.size(); ++vm) {
--- a/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/allowance/fleet_simulation_test.hpp
@@ -92,6 +92,8 @@
     /// @brief Passes every VM the newest VM list.
     void refreshAll();
     void refreshList(size_t vm, size_t lag);
+    /// @brief Changes the limits on every VM. What was admitted before must be within them.
+    void setLimits(const Limits &changed);
     void setStoreDown(bool down) { m_storeDown = down; }
     void answerStore(size_t number, size_t fault);
     void heal();
--- a/packages/router/include/teaseldrift/router/allowance_task.hpp
+++ b/packages/router/include/teaseldrift/router/allowance_task.hpp
@@ -57,6 +57,14 @@
     /// @brief Replaces the organisations' rate limits.
     void configure(const schema::Configuration &configuration);
 
+    /// @brief Sets a limit that is not part of the configuration.
+    /// @param name differs from the names of all organisations; stands for `organisation` in
+    /// admit() and refund()
+    void setLimit(const std::string &name, const allowance::Limits &limits);
+
+    /// @brief Removes a limit set by setLimit().
+    void removeLimit(const std::string &name);
+
     /// @brief Replaces the VMs of the platform's list, which include this VM.
     /// @param age time since the read of the list began
     void setVms(std::span<const homes::VmView> vms, Duration age);
--- a/packages/router/include/teaseldrift/router/frontend.hpp
+++ b/packages/router/include/teaseldrift/router/frontend.hpp
@@ -23,6 +23,7 @@
 class EntryVmSelector;
 class QuarantineTask;
 class RouterMetrics;
+class TargetPermits;
 class TargetPool;
 
 /// @brief Settings and services of this VM that the frontend uses.
@@ -36,6 +37,7 @@
     ClaimTask &claims;
     EntryVmSelector &entrySelector;
     QuarantineTask &quarantine;
+    TargetPermits &permits;
     /// Seed of request ids.
     uint64_t seed = 0;
 };
--- a/packages/router/include/teaseldrift/router/request_task.hpp
+++ b/packages/router/include/teaseldrift/router/request_task.hpp
@@ -25,6 +25,7 @@
 
 class RouterMetrics;
 class QuarantineTask;
+class TargetPermits;
 
 /// @brief Services and limits of this VM that request tasks use.
 struct RequestServices
@@ -34,6 +35,7 @@
     TargetPool &targets;
     RouterMetrics &metrics;
     QuarantineTask &quarantine;
+    TargetPermits &permits;
     /// Bytes buffered for a slow caller before reading from the target is paused.
     size_t streamBufferBytes = 65536;
     /// Time without progress after which a caller with pending data is disconnected.
--- a/packages/router/include/teaseldrift/router/target_poller.hpp
+++ b/packages/router/include/teaseldrift/router/target_poller.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <string>
 
 #include "teaseldrift/base/time.hpp"
 
@@ -11,6 +13,7 @@
 namespace teaseldrift::router {
 
 class TargetPool;
+struct TargetLoad;
 
 /// @brief How often targets are polled for their load.
 struct TargetPollerOptions
@@ -20,6 +23,8 @@
     /// Minimum time between two polls of any targets, which bounds the polling load of this VM.
     Duration spacing = 125ms;
     Duration timeout = 1s;
+    /// Optional; called with each load report.
+    std::function<void(const std::string &target, const TargetLoad &report)> onReport = nullptr;
 };
 
 /// @brief Polls engines for their load (`GET /load`) in turn, and probes targets that are ejected
--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -56,6 +56,7 @@
 {
     /// OK if a target was acquired.
     schema::ResultCode code = schema::OK;
+    /// With NO_TARGET: time until the first target is available again, if that is known.
     std::optional<Duration> retryAfter;
     std::string target;
     /// Incarnation that the target last reported; 0 if it has not.
@@ -85,6 +86,8 @@
     uint32_t queued = 0;
     uint64_t prefillBacklogTokens = 0;
     uint32_t slots = 0;
+    /// Requests a second that the target takes from all VMs together; empty for no limit.
+    std::optional<double> requestsPerSecond;
     Instant observedAt{};
     /// Versions of the weights that the engine serves, by model; a model that is still being loaded
     /// is absent. Empty if the engine does not report its models.
@@ -123,6 +126,9 @@
     /// @brief Stores a target's load report.
     void report(const std::string &target, const TargetLoad &report);
 
+    /// @brief Assigns no requests to a target until then.
+    void setUnavailableUntil(const std::string &target, Instant until);
+
     /// @brief Records the result of a probe of a target.
     void reportObservation(const std::string &target, HealthObservation observation);
 
--- a/packages/router/src/teaseldrift/router/allowance_task.cpp
+++ b/packages/router/src/teaseldrift/router/allowance_task.cpp
@@ -245,6 +245,18 @@
     m_impl->perform();
 }
 
+void AllowanceTask::setLimit(const std::string &name, const allowance::Limits &limits)
+{
+    m_impl->manager.configure(name, limits, http::EventLoop::now());
+    m_impl->perform();
+}
+
+void AllowanceTask::removeLimit(const std::string &name)
+{
+    m_impl->manager.remove(name, http::EventLoop::now());
+    m_impl->perform();
+}
+
 void AllowanceTask::setVms(std::span<const homes::VmView> vms, Duration age)
 {
     m_impl->manager.setVms(vms, http::EventLoop::now(), age);
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 
 #include "teaseldrift/configuration/settings_lookup.hpp"
 #include "teaseldrift/fleet/configuration_task.hpp"
@@ -14,6 +15,7 @@
 #include "teaseldrift/router/frontend.hpp"
 #include "teaseldrift/router/quarantine_task.hpp"
 #include "teaseldrift/router/router_metrics.hpp"
+#include "teaseldrift/router/target_permits.hpp"
 #include "teaseldrift/router/target_poller.hpp"
 #include "teaseldrift/router/target_pool.hpp"
 #include "teaseldrift/store/etcd_store.hpp"
@@ -94,6 +96,7 @@
     AllowanceTask allowance;
     ClaimTask claims;
     QuarantineTask quarantine;
+    TargetPermits permits;
     Frontend frontend;
     http::Server server;
     std::optional<TargetPoller> poller;
@@ -116,15 +119,16 @@
                     settings.store_prefix()),
           claims(loop, store, settings.store_prefix()),
           quarantine(loop, peers, {.vmId = settings.vm_id(), .seed = identity.seed}),
-          frontend({.loop = loop,
-                    .settings = settings,
-                    .metrics = metrics,
-                    .targets = targets,
-                    .allowance = allowance,
-                    .claims = claims,
-                    .entrySelector = entrySelector,
-                    .quarantine = quarantine,
-                    .seed = identity.seed}),
+          permits(allowance, metrics.registry()), frontend({.loop = loop,
+                                                            .settings = settings,
+                                                            .metrics = metrics,
+                                                            .targets = targets,
+                                                            .allowance = allowance,
+                                                            .claims = claims,
+                                                            .entrySelector = entrySelector,
+                                                            .quarantine = quarantine,
+                                                            .permits = permits,
+                                                            .seed = identity.seed}),
           server(loop, serverOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) {
               frontend.handle(std::move(exchange));
           })
@@ -194,6 +198,11 @@
     table = std::make_shared<const RoutingTable>(newest, revision);
     frontend.configure(table);
     allowance.configure(newest);
+    std::set<std::string> targetIds;
+    for (const schema::Target &target : newest.targets()) {
+        targetIds.insert(target.id());
+    }
+    permits.retainTargets(targetIds);
     metrics.registry().setGauge({"teaseldrift_configuration_revision"},
                                 static_cast<double>(revision));
     telemetry::log(telemetry::LogLevel::Info, "configuration in force",
@@ -316,7 +325,11 @@
     impl.configuration->start();
     impl.pollMembers();
     impl.quarantine.start();
-    impl.poller.emplace(impl.loop, impl.targets);
+    impl.poller.emplace(impl.loop, impl.targets,
+                        TargetPollerOptions{.onReport = [&impl](const std::string &target,
+                                                                const TargetLoad &report) {
+                            impl.permits.setLimit(target, report.requestsPerSecond);
+                        }});
     telemetry::log(telemetry::LogLevel::Info, "listening",
                    {{"caller_port", std::to_string(impl.server.port())},
                     {"peer_port", std::to_string(impl.peers.port())}});
--- a/packages/router/src/teaseldrift/router/frontend.cpp
+++ b/packages/router/src/teaseldrift/router/frontend.cpp
@@ -346,6 +346,7 @@
             .targets = context.targets,
             .metrics = context.metrics,
             .quarantine = context.quarantine,
+            .permits = context.permits,
             .streamBufferBytes = context.settings.stream_buffer_bytes(),
             .callerIdleTimeout = std::chrono::milliseconds(context.settings.caller_idle_ms()),
             .debugHeaders = context.settings.debug_headers(),
--- a/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
+++ b/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
@@ -10,6 +10,7 @@
 #include "teaseldrift/router/entry_vm_selector.hpp"
 #include "teaseldrift/router/refusal.hpp"
 #include "teaseldrift/router/router_metrics.hpp"
+#include "teaseldrift/router/target_permits.hpp"
 #include "teaseldrift/schema/fleet.pb.h"
 #include "teaseldrift/telemetry/log.hpp"
 
@@ -217,6 +218,8 @@
         context.metrics.registry().setGauge(
                 {"teaseldrift_allowance_messages_refused"},
                 static_cast<double>(context.allowance.refusedMessages()));
+        context.metrics.registry().setGauge({"teaseldrift_limited_targets"},
+                                            static_cast<double>(context.permits.limitedTargets()));
         exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
                            .body = context.metrics.registry().text()});
     } else if (path == "/v1/entry") {
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -33,15 +33,21 @@
     if (action.reason != schema::RETRY_NONE) {
         services.metrics.countRetry(action.reason);
     }
+    acquireTarget();
+}
+
+/// Acquires a target for the current attempt.
+void RequestTask::Impl::acquireTarget()
+{
     const std::weak_ptr<RequestTask> weak = self;
     pendingAcquisition
             = services.targets.acquire(spec.query,
                                        {
-                                               .onlyTarget = action.target,
-                                               .excludedTargets = action.excludedTargets,
-                                               .isRetry = action.reason != schema::RETRY_NONE,
+                                               .onlyTarget = attemptPlan.target,
+                                               .excludedTargets = attemptPlan.excludedTargets,
+                                               .isRetry = attemptPlan.reason != schema::RETRY_NONE,
                                        },
-                                       [weak, id = action.id](const AcquireResult &result) {
+                                       [weak, id = attemptPlan.id](const AcquireResult &result) {
                                            const std::shared_ptr<RequestTask> task = weak.lock();
                                            if (task != nullptr) {
                                                task->m_impl->onAcquired(id, result);
@@ -59,6 +65,11 @@
         return;
     }
     if (result.code != schema::OK) {
+        if (result.code == schema::NO_TARGET && result.retryAfter.has_value()) {
+            // All targets have reached the limits that they name.
+            perform(machine.targetsUnavailable(id, now, *result.retryAfter));
+            return;
+        }
         const bool isFirstAttemptRefused
                 = machine.attempts() == 1 && result.code != schema::NO_TARGET;
         if (isFirstAttemptRefused) {
@@ -79,20 +90,70 @@
         perform(machine.targetsUnavailable(id, now, retryAfter));
         return;
     }
-    if (exchange->isCallerDisconnected()) {
-        onCallerDisconnected();
+    if (!prepareAttempt()) {
+        releaseTarget(std::nullopt);
+        perform(machine.noTargetAvailable(id, now));
         return;
     }
-    if (spec.sendDeadline.has_value() && now > *spec.sendDeadline) {
-        refuse({.code = schema::IDEMPOTENCY_CLAIM_FAILED, .requestId = spec.requestId},
-               schema::RAN_NO);
+    if (services.permits.isLimited(result.target)) {
+        acquirePermit(id, result);
+    } else if (mayBegin()) {
+        begin(id, result);
+    }
+}
+
+void RequestTask::Impl::acquirePermit(AttemptId id, const AcquireResult &result)
+{
+    TargetPermits &permits = services.permits;
+    const std::weak_ptr<RequestTask> weak = self;
+    permits.acquire(result.target, [weak, &permits, id, result](const PermitDecision &decision) {
+        if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+            task->m_impl->onPermitDecided(id, result, decision);
+        } else if (decision.permit) {
+            permits.refund(*decision.permit);
+        }
+    });
+}
+
+void RequestTask::Impl::onPermitDecided(AttemptId id, const AcquireResult &result,
+                                        const PermitDecision &decision)
+{
+    const bool isCurrent = !done && machine.isCurrent(id);
+    if (!decision.permit) {
+        services.targets.setUnavailableUntil(result.target,
+                                             http::EventLoop::now() + decision.retryAfter);
+        if (isCurrent) {
+            releaseTarget(std::nullopt);
+            acquireTarget();
+        }
         return;
     }
-    if (!prepareAttempt()) {
-        releaseTarget(std::nullopt);
-        perform(machine.noTargetAvailable(id, now));
+    if (!isCurrent || !mayBegin()) {
+        services.permits.refund(*decision.permit);
         return;
     }
+    begin(id, result);
+}
+
+/// @return false if nothing may be sent any more; the request has ended then
+bool RequestTask::Impl::mayBegin()
+{
+    if (exchange->isCallerDisconnected()) {
+        onCallerDisconnected();
+        return false;
+    }
+    if (spec.sendDeadline.has_value() && http::EventLoop::now() > *spec.sendDeadline) {
+        refuse({.code = schema::IDEMPOTENCY_CLAIM_FAILED, .requestId = spec.requestId},
+               schema::RAN_NO);
+        return false;
+    }
+    return true;
+}
+
+/// Sends the attempt to the target that it has acquired.
+void RequestTask::Impl::begin(AttemptId id, const AcquireResult &result)
+{
+    const Instant now = http::EventLoop::now();
     target = result.target;
     targetIncarnation = result.incarnation;
     explanation = result.explanation;
--- a/packages/router/src/teaseldrift/router/request_task_impl.hpp
+++ b/packages/router/src/teaseldrift/router/request_task_impl.hpp
@@ -13,6 +13,7 @@
 #include "teaseldrift/router/refusal.hpp"
 #include "teaseldrift/router/request_task.hpp"
 #include "teaseldrift/router/router_metrics.hpp"
+#include "teaseldrift/router/target_permits.hpp"
 
 namespace teaseldrift::router {
 
@@ -75,7 +76,12 @@
     void perform(const RefuseRequest &action);
     void perform(const EndStreamWithError &action);
 
+    void acquireTarget();
     void onAcquired(AttemptId id, const AcquireResult &result);
+    void acquirePermit(AttemptId id, const AcquireResult &result);
+    void onPermitDecided(AttemptId id, const AcquireResult &result, const PermitDecision &decision);
+    [[nodiscard]] bool mayBegin();
+    void begin(AttemptId id, const AcquireResult &result);
     void send(AttemptId id, const http::Endpoint &endpoint);
     [[nodiscard]] http::Request attemptRequest() const;
     bool prepareAttempt();
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -32,6 +32,10 @@
     report.queued = parsed.value("queued", 0U);
     report.slots = parsed.value("slots", 0U);
     report.prefillBacklogTokens = parsed.value("prefill_backlog_tokens", uint64_t{0});
+    const auto limit = parsed.find("requests_per_s");
+    if (limit != parsed.end() && limit->is_number() && limit->get<double>() >= 0.0) {
+        report.requestsPerSecond = limit->get<double>();
+    }
     const std::chrono::milliseconds age(parsed.value("age_ms", 0U));
     report.observedAt = http::EventLoop::now() - age;
     for (const json &model : parsed.value("models", json::array())) {
@@ -64,7 +68,7 @@
     http::EventLoop::TimerId timer = 0;
 
     Impl(http::EventLoop &eventLoop, TargetPool &pool, TargetPollerOptions pollerOptions)
-        : loop(eventLoop), targets(pool), options(pollerOptions),
+        : loop(eventLoop), targets(pool), options(std::move(pollerOptions)),
           client(eventLoop, {.connectTimeout = options.timeout,
                              .ioTimeout = options.timeout,
                              .keepAlive = 30s})
@@ -151,13 +155,16 @@
     if (observation == HealthObservation::Responded && pendingPoll.isEngine
         && parseReport(pendingPoll.body, report)) {
         targets.report(target, report);
+        if (options.onReport) {
+            options.onReport(target, report);
+        }
         return;
     }
     targets.reportObservation(target, observation);
 }
 
 TargetPoller::TargetPoller(http::EventLoop &loop, TargetPool &targets, TargetPollerOptions options)
-    : m_impl(std::make_unique<Impl>(loop, targets, options))
+    : m_impl(std::make_unique<Impl>(loop, targets, std::move(options)))
 {
     m_impl->pollNext();
 }
--- a/packages/router/src/teaseldrift/router/target_pool.cpp
+++ b/packages/router/src/teaseldrift/router/target_pool.cpp
@@ -66,6 +66,7 @@
     Pool &poolOf(const TargetQuery &query);
     placement::CacheAwareOptions policyOptions(uint32_t blockTokens) const;
     std::vector<placement::TargetView> views(const Pool &pool, const WaitingRequest *waiting) const;
+    [[nodiscard]] std::optional<Duration> timeToAvailable(const Pool &pool) const;
     Selection selectEngine(Pool &pool, const WaitingRequest &waiting, placement::Choice &choice);
     void dispatchWaiting(const std::string &name, Pool &pool);
     void dispatchServiceRequests(const std::string &name, Pool &pool);
@@ -151,17 +152,35 @@
 std::vector<placement::TargetView> TargetPool::Impl::views(const Pool &pool,
                                                            const WaitingRequest *waiting) const
 {
+    const Instant now = http::EventLoop::now();
     std::vector<placement::TargetView> list;
     list.reserve(pool.targets.size());
     for (const TargetState *state : pool.targets) {
         const std::string &id = state->target.id();
         const bool accepting = health.isEligible(id) && state->serves(pool.model)
+                               && now >= state->unavailableUntil
                                && (waiting == nullptr || !waiting->excludes(id));
         list.push_back(viewOf(*state, pool.model, accepting));
     }
     return list;
 }
 
+/// Time until the first healthy target is available again; empty if none is merely unavailable for
+/// a time.
+std::optional<Duration> TargetPool::Impl::timeToAvailable(const Pool &pool) const
+{
+    const Instant now = http::EventLoop::now();
+    std::optional<Duration> earliest;
+    for (const TargetState *state : pool.targets) {
+        if (health.isEligible(state->target.id()) && state->serves(pool.model)
+            && state->unavailableUntil > now) {
+            const Duration left = state->unavailableUntil - now;
+            earliest = std::min(earliest.value_or(left), left);
+        }
+    }
+    return earliest;
+}
+
 /// Selects an engine for one request with regard to its own excluded targets.
 Selection TargetPool::Impl::selectEngine(Pool &pool, const WaitingRequest &waiting,
                                          placement::Choice &choice)
@@ -215,7 +234,7 @@
         }
         std::erase(pool.retries, acquisitionId);
         if (selection.outcome == placement::ChoiceOutcome::NoTarget) {
-            refuse(pool, acquisitionId, schema::NO_TARGET, std::nullopt);
+            refuse(pool, acquisitionId, schema::NO_TARGET, timeToAvailable(pool));
         } else {
             dispatch(name, pool, acquisitionId, selection, choice);
         }
@@ -234,7 +253,7 @@
     while (!hasTarget && pool.dispatcher.queue().size() > 0) {
         const uint64_t acquisitionId = *pool.dispatcher.queue().next();
         pool.dispatcher.cancel(acquisitionId);
-        refuse(pool, acquisitionId, schema::NO_TARGET, std::nullopt);
+        refuse(pool, acquisitionId, schema::NO_TARGET, timeToAvailable(pool));
     }
     const Instant now = http::EventLoop::now();
     while (const std::optional<placement::Dispatch> next
@@ -385,6 +404,14 @@
     m_impl->health.report(target, HealthObservation::Responded, http::EventLoop::now());
 }
 
+void TargetPool::setUnavailableUntil(const std::string &target, Instant until)
+{
+    const auto found = m_impl->targets.find(target);
+    if (found != m_impl->targets.end()) {
+        found->second.unavailableUntil = until;
+    }
+}
+
 void TargetPool::reportObservation(const std::string &target, HealthObservation observation)
 {
     m_impl->health.report(target, observation, http::EventLoop::now());
@@ -520,13 +547,17 @@
     json list = json::array();
     for (auto it = m_impl->targets.begin(); it != m_impl->targets.end(); ++it) {
         const TargetState &state = it->second;
-        list.push_back({{"id", it->first},
-                        {"eligible", m_impl->health.isEligible(it->first)},
-                        {"in_flight", state.inFlight},
-                        {"running", state.report.running},
-                        {"queued", state.report.queued},
-                        {"incarnation", std::to_string(state.report.incarnation)},
-                        {"models", state.report.models}});
+        json status{{"id", it->first},
+                    {"eligible", m_impl->health.isEligible(it->first)},
+                    {"in_flight", state.inFlight},
+                    {"running", state.report.running},
+                    {"queued", state.report.queued},
+                    {"incarnation", std::to_string(state.report.incarnation)},
+                    {"models", state.report.models}};
+        if (state.report.requestsPerSecond) {
+            status["requests_per_s"] = *state.report.requestsPerSecond;
+        }
+        list.push_back(std::move(status));
     }
     return list.dump();
 }
--- a/packages/router/src/teaseldrift/router/target_pool_internal.hpp
+++ b/packages/router/src/teaseldrift/router/target_pool_internal.hpp
@@ -25,6 +25,8 @@
     TargetLoad report;
     bool hasReport = false;
     uint32_t inFlight = 0;
+    /// See TargetPool::setUnavailableUntil().
+    Instant unavailableUntil{};
 
     [[nodiscard]] uint32_t slots() const
     {
--- a/testing/standins/engine/engine.cpp
+++ b/testing/standins/engine/engine.cpp
@@ -236,6 +236,10 @@
         const size_t colon = mode.find(':');
         m_abortPosition = colon == std::string::npos ? 1 : std::atoi(mode.c_str() + colon + 1);
         m_abortsLeft = order.value("streams", UINT32_MAX);
+    } else if (mode.starts_with("limit:")) {
+        m_requestsPerSecond = std::atof(mode.c_str() + mode.find(':') + 1);
+    } else if (mode == "unlimited") {
+        m_requestsPerSecond.reset();
     } else if (mode == "silent" || mode == "none") {
         m_unresponsive = mode == "silent";
         m_abortsLeft = 0;
@@ -262,12 +266,13 @@
 http::Response Engine::loadResponse()
 {
     const LoadSample sample = m_load.read(m_loop.now());
-    return jsonResponse(200, {{"running", sample.running},
-                              {"queued", sample.queued},
-                              {"slots", m_options.slots},
-                              {"incarnation", m_options.incarnation},
-                              {"cached_blocks", m_cache.size()},
-                              {"served", m_served}});
+    json report{{"running", sample.running},       {"queued", sample.queued},
+                {"slots", m_options.slots},        {"incarnation", m_options.incarnation},
+                {"cached_blocks", m_cache.size()}, {"served", m_served}};
+    if (m_requestsPerSecond) {
+        report["requests_per_s"] = *m_requestsPerSecond;
+    }
+    return jsonResponse(200, report);
 }
 
 } // namespace teaseldrift::standins
--- a/testing/standins/engine/engine.hpp
+++ b/testing/standins/engine/engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
     /// Number of connections still to be aborted.
     uint32_t m_abortsLeft = 0;
     bool m_unresponsive = false;
+    /// Requests a second that the load report names as the limit.
+    std::optional<double> m_requestsPerSecond;
 
     void complete(const std::shared_ptr<http::Exchange> &exchange, bool chat);
     [[nodiscard]] bool resume(Generation &generation, const std::string &lastEventId);
