--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -173,15 +173,13 @@
                                   {.error = StoreError::Unavailable},
                                   {.error = StoreError::Unavailable},
                                   {.snapshot = snapshotOf(11)}});
-    PrefixWatcher<ScriptedStore> watcher(loop, scripted,
-                                         {.prefix = "p/",
-                                          .wait = 2s,
-                                          .initialRetryDelay = 1ms,
-                                          .maxRetryDelay = 2ms},
-                                         {.onSnapshot = [](const StoreSnapshot &) {},
-                                          .onChanges = [](const StoreSnapshot &) {},
-                                          .onDisconnected = [](std::error_code) {},
-                                          .onReconnected = [] {}});
+    PrefixWatcher<ScriptedStore> watcher(
+            loop, scripted,
+            {.prefix = "p/", .wait = 2s, .initialRetryDelay = 1ms, .maxRetryDelay = 2ms},
+            {.onSnapshot = [](const StoreSnapshot &) {},
+             .onChanges = [](const StoreSnapshot &) {},
+             .onDisconnected = [](std::error_code) {},
+             .onReconnected = [] {}});
     loop.startTimer(10s, [&loop] { loop.stop(); });
     watcher.start();
     loop.run();
