--- a/testing/processes/target_limit_test.cpp
+++ b/testing/processes/target_limit_test.cpp
@@ -18,7 +18,7 @@
 constexpr size_t vmCount = 3;
 constexpr size_t engineCount = 3;
 constexpr double perSecond = 2.0;
-constexpr int requestsPerSecond = 30;
+constexpr size_t requestsPerSecond = 30;
 constexpr size_t windowSeconds = 4;
 
 /// Requests that an engine may get in a window: one and a half times its limit, and five more.
@@ -59,8 +59,9 @@
             open.emplace_back(
                     http::EventLoop::now(),
                     m_fleet.caller.start(m_fleet.vm(i % vms), m_fleet.completion(prompt, 2)));
-            const Instant next
-                    = begin + Duration(1s) * static_cast<int64_t>(i + 1) / requestsPerSecond;
+            const Instant next = begin
+                                 + Duration(1s) * static_cast<int64_t>(i + 1)
+                                           / static_cast<int64_t>(requestsPerSecond);
             m_fleet.caller.waitFor([&] { return collect(open) || http::EventLoop::now() >= next; });
             m_fleet.caller.waitFor([&] { return http::EventLoop::now() >= next; });
         }
@@ -222,7 +223,7 @@
     scenario.run(learningSeconds);
     scenario.run(4);
     CHECK(scenario.total(0) >= 4 * 8 * 0.8);
-    CHECK(scenario.mostInWindow(0) <= 4 * 8 * 3 / 2 + 5);
+    CHECK(scenario.mostInWindow(0) <= size_t{4 * 8 * 3 / 2 + 5});
     scenario.setLimit(0, "unlimited");
     scenario.run(learningSeconds);
     scenario.run(2);
