--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/relay/fleet_records.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/relay/prefix_watcher.hpp"
@@ -76,7 +77,9 @@
                         },
                 .onDisconnected
                 = [this](std::error_code error) { logLost("operator_records", error); },
-                .onReconnected = [this] { logRegained("operator_records"); }};
+                .onReconnected = [this] { logRegained("operator_records"); },
+                .onLate
+                = [this](Duration age, int failed) { logLate("operator_records", age, failed); }};
     }
 
     PrefixWatcherHandlers targetHandlers()
@@ -99,7 +102,9 @@
                         [this] {
                             logRegained("target_registrations");
                             m_fleet.storeRegained(http::EventLoop::now());
-                        }};
+                        },
+                .onLate = [this](Duration age,
+                                 int failed) { logLate("target_registrations", age, failed); }};
     }
 
     /// @param isLiveChange whether the records changed while this VM was watching them
@@ -173,6 +178,14 @@
                     {{"feed", watch}, {"reason", std::string_view(reason)}});
     }
 
+    void logLate(std::string_view watch, Duration age, int failedCalls)
+    {
+        m_log.write(telemetry::EventPriority::Important, "feed_late",
+                    {{"feed", watch},
+                     {"age_ms", toMs(age)},
+                     {"failed_calls", static_cast<int64_t>(failedCalls)}});
+    }
+
     void logRegained(std::string_view watch)
     {
         m_log.write(telemetry::EventPriority::Important, "feed_regained", {{"feed", watch}});
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -24,6 +24,8 @@
     /// Delay after a failed call; it doubles with each consecutive failure.
     Duration initialRetryDelay = 100ms;
     Duration maxRetryDelay = 1s;
+    /// Age of the newest confirmed response from which onLate is called.
+    Duration maxAge = 3s;
 };
 
 /// @brief Callbacks of a PrefixWatcher.
@@ -40,6 +42,9 @@
     std::function<void(std::error_code)> onDisconnected;
     /// Called when the first call succeeds, and when one succeeds after a failed one.
     std::function<void()> onReconnected;
+    /// Optional; called when a call succeeds although what this VM knew was older than `maxAge`,
+    /// with that age and the number of calls that failed meanwhile.
+    std::function<void(Duration age, int failedCalls)> onLate = nullptr;
 };
 
 /// @brief Watches one prefix of a store: reads a snapshot, then polls for the changes after it.
@@ -69,12 +74,13 @@
     void readSnapshot()
     {
         m_store.readPrefix(m_options.prefix, store::ReadConsistency::Current,
-                           [this](std::error_code error, const store::StoreSnapshot &snapshot) {
+                           [this, sentAt = http::EventLoop::now()](
+                                   std::error_code error, const store::StoreSnapshot &snapshot) {
                                if (error) {
                                    failed(error);
                                    return;
                                }
-                               succeeded();
+                               succeeded(sentAt);
                                m_needsSnapshot = false;
                                const bool isRestored
                                        = snapshot.revision < m_revision
@@ -94,31 +100,33 @@
         // A store that is silent may begin to respond at any time: a call that it would hold until
         // there is a change could only time out after that.
         const Duration wait = m_isConnected ? m_options.wait : Duration(0);
-        m_store.waitForChanges(m_options.prefix, m_revision, wait,
-                               [this](std::error_code error, const store::StoreSnapshot &changes) {
-                                   if (error == store::StoreError::Compacted) {
-                                       m_needsSnapshot = true;
-                                       readSnapshot();
-                                       return;
-                                   }
-                                   if (error) {
-                                       failed(error);
-                                       return;
-                                   }
-                                   succeeded();
-                                   if (changes.epoch != m_epoch) {
-                                       // Revisions of another epoch say nothing about what has
-                                       // changed since the last call.
-                                       m_needsSnapshot = true;
-                                       readSnapshot();
-                                       return;
-                                   }
-                                   m_revision = std::max(m_revision, changes.revision);
-                                   if (!changes.entries.empty()) {
-                                       m_handlers.onChanges(changes);
-                                   }
-                                   schedulePoll(pollDelay());
-                               });
+        const Instant sentBefore = http::EventLoop::now() + wait;
+        m_store.waitForChanges(
+                m_options.prefix, m_revision, wait,
+                [this, sentBefore](std::error_code error, const store::StoreSnapshot &changes) {
+                    if (error == store::StoreError::Compacted) {
+                        m_needsSnapshot = true;
+                        readSnapshot();
+                        return;
+                    }
+                    if (error) {
+                        failed(error);
+                        return;
+                    }
+                    succeeded(std::min(http::EventLoop::now(), sentBefore));
+                    if (changes.epoch != m_epoch) {
+                        // Revisions of another epoch say nothing about what has
+                        // changed since the last call.
+                        m_needsSnapshot = true;
+                        readSnapshot();
+                        return;
+                    }
+                    m_revision = std::max(m_revision, changes.revision);
+                    if (!changes.entries.empty()) {
+                        m_handlers.onChanges(changes);
+                    }
+                    schedulePoll(pollDelay());
+                });
     }
 
     void poll()
@@ -140,8 +148,15 @@
         m_timer = m_loop.startTimer(pollDelay, [this] { poll(); });
     }
 
-    void succeeded()
+    /// @param confirmedAt time up to which the response holds all changes
+    void succeeded(Instant confirmedAt)
     {
+        const Duration age = http::EventLoop::now() - m_confirmedAt;
+        if (m_confirmedAt != Instant() && age > m_options.maxAge && m_handlers.onLate) {
+            m_handlers.onLate(age, m_failedCalls);
+        }
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        m_failedCalls = 0;
         m_retryDelay = m_options.initialRetryDelay;
         if (!m_isConnected) {
             m_isConnected = true;
@@ -151,6 +166,7 @@
 
     void failed(std::error_code error)
     {
+        ++m_failedCalls;
         if (m_isConnected) {
             m_isConnected = false;
             m_handlers.onDisconnected(error);
@@ -170,6 +186,9 @@
     bool m_needsSnapshot = true;
     bool m_isConnected = false;
     Duration m_retryDelay{0};
+    /// Time up to which this VM has received all changes.
+    Instant m_confirmedAt;
+    int m_failedCalls = 0;
     http::EventLoop::TimerId m_timer = 0;
 };
 
