StoreRelay takes its transport as a parameter; event loops can run in simulated time

No change of behaviour. Lets a test run the real PrefixWatcher, RelayedStore and StoreRelay of a whole fleet in one process, without sockets.

--- a/packages/http/include/teaseldrift/http/event_loop.hpp
+++ b/packages/http/include/teaseldrift/http/event_loop.hpp
@@ -49,4 +49,17 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// @brief While it exists, the event loops of its thread run in simulated time: their clock stands
+/// still while there is work, and then advances to the next timer.
+///
+/// For simulations without sockets; there may be one at a time in a thread.
+class SimulatedTime
+{
+public:
+    SimulatedTime();
+    ~SimulatedTime();
+    SimulatedTime(const SimulatedTime &) = delete;
+    SimulatedTime &operator=(const SimulatedTime &) = delete;
+};
+
 } // namespace teaseldrift::http
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <utility>
@@ -17,6 +18,9 @@
 
 constexpr int32_t maxWaitMs = 1000;
 
+/// Time of the thread's SimulatedTime, if there is one.
+thread_local std::optional<Instant> simulatedNow;
+
 /// The receiver only wakes the loop up; the tasks are queued in `postedTasks`.
 void onWakeUp(h2o_multithread_receiver_t * /*receiver*/, h2o_linklist_t * /*messages*/) { }
 
@@ -34,6 +38,14 @@
     return !tasks.empty();
 }
 
+/// Advances simulated time to the next timer.
+void advanceSimulatedTime(const EventLoop::Impl &impl)
+{
+    if (!impl.timers.empty()) {
+        simulatedNow = std::max(*simulatedNow, impl.timers.begin()->first);
+    }
+}
+
 int32_t pollTimeoutMs(const EventLoop::Impl &impl)
 {
     if (impl.timers.empty()) {
@@ -121,6 +133,10 @@
     bool mayWait = false;
     m_impl->thread = std::this_thread::get_id();
     while (!m_impl->stopped) {
+        if (mayWait && simulatedNow) {
+            advanceSimulatedTime(*m_impl);
+            mayWait = false;
+        }
         const Instant polledAt = now();
         h2o_evloop_run(m_impl->loop, mayWait ? pollTimeoutMs(*m_impl) : 0);
         const bool ranTasks = runPostedTasks(*m_impl);
@@ -172,6 +188,9 @@
 
 Instant EventLoop::now()
 {
+    if (simulatedNow) {
+        return *simulatedNow;
+    }
     // CLOCK_BOOTTIME also counts while the VM is suspended, so that a suspension does not extend
     // time limits.
     timespec time{};
@@ -185,4 +204,14 @@
     return *m_impl;
 }
 
+SimulatedTime::SimulatedTime()
+{
+    simulatedNow = EventLoop::now();
+}
+
+SimulatedTime::~SimulatedTime()
+{
+    simulatedNow.reset();
+}
+
 } // namespace teaseldrift::http
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -51,6 +51,17 @@
     Failed,
 };
 
+/// @brief How a VM's queries reach the others, and what is called with a response: a status, 0 if
+/// there is none, and the body.
+struct StoreRelayTransport
+{
+    using Respond = std::function<void(int status, std::string body)>;
+
+    std::function<void(const http::Endpoint &vm, std::string query, Duration timeout,
+                       Respond onResponse)>
+            send;
+};
+
 /// @brief Relays changes of the store between the VMs of an availability zone.
 ///
 /// The zone's representative, which all VMs determine by rendezvous hashing, polls the store for
@@ -62,9 +73,12 @@
     using ReadHandler = std::function<void(std::error_code, const store::StoreSnapshot &)>;
     using RelayHandler = std::function<void(RelayResult, const store::StoreSnapshot &)>;
 
+    /// Queries are sent by HTTP.
     StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                telemetry::EventLog &log, telemetry::Metrics &metrics,
                StoreRelayOptions options = {});
+    StoreRelay(http::EventLoop &loop, StoreRelayTransport transport, FleetState &fleet,
+               telemetry::EventLog &log, telemetry::Metrics &metrics, StoreRelayOptions options);
     ~StoreRelay();
     StoreRelay(const StoreRelay &) = delete;
     StoreRelay &operator=(const StoreRelay &) = delete;
@@ -90,6 +104,7 @@
 
     /// @brief Handles another VM's query; responds at once or when there are changes.
     void handle(const std::shared_ptr<http::Exchange> &exchange);
+    void handle(std::string_view query, StoreRelayTransport::Respond respond);
 
     [[nodiscard]] const StoreRelayOptions &options() const;
 
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -51,6 +51,22 @@
     return response.SerializeAsString();
 }
 
+StoreRelayTransport httpTransport(http::EventLoop &loop, http::Client &peers)
+{
+    const std::shared_ptr<http::BufferedClient> calls
+            = std::make_shared<http::BufferedClient>(loop, peers);
+    return {.send = [calls](const http::Endpoint &vm, std::string query, Duration timeout,
+                            StoreRelayTransport::Respond onResponse) {
+        calls->start(
+                vm,
+                {.method = "POST", .path = std::string(StoreRelay::path), .body = std::move(query)},
+                timeout,
+                [onResponse = std::move(onResponse)](const http::BufferedResponse &response) {
+                    onResponse(response.status, response.body);
+                });
+    }};
+}
+
 } // namespace
 
 struct StoreRelay::Impl
@@ -61,11 +77,11 @@
         uint64_t revision = 0;
         uint64_t epoch = 0;
         Instant until;
-        std::shared_ptr<http::Exchange> exchange;
+        StoreRelayTransport::Respond respond;
     };
 
     http::EventLoop &loop;
-    http::BufferedClient calls;
+    StoreRelayTransport transport;
     FleetState &fleet;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
@@ -86,8 +102,14 @@
 StoreRelay::StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
                        telemetry::EventLog &log, telemetry::Metrics &metrics,
                        StoreRelayOptions options)
+    : StoreRelay(loop, httpTransport(loop, peers), fleet, log, metrics, options)
+{ }
+
+StoreRelay::StoreRelay(http::EventLoop &loop, StoreRelayTransport transport, FleetState &fleet,
+                       telemetry::EventLog &log, telemetry::Metrics &metrics,
+                       StoreRelayOptions options)
     : m_impl(new Impl{.loop = loop,
-                      .calls = http::BufferedClient(loop, peers),
+                      .transport = std::move(transport),
                       .fleet = fleet,
                       .log = log,
                       .metrics = metrics,
@@ -149,24 +171,22 @@
     query.set_prefix(prefix);
     query.set_revision(revision);
     query.set_epoch(epoch);
-    impl.calls.start(
-            endpoint,
-            {.method = "POST", .path = std::string(path), .body = query.SerializeAsString()},
-            impl.options.maxQueryWait + impl.options.roundTripTime,
-            [&impl, vmId = vm->vm_id(),
-             handler = std::move(handler)](const http::BufferedResponse &response) {
-                schema::ChangesAnswer changes;
-                if (response.status == statusOk && changes.ParseFromString(response.body)) {
-                    handler(RelayResult::Changes, read(changes));
-                    return;
-                }
-                if (response.status == statusGone) {
-                    handler(RelayResult::NotRetained, {});
-                    return;
-                }
-                impl.onQueryFailed(vmId, response.status);
-                handler(RelayResult::Failed, {});
-            });
+    impl.transport.send(endpoint, query.SerializeAsString(),
+                        impl.options.maxQueryWait + impl.options.roundTripTime,
+                        [&impl, vmId = vm->vm_id(),
+                         handler = std::move(handler)](int status, const std::string &body) {
+                            schema::ChangesAnswer changes;
+                            if (status == statusOk && changes.ParseFromString(body)) {
+                                handler(RelayResult::Changes, read(changes));
+                                return;
+                            }
+                            if (status == statusGone) {
+                                handler(RelayResult::NotRetained, {});
+                                return;
+                            }
+                            impl.onQueryFailed(vmId, status);
+                            handler(RelayResult::Failed, {});
+                        });
 }
 
 void StoreRelay::recordChanges(const std::string &prefix, uint64_t after,
@@ -191,10 +211,17 @@
 }
 
 void StoreRelay::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    handle(exchange->body(), [exchange](int status, std::string body) {
+        exchange->respond({.status = status, .body = std::move(body)});
+    });
+}
+
+void StoreRelay::handle(std::string_view message, StoreRelayTransport::Respond respond)
 {
     schema::ChangesAsk query;
-    if (!query.ParseFromArray(exchange->body().data(), static_cast<int>(exchange->body().size()))) {
-        exchange->respond({.status = statusBadRequest});
+    if (!query.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+        respond(statusBadRequest, {});
         return;
     }
     Impl &impl = *m_impl;
@@ -204,7 +231,7 @@
                                     .revision = query.revision(),
                                     .epoch = query.epoch(),
                                     .until = now + impl.options.maxQueryWait,
-                                    .exchange = exchange};
+                                    .respond = std::move(respond)};
     if (!impl.tryAnswer(pendingQuery, now)) {
         impl.pendingQueries.push_back(std::move(pendingQuery));
         if (impl.timer == 0) {
@@ -220,18 +247,18 @@
     const std::optional<store::StoreSnapshot> changesSince
             = log == logs.end() ? std::nullopt : log->second.changesSince(pendingQuery.revision);
     if (log != logs.end() && now - log->second.confirmedAt() > options.maxAge) {
-        pendingQuery.exchange->respond({.status = statusUnavailable});
+        pendingQuery.respond(statusUnavailable, {});
         return true;
     }
     // Revisions of different epochs are not comparable; the other VM then asks the store.
     if (!changesSince || pendingQuery.epoch != log->second.epoch()) {
-        pendingQuery.exchange->respond({.status = statusGone});
+        pendingQuery.respond(statusGone, {});
         return true;
     }
     if (changesSince->entries.empty() && now < pendingQuery.until) {
         return false;
     }
-    pendingQuery.exchange->respond({.body = write(*changesSince)});
+    pendingQuery.respond(statusOk, write(*changesSince));
     return true;
 }
 
