Odd entries of other writers neither end the process nor hide the others

Here, shown by tests that failed before: a target's report or cache events with a deeply nested field (SIGSEGV, copying a JSON value recurses), a caller's deeply nested body in teaseldriftd (SIGSEGV, printing recurses), a load report with a field of another type (uncaught exception), one odd VM that made the whole list unreadable, ports and slots that wrapped around, times of a configuration that overflowed.

JSON from outside is read by parseJson(), which bounds the depth before it parses; numbers are read by unsignedField(), which neither throws nor wraps around. teaseldrift_unreadable_records_total counts the records that named nothing to use, beside the line record_unreadable.

Ruled out: parsing itself and the destruction of values do not recurse; exponents too large make a text invalid.

--- a/packages/ctl/src/teaseldrift/ctl/fleet_commands.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/fleet_commands.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/ctl/commands.hpp"
 #include "teaseldrift/ctl/context.hpp"
 #include "teaseldrift/ctl/vm_admin.hpp"
@@ -56,7 +57,7 @@
     constexpr int indent = 2;
     json all = json::array();
     for (const VmResponse &response : responses) {
-        const json body = json::parse(response.body, nullptr, false);
+        const json body = parseJson(response.body);
         all.push_back({{"address", http::toString(response.vm)},
                        {"reached", response.reached},
                        {"http_status", response.status},
@@ -117,7 +118,7 @@
                                                        + " " + response.body);
     }
     constexpr int indent = 2;
-    const json parsed = json::parse(response.body, nullptr, false);
+    const json parsed = parseJson(response.body);
     context.out << (parsed.is_discarded() ? response.body : parsed.dump(indent)) << "\n";
     return ExitCode::Ok;
 }
--- a/packages/ctl/src/teaseldrift/ctl/quarantine_commands.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/quarantine_commands.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/ctl/commands.hpp"
 #include "teaseldrift/ctl/context.hpp"
 #include "teaseldrift/ctl/vm_admin.hpp"
@@ -44,7 +45,7 @@
 bool addRows(const VmResponse &response, Table &table)
 {
     const std::string address = http::toString(response.vm);
-    const json body = json::parse(response.body, nullptr, false);
+    const json body = parseJson(response.body);
     if (!response.reached || response.status != statusOk || !body.is_object()
         || !body.contains("quarantined")) {
         table.rows.push_back({address, response.reached
--- a/packages/ctl/src/teaseldrift/ctl/vm_admin.cpp
+++ b/packages/ctl/src/teaseldrift/ctl/vm_admin.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
 namespace teaseldrift::ctl {
@@ -85,7 +86,7 @@
 
 bool parseStatus(std::string_view body, VmStatus &status)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parseJson(body);
     if (!parsed.is_object()) {
         return false;
     }
--- a/packages/ctl/src/teaseldrift/load/entry_vm_resolver.cpp
+++ b/packages/ctl/src/teaseldrift/load/entry_vm_resolver.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
@@ -32,7 +33,7 @@
 EntryResponse parseEntry(std::string_view body)
 {
     EntryResponse response;
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parseJson(body);
     if (!parsed.is_object()) {
         return response;
     }
--- a/packages/ctl/src/teaseldrift/load/load_run.cpp
+++ b/packages/ctl/src/teaseldrift/load/load_run.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "in_flight_request.hpp"
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/load/entry_vm_resolver.hpp"
 
@@ -281,7 +282,7 @@
 void LoadGenerator::recordPlainCall(Tally &tally, const InFlightRequest &inFlight) const
 {
     const std::string_view expected = http::findHeader(inFlight.request.headers, "x-call-id");
-    const json response = json::parse(inFlight.body, nullptr, false);
+    const json response = parseJson(inFlight.body);
     const std::string answeredCallId = response.is_object() ? response.value("call_id", "") : "";
     const bool matchesCall = !m_options.verifyStandin || answeredCallId == expected;
     ++(matchesCall ? tally.completed : tally.mismatched);
@@ -303,7 +304,7 @@
 
 Refusal parseRefusal(std::string_view body)
 {
-    const json response = json::parse(body, nullptr, false);
+    const json response = parseJson(body);
     const json error = response.is_object() ? response.value("error", json()) : json();
     if (!error.is_object()) {
         return {};
--- a/packages/ctl/src/teaseldrift/load/stream_validator.cpp
+++ b/packages/ctl/src/teaseldrift/load/stream_validator.cpp
@@ -1,5 +1,7 @@
 #include "teaseldrift/load/stream_validator.hpp"
 
+#include "teaseldrift/base/json_input.hpp"
+
 #include <charconv>
 
 #include <nlohmann/json.hpp>
@@ -42,7 +44,7 @@
 
 std::string parsedText(std::string_view data)
 {
-    const json event = json::parse(data, nullptr, false);
+    const json event = parseJson(data);
     if (!event.is_object() || event.value("choices", json::array()).empty()) {
         return {};
     }
@@ -124,7 +126,7 @@
         return;
     }
     if (contains(data, R"("error")")) {
-        const json event = json::parse(data, nullptr, false);
+        const json event = parseJson(data);
         const json error = event.is_object() ? event.value("error", json()) : json();
         m_state.errorCode = error.is_object() ? error.value("code", -1) : -1;
         return;
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -1,5 +1,6 @@
 #include "connection.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -23,7 +24,8 @@
     if (std::from_chars(text.data(), text.data() + text.size(), seconds).ec != std::errc()) {
         return std::nullopt;
     }
-    return Duration(std::chrono::seconds(seconds));
+    constexpr int64_t maxSeconds = 24 * 3600;
+    return Duration(std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxSeconds)));
 }
 
 } // namespace
--- a/packages/policy/src/teaseldrift/quarantine/quarantine_json.cpp
+++ b/packages/policy/src/teaseldrift/quarantine/quarantine_json.cpp
@@ -1,5 +1,7 @@
 #include "teaseldrift/quarantine/quarantine_json.hpp"
 
+#include "teaseldrift/base/json_input.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace teaseldrift {
@@ -28,7 +30,7 @@
 
 std::optional<LiftOrder> parseLiftOrder(std::string_view body)
 {
-    const json order = json::parse(body, nullptr, false);
+    const json order = parseJson(body);
     if (!order.is_object() || !order.contains("model") || !order["model"].is_string()
         || !order.contains("segment") || !order["segment"].is_string()) {
         return std::nullopt;
--- a/packages/policy/src/teaseldrift/streams/stream_continuation.cpp
+++ b/packages/policy/src/teaseldrift/streams/stream_continuation.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/schema/result.hpp"
 
 namespace teaseldrift {
@@ -15,7 +16,7 @@
 
 constexpr std::array<const char *, 2> maxTokenFields{"max_tokens", "max_completion_tokens"};
 
-std::optional<uint64_t> unsignedField(const ordered_json &body, const char *field)
+std::optional<uint64_t> optionalUnsigned(const ordered_json &body, const char *field)
 {
     const ordered_json::const_iterator value = body.find(field);
     if (value == body.end() || !value->is_number_unsigned()) {
@@ -27,7 +28,7 @@
 /// Whether the response to a request is a single text that a continuation can extend.
 bool isContinuable(const ordered_json &body)
 {
-    const bool isSingle = unsignedField(body, "n").value_or(1) == 1;
+    const bool isSingle = optionalUnsigned(body, "n").value_or(1) == 1;
     const ordered_json::const_iterator messages = body.find("messages");
     const ordered_json::const_iterator prompt = body.find("prompt");
     const bool isChat = messages != body.end() && messages->is_array();
@@ -52,7 +53,7 @@
 bool reduceTokenLimits(ordered_json &body, uint64_t delivered)
 {
     for (const char *field : maxTokenFields) {
-        const std::optional<uint64_t> allowed = unsignedField(body, field);
+        const std::optional<uint64_t> allowed = optionalUnsigned(body, field);
         if (allowed && *allowed <= delivered) {
             return false;
         }
@@ -60,7 +61,7 @@
             body[field] = *allowed - delivered;
         }
     }
-    const std::optional<uint64_t> least = unsignedField(body, "min_tokens");
+    const std::optional<uint64_t> least = optionalUnsigned(body, "min_tokens");
     if (least) {
         body["min_tokens"] = *least - std::min(*least, delivered);
     }
@@ -70,7 +71,7 @@
 /// Builds the event that reports that the token limit was reached.
 std::string lengthLimitEvent(std::string_view pattern)
 {
-    ordered_json chunk = ordered_json::parse(pattern, nullptr, false);
+    ordered_json chunk = parseJson<ordered_json>(pattern);
     if (!chunk.is_object()) {
         return {};
     }
@@ -93,20 +94,20 @@
 StreamOptions parseStreamOptions(std::string_view requestBody)
 {
     StreamOptions options;
-    const ordered_json body = ordered_json::parse(requestBody, nullptr, false);
+    const ordered_json body = parseJson<ordered_json>(requestBody);
     if (!body.is_object()) {
         return options;
     }
     for (const char *field : maxTokenFields) {
         options.maxPositions
-                = std::max(options.maxPositions, unsignedField(body, field).value_or(0));
+                = std::max(options.maxPositions, optionalUnsigned(body, field).value_or(0));
     }
     return options;
 }
 
 std::optional<std::string> StreamRelay::continuationBody(std::string_view originalBody) const
 {
-    ordered_json body = ordered_json::parse(originalBody, nullptr, false);
+    ordered_json body = parseJson<ordered_json>(originalBody);
     if (!m_canContinue || !body.is_object() || !isContinuable(body)) {
         return std::nullopt;
     }
--- a/packages/policy/src/teaseldrift/streams/stream_relay.cpp
+++ b/packages/policy/src/teaseldrift/streams/stream_relay.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/schema/result.hpp"
 
 namespace teaseldrift {
@@ -45,8 +46,8 @@
 /// the caller has received so far.
 std::string rewriteChunk(std::string_view data, std::string_view pattern, uint64_t base)
 {
-    ordered_json chunk = ordered_json::parse(data, nullptr, false);
-    const ordered_json first = ordered_json::parse(pattern, nullptr, false);
+    ordered_json chunk = parseJson<ordered_json>(data);
+    const ordered_json first = parseJson<ordered_json>(pattern);
     if (!chunk.is_object()) {
         return std::string(data);
     }
--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -69,6 +69,9 @@
         return m_operators.isConnected() && m_targets.isConnected();
     }
 
+    /// @brief Number of records that were received and named nothing to use.
+    [[nodiscard]] uint64_t unreadableRecords() const { return m_unreadableRecords; }
+
 private:
     PrefixWatcherHandlers operatorHandlers()
     {
@@ -172,6 +175,7 @@
 
     void logUnreadable(const store::StoreEntry &entry)
     {
+        ++m_unreadableRecords;
         m_log.write(telemetry::EventPriority::Routine, "record_unreadable",
                     {{"key", std::string_view(entry.key)},
                      {"revision", static_cast<int64_t>(entry.revision)}});
@@ -202,6 +206,7 @@
     telemetry::EventLog &m_log;
     std::function<void(const WeightsRecord &, bool)> m_onDesiredWeights;
     bool m_hasOperatorRecords = false;
+    uint64_t m_unreadableRecords = 0;
     PrefixWatcher<Store> m_operators;
     PrefixWatcher<Store> m_targets;
 };
--- a/packages/router/src/teaseldrift/router/caller_request.cpp
+++ b/packages/router/src/teaseldrift/router/caller_request.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/schema/result.hpp"
 
 namespace teaseldrift::router {
@@ -173,7 +174,7 @@
                                 CompletionRequest &request)
 {
     const std::error_code malformed = schema::makeError(schema::MALFORMED_BODY);
-    json parsed = json::parse(body, nullptr, false);
+    json parsed = parseJson(body);
     if (!parsed.is_object()) {
         return malformed;
     }
--- a/packages/router/src/teaseldrift/router/caller_request_test.cpp
+++ b/packages/router/src/teaseldrift/router/caller_request_test.cpp
@@ -127,4 +127,15 @@
     CHECK(queryValue("/v1/entry", "model").empty());
 }
 
+// Guards against a caller's body that ends the process when it is printed for the target.
+TEST_CASE("a body that is nested too deeply is malformed")
+{
+    constexpr size_t depth = 500000;
+    CompletionRequest request;
+    CHECK(parse(R"({"model":"m","prompt":"p","x":)" + std::string(depth, '[')
+                        + std::string(depth, ']') + "}",
+                request)
+          == schema::makeError(schema::MALFORMED_BODY));
+}
+
 } // namespace teaseldrift::router
--- a/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
+++ b/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/quarantine/quarantine_json.hpp"
 #include "teaseldrift/router/entry_vm_selector.hpp"
 #include "teaseldrift/router/refusal.hpp"
@@ -78,16 +79,16 @@
 
 void Frontend::Impl::handleExplainRoute(const std::shared_ptr<http::Exchange> &exchange)
 {
-    const json body = json::parse(exchange->body(), nullptr, false);
+    const json body = parseJson(exchange->body());
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
         exchange->respond(toResponse({.code = schema::MALFORMED_BODY}));
         return;
     }
     const TargetQuery query{
-            .organisation = body.value("organisation", ""),
-            .model = body["model"].get<std::string>(),
-            .prompt = body.value("prompt", ""),
-            .maxTokens = body.value("max_tokens", 0U),
+            .organisation = textField(body, "organisation"),
+            .model = textField(body, "model"),
+            .prompt = textField(body, "prompt"),
+            .maxTokens = unsignedField<uint32_t>(body, "max_tokens"),
             .deadline = http::EventLoop::now() + 60s,
     };
     if (table == nullptr || table->findModel(query.model) == nullptr) {
--- a/packages/router/src/teaseldrift/router/response_parsing.cpp
+++ b/packages/router/src/teaseldrift/router/response_parsing.cpp
@@ -1,5 +1,7 @@
 #include "response_parsing.hpp"
 
+#include "teaseldrift/base/json_input.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -12,15 +14,10 @@
 Duration retryAfterOf(const http::Headers &headers)
 {
     const std::string_view text = http::findHeader(headers, "retry-after");
+    constexpr int64_t maxSeconds = 3600;
     int64_t seconds = 0;
     std::from_chars(text.data(), text.data() + text.size(), seconds);
-    return std::chrono::seconds(seconds);
-}
-
-uint64_t unsignedField(const nlohmann::json &object, const char *name)
-{
-    const auto found = object.find(name);
-    return found != object.end() && found->is_number_unsigned() ? found->get<uint64_t>() : 0;
+    return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxSeconds));
 }
 
 } // namespace
@@ -68,18 +65,18 @@
 
 std::optional<StreamUsage> parseUsage(const std::string &body)
 {
-    const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json response = parseJson(body);
     if (!response.is_object() || !response.contains("usage") || !response["usage"].is_object()) {
         return std::nullopt;
     }
     const nlohmann::json &usage = response["usage"];
     StreamUsage counts{
-            .promptTokens = unsignedField(usage, "prompt_tokens"),
-            .completionTokens = unsignedField(usage, "completion_tokens"),
+            .promptTokens = unsignedField<uint64_t>(usage, "prompt_tokens"),
+            .completionTokens = unsignedField<uint64_t>(usage, "completion_tokens"),
     };
     const auto details = usage.find("prompt_tokens_details");
     if (details != usage.end() && details->is_object()) {
-        counts.cachedTokens = unsignedField(*details, "cached_tokens");
+        counts.cachedTokens = unsignedField<uint64_t>(*details, "cached_tokens");
     }
     return counts;
 }
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -4,48 +4,18 @@
 #include <map>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
+#include "teaseldrift/router/load_report.hpp"
 #include "teaseldrift/router/target_pool.hpp"
 
 namespace teaseldrift::router {
 
 namespace {
 
-using nlohmann::json;
-
 /// Largest load report or health response.
 constexpr size_t maxReportBytes = 64U << 10U;
 
-/// @return false if the body is not a load report
-bool parseReport(const std::string &body, TargetLoad &report)
-{
-    const json parsed = json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("incarnation")
-        || !parsed["incarnation"].is_number_unsigned()) {
-        return false;
-    }
-    report.incarnation = parsed["incarnation"].get<uint64_t>();
-    report.running = parsed.value("running", 0U);
-    report.queued = parsed.value("queued", 0U);
-    report.slots = parsed.value("slots", 0U);
-    report.prefillBacklogTokens = parsed.value("prefill_backlog_tokens", uint64_t{0});
-    const auto limit = parsed.find("requests_per_s");
-    if (limit != parsed.end() && limit->is_number() && limit->get<double>() >= 0.0) {
-        report.requestsPerSecond = limit->get<double>();
-    }
-    const std::chrono::milliseconds age(parsed.value("age_ms", 0U));
-    report.observedAt = http::EventLoop::now() - age;
-    for (const json &model : parsed.value("models", json::array())) {
-        if (model.is_object()) {
-            report.models[model.value("name", "")] = model.value("version", "");
-        }
-    }
-    return true;
-}
-
 struct PendingPoll
 {
     std::unique_ptr<http::Call> call;
@@ -153,7 +123,7 @@
     loop.cancelTimer(pendingPoll.timer);
     TargetLoad report;
     if (observation == HealthObservation::Responded && pendingPoll.isEngine
-        && parseReport(pendingPoll.body, report)) {
+        && parseLoadReport(pendingPoll.body, http::EventLoop::now(), report)) {
         targets.report(target, report);
         if (options.onReport) {
             options.onReport(target, report);
--- a/packages/store/src/teaseldrift/store/etcd_store.cpp
+++ b/packages/store/src/teaseldrift/store/etcd_store.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
@@ -203,7 +204,7 @@
     const PendingCall call = std::move(found->second);
     pending.erase(found);
     loop.cancelTimer(call.timer);
-    json response = json::parse(call.body, nullptr, false);
+    json response = parseJson(call.body);
     if (end == http::CallOutcome::Complete && (call.status != statusOk || !response.is_object())) {
         end = http::CallOutcome::Broken;
     }
@@ -219,7 +220,7 @@
         if (lineEnd == std::string::npos) {
             return;
         }
-        const json message = json::parse(watch.buffer.substr(0, lineEnd), nullptr, false);
+        const json message = parseJson(watch.buffer.substr(0, lineEnd));
         watch.buffer.erase(0, lineEnd + 1);
         const json result = message.is_object() ? structureOf(message, "result") : json();
         if (!result.is_object() || result.contains("canceled")) {
--- a/packages/store/src/teaseldrift/store/http_vm_list.cpp
+++ b/packages/store/src/teaseldrift/store/http_vm_list.cpp
@@ -1,9 +1,12 @@
 #include "teaseldrift/store/http_vm_list.hpp"
 
+#include <limits>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
@@ -17,33 +20,54 @@
 constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
 
-VmRecord toRecord(const json &object)
+/// @return none if the entry is odd
+std::optional<VmRecord> readRecord(const json &object)
 {
-    return {
-            .id = object.at("id").get<std::string>(),
-            .address = object.at("address").get<std::string>(),
-            .callerPort = object.value("caller_port", uint16_t(0)),
-            .peerPort = object.value("peer_port", uint16_t(0)),
-            .availabilityZone = object.value("zone", ""),
-            .state = object.value("state", "live") == "live" ? VmState::Live : VmState::Leaving,
-            .isTarget = object.value("is_target", false),
+    const auto isPort = [&object](const char *name) {
+        const auto port = object.find(name);
+        return port == object.end()
+               || (port->is_number_unsigned()
+                   && port->get<uint64_t>() <= std::numeric_limits<uint16_t>::max());
+    };
+    const auto isText = [&object](const char *name) {
+        const auto text = object.find(name);
+        return text == object.end() || text->is_string();
+    };
+    const bool isTarget = object.is_object() && object.contains("is_target")
+                          && object["is_target"].is_boolean() && object["is_target"].get<bool>();
+    if (!object.is_object() || textField(object, "id").empty()
+        || textField(object, "address").empty() || !isPort("caller_port") || !isPort("peer_port")
+        || !isText("zone") || !isText("state")) {
+        return std::nullopt;
+    }
+    const std::string state = textField(object, "state");
+    return VmRecord{
+            .id = textField(object, "id"),
+            .address = textField(object, "address"),
+            .callerPort = unsignedField<uint16_t>(object, "caller_port"),
+            .peerPort = unsignedField<uint16_t>(object, "peer_port"),
+            .availabilityZone = textField(object, "zone"),
+            .state = state.empty() || state == "live" ? VmState::Live : VmState::Leaving,
+            .isTarget = isTarget,
     };
 }
 
-/// @return false if the text is not a valid list of VMs
-bool parse(const std::string &text, std::vector<VmRecord> &records)
+/// Parses the valid entries of a list of VMs; others name no VM.
+/// @return false if the text is not a list
+bool parse(std::string_view text, std::vector<VmRecord> &records)
 {
-    try {
-        records.clear();
-        for (const json &object : json::parse(text)) {
-            if (object.value("state", "live") != "gone") {
-                records.push_back(toRecord(object));
-            }
-        }
-        return true;
-    } catch (const json::exception &) {
+    const json list = parseJson(text);
+    records.clear();
+    if (!list.is_array()) {
         return false;
     }
+    for (const json &object : list) {
+        const std::optional<VmRecord> record = readRecord(object);
+        if (record && textField(object, "state") != "gone") {
+            records.push_back(*record);
+        }
+    }
+    return true;
 }
 
 } // namespace
--- a/packages/store/src/teaseldrift/store/store_test.cpp
+++ b/packages/store/src/teaseldrift/store/store_test.cpp
@@ -179,4 +179,37 @@
     CHECK(failed);
 }
 
+// Guards against one odd entry that makes the whole list unreadable.
+TEST_CASE("odd entries of the list of VMs are left out, the others hold")
+{
+    http::EventLoop loop;
+    standins::VmListService service(loop, Duration::zero());
+    http::Server server(loop, {}, [&](const std::shared_ptr<http::Exchange> &exchange) {
+        service.handle(exchange);
+    });
+    REQUIRE_FALSE(server.listen());
+    loop.startTimer(20s, [&loop] { loop.stop(); });
+    HttpVmList list(loop, {.address = "127.0.0.1", .port = server.port()}, 300ms);
+    const std::string deep = std::string(50, '[') + std::string(50, ']');
+    service.setList(R"([{"id":"vm-1","address":"127.0.0.1","caller_port":80,"peer_port":90},
+                        {"id":"vm-2","address":"127.0.0.1","caller_port":70000,"peer_port":90},
+                        {"id":"vm-3","address":"127.0.0.1","caller_port":80,"peer_port":65626},
+                        {"id":"vm-4","address":"127.0.0.1","caller_port":-80,"peer_port":90},
+                        {"id":"vm-5","address":"127.0.0.1","caller_port":"80","peer_port":90},
+                        {"id":6,"address":"127.0.0.1"}, {"id":"vm-7"}, "vm-8", null, 9,
+                        {"id":"vm-10","address":"127.0.0.1","zone":)"
+                    + deep + "}]");
+    std::vector<VmRecord> records;
+    std::error_code failed;
+    list.read([&](std::error_code error, const std::vector<VmRecord> &received) {
+        failed = error;
+        records = received;
+        loop.stop();
+    });
+    loop.run();
+    CHECK_FALSE(failed);
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].id == "vm-1");
+}
+
 } // namespace teaseldrift::store
