--- a/packages/policy/include/teaseldrift/shutdown/shutdown_phase.hpp
+++ b/packages/policy/include/teaseldrift/shutdown/shutdown_phase.hpp
@@ -21,4 +21,8 @@
 /// @param openRequests number of requests whose response is not complete
 ShutdownPhase shutdownPhase(Duration sinceRequest, Duration grace, size_t openRequests);
 
+/// @brief Time since the shutdown was requested by which each request must have been answered, so
+/// that the response leaves before the process ends.
+Duration shutdownAnswerTime(Duration grace);
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/shutdown/shutdown_phase.cpp
+++ b/packages/policy/src/teaseldrift/shutdown/shutdown_phase.cpp
@@ -14,6 +14,9 @@
 /// Time before the end of the grace period at which the process exits even with open requests.
 constexpr Duration exitMargin = 700ms;
 
+/// Time for the last responses to leave before that.
+constexpr Duration responseMargin = 200ms;
+
 } // namespace
 
 ShutdownPhase shutdownPhase(Duration sinceRequest, Duration grace, size_t openRequests)
@@ -27,4 +30,9 @@
     return openRequests == 0 || isGraceEnding ? ShutdownPhase::Ended : ShutdownPhase::Draining;
 }
 
+Duration shutdownAnswerTime(Duration grace)
+{
+    return std::max(Duration(0), grace - exitMargin - responseMargin);
+}
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/shutdown/shutdown_phase_test.cpp
+++ b/packages/policy/src/teaseldrift/shutdown/shutdown_phase_test.cpp
@@ -21,4 +21,14 @@
     CHECK(shutdownPhase(800ms, 2s, 0) == ShutdownPhase::Ended);
 }
 
+TEST_CASE("all requests are answered before a shutdown ends, whatever its grace period")
+{
+    for (const Duration grace : {8s, 3s, 60s}) {
+        const Duration answered = shutdownAnswerTime(grace);
+        CHECK(answered > Duration(0));
+        CHECK(shutdownPhase(answered + 100ms, grace, 1) != ShutdownPhase::Ended);
+    }
+    CHECK(shutdownAnswerTime(500ms) == Duration(0));
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/frontend.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,7 +27,11 @@
     void checkCallers();
 
     /// @brief Number of requests without a complete response.
-    [[nodiscard]] size_t openRequests() const { return m_tasks.size(); }
+    [[nodiscard]] size_t openRequests() const { return m_tasks.size() + m_admissions; }
+
+    /// @brief This process ends soon: requests that cannot be expected to be complete by then are
+    /// refused, and all others are answered by then. May be called again with another time.
+    void answerBy(Instant time);
 
 private:
     struct Refusal
@@ -48,12 +53,19 @@
 
     /// @return false if the request was refused; the response has then been sent
     bool admit(http::Exchange &exchange, AdmittedRequest &admitted);
+    /// @return true if there is too little time before this process ends; the response has then
+    /// been sent
+    bool refuseLate(http::Exchange &exchange, const AdmittedRequest &admitted);
     /// @return true if the prompt holds quarantined segments; the response has then been sent
     bool refuseQuarantined(http::Exchange &exchange, AdmittedRequest &admitted);
     static double costOf(const CallerRequest &request, const Organisation &organisation);
 
     RelayContext &m_context;
     D m_dialect;
+    /// Set once this process is to end.
+    std::optional<Instant> m_answerBy;
+    /// Requests that wait for the decision on their usage limit.
+    size_t m_admissions = 0;
     uint64_t m_lastTask = 0;
     std::unordered_map<uint64_t, std::shared_ptr<RequestTask<D>>> m_tasks;
 };
--- a/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
@@ -23,7 +23,8 @@
     if (m_context.fleet.isLeaving()) {
         exchange->closeAfterResponse();
     }
-    if (!admit(*exchange, admitted) || refuseQuarantined(*exchange, admitted)) {
+    if (!admit(*exchange, admitted) || refuseLate(*exchange, admitted)
+        || refuseQuarantined(*exchange, admitted)) {
         return;
     }
     if (admitted.organisation == nullptr) {
@@ -32,9 +33,11 @@
     }
     const std::string organisation = admitted.organisation->name;
     const double cost = admitted.cost;
+    ++m_admissions;
     m_context.usage.acquire(organisation, cost,
                             [this, exchange = std::move(exchange),
                              admitted = std::move(admitted)](UsageDecision decision) mutable {
+                                --m_admissions;
                                 onUsageDecision(std::move(exchange), std::move(admitted), decision);
                             });
 }
@@ -65,6 +68,9 @@
             m_context, m_dialect, std::move(exchange), std::move(admitted),
             [this, number] { m_tasks.erase(number); });
     m_tasks.emplace(number, task);
+    if (m_answerBy) {
+        task->answerBy(*m_answerBy);
+    }
     task->start();
 }
 
@@ -141,6 +147,30 @@
     return true;
 }
 
+template <Dialect D>
+bool Frontend<D>::refuseLate(http::Exchange &exchange, const AdmittedRequest &admitted)
+{
+    const Duration expected = expectedDuration(admitted.request, *admitted.route);
+    if (!m_answerBy || admitted.arrivedAt + expected <= *m_answerBy) {
+        return false;
+    }
+    constexpr int unavailable = 503;
+    // Another VM can serve the caller at once.
+    constexpr Duration retryAfter = 50ms;
+    refuse(exchange, admitted.request,
+           {.status = unavailable, .reason = "stopping", .retryAfter = retryAfter});
+    return true;
+}
+
+template <Dialect D>
+void Frontend<D>::answerBy(Instant time)
+{
+    m_answerBy = time;
+    for (const std::pair<const uint64_t, std::shared_ptr<RequestTask<D>>> &entry : m_tasks) {
+        entry.second->answerBy(time);
+    }
+}
+
 template <Dialect D>
 double Frontend<D>::costOf(const CallerRequest &request, const Organisation &organisation)
 {
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -50,6 +50,9 @@
     /// @brief Checks whether the caller has disconnected.
     void checkCaller();
 
+    /// @brief Ends the request by then, as this process ends soon.
+    void answerBy(Instant time);
+
     [[nodiscard]] Instant arrivedAt() const { return m_admitted.arrivedAt; }
 
 private:
@@ -84,7 +87,11 @@
     [[nodiscard]] AttemptMetadata attemptMetadata(Instant now) const;
     [[nodiscard]] uint32_t priority() const;
     [[nodiscard]] bool isTooLate(Duration expectedWait, Instant now) const;
-    [[nodiscard]] Instant deadline() const { return m_admitted.arrivedAt + m_timeAllowed; }
+    [[nodiscard]] Instant deadline() const
+    {
+        const Instant end = m_admitted.arrivedAt + m_timeAllowed;
+        return m_answerBy ? std::min(end, *m_answerBy) : end;
+    }
     [[nodiscard]] bool isStreaming() const
     {
         return m_responseMetadata.isEventStream && m_status == statusOk;
@@ -100,7 +107,10 @@
     uint64_t m_seed;
     /// Service that all attempts are sent to.
     std::string_view m_service;
+    /// Time that the caller and the route allow.
     Duration m_timeAllowed;
+    /// When this process must have answered, once it is to end.
+    std::optional<Instant> m_answerBy;
     std::shared_ptr<RetryBudget> m_retryBudget;
     RequestStateMachine m_machine;
     std::unique_ptr<http::Call> m_call;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -96,6 +96,19 @@
     return request.deadline ? std::min(*request.deadline, route.timeout) : route.timeout;
 }
 
+/// Time in which a request usually completes. Of a call that may not be repeated, whose outcome is
+/// unknown to its caller if it does not, more is assumed.
+inline Duration expectedDuration(const CallerRequest &request, const Route &route)
+{
+    constexpr int unrepeatableFactor = 4;
+    const Duration expected
+            = route.kind == RouteKind::NonIdempotent
+                      ? route.latencyObjective * unrepeatableFactor
+                      : route.latencyObjective
+                                + (request.model.empty() ? Duration(0) : expectedRun(request));
+    return std::min(expected, allowedTime(request, route));
+}
+
 template <Dialect D>
 RequestTask<D>::RequestTask(RelayContext &context, const D &dialect,
                             std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
@@ -852,7 +865,17 @@
         end("deadline_in_stream", m_status);
         return;
     }
-    perform(m_machine.timerExpired(now));
+    const bool isStopping = m_answerBy && now >= *m_answerBy;
+    perform(isStopping ? m_machine.drainDeadlineExpired(now) : m_machine.timerExpired(now));
+}
+
+template <Dialect D>
+void RequestTask<D>::answerBy(Instant time)
+{
+    m_answerBy = time;
+    if (m_timer != 0) {
+        armTimer();
+    }
 }
 
 template <Dialect D>
