--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -24,7 +24,7 @@
     if (std::from_chars(text.data(), text.data() + text.size(), seconds).ec != std::errc()) {
         return std::nullopt;
     }
-    constexpr int64_t maxSeconds = 24 * 3600;
+    constexpr int64_t maxSeconds = 86400;
     return Duration(std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxSeconds)));
 }
 
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
@@ -136,4 +136,33 @@
     playDays({.vms = 195, .zones = 5, .contactTime = 5s, .applyTime = 4s}, 10, firstSeed);
 }
 
+// By hand: relay-test "[measure]". Calls that reach the store, and how late VMs in touch are.
+TEST_CASE("store calls and delays of changes", "[.][measure]")
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<Fault> faults;
+    };
+    const std::vector<Case> cases{
+            {"calm", {}},
+            {"store busy for 6 s",
+             {{.kind = Fault::Kind::Store, .at = 10s, .length = 6s, .condition = Condition::Busy}}},
+            {"store silent for 6 s", {{.kind = Fault::Kind::Store, .at = 10s, .length = 6s}}},
+            {"connections silent", {{.kind = Fault::Kind::ConnectionsSilent, .at = 10s}}},
+    };
+    for (const FleetShape &shape :
+         {FleetShape{.vms = 7, .contactTime = 3s, .applyTime = 2s}, FleetShape{},
+          FleetShape{.vms = 195, .zones = 5, .contactTime = 5s, .applyTime = 4s}}) {
+        for (const Case &each : cases) {
+            Fleet fleet(shape);
+            Draw draw(1);
+            const DayResult result = fleet.play(dayLength, drawChanges(draw), each.faults);
+            WARN(shape.vms << " VMs, " << each.name << ": " << result.storeCalls << " calls in "
+                           << toSeconds(dayLength) << " s, longest delay "
+                           << toSeconds(result.longestDelay) << " s " << result.breach);
+        }
+    }
+}
+
 } // namespace teaseldrift::relay::changesimulation
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -710,7 +710,7 @@
 inline void Fleet::send(size_t from, const http::Endpoint &to, const std::string &query,
                         Duration timeout, const StoreRelayTransport::Respond &onResponse)
 {
-    constexpr Duration latency = 1500us;
+    static constexpr Duration latency = 1500us;
     struct Exchange
     {
         StoreRelayTransport::Respond onResponse;
