--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -21,8 +21,8 @@
     Duration operatorWait = 1500ms;
     /// Age of the operators' records from which more than one call is made at a time.
     Duration maxOperatorAge = 2s;
+    /// The same for registrations; the age allows for the delay between calls.
     Duration targetWait = 1s;
-    /// The same age for registrations, whose calls are delayed.
     Duration maxTargetAge = 2600ms;
     /// Registrations change with each heartbeat, so that a long poll would return at once. The
     /// delay must be short enough to notice a leaving target within its drain time.
