--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -466,8 +466,9 @@
         Condition peerPath = Condition::Sound;
         Condition storePath = Condition::Sound;
         Instant suspendedUntil;
-        /// End of the last fault; with a fault under way, the farthest future.
+        /// End of the last fault that is over.
         Instant disturbedUntil;
+        /// Faults under way.
         int faults = 0;
         /// Kept connections to other VMs that are silent.
         int silentPeers = 0;
--- a/packages/router/src/teaseldrift/router/load_report.cpp
+++ b/packages/router/src/teaseldrift/router/load_report.cpp
@@ -1,11 +1,11 @@
 #include "teaseldrift/router/load_report.hpp"
 
-#include "teaseldrift/base/json_input.hpp"
-
 #include <string>
 
 #include <nlohmann/json.hpp>
 
+#include "teaseldrift/base/json_input.hpp"
+
 namespace teaseldrift::router {
 
 using nlohmann::json;
