Test of a call that reached no target waits until the service has ended

Cause: the test. Its service exits in the middle of the first call, and the test sent the second call as soon as the first connection had ended. The kernel closes the descriptors of a process one after the other, so the listener may still accept: the second call was connected, sent and reset. teaseldriftd then cannot know whether it ran, and "unknown" is right.

Ruled out: a kept connection, since such calls get connections of their own.

The test now waits for the end of the process; its checks are the same. That a call whose connection breaks is "unknown" has a test already ("a non-idempotent call whose response is lost is not retried").

--- a/testing/processes/fleet_fixture.hpp
+++ b/testing/processes/fleet_fixture.hpp
@@ -43,6 +43,7 @@
 
     Process &vmProcess(size_t index) { return m_vms.at(index).process; }
     Process &engineProcess(size_t index) { return m_engines.at(index).process; }
+    Process &plainServiceProcess(size_t index) { return m_services.at(index).process; }
     Process &storeProcess() { return m_store.process; }
 
     /// @brief Starts a VM's process again on the same ports.
--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -181,9 +181,11 @@
 TEST_CASE("a non-idempotent call that reached no target is reported as not run")
 {
     FleetFixture fleet({.vms = 1, .engines = 1, .plainServices = 1});
-    // The service exits during the first call and refuses connections afterwards.
+    // The service exits during the first call and refuses connections afterwards: once its process
+    // has ended, since its listener may accept for some time after its connections have ended.
     fleet.setFault(fleet.plainService(0), "die");
     fleet.caller.fetch(fleet.vm(0), fleet.call("first"));
+    fleet.plainServiceProcess(0).wait();
     const ReceivedResponse response = fleet.caller.fetch(fleet.vm(0), fleet.call("second"));
     CAPTURE(response.body);
     CHECK(response.status >= 500);
