Calls that the store refused together are not repeated together (CONFIG)

Shown by a test that failed before: 1,200 VMs read everything again after the history was discarded, at a store that takes 2,000 calls a second, 20 at once. With the same delays for all, 140 VMs had read it after the 4 s in which a change must be in force; with a factor from 0.5 to 1 for each VM all have.

Cause: the class of the incident, a rule that is right for 7 VMs and wrong for 1,200. On the sites at hand (84 and 195 VMs, 6,000 and 16,000 calls a second) the store is not shown to refuse for its rate.

spreadFactor() moves to policy, since callers and VMs now use it.

--- a/packages/policy/include/teaseldrift/base/rendezvous.hpp
+++ b/packages/policy/include/teaseldrift/base/rendezvous.hpp
@@ -36,4 +36,8 @@
 /// @brief Hashes a string to a rendezvous key.
 uint64_t rendezvousKey(std::string_view text);
 
+/// @brief Returns a factor from 0.5 up to 1, always the same for an id, that spreads delays which
+/// would otherwise end together.
+double spreadFactor(std::string_view id);
+
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/base/rendezvous.cpp
+++ b/packages/policy/src/teaseldrift/base/rendezvous.cpp
@@ -55,4 +55,10 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+double spreadFactor(std::string_view id)
+{
+    constexpr uint64_t steps = 1024;
+    return 0.5 + static_cast<double>(rendezvousKey(id) % steps) / (2.0 * steps);
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "teaseldrift/base/milliseconds.hpp"
+#include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/relay/fleet_records.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/relay/prefix_watcher.hpp"
@@ -41,12 +42,14 @@
           m_operators(loop, store,
                       {.prefix = std::string(m_records.operatorPrefix()),
                        .wait = options.operatorWait,
+                       .retryDelayFactor = spreadFactor(fleet.options().vmId),
                        .maxAge = options.maxOperatorAge},
                       operatorHandlers()),
           m_targets(loop, store,
                     {.prefix = std::string(m_records.targetPrefix()),
                      .wait = options.targetWait,
                      .pollDelay = std::move(options.targetPollDelay),
+                     .retryDelayFactor = spreadFactor(fleet.options().vmId),
                      .maxAge = options.maxTargetAge},
                     targetHandlers())
     { }
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -24,6 +24,9 @@
     /// Delay after a failed call; it doubles with each consecutive failure.
     Duration initialRetryDelay = 100ms;
     Duration maxRetryDelay = 1s;
+    /// Factor of the delays after failed calls and of `searchInterval`, at most 1; different for
+    /// each VM, so that VMs whose calls were refused together do not call together again.
+    double retryDelayFactor = 1.0;
     /// Age of what is known from which on the watcher no longer waits for the call under way; more
     /// than `wait`, the delay between calls and a response's travel time together.
     Duration maxAge = 2s;
@@ -200,7 +203,7 @@
         } else {
             readChangesDirectly();
         }
-        scheduleSearch(http::EventLoop::now() + m_options.searchInterval);
+        scheduleSearch(http::EventLoop::now() + spread(m_options.searchInterval));
     }
 
     [[nodiscard]] Duration pollDelay() const
@@ -208,6 +211,12 @@
         return m_options.pollDelay ? m_options.pollDelay() : Duration(0);
     }
 
+    [[nodiscard]] Duration spread(Duration delay) const
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(delay.count())
+                                                   * m_options.retryDelayFactor));
+    }
+
     void scheduleCall(Duration delay)
     {
         m_callTimer = m_loop.startTimer(delay, [this] { call(); });
@@ -252,7 +261,7 @@
         const Duration delay
                 = m_retryDelay == Duration(0) ? m_options.initialRetryDelay : m_retryDelay;
         m_retryDelay = std::min(delay * 2, m_options.maxRetryDelay);
-        scheduleCall(delay);
+        scheduleCall(spread(delay));
     }
 
     http::EventLoop &m_loop;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -44,13 +44,6 @@
 /// Permits for limited targets that are requested for one attempt: each is a query to another VM.
 inline constexpr int maxPermitQueries = 4;
 
-/// Factor between 0.5 and 1 that spreads the Retry-After of callers refused together.
-inline double spreadFactor(std::string_view requestId)
-{
-    constexpr uint64_t steps = 1024;
-    return 0.5 + static_cast<double>(rendezvousKey(requestId) % steps) / (2.0 * steps);
-}
-
 /// Ids of the segments that other requests may share: all but the last.
 inline std::string sharedSegmentIds(std::span<const PromptSegment> segments)
 {
--- a/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/weight_rollout_task.hpp
@@ -89,6 +89,7 @@
           m_watcher(loop, store,
                     {.prefix = m_options.key,
                      .wait = m_options.watchTimeout,
+                     .retryDelayFactor = spreadFactor(fleet.options().vmId),
                      .maxAge = m_options.watchTimeout + m_options.watchResponseTime},
                     watchHandlers())
     { }
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_watcher.hpp"
 #include "teaseldrift/relay/prefix_watcher.hpp"
@@ -687,6 +688,7 @@
       m_watcher(fleet.loop, m_store,
                 {.prefix = std::string(operatorPrefix),
                  .wait = FleetWatcherOptions().operatorWait,
+                 .retryDelayFactor = spreadFactor(fleet.idOf(index)),
                  .maxAge = FleetWatcherOptions().maxOperatorAge},
                 {.onStoreRestored = [this] { m_isRestored = true; },
                  .onSnapshot = [this](const store::StoreSnapshot &all) { apply(all); },
--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -1,9 +1,14 @@
 #include "teaseldrift/relay/prefix_watcher.hpp"
 
+#include <algorithm>
 #include <deque>
+#include <memory>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "teaseldrift/base/rendezvous.hpp"
+
 namespace teaseldrift::relay {
 
 namespace {
@@ -299,4 +304,104 @@
     CHECK(calls <= 11);
 }
 
+namespace {
+
+/// A store that takes a number of calls a second, evenly spread, and refuses those beyond.
+class RateLimitedStore
+{
+public:
+    using ReadHandler = std::function<void(std::error_code, const StoreSnapshot &)>;
+
+    RateLimitedStore(http::EventLoop &loop, double callsPerS, double burst)
+        : m_loop(loop), m_callsPerS(callsPerS), m_burst(burst), m_available(burst),
+          m_refilledAt(http::EventLoop::now())
+    { }
+
+    void readPrefix(std::string_view, ReadConsistency, const ReadHandler &handler)
+    {
+        const bool isTaken = !isLimited || take();
+        refused += isTaken ? 0 : 1;
+        const std::error_code error
+                = isTaken ? std::error_code() : make_error_code(StoreError::Unavailable);
+        m_loop.startTimer(latency, [handler, error] { handler(error, snapshotOf(10)); });
+    }
+
+    /// Calls are held until the history is discarded.
+    void waitForChanges(std::string_view, uint64_t, Duration, ReadHandler handler)
+    {
+        m_held.push_back(std::move(handler));
+    }
+
+    void discardHistory()
+    {
+        isLimited = true;
+        for (const ReadHandler &handler : std::exchange(m_held, {})) {
+            m_loop.post([handler] { handler(StoreError::Compacted, {}); });
+        }
+    }
+
+    void write(std::span<const store::StoreWrite>, std::function<void(store::StoreWriteResult)>) { }
+    void grantLease(Duration, std::function<void(std::error_code, uint64_t)>) { }
+    void renewLease(uint64_t, std::function<void(std::error_code)>) { }
+    void revokeLease(uint64_t) { }
+
+    bool isLimited = false;
+    size_t refused = 0;
+
+private:
+    static constexpr Duration latency = 2ms;
+
+    bool take()
+    {
+        const Instant now = http::EventLoop::now();
+        m_available = std::min(m_burst, m_available + toSeconds(now - m_refilledAt) * m_callsPerS);
+        m_refilledAt = now;
+        if (m_available < 1.0) {
+            return false;
+        }
+        m_available -= 1.0;
+        return true;
+    }
+
+    http::EventLoop &m_loop;
+    double m_callsPerS;
+    double m_burst;
+    double m_available;
+    Instant m_refilledAt;
+    std::vector<ReadHandler> m_held;
+};
+
+} // namespace
+
+// Guards against VMs whose reads the store refused together (429) and that repeat them together:
+// few get through each time, and the others learn of changes too late (CONFIG).
+TEST_CASE("1,200 VMs read everything again in time although the store refuses most reads at first")
+{
+    // Time in which a change must be in force in the largest fleets.
+    constexpr Duration applyTime = 4s;
+    constexpr size_t vms = 1200;
+    const http::SimulatedTime time;
+    http::EventLoop loop;
+    RateLimitedStore limited(loop, 2000.0, 20.0);
+    std::vector<int> snapshots(vms, 0);
+    std::vector<std::unique_ptr<PrefixWatcher<RateLimitedStore>>> watchers;
+    for (size_t i = 0; i < vms; ++i) {
+        watchers.push_back(std::make_unique<PrefixWatcher<RateLimitedStore>>(
+                loop, limited,
+                PrefixWatcherOptions{.prefix = "p/",
+                                     .retryDelayFactor = spreadFactor("vm-" + std::to_string(i))},
+                PrefixWatcherHandlers{.onSnapshot
+                                      = [&snapshots, i](const StoreSnapshot &) { ++snapshots[i]; },
+                                      .onChanges = [](const StoreSnapshot &) {},
+                                      .onDisconnected = [](std::error_code) {},
+                                      .onReconnected = [] {}}));
+        watchers.back()->start();
+    }
+    loop.startTimer(1s, [&] { limited.discardHistory(); });
+    loop.startTimer(1s + applyTime, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(limited.refused > 0);
+    CHECK(std::count(snapshots.begin(), snapshots.end(), 2) == static_cast<ptrdiff_t>(vms));
+}
+
 } // namespace teaseldrift::relay
