--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -79,6 +80,10 @@
     /// @brief Continues reading after pause().
     void resume();
 
+    /// @brief The target is sending its response: from now on its silence is noticed at the shorter
+    /// interval of KeepAliveProbes.
+    void expectData();
+
     /// @brief Whether bytes of the request may have reached the target.
     [[nodiscard]] bool maybeSent() const;
 
@@ -93,6 +98,18 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// @brief TCP keep-alive probes, by which the kernel finds that the peer's host is unreachable.
+///
+/// A connection on which nothing arrives is probed after `idle`, and closed `interval` later if the
+/// time since anything arrived is then at least ClientOptions::ackTimeout.
+struct KeepAliveProbes
+{
+    std::chrono::seconds idle{1};
+    std::chrono::seconds interval{1};
+    /// Interval while a response is being received, see Call::expectData().
+    std::chrono::seconds receivingInterval{1};
+};
+
 /// @brief Time-outs and connection limits of a client.
 struct ClientOptions
 {
@@ -106,6 +123,7 @@
     /// Time within which a peer must acknowledge sent data or a TCP keep-alive probe; after it a
     /// dead connection is closed. 0 disables the check, so that only ioTimeout applies.
     Duration ackTimeout{0};
+    KeepAliveProbes probes;
 };
 
 /// @brief An HTTP/1.1 client on one event loop.
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -233,7 +233,7 @@
         return;
     }
     if (options.ackTimeout > Duration(0)) {
-        setAckTimeout(h2o_socket_get_fd(socket), options.ackTimeout);
+        setAckTimeout(h2o_socket_get_fd(socket), options.ackTimeout, options.probes.idle);
     }
     connection = std::make_shared<Connection>(socket);
     send();
@@ -246,6 +246,9 @@
     if (handlers.onSent) {
         handlers.onSent();
     }
+    if (options.ackTimeout > Duration(0)) {
+        connection->setProbeInterval(options.probes.interval);
+    }
     connection->exchange(std::move(wire), isHead, connectionHandlers());
     startIoTimer();
 }
@@ -322,6 +325,13 @@
     }
 }
 
+void Call::expectData()
+{
+    if (m_impl->connection != nullptr && m_impl->options.ackTimeout > Duration(0)) {
+        m_impl->connection->setProbeInterval(m_impl->options.probes.receivingInterval);
+    }
+}
+
 bool Call::maybeSent() const
 {
     return m_impl->sent;
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -192,6 +195,17 @@
     });
 }
 
+void Connection::setProbeInterval(std::chrono::seconds interval)
+{
+    if (isClosed() || interval == m_probeInterval) {
+        return;
+    }
+    m_probeInterval = interval;
+    const int seconds = static_cast<int>(interval.count());
+    ::setsockopt(h2o_socket_get_fd(m_socket), IPPROTO_TCP, TCP_KEEPINTVL, &seconds,
+                 sizeof(seconds));
+}
+
 void Connection::close()
 {
     m_isBusy = false;
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
     void resume();
     void close();
 
+    /// @brief Sets the interval of TCP keep-alive probes.
+    void setProbeInterval(std::chrono::seconds interval);
+
     /// @brief Longest idle time that the target has announced; empty if it has not announced one.
     [[nodiscard]] std::optional<Duration> announcedIdleTime() const { return m_idleTime; }
 
@@ -71,6 +75,8 @@
     ConnectionHandlers m_handlers;
     std::function<void()> m_onUnusable;
     std::optional<Duration> m_idleTime;
+    /// As setAckTimeout() leaves it.
+    std::chrono::seconds m_probeInterval{1};
 };
 
 } // namespace teaseldrift::http
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -91,16 +91,16 @@
 
 } // namespace
 
-void setAckTimeout(int descriptor, Duration ackTimeout)
+void setAckTimeout(int descriptor, Duration ackTimeout, std::chrono::seconds idle)
 {
     const int on = 1;
     const unsigned int bound = static_cast<unsigned int>(toMilliseconds(ackTimeout));
-    // Keep-alive intervals are given in whole seconds.
-    const int probeSeconds = 1;
+    const int idleSeconds = static_cast<int>(idle.count());
+    const int intervalSeconds = 1;
     const int probes = std::max(1, static_cast<int>(toSeconds(ackTimeout)));
     ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof(intervalSeconds));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
 }
--- a/packages/http/src/teaseldrift/http/event_loop_impl.hpp
+++ b/packages/http/src/teaseldrift/http/event_loop_impl.hpp
@@ -70,6 +70,7 @@
 }
 
 /// @brief Makes the kernel close a connection whose peer acknowledges nothing for `ackTimeout`.
-void setAckTimeout(int descriptor, Duration ackTimeout);
+/// @param idle silence after which the kernel probes the connection
+void setAckTimeout(int descriptor, Duration ackTimeout, std::chrono::seconds idle);
 
 } // namespace teaseldrift::http
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -566,7 +566,8 @@
                 return;
             }
             if (server.options.ackTimeout > Duration(0)) {
-                setAckTimeout(h2o_socket_get_fd(socket), server.options.ackTimeout);
+                setAckTimeout(h2o_socket_get_fd(socket), server.options.ackTimeout,
+                              std::chrono::seconds(1));
             }
             h2o_accept(&server.acceptContext, socket);
         }
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -672,6 +672,7 @@
     recordAnswer(now, false);
     if (!m_isPrefillFinished) {
         m_isPrefillFinished = true;
+        m_call->expectData();
         m_firstEventAt = m_firstEventAt == Instant() ? now : m_firstEventAt;
         m_context.fleet.targetSelector().prefillFinished(*m_choice, http::EventLoop::now());
     }
