teaseldriftd: limits of engines have an upper bound, and invalid load reports are counted (38, 42)

A load report could name a limit of 1e300, from which tokens were computed beyond the range of an integer (found by reading); one that was negative or text counted as none without a word, and so did a response that was no load report.

A limit above 1,000,000 a second counts as none, too. Such responses are counted by problem, and logged once until the engine is sound again. Tests: load_report_test (the flag is new, so it could not fail before), process test "an engine whose limit is invalid is used without one".

A third point was wrong: target-limits.md said that a broken stream whose engine is at its limit ends there. RequestStateMachine::targetsUnavailable() passes a resumption on.

--- a/packages/router/include/teaseldrift/router/target_pool.hpp
+++ b/packages/router/include/teaseldrift/router/target_pool.hpp
@@ -88,6 +88,8 @@
     uint32_t slots = 0;
     /// Requests a second that the target takes from all VMs together; empty for no limit.
     std::optional<double> requestsPerSecond;
+    /// The report names a limit that is no number, negative, or larger than any target's.
+    bool hasInvalidLimit = false;
     Instant observedAt{};
     /// Versions of the weights that the engine serves, by model; a model that is still being loaded
     /// is absent. Empty if the engine does not report its models.
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -141,6 +141,7 @@
     void onLiveVms(const std::vector<FleetVm> &live);
     void updateAllowanceVms();
     void pollMembers();
+    void countInvalidReport(const InvalidLoadReport &report);
     [[nodiscard]] Duration entryLifetime() const;
     void beginShutdown();
     void closeListener();
@@ -325,17 +326,35 @@
     impl.configuration->start();
     impl.pollMembers();
     impl.quarantine.start();
-    impl.poller.emplace(impl.loop, impl.targets,
-                        TargetPollerOptions{.onReport = [&impl](const std::string &target,
-                                                                const TargetLoad &report) {
-                            impl.permits.setLimit(target, report.requestsPerSecond);
-                        }});
+    impl.poller.emplace(
+            impl.loop, impl.targets,
+            TargetPollerOptions{
+                    .onReport =
+                            [&impl](const std::string &target, const TargetLoad &report) {
+                                impl.permits.setLimit(target, report.requestsPerSecond);
+                            },
+                    .onInvalidReport =
+                            [&impl](const InvalidLoadReport &report) {
+                                impl.countInvalidReport(report);
+                            }});
     telemetry::log(telemetry::LogLevel::Info, "listening",
                    {{"caller_port", std::to_string(impl.server.port())},
                     {"peer_port", std::to_string(impl.peers.port())}});
     return {};
 }
 
+void Daemon::Impl::countInvalidReport(const InvalidLoadReport &report)
+{
+    const std::string problem(report.problem);
+    metrics.registry()
+            .counter({"teaseldrift_invalid_load_reports_total", "problem", problem})
+            .add();
+    if (!report.isRepeated) {
+        telemetry::log(telemetry::LogLevel::Warn, "invalid load report",
+                       {{"target", std::string(report.target)}, {"problem", problem}});
+    }
+}
+
 ShutdownOutcome Daemon::run()
 {
     m_impl->loop.run();
--- a/packages/router/src/teaseldrift/router/load_report.cpp
+++ b/packages/router/src/teaseldrift/router/load_report.cpp
@@ -10,6 +10,13 @@
 
 using nlohmann::json;
 
+namespace {
+
+/// Largest limit that is applied, in requests a second.
+constexpr double maxRequestsPerSecond = 1e6;
+
+} // namespace
+
 bool parseLoadReport(std::string_view body, Instant now, TargetLoad &report)
 {
     const json parsed = parseJson(body);
@@ -23,8 +30,12 @@
     report.slots = unsignedField<uint32_t>(parsed, "slots");
     report.prefillBacklogTokens = unsignedField<uint64_t>(parsed, "prefill_backlog_tokens");
     const auto limit = parsed.find("requests_per_s");
-    if (limit != parsed.end() && limit->is_number() && limit->get<double>() >= 0.0) {
-        report.requestsPerSecond = limit->get<double>();
+    if (limit != parsed.end()) {
+        const double perSecond = limit->is_number() ? limit->get<double>() : -1.0;
+        report.hasInvalidLimit = !(perSecond >= 0.0 && perSecond <= maxRequestsPerSecond);
+        if (!report.hasInvalidLimit) {
+            report.requestsPerSecond = perSecond;
+        }
     }
     report.observedAt = now - std::chrono::milliseconds(unsignedField<uint32_t>(parsed, "age_ms"));
     const auto models = parsed.find("models");
--- a/packages/router/src/teaseldrift/router/load_report_test.cpp
+++ b/packages/router/src/teaseldrift/router/load_report_test.cpp
@@ -46,6 +46,26 @@
     CHECK_FALSE(parseLoadReport(R"({"incarnation":1e400})", now, report));
 }
 
+// Guards against a limit that overflows where tokens are computed from it.
+TEST_CASE("an odd limit in a load report counts as none, and is noticed")
+{
+    for (const std::string odd : {"1e300", "1000001", "-1", "-0.5", "\"2\"", "null", "{}", "[2]"}) {
+        INFO(odd);
+        TargetLoad report;
+        REQUIRE(parseLoadReport(R"({"incarnation":7,"requests_per_s":)" + odd + "}", now, report));
+        CHECK_FALSE(report.requestsPerSecond.has_value());
+        CHECK(report.hasInvalidLimit);
+    }
+    for (const std::string valid : {"0", "0.1", "2", "1000000"}) {
+        INFO(valid);
+        TargetLoad report;
+        REQUIRE(parseLoadReport(R"({"incarnation":7,"requests_per_s":)" + valid + "}", now,
+                                report));
+        CHECK(report.requestsPerSecond.has_value());
+        CHECK_FALSE(report.hasInvalidLimit);
+    }
+}
+
 TEST_CASE("numbers of a load report that are too large do not wrap around")
 {
     TargetLoad report;
--- a/packages/router/src/teaseldrift/router/target_poller.cpp
+++ b/packages/router/src/teaseldrift/router/target_poller.cpp
@@ -1,8 +1,10 @@
 #include "teaseldrift/router/target_poller.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
@@ -33,6 +35,8 @@
     TargetPollerOptions options;
     http::Client client;
     std::map<std::string, PendingPoll> pendingPolls;
+    /// Problem of each engine's last response, if it had one.
+    std::map<std::string, std::string_view> problems;
     std::deque<TargetAddress> round;
     Instant roundStartedAt{};
     http::EventLoop::TimerId timer = 0;
@@ -48,6 +52,7 @@
     void startRound();
     void poll(const TargetAddress &target);
     void finish(const std::string &target, HealthObservation observation);
+    void reportInvalid(const std::string &target, std::string_view problem);
 };
 
 void TargetPoller::Impl::startRound()
@@ -62,6 +67,11 @@
             round.push_back(std::move(address));
         }
     }
+    std::erase_if(problems, [this](const std::pair<const std::string, std::string_view> &problem) {
+        return std::none_of(round.begin(), round.end(), [&problem](const TargetAddress &target) {
+            return target.id == problem.first;
+        });
+    });
 }
 
 void TargetPoller::Impl::pollNext()
@@ -122,8 +132,17 @@
     pendingPolls.erase(found);
     loop.cancelTimer(pendingPoll.timer);
     TargetLoad report;
-    if (observation == HealthObservation::Responded && pendingPoll.isEngine
-        && parseLoadReport(pendingPoll.body, http::EventLoop::now(), report)) {
+    const bool isResponse = observation == HealthObservation::Responded && pendingPoll.isEngine;
+    const bool isReport
+            = isResponse && parseLoadReport(pendingPoll.body, http::EventLoop::now(), report);
+    if (isResponse && !isReport) {
+        reportInvalid(target, "unreadable");
+    } else if (isReport && report.hasInvalidLimit) {
+        reportInvalid(target, "limit");
+    } else if (isReport) {
+        problems.erase(target);
+    }
+    if (isReport) {
         targets.report(target, report);
         if (options.onReport) {
             options.onReport(target, report);
@@ -133,6 +152,14 @@
     targets.reportObservation(target, observation);
 }
 
+void TargetPoller::Impl::reportInvalid(const std::string &target, std::string_view problem)
+{
+    const bool isRepeated = std::exchange(problems[target], problem) == problem;
+    if (options.onInvalidReport) {
+        options.onInvalidReport({.target = target, .problem = problem, .isRepeated = isRepeated});
+    }
+}
+
 TargetPoller::TargetPoller(http::EventLoop &loop, TargetPool &targets, TargetPollerOptions options)
     : m_impl(std::make_unique<Impl>(loop, targets, std::move(options)))
 {
--- a/testing/processes/target_limit_test.cpp
+++ b/testing/processes/target_limit_test.cpp
@@ -210,6 +210,41 @@
     CHECK(total >= engineCount * 6 * perSecond * 0.6);
 }
 
+// Guards against a stream that ends in the middle because its engine, which is to resume it, is at
+// its limit, although another one could continue it.
+TEST_CASE("a stream that its engine breaks off at its limit is continued by another engine")
+{
+    constexpr uint32_t tokens = 20;
+    constexpr size_t streams = 8;
+    FleetFixture fleet({.vms = 1, .engines = 2});
+    fleet.setFault(fleet.engine(0), "cut_after:7");
+    fleet.setFault(fleet.engine(0), "limit:2");
+    fleet.caller.waitFor([] { return false; }, 2s);
+    std::vector<std::shared_ptr<ReceivedResponse>> responses;
+    for (size_t i = 0; i < streams; ++i) {
+        responses.push_back(fleet.caller.start(
+                fleet.vm(0), fleet.completion("round " + std::to_string(i), tokens)));
+    }
+    for (const std::shared_ptr<ReceivedResponse> &response : responses) {
+        REQUIRE(fleet.caller.waitFor([&] { return response->ended; }));
+        CAPTURE(response->body);
+        CHECK(isCompleteStream(*response, tokens));
+    }
+}
+
+TEST_CASE("an engine whose limit is invalid is used without one, and operators see it")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1});
+    fleet.setFault(fleet.engine(0), "limit:-1");
+    std::string metrics;
+    CHECK(fleet.caller.waitFor([&] {
+        metrics = fleet.caller.fetch(fleet.vm(0), {.path = "/metrics"}).body;
+        return metrics.find("teaseldrift_invalid_load_reports_total{problem=\"limit\"}")
+               != std::string::npos;
+    }));
+    CHECK(fleet.caller.fetch(fleet.vm(0), fleet.completion("round", 2)).status == 200);
+}
+
 // Guards against a limit that outlasts what the engine reports.
 TEST_CASE("a limit that an engine changes or no longer reports is followed")
 {
