--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -121,6 +121,34 @@
     CHECK(fleet.caller.fetch(fleet.vm(0), {.path = "/public/notice"}).status == 200);
 }
 
+// Guards against a body of an operator's query that ends the process.
+TEST_CASE("odd bodies of explain-route are rejected or explained, and the VM goes on")
+{
+    FleetFixture fleet({.vms = 1, .engines = 1});
+    const std::string deep = std::string(30000, '[') + std::string(30000, ']');
+    const std::vector<std::pair<std::string, int>> bodies{
+            {R"({"model":"estimator","prompt":)" + deep + "}", 400},
+            {R"({"model":)" + deep + "}", 400},
+            {R"({"model":1})", 400},
+            {"[]", 400},
+            {"", 400},
+            {R"({"model":"estimator","max_tokens":1e400})", 400},
+            {R"({"model":"estimator","max_tokens":-1,"prompt":7,"organisation":{}})", 200},
+            {R"({"model":"estimator","max_tokens":18446744073709551615})", 200},
+            {R"({"model":"estimator","prompt":"round"})", 200},
+    };
+    for (const std::pair<std::string, int> &body : bodies) {
+        INFO(body.first.substr(0, 60));
+        const ReceivedResponse response
+                = fleet.caller.fetch(fleet.vm(0), {.method = "POST",
+                                                   .path = "/admin/explain-route",
+                                                   .headers = {{"authorization", "Bearer admin"}},
+                                                   .body = body.first});
+        CHECK(response.status == body.second);
+    }
+    CHECK(fleet.vmProcess(0).isRunning());
+}
+
 TEST_CASE("a stream continues on another target after its engine crashes")
 {
     FleetFixture fleet({.vms = 1, .engines = 2, .engineArguments = {"--token-ms", "20"}});
