--- a/packages/policy/src/teaseldrift/allowance/low_limit_test.cpp
+++ b/packages/policy/src/teaseldrift/allowance/low_limit_test.cpp
@@ -16,17 +16,18 @@
 
 constexpr double perSecond = 2.0;
 constexpr double burst = 2.0;
+constexpr size_t requestsPerSecond = 20;
 
-/// Admissions in each of some seconds, while the VMs `busy` request `requestsPerSecond` together.
+/// Admissions in each of some seconds, while the VMs `busy` request `perBusySecond` together.
 std::vector<size_t> admissionsBySecond(FleetSimulation &fleet, const std::vector<size_t> &busy,
-                                       size_t requestsPerSecond, size_t seconds)
+                                       size_t perBusySecond, size_t seconds)
 {
     std::vector<size_t> bySecond;
     for (size_t second = 0; second < seconds; ++second) {
         const size_t before = fleet.admissions();
-        for (size_t i = 0; i < requestsPerSecond; ++i) {
+        for (size_t i = 0; i < perBusySecond; ++i) {
             fleet.admit(busy[i % busy.size()], microTokensPerToken);
-            fleet.run(Duration(1s) / static_cast<int64_t>(requestsPerSecond));
+            fleet.run(Duration(1s) / static_cast<int64_t>(perBusySecond));
         }
         bySecond.push_back(fleet.admissions() - before);
     }
@@ -62,7 +63,7 @@
     for (size_t i = 0; i < busyVms; ++i) {
         busy.push_back(i * vms / busyVms);
     }
-    const std::vector<size_t> bySecond = admissionsBySecond(fleet, busy, 20, 20);
+    const std::vector<size_t> bySecond = admissionsBySecond(fleet, busy, requestsPerSecond, 20);
     CAPTURE(vms, busyVms, bySecond);
     CHECK(fleet.violation().empty());
     // One and a half times the limit, and five requests
@@ -70,4 +71,35 @@
     CHECK(total(bySecond) >= 36);
 }
 
+// Guards against VMs that give their part to one that does not respond, and are refused for lack of
+// it.
+TEST_CASE("allowance: while one of three VMs is paused the others use their parts of a low limit")
+{
+    constexpr size_t vms = 3;
+    constexpr size_t seconds = 6;
+    constexpr size_t phases = 40;
+    size_t least = seconds * requestsPerSecond;
+    size_t all = 0;
+    for (size_t phase = 0; phase < phases; ++phase) {
+        FleetSimulation fleet(vms, false);
+        fleet.setLimits(limitsFromTokens(perSecond, burst + perSecond / 2));
+        fleet.run(10s);
+        admissionsBySecond(fleet, {0, 1, 2}, requestsPerSecond, 3);
+        for (size_t i = 0; i < phase; ++i) {
+            fleet.admit(i % vms, microTokensPerToken);
+            fleet.run(Duration(1s) / static_cast<int64_t>(requestsPerSecond));
+        }
+        fleet.pause(2);
+        const size_t admitted
+                = total(admissionsBySecond(fleet, {0, 1}, requestsPerSecond, seconds));
+        CHECK(fleet.violation().empty());
+        least = std::min(least, admitted);
+        all += admitted;
+    }
+    CAPTURE(least, all);
+    // Two thirds of the limit are theirs.
+    CHECK(least >= 7);
+    CHECK(all >= 8 * phases);
+}
+
 } // namespace teaseldrift::allowance
