Simulation of changes: discarded history and older copies excuse less (CONFIG)

The simulation excused all VMs for up to 10 s while the history was discarded or the store had returned from an older copy, which is wider than the rule. The first excuses nothing now, since the store goes on responding; the second contact-ms from its moment on.

--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -545,12 +545,12 @@
             store.condition = fault.condition;
             break;
         case Fault::Kind::StoreForgetsHistory:
-            ++m_storeFaults;
+            // Excuses nothing: the store goes on responding.
             store.forgetHistory();
             break;
         case Fault::Kind::StoreReturnsOlder:
-            ++m_storeFaults;
             store.returnOlder();
+            m_storeDisturbedUntil = http::EventLoop::now();
             break;
         case Fault::Kind::ConnectionsSilent:
             for (Host &each : m_hosts) {
@@ -594,11 +594,8 @@
             --m_storeFaults;
             m_storeDisturbedUntil = now;
             break;
-        case Fault::Kind::StoreForgetsHistory:
         case Fault::Kind::StoreReturnsOlder:
-            --m_storeFaults;
-            m_storeDisturbedUntil = now;
-            break;
+        case Fault::Kind::StoreForgetsHistory:
         case Fault::Kind::ConnectionsSilent:
             break;
         case Fault::Kind::OlderVmList:
