--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -374,7 +374,7 @@
 } // namespace
 
 // Guards against VMs whose reads the store refused together (429) and that repeat them together:
-// few get through each time, and the others learn of changes too late (CONFIG).
+// few succeed each time, and the others receive changes too late (CONFIG).
 TEST_CASE("1,200 VMs read everything again in time although the store refuses most reads at first")
 {
     // Time in which a change must be in force in the largest fleets.
