--- a/bench/rates/measure_rates.cpp
+++ b/bench/rates/measure_rates.cpp
@@ -1,7 +1,8 @@
 /// Measures wrongful refusals, tokens over the rate and coordination traffic of policies that
 /// divide an organisation's rate among VMs.
 ///
-/// With `--check` it prints a line for each scenario, and fails if teaseldrift's own policy breaks a promise.
+/// With `--check` it prints a line for each scenario, and fails if teaseldrift's own policy breaks
+/// a promise.
 
 #include <iostream>
 #include <string_view>
