--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -132,7 +132,8 @@
 {
     const auto found = m_entries.find(organisation);
     if (found == m_entries.end()) {
-        return {.outcome = UsageOutcome::Granted, .grantedAt = now};
+        // This VM has just started: the other one knows a limit.
+        return {.outcome = UsageOutcome::NoOwner, .retryAfter = noOwnerRetryDelay};
     }
     Entry &entry = found->second;
     if (entry.limit.unitsPerSecond <= 0.0) {
