--- a/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
+++ b/packages/policy/src/teaseldrift/usage/distributed_usage_limiter.cpp
@@ -132,7 +132,7 @@
 {
     const auto found = m_entries.find(organisation);
     if (found == m_entries.end()) {
-        // This VM has just started: the other one knows a limit.
+        // Without a configuration or a directory yet, a limit is unknown rather than absent.
         return {.outcome = UsageOutcome::NoOwner, .retryAfter = noOwnerRetryDelay};
     }
     Entry &entry = found->second;
