--- a/testing/processes/fleet_fixture.cpp
+++ b/testing/processes/fleet_fixture.cpp
@@ -56,11 +56,16 @@
     }
 }
 
+uint16_t FleetFixture::reservePort()
+{
+    return m_ports.emplace_back().number();
+}
+
 void FleetFixture::startPlatform()
 {
-    const uint16_t storePort = findFreePort();
+    const uint16_t storePort = reservePort();
     m_store = launch("store", "store", {"--port", std::to_string(storePort)}, storePort);
-    const uint16_t listPort = findFreePort();
+    const uint16_t listPort = reservePort();
     m_vmList = launch("list", "vm_list", {"--port", std::to_string(listPort)}, listPort);
     waitListening(loopback(storePort));
     waitListening(loopback(listPort));
@@ -69,7 +74,7 @@
 void FleetFixture::startTargets()
 {
     for (size_t i = 0; i < m_options.engines; ++i) {
-        const uint16_t port = findFreePort();
+        const uint16_t port = reservePort();
         std::vector<std::string> arguments{"--port", std::to_string(port)};
         arguments.insert(arguments.end(), m_options.engineArguments.begin(),
                          m_options.engineArguments.end());
@@ -77,7 +82,7 @@
         waitListening(loopback(port));
     }
     for (size_t i = 0; i < m_options.plainServices; ++i) {
-        const uint16_t port = findFreePort();
+        const uint16_t port = reservePort();
         m_services.push_back(launch("returns-" + std::to_string(i), "plain_service",
                                     {"--port", std::to_string(port)}, port));
         waitListening(loopback(port));
@@ -87,8 +92,8 @@
 void FleetFixture::startVms()
 {
     for (size_t i = 0; i < m_options.vms; ++i) {
-        const uint16_t port = findFreePort();
-        const uint16_t peerPort = findFreePort();
+        const uint16_t port = reservePort();
+        const uint16_t peerPort = reservePort();
         const std::string id = "vm-" + std::to_string(i);
         std::vector<std::string> arguments{
                 "--vm-id",
--- a/testing/processes/fleet_fixture.hpp
+++ b/testing/processes/fleet_fixture.hpp
@@ -89,6 +89,7 @@
     };
 
     FleetOptions m_options;
+    std::vector<ReservedPort> m_ports;
     FleetProcess m_store;
     FleetProcess m_vmList;
     std::vector<FleetProcess> m_engines;
@@ -99,6 +100,7 @@
 
     static FleetProcess launch(const std::string &id, const std::string &program,
                                std::vector<std::string> arguments, uint16_t port);
+    uint16_t reservePort();
     void startPlatform();
     void startTargets();
     void startVms();
--- a/testing/processes/process.cpp
+++ b/testing/processes/process.cpp
@@ -132,19 +132,41 @@
     return connections;
 }
 
-uint16_t findFreePort()
+ReservedPort::ReservedPort() : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
     sockaddr_in address{};
+    socklen_t length = sizeof(address);
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+    // Bound but never listening: the program that is told the port may then listen on it.
+    const bool bound
+            = ::setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0
+              && ::bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), length) == 0
+              && ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &length) == 0;
+    if (!bound) {
+        ::close(m_descriptor);
         throw std::runtime_error("cannot bind a loopback port");
     }
-    socklen_t length = sizeof(address);
-    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    m_number = ntohs(address.sin_port);
+}
+
+ReservedPort::~ReservedPort()
+{
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+    }
+}
+
+ReservedPort::ReservedPort(ReservedPort &&other) noexcept
+    : m_descriptor(std::exchange(other.m_descriptor, -1)), m_number(other.m_number)
+{ }
+
+ReservedPort &ReservedPort::operator=(ReservedPort &&other) noexcept
+{
+    std::swap(m_descriptor, other.m_descriptor);
+    std::swap(m_number, other.m_number);
+    return *this;
 }
 
 } // namespace teaseldrift::testing
--- a/testing/processes/process.hpp
+++ b/testing/processes/process.hpp
@@ -60,7 +60,25 @@
 /// @brief Opens up to `count` connections; those that fail are left out.
 std::vector<HalfOpenConnection> openHalfOpenConnections(uint16_t port, size_t count);
 
-/// @brief Returns a loopback port that was free at the time of the call.
-uint16_t findFreePort();
+/// @brief A loopback port that the system gives to nobody else: neither to another reservation or
+/// listener that asks for any port nor to an outgoing connection. A program that sets SO_REUSEADDR
+/// can listen on it, also repeatedly.
+class ReservedPort
+{
+public:
+    /// @throws std::runtime_error if no port is free
+    ReservedPort();
+    ~ReservedPort();
+    ReservedPort(ReservedPort &&other) noexcept;
+    ReservedPort &operator=(ReservedPort &&other) noexcept;
+    ReservedPort(const ReservedPort &) = delete;
+    ReservedPort &operator=(const ReservedPort &) = delete;
+
+    [[nodiscard]] uint16_t number() const { return m_number; }
+
+private:
+    int m_descriptor = -1;
+    uint16_t m_number = 0;
+};
 
 } // namespace teaseldrift::testing
