HTTP client: connections can be opened ahead of a request

To see whether a path to a target is whole again, a VM must connect without a request at stake. Client::connect() opens a connection, keeps it as an idle one, and tells whether it was established. An idle connection that was never used is watched for its end like the others: Connection::idle() starts to read.

Tests: the next call uses the connection, unless the server has closed it meanwhile; a refused one ends as NotSent.

--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -140,6 +140,13 @@
     [[nodiscard]] std::unique_ptr<Call> start(const Endpoint &endpoint, Request request,
                                               ConnectionUse use, CallHandlers handlers);
 
+    /// @brief Opens a connection and keeps it as an idle one.
+    /// @param onEnd is told whether it was established, as Complete or NotSent; runs on the loop,
+    /// never inside connect()
+    /// @return the attempt; destroying it cancels it
+    [[nodiscard]] std::unique_ptr<Call> connect(const Endpoint &endpoint,
+                                                std::function<void(CallOutcome)> onEnd);
+
     /// @brief Closes the idle connections to an endpoint.
     void closeIdleConnections(const Endpoint &endpoint);
 
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -73,6 +73,8 @@
     Endpoint endpoint;
     std::string wire;
     bool isHead = false;
+    /// The connection is only established.
+    bool sendsNothing = false;
     size_t maxResponseBytes = 0;
     size_t responseBytes = 0;
     CallHandlers handlers;
@@ -236,7 +238,14 @@
         setAckTimeout(h2o_socket_get_fd(socket), options.ackTimeout, options.probes.idle);
     }
     connection = std::make_shared<Connection>(socket);
-    send();
+    if (!sendsNothing) {
+        send();
+        return;
+    }
+    if (const std::shared_ptr<Client::Impl> pool = client.lock()) {
+        pool->addIdle(endpoint, std::exchange(connection, nullptr));
+    }
+    end(CallOutcome::Complete);
 }
 
 void Call::Impl::send()
@@ -378,6 +387,22 @@
     return result;
 }
 
+std::unique_ptr<Call> Client::connect(const Endpoint &endpoint,
+                                      std::function<void(CallOutcome)> onEnd)
+{
+    std::unique_ptr<Call::Impl> impl = std::make_unique<Call::Impl>();
+    Call::Impl *call = impl.get();
+    call->loop = m_impl->loop;
+    call->client = m_impl;
+    call->endpoint = endpoint;
+    call->handlers.onEnd = std::move(onEnd);
+    call->options = m_impl->options;
+    call->sendsNothing = true;
+    std::unique_ptr<Call> result = std::make_unique<Call>(std::move(impl));
+    call->connect();
+    return result;
+}
+
 void Client::closeIdleConnections(const Endpoint &endpoint)
 {
     m_impl->idle.erase(endpoint);
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -58,10 +58,7 @@
     m_isWriting = true;
     beginResponse();
     h2o_iovec_t buffer = toIovec(m_request);
-    h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char *error) {
-        const std::shared_ptr<Connection> self = of(socket).shared_from_this();
-        self->read(error);
-    });
+    startReading();
     h2o_socket_write(m_socket, &buffer, 1, [](h2o_socket_t *socket, const char *error) {
         const std::shared_ptr<Connection> self = of(socket).shared_from_this();
         self->m_isWriting = false;
@@ -175,6 +172,7 @@
     m_parser.reset();
     m_handlers = {};
     m_request.clear();
+    startReading();
 }
 
 void Connection::pause()
@@ -186,7 +184,14 @@
 
 void Connection::resume()
 {
-    if (isClosed() || !m_isBusy || h2o_socket_is_reading(m_socket)) {
+    if (m_isBusy) {
+        startReading();
+    }
+}
+
+void Connection::startReading()
+{
+    if (isClosed() || h2o_socket_is_reading(m_socket)) {
         return;
     }
     h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char *error) {
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -60,6 +60,7 @@
 private:
     static Connection &of(h2o_socket_t *socket);
     void beginResponse();
+    void startReading();
     void read(const char *error);
     void handleReadError(const char *error);
     void finish(ConnectionOutcome end);
--- a/packages/http/src/teaseldrift/http/http_test.cpp
+++ b/packages/http/src/teaseldrift/http/http_test.cpp
@@ -118,6 +118,54 @@
     CHECK_FALSE(call->maybeSent());
 }
 
+TEST_CASE("a connection that was only opened is used by the next call, unless it has been closed")
+{
+    int requests = 0;
+    Fixture fixture([&requests](const std::shared_ptr<Exchange> &exchange) {
+        ++requests;
+        exchange->respond({.body = "hello"});
+    });
+    const bool isClosedByServer = GENERATE(false, true);
+    Outcome opened;
+    const std::unique_ptr<Call> connect
+            = fixture.client.connect(fixture.endpoint(), handlersInto(opened, fixture.loop).onEnd);
+    fixture.loop.run();
+    CHECK(opened.end == CallOutcome::Complete);
+    CHECK_FALSE(connect->maybeSent());
+    if (isClosedByServer) {
+        fixture.server->setRequestTimeout(50ms);
+        Outcome second;
+        const std::unique_ptr<Call> other = fixture.client.connect(
+                fixture.endpoint(), handlersInto(second, fixture.loop).onEnd);
+        fixture.loop.run();
+        fixture.loop.startTimer(300ms, [&fixture] { fixture.loop.stop(); });
+        fixture.loop.run();
+    }
+    Outcome outcome;
+    const std::unique_ptr<Call> call
+            = fixture.client.start(fixture.endpoint(), {.path = "/x"}, ConnectionUse::Pooled,
+                                   handlersInto(outcome, fixture.loop));
+    // An idle connection is written to at once, a new one is not.
+    CHECK((isClosedByServer || call->maybeSent()));
+    fixture.loop.run();
+    CHECK(outcome.end == CallOutcome::Complete);
+    CHECK(outcome.body == "hello");
+    CHECK(requests == 1);
+}
+
+TEST_CASE("opening a connection that is refused ends as NotSent")
+{
+    Fixture fixture([](const std::shared_ptr<Exchange> &) {});
+    const Endpoint endpoint = fixture.endpoint();
+    fixture.server.reset();
+    Outcome opened;
+    const std::unique_ptr<Call> connect
+            = fixture.client.connect(endpoint, handlersInto(opened, fixture.loop).onEnd);
+    fixture.loop.run();
+    CHECK(opened.ended);
+    CHECK(opened.end == CallOutcome::NotSent);
+}
+
 TEST_CASE("a cancelled call closes its connection, and the server is notified")
 {
     bool gone = false;
