HTTP test: a server is not destroyed before its event loop

The test of a refused Client::connect() ended with SIGSEGV in 40 of 40 runs by itself, and in one run of all tests: it destroyed its server while the event loop went on, which h2o does not allow.

--- a/packages/http/src/teaseldrift/http/http_test.cpp
+++ b/packages/http/src/teaseldrift/http/http_test.cpp
@@ -157,7 +157,7 @@
 {
     Fixture fixture([](const std::shared_ptr<Exchange> &) {});
     const Endpoint endpoint = fixture.endpoint();
-    fixture.server.reset();
+    fixture.server->stopAccepting();
     Outcome opened;
     const std::unique_ptr<Call> connect
             = fixture.client.connect(endpoint, handlersInto(opened, fixture.loop).onEnd);
