--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -124,6 +124,8 @@
     /// dead connection is closed. 0 disables the check, so that only ioTimeout applies.
     Duration ackTimeout{0};
     KeepAliveProbes probes;
+    /// IPv4 address that connections come from; empty for the one that the kernel selects.
+    std::string sourceAddress = {};
 };
 
 /// @brief An HTTP/1.1 client on one event loop.
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -2,7 +2,11 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 #include "connection.hpp"
@@ -45,6 +49,44 @@
     return wire;
 }
 
+sockaddr_in toSocketAddress(const Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+/// Like h2o_socket_connect(), which cannot bind the socket first.
+h2o_socket_t *connectFrom(const std::string &source, h2o_loop_t *loop, const sockaddr_in &address,
+                          h2o_socket_cb onEnd)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor < 0) {
+        return nullptr;
+    }
+    // The port is selected by connect(), so that one port serves several peers.
+    const int on = 1;
+    ::setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const sockaddr_in local = toSocketAddress({.address = source, .port = 0});
+    const bool isUnderWay
+            = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) == 0
+              && (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address),
+                            sizeof(address))
+                          == 0
+                  || errno == EINPROGRESS);
+    if (!isUnderWay) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    h2o_socket_t *socket
+            = h2o_evloop_socket_create(loop, descriptor, H2O_SOCKET_FLAG_IS_CONNECTING);
+    h2o_socket_notify_write(socket, onEnd);
+    return socket;
+}
+
 } // namespace
 
 struct Client::Impl : std::enable_shared_from_this<Client::Impl>
@@ -202,14 +244,15 @@
 
 void Call::Impl::connect()
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-    connecting = h2o_socket_connect(loop->impl().loop, reinterpret_cast<sockaddr *>(&address),
-                                    sizeof(address), [](h2o_socket_t *socket, const char *error) {
-                                        static_cast<Call::Impl *>(socket->data)->onConnected(error);
-                                    });
+    sockaddr_in address = toSocketAddress(endpoint);
+    const h2o_socket_cb onEnd = [](h2o_socket_t *socket, const char *error) {
+        static_cast<Call::Impl *>(socket->data)->onConnected(error);
+    };
+    connecting = options.sourceAddress.empty()
+                         ? h2o_socket_connect(loop->impl().loop,
+                                              reinterpret_cast<sockaddr *>(&address),
+                                              sizeof(address), onEnd)
+                         : connectFrom(options.sourceAddress, loop->impl().loop, address, onEnd);
     if (connecting == nullptr) {
         postEnd(CallOutcome::NotSent);
         return;
