Brittle targets: the fleet bounds the requests at each target at once (LIMIT)

Callers saw a service whose targets fell over again and again: a target that refuses more requests a second than it states falls, the others get its load and fall, and all VMs meet the one that returns.

Cause: nothing read what targets state of the refusals that they bear, and what a target takes was learned by each VM from its own refusals, which bound that VM alone. Class: a limit that holds for each VM and not for their sum.

Fix: one VM owns the limit of each target of such a service, by the mechanism of usage limits, and grants permits that are held until the response has ended or lapse at the request's deadline. The limit starts at a quarter of the slots, grows with each response to a third more than the slots, and falls to what the target had at a refusal. Requests wait at the owner by priority, and are refused at once if they would wait for more than half of their time. A target that has just started counts as brittle if another one of its service says so. RequestTask's permits moved to AttemptPermit. Other targets need no permit, as before.

Ruled out: a rate (a target that pauses for a second has no room for what the rate allows); shares of the room for each VM (84 VMs, 8 requests); health checks (none are sent).

--- a/packages/policy/include/teaseldrift/targets/target_limits.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_limits.hpp
@@ -39,6 +39,9 @@
 /// @brief The incarnation that limitName() names; an empty key for any other text.
 [[nodiscard]] TargetLimitKey targetOfLimit(std::string_view name);
 
+/// @brief Key of a service whose targets are brittle.
+[[nodiscard]] TargetLimitKey brittleServiceKey(std::string_view service);
+
 /// @brief What an incarnation of a target last stated about its limit.
 struct TargetLimit
 {
--- a/packages/policy/include/teaseldrift/targets/target_notice.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_notice.hpp
@@ -25,9 +25,14 @@
     std::optional<double> requestsPerSecond;
     /// Whether a target with a limit would have named it in this response.
     bool wouldNameLimit = false;
+    /// The target falls over if it refuses more requests a second than this for want of room.
+    std::optional<double> bearableRefusals;
+    /// Whether such a target would have said so in this response.
+    bool wouldNameRefusals = false;
     std::optional<InvalidHeader> invalidLeaving;
     std::optional<InvalidHeader> invalidQuietTime;
     std::optional<InvalidHeader> invalidLimit;
+    std::optional<InvalidHeader> invalidRefusals;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/targets/target_limits.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_limits.cpp
@@ -14,6 +14,11 @@
     return {.target = targetKeyOf(targetId), .startedAtMs = startedAtMs};
 }
 
+TargetLimitKey brittleServiceKey(std::string_view service)
+{
+    return {.target = targetKeyOf(service)};
+}
+
 std::string limitName(TargetLimitKey key)
 {
     return std::to_string(key.target) + '/' + std::to_string(key.startedAtMs);
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -96,6 +96,23 @@
     /// @brief Requests that limited targets take from all VMs together.
     DistributedUsageLimiter &targetLimiter() { return m_targetLimiter; }
 
+    /// @brief Services whose targets fall over if they refuse many requests (brittle targets), by
+    /// brittleServiceKey(); the limits are the refusals a second that each target bears.
+    [[nodiscard]] const TargetLimits &brittleServices() const { return m_brittleServices; }
+
+    /// @brief Refusals a second that an incarnation of a target bears; empty if it is not brittle.
+    ///
+    /// All targets of a service count as brittle if one of them says so, since one that has just
+    /// started has not answered yet.
+    [[nodiscard]] std::optional<double> bearableRefusals(TargetLimitKey target) const;
+
+    /// @brief Applies another VM's statement about the targets of a service.
+    void applyBrittleService(const schema::TargetLimit &message, Instant now);
+
+    /// @brief Decides which VM limits the requests at each brittle target. Its units mean nothing:
+    /// a VM that is granted one owns the limit.
+    DistributedUsageLimiter &concurrencyOwnership();
+
     /// @brief Whether limits that targets name have changed since `since`.
     [[nodiscard]] bool haveTargetLimitsChangedSince(Instant since) const
     {
@@ -180,6 +197,7 @@
     {
         m_usage.leaseRenewed(sentAt, term, now);
         m_targetLimiter.leaseRenewed(sentAt, term, now);
+        m_concurrencyOwnership.leaseRenewed(sentAt, term, now);
     }
 
     /// @brief Address of a VM for other VMs; empty if it is not known.
@@ -272,6 +290,11 @@
     void applyLimit(std::string_view target, uint64_t startedAtMs, const TargetNotice &notice,
                     std::optional<Instant> sentAt, Instant now);
     void logLimit(std::string_view target, TargetLimitKey key, std::string_view source);
+    void applyBearableRefusals(std::string_view target, const TargetNotice &notice,
+                               std::optional<Instant> sentAt, Instant now);
+    void brittleServiceChanged(std::string_view service, std::string_view source, Instant now);
+    /// Targets or brittle services have changed.
+    void updateConcurrencyOwnership(Instant now);
     /// Applies limits that have changed.
     void updateTargetLimiter(Instant now);
     void removeLimits(std::string_view target, Instant now);
@@ -289,6 +312,9 @@
     TargetLimits m_targetLimits;
     DistributedUsageLimiter m_targetLimiter;
     std::optional<Instant> m_targetLimitsChangedAt;
+    TargetLimits m_brittleServices;
+    DistributedUsageLimiter m_concurrencyOwnership;
+    bool m_isConcurrencyOutdated = false;
     std::array<uint64_t, targetCallNames.size()> m_limitedTargetCalls{};
     std::map<std::string, DesiredWeightsHistory, std::less<>> m_desiredWeights;
     DistributedUsageLimiter m_usage;
--- a/packages/relay/include/teaseldrift/relay/permitted_order_channel.hpp
+++ b/packages/relay/include/teaseldrift/relay/permitted_order_channel.hpp
@@ -32,8 +32,8 @@
     void sendOrder(const WeightsOrder &order, const OrderHandler &handler)
     {
         const TargetLimitKey target = limitKeyOf(order.target, order.startedAtMs);
-        if (m_permits.isLimited(target)) {
-            m_permits.acquire(target, maxWait, [](const PermitDecision &) {});
+        if (m_permits.hasRate(target)) {
+            m_permits.acquireRate(target, maxWait, [](const PermitDecision &) {});
         }
         m_channel.sendOrder(order, handler);
     }
@@ -46,21 +46,21 @@
               const std::function<void()> &onRefused)
     {
         const TargetLimitKey target = limitKeyOf(order.target, order.startedAtMs);
-        if (!m_permits.isLimited(target)) {
+        if (!m_permits.hasRate(target)) {
             onPermitted();
             return;
         }
-        m_permits.acquire(target, maxWait,
-                          [this, onPermitted, onRefused](const PermitDecision &decision) {
-                              if (!decision.permit) {
-                                  // Not within the call: the sender plans again when it ends.
-                                  m_loop.post(onRefused);
-                              } else if (decision.wait > Duration(0)) {
-                                  m_loop.startTimer(decision.wait, onPermitted);
-                              } else {
-                                  onPermitted();
-                              }
-                          });
+        m_permits.acquireRate(target, maxWait,
+                              [this, onPermitted, onRefused](const PermitDecision &decision) {
+                                  if (!decision.permit) {
+                                      // Not within the call: the sender plans again when it ends.
+                                      m_loop.post(onRefused);
+                                  } else if (decision.wait > Duration(0)) {
+                                      m_loop.startTimer(decision.wait, onPermitted);
+                                  } else {
+                                      onPermitted();
+                                  }
+                              });
     }
 
     http::EventLoop &m_loop;
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "teaseldrift/attempts/request_state_machine.hpp"
+#include "teaseldrift/relay/attempt_permit.hpp"
 #include "teaseldrift/relay/message.hpp"
 #include "teaseldrift/relay/relay_context.hpp"
 #include "teaseldrift/streams/sse_parser.hpp"
@@ -62,8 +63,6 @@
     void acquirePermit(const StartAttempt &action, TargetLimitKey target, Duration maxWait);
     void onPermitDecided(const StartAttempt &action, TargetLimitKey target, Duration maxWait,
                          const PermitDecision &decision);
-    void refundPermit();
-    [[nodiscard]] bool mayQueryPermit(AttemptId id) const;
     [[nodiscard]] TargetQuery makeQuery(const StartAttempt &action, Instant now);
     void handleNoTarget(const StartAttempt &action, const TargetQuery &query, Instant now);
     void cancelAttempt();
@@ -115,11 +114,7 @@
     RequestStateMachine m_machine;
     std::unique_ptr<RoutedCall> m_call;
     std::optional<TargetChoice> m_choice;
-    /// For the current attempt; not used yet.
-    std::optional<TargetPermit> m_permit;
-    /// Permits requested for `m_permitAttempt`.
-    int m_permitQueries = 0;
-    AttemptId m_permitAttempt = 0;
+    AttemptPermit m_permit;
     bool m_isPrefillFinished = false;
     /// When the current attempt was sent.
     Instant m_sentAt;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -41,9 +41,6 @@
 /// Time over which requests and callers return to a target that had asked to be left alone.
 inline constexpr Duration returnSpread = 200ms;
 
-/// Permits for limited targets that are requested for one attempt: each is a query to another VM.
-inline constexpr int maxPermitQueries = 4;
-
 /// Ids of the segments that other requests may share: all but the last.
 inline std::string sharedSegmentIds(std::span<const PromptSegment> segments)
 {
@@ -116,7 +113,8 @@
       m_service(RouteTable::chooseService(*m_admitted.route, m_seed)),
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
       m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
-      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget)
+      m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget),
+      m_permit(context.permits)
 {
     const std::string &last = m_admitted.request.lastEventId;
     uint64_t number = 0;
@@ -129,7 +127,6 @@
 template <Dialect D>
 RequestTask<D>::~RequestTask()
 {
-    refundPermit();
     m_context.loop.cancelTimer(m_timer);
 }
 
@@ -213,24 +210,24 @@
     m_loadAge = m_choice->loadAge;
     if (!request.model.empty() && isTooLate(m_choice->expectedWait, now)) {
         m_choice.reset();
-        refundPermit();
+        m_permit.refund();
         perform(m_machine.noTargetAvailable(action.id, now));
         return;
     }
     const TargetLimitKey target = limitKeyOf(m_choice->id, m_choice->startedAtMs);
-    if (m_permit && m_permit->target == target) {
-        m_permit.reset();
+    if (m_permit.target() == target) {
+        m_permit.use(now);
     } else if (m_context.permits.isLimited(target)) {
-        refundPermit();
+        m_permit.refund();
         m_choice.reset();
-        if (mayQueryPermit(action.id)) {
+        if (m_permit.mayQuery(action.id)) {
             acquirePermit(action, target, Duration(0));
         } else {
             perform(m_machine.targetsUnavailable(action.id, now));
         }
         return;
     }
-    refundPermit();
+    m_permit.refund();
     m_machine.targetSelected(action.id, m_choice->id, now);
     send(action, now);
 }
@@ -241,6 +238,7 @@
     const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
     const bool isIsolated = organisation != nullptr && organisation->isIsolated;
+    const std::optional<TargetLimitKey> permitted = m_permit.target();
     m_minWeights = m_context.fleet.minWeights(request.model, now);
     return {.service = m_service,
             .model = request.model,
@@ -253,14 +251,8 @@
             .priority = priority(),
             .expectedRun = expectedRun(request),
             .seed = m_seed,
-            .permitted = m_permit ? m_context.fleet.targetSelector().idOf(m_permit->target.target)
-                                  : std::string_view()};
-}
-
-template <Dialect D>
-bool RequestTask<D>::mayQueryPermit(AttemptId id) const
-{
-    return m_permitAttempt != id || m_permitQueries < maxPermitQueries;
+            .permitted = permitted ? m_context.fleet.targetSelector().idOf(permitted->target)
+                                   : std::string_view()};
 }
 
 /// Continues the attempt when the permit is granted or refused. The attempt remains without a
@@ -269,14 +261,13 @@
 void RequestTask<D>::acquirePermit(const StartAttempt &action, TargetLimitKey target,
                                    Duration maxWait)
 {
-    if (m_permitAttempt != action.id) {
-        m_permitAttempt = action.id;
-        m_permitQueries = 0;
-    }
-    ++m_permitQueries;
+    m_permit.countQuery(action.id);
     TargetPermits &permits = m_context.permits;
     std::weak_ptr<RequestTask> weak = this->weak_from_this();
-    permits.acquire(target, maxWait,
+    permits.acquire({.target = target,
+                     .maxWait = maxWait,
+                     .priority = priority(),
+                     .term = deadline() - http::EventLoop::now()},
                     [weak, &permits, action, target, maxWait](const PermitDecision &decision) {
                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
                             task->onPermitDecided(action, target, maxWait, decision);
@@ -294,7 +285,7 @@
     TargetSelector &targetSelector = m_context.fleet.targetSelector();
     const bool isCurrent = !m_isEnded && m_machine.isCurrent(action.id);
     if (!decision.permit) {
-        targetSelector.setPermitAvailable(target.target, now + decision.retryAfter);
+        targetSelector.setPermitAvailable(target.target, now + decision.pause);
         if (isCurrent && maxWait > Duration(0)) {
             m_targetReturnsAt = now + decision.retryAfter;
             perform(m_machine.targetsUnavailable(action.id, now, decision.retryAfter));
@@ -303,9 +294,9 @@
         }
         return;
     }
-    m_permit = decision.permit;
+    m_permit.set(*decision.permit);
     if (!isCurrent) {
-        refundPermit();
+        m_permit.refund();
         return;
     }
     if (decision.wait <= Duration(0)) {
@@ -323,15 +314,6 @@
     });
 }
 
-template <Dialect D>
-void RequestTask<D>::refundPermit()
-{
-    if (m_permit) {
-        m_context.permits.refund(*m_permit);
-        m_permit.reset();
-    }
-}
-
 template <Dialect D>
 void RequestTask<D>::refuseQuarantined(AttemptId id, const QuarantinedSegments &quarantined,
                                        Instant now)
@@ -353,7 +335,7 @@
 {
     const AttemptId id = action.id;
     const TargetDirectory &directory = m_context.fleet.directory();
-    refundPermit();
+    m_permit.refund();
     if (directory.ofService(query.service).empty()) {
         perform(m_machine.targetsUnavailable(id, now));
         return;
@@ -372,7 +354,9 @@
                                     m_admitted.arrivedAt + m_admitted.route->latencyObjective);
     const TargetLimitKey target = limitKeyOf(earliest->target, earliest->startedAtMs);
     const bool isLimited = m_context.permits.isLimited(target);
-    if (*m_targetReturnsAt > latest || (isLimited && !mayQueryPermit(id))) {
+    // A permit is reserved for a certain time, so that requests need not be spread.
+    const Instant from = isLimited ? earliest->from : *m_targetReturnsAt;
+    if (from > latest || (isLimited && !m_permit.mayQuery(id))) {
         perform(m_machine.targetsUnavailable(id, now, *m_targetReturnsAt - now));
     } else if (isLimited) {
         acquirePermit(action, target, latest - now);
@@ -497,6 +481,7 @@
 template <Dialect D>
 void RequestTask<D>::endAttempt(bool isPrefillFinished)
 {
+    m_permit.end(http::EventLoop::now());
     if (m_choice) {
         m_context.fleet.targetSelector().ended(*m_choice, isPrefillFinished);
         m_choice.reset();
@@ -524,7 +509,13 @@
                                             *metadata.weights);
     }
     constexpr int misdirected = 421;
-    if (metadata.notice.quietTime > Duration(0)) {
+    const bool isQuiet = metadata.notice.quietTime > Duration(0);
+    m_permit.answered(metadata.reportsNotRun && status != misdirected && !isQuiet, metadata.load,
+                      now);
+    if (metadata.reportsNotRun) {
+        m_permit.end(now);
+    }
+    if (isQuiet) {
         return;
     }
     if (metadata.reportsNotRun) {
@@ -700,6 +691,7 @@
     }
     const std::string target = m_choice->id;
     TargetHealth &health = m_context.fleet.targetSelector().health();
+    m_permit.end(now);
     if (end == http::CallOutcome::NotSent) {
         if (!m_call->isPathCut()) {
             health.report(target, HealthObservation::ConnectFailed, now);
@@ -887,7 +879,7 @@
         return;
     }
     m_isEnded = true;
-    refundPermit();
+    m_permit.refund();
     const Instant now = http::EventLoop::now();
     m_context.loop.cancelTimer(m_timer);
     const bool isPlainSuccess = status == statusOk && outcome == "answered";
--- a/packages/relay/include/teaseldrift/relay/usage_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/usage_task.hpp
@@ -2,12 +2,15 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
+#include "teaseldrift/relay/concurrency_owner.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/telemetry/metrics.hpp"
@@ -24,6 +27,22 @@
     Instant grantedAt;
     /// Time to wait before the units are used.
     Duration wait{0};
+    /// A permit that is held until UsageTask::release(); 0 for none.
+    uint64_t permit = 0;
+    /// The VM that granted the permit; empty for this VM.
+    std::string permitOwner = {};
+};
+
+/// @brief Units, or a permit, that a request needs.
+struct UsageNeed
+{
+    double units = 1.0;
+    /// Longest time after which they may be there.
+    Duration maxWait{0};
+    /// For permits: 0 is the most urgent.
+    uint32_t priority = 0;
+    /// For permits: they lapse after this time.
+    Duration term{0};
 };
 
 /// @brief Timeouts of the messages between VMs about limits.
@@ -52,6 +71,8 @@
     std::function<std::string(const std::string &limit)> describe = nullptr;
     /// Applies another VM's description of a limit.
     std::function<void(const std::string &description)> learn = nullptr;
+    /// Grants permits as the owner, instead of units; null for limits in units.
+    ConcurrencyOwner *permits = nullptr;
 };
 
 /// @brief Enforces limits across all VMs: those of organisations, or those that targets name.
@@ -75,10 +96,17 @@
     /// @brief Starts the periodic work; without it, a VM claims a limit at the first request.
     void start();
 
-    /// @brief Acquires units. The handler may run within the call.
-    /// @param maxWait longest time after which the units may be there
-    void acquire(const std::string &organisation, double units, Handler handler,
-                 Duration maxWait = Duration(0));
+    /// @brief Acquires units or a permit. The handler may run within the call.
+    void acquire(const std::string &organisation, const UsageNeed &need, Handler handler);
+    void acquire(const std::string &organisation, double units, Handler handler)
+    {
+        acquire(organisation, UsageNeed{.units = units}, std::move(handler));
+    }
+
+    /// @brief Releases a permit, or returns one that was not used.
+    /// @param owner as in the decision that granted it
+    void release(const std::string &limit, const std::string &owner, uint64_t permit,
+                 const std::optional<ConcurrencyFeedback> &feedback);
 
     /// @brief Refunds the units of a request that did not run.
     /// @param grantedAt as in the decision that granted them
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -55,6 +55,11 @@
                        .settlingTime = m_options.settlingTime,
                        .spreadsRefusals = true},
                       now),
+      m_concurrencyOwnership({.vmId = m_options.vmId,
+                              .window = m_options.targetLimitWindow,
+                              .minVmCount = m_options.minVmCount,
+                              .settlingTime = m_options.settlingTime},
+                             now),
       m_usage({.vmId = m_options.vmId,
                .slack = m_options.usageSlack,
                .overrun = m_options.usageOverrun,
@@ -126,6 +131,7 @@
     if (change == TargetChange::Restarted) {
         removeLimits(target.id, now);
     }
+    m_isConcurrencyOutdated = m_isConcurrencyOutdated || change != TargetChange::None;
     logTarget(target, change);
 }
 
@@ -137,6 +143,7 @@
     }
     const TargetEntry entry = *known;
     const TargetChange change = m_directory.remove(id, now);
+    m_isConcurrencyOutdated = true;
     if (change == TargetChange::Removed) {
         removeLimits(entry.id, now);
         m_targetSelector.remove(entry.id);
@@ -249,6 +256,7 @@
     }
     m_usage.setVms(list, readAt, now);
     m_targetLimiter.setVms(list, readAt, now);
+    m_concurrencyOwnership.setVms(list, readAt, now);
     divideLimits(now);
 }
 
@@ -272,6 +280,7 @@
     m_isLeaving = true;
     m_usage.setLeaving(now);
     m_targetLimiter.setLeaving(now);
+    m_concurrencyOwnership.setLeaving(now);
 }
 
 void FleetState::storeLost(Instant now)
@@ -304,6 +313,8 @@
     }
     m_usage.tick(now);
     m_targetLimiter.tick(now);
+    updateConcurrencyOwnership(now);
+    m_concurrencyOwnership.tick(now);
     divideLimits(now);
     logQuarantine(now);
 }
--- a/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
@@ -1,5 +1,9 @@
+#include <utility>
+#include <vector>
+
 #include "target_limit_messages.hpp"
 #include "teaseldrift/base/milliseconds.hpp"
+#include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 
 namespace teaseldrift::relay {
@@ -12,6 +16,8 @@
     logInvalid(target, notice.invalidLeaving);
     logInvalid(target, notice.invalidQuietTime);
     logInvalid(target, notice.invalidLimit);
+    logInvalid(target, notice.invalidRefusals);
+    applyBearableRefusals(target, notice, sentAt, now);
     applyLimit(target, startedAtMs, notice, sentAt, now);
     if (notice.quietTime > Duration(0)) {
         m_targetSelector.startQuietPeriod(target, startedAtMs, notice.quietTime, now);
@@ -39,6 +45,85 @@
     }
 }
 
+void FleetState::applyBearableRefusals(std::string_view target, const TargetNotice &notice,
+                                       std::optional<Instant> sentAt, Instant now)
+{
+    const TargetEntry *entry = m_directory.find(target);
+    if (entry == nullptr || (!notice.bearableRefusals && m_brittleServices.count() == 0)) {
+        return;
+    }
+    const TargetLimitKey key = brittleServiceKey(entry->service);
+    const bool hasChanged
+            = notice.bearableRefusals ? m_brittleServices.named(key, *notice.bearableRefusals, now)
+              : notice.wouldNameRefusals && sentAt ? m_brittleServices.notNamed(key, *sentAt, now)
+                                                   : false;
+    if (hasChanged) {
+        brittleServiceChanged(entry->service, "response", now);
+    }
+}
+
+void FleetState::applyBrittleService(const schema::TargetLimit &message, Instant now)
+{
+    const std::optional<TargetLimit> limit = readTargetLimit(message, now);
+    if (!limit || m_table == nullptr) {
+        return;
+    }
+    for (const Service &service : m_table->definition().services) {
+        if (brittleServiceKey(service.name) == limit->key && m_brittleServices.merge(*limit, now)) {
+            brittleServiceChanged(service.name, "vm", now);
+        }
+    }
+}
+
+void FleetState::brittleServiceChanged(std::string_view service, std::string_view source,
+                                       Instant now)
+{
+    m_targetLimitsChangedAt = now;
+    m_isConcurrencyOutdated = true;
+    m_log.write(
+            EventPriority::Important, "brittle_service",
+            {{"service", service},
+             {"bearable_refusals", m_brittleServices.of(brittleServiceKey(service)).value_or(-1.0)},
+             {"source", source}});
+}
+
+std::optional<double> FleetState::bearableRefusals(TargetLimitKey target) const
+{
+    if (m_brittleServices.count() == 0) {
+        return std::nullopt;
+    }
+    const TargetEntry *entry = m_directory.find(m_targetSelector.idOf(target.target));
+    return entry == nullptr ? std::nullopt
+                            : m_brittleServices.of(brittleServiceKey(entry->service));
+}
+
+DistributedUsageLimiter &FleetState::concurrencyOwnership()
+{
+    updateConcurrencyOwnership(http::EventLoop::now());
+    return m_concurrencyOwnership;
+}
+
+void FleetState::updateConcurrencyOwnership(Instant now)
+{
+    if (!std::exchange(m_isConcurrencyOutdated, false)) {
+        return;
+    }
+    // Never reached, so that the owner is granted all units.
+    constexpr double unlimited = 1e12;
+    std::vector<OrganisationLimit> limits;
+    if (m_brittleServices.count() > 0) {
+        for (const std::pair<const std::string, TargetEntry> &target : m_directory.all()) {
+            if (m_brittleServices.of(brittleServiceKey(target.second.service))) {
+                limits.push_back({.organisation
+                                  = limitName(limitKeyOf(target.first, target.second.startedAtMs)),
+                                  .unitsPerSecond = unlimited,
+                                  .burst = unlimited});
+            }
+        }
+    }
+    m_concurrencyOwnership.setLimits(limits, now);
+}
+
 void FleetState::applyTargetLimit(const schema::TargetLimit &message, Instant now)
 {
     const std::optional<TargetLimit> limit = readTargetLimit(message, now);
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -157,6 +157,7 @@
     {
         uint64_t crashes = 0;
         uint64_t targetLimits = 0;
+        uint64_t brittleServices = 0;
     };
 
     std::map<std::string, Digests, std::less<>> digests;
@@ -291,6 +292,9 @@
     *message.mutable_target_limits() = targetLimitsFor(
             fleet.targetLimits(), known ? std::optional(known->targetLimits) : std::nullopt,
             firstLimit, now);
+    *message.mutable_brittle_services() = targetLimitsFor(
+            fleet.brittleServices(), known ? std::optional(known->brittleServices) : std::nullopt,
+            firstLimit, now);
     firstLimit += static_cast<size_t>(message.target_limits().limits_size());
 }
 
@@ -300,6 +304,9 @@
     for (const schema::TargetLimit &limit : message.target_limits().limits()) {
         fleet.applyTargetLimit(limit, now);
     }
+    for (const schema::TargetLimit &limit : message.brittle_services().limits()) {
+        fleet.applyBrittleService(limit, now);
+    }
 }
 
 void LoadTask::Impl::rememberDigests(const std::string &vmId, const schema::FleetLoad &response)
@@ -308,7 +315,8 @@
         digests.clear();
     }
     digests[vmId] = {.crashes = response.crash_reports().digest(),
-                     .targetLimits = response.target_limits().digest()};
+                     .targetLimits = response.target_limits().digest(),
+                     .brittleServices = response.brittle_services().digest()};
 }
 
 void LoadTask::Impl::query(const schema::VmRecord &vm, schema::FleetLoad report, Handler handler)
@@ -363,7 +371,8 @@
     write(impl.fleet.rolloutPlans(now), now, response);
     impl.writeRecords(response,
                       Impl::Digests{.crashes = report.crash_reports().digest(),
-                                    .targetLimits = report.target_limits().digest()},
+                                    .targetLimits = report.target_limits().digest(),
+                                    .brittleServices = report.brittle_services().digest()},
                       now);
     if (report.vm_id().empty()) {
         impl.load.updateZone(report.availability_zone(), inFlight, now);
--- a/packages/relay/src/teaseldrift/relay/target_permits_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/target_permits_test.cpp
@@ -82,12 +82,13 @@
 {
     std::optional<PermitDecision> decision;
     bool isWaiting = false;
-    vm.permits.acquire(target, maxWait, [&](const PermitDecision &result) {
-        decision = result;
-        if (isWaiting) {
-            loop.stop();
-        }
-    });
+    vm.permits.acquire({.target = target, .maxWait = maxWait, .term = 2s},
+                       [&](const PermitDecision &result) {
+                           decision = result;
+                           if (isWaiting) {
+                               loop.stop();
+                           }
+                       });
     if (!decision) {
         isWaiting = true;
         const http::EventLoop::TimerId watchdog = loop.startTimer(5s, [&loop] { loop.stop(); });
@@ -226,6 +227,112 @@
 
 namespace {
 
+/// VMs that know that the target is brittle; it has 6 slots, so that one permit is granted at
+/// first.
+std::vector<std::unique_ptr<Vm>> vmsBeforeBrittleTarget(http::EventLoop &loop)
+{
+    std::vector<std::unique_ptr<Vm>> vms;
+    for (const char *id : {"a", "b", "c"}) {
+        vms.push_back(std::make_unique<Vm>(loop, id));
+    }
+    join(vms);
+    const Instant now = http::EventLoop::now();
+    for (const std::unique_ptr<Vm> &vm : vms) {
+        vm->fleet.applyTarget({.id = "t",
+                               .service = "s",
+                               .address = "10.0.0.1:80",
+                               .slots = 6,
+                               .startedAtMs = target.startedAtMs},
+                              now);
+        vm->fleet.applyNotice("t", target.startedAtMs, {.bearableRefusals = 4.0}, now);
+    }
+    return vms;
+}
+
+void runFor(http::EventLoop &loop, Duration time)
+{
+    loop.startTimer(time, [&loop] { loop.stop(); });
+    loop.run();
+}
+
+} // namespace
+
+// Guards against each VM having a request at a brittle target that takes one (LIMIT).
+TEST_CASE("a permit of a brittle target is held by one VM at a time")
+{
+    http::EventLoop loop;
+    const std::vector<std::unique_ptr<Vm>> vms = vmsBeforeBrittleTarget(loop);
+    for (size_t round = 0; round < 6; ++round) {
+        Vm &holder = *vms[round % vms.size()];
+        const PermitDecision decision = acquire(loop, holder);
+        REQUIRE(decision.permit);
+        REQUIRE(decision.permit->held);
+        for (const std::unique_ptr<Vm> &vm : vms) {
+            const PermitDecision other = acquire(loop, *vm);
+            CHECK_FALSE(other.permit);
+            CHECK(other.retryAfter > Duration(0));
+        }
+        // The request was not sent, so the limit does not grow.
+        holder.permits.refund(*decision.permit);
+        runFor(loop, 20ms);
+    }
+}
+
+TEST_CASE("a VM waits for the permit of a brittle target until another one releases it")
+{
+    http::EventLoop loop;
+    const std::vector<std::unique_ptr<Vm>> vms = vmsBeforeBrittleTarget(loop);
+    const PermitDecision first = acquire(loop, *vms[0]);
+    REQUIRE(first.permit);
+    const Instant begin = http::EventLoop::now();
+    loop.startTimer(40ms, [&] {
+        vms[0]->permits.release(target, *first.permit->held, {.wasRefused = true, .running = 1});
+    });
+    const PermitDecision second = acquire(loop, *vms[1], 200ms);
+    REQUIRE(second.permit);
+    CHECK(http::EventLoop::now() - begin >= 35ms);
+    CHECK(http::EventLoop::now() - begin < 150ms);
+
+    SECTION("and not for longer than it may")
+    {
+        CHECK_FALSE(acquire(loop, *vms[2], 100ms).permit);
+    }
+
+    SECTION("a permit whose holder is gone lapses at the request's deadline")
+    {
+        CHECK_FALSE(acquire(loop, *vms[2]).permit);
+        runFor(loop, 2300ms);
+        CHECK(acquire(loop, *vms[2]).permit);
+    }
+}
+
+TEST_CASE("targets of a brittle service are limited, those of others and former ones are not")
+{
+    http::EventLoop loop;
+    const std::vector<std::unique_ptr<Vm>> vms = vmsBeforeBrittleTarget(loop);
+    Vm &vm = *vms[0];
+    const Instant now = http::EventLoop::now();
+    vm.fleet.applyTarget({.id = "u", .service = "s", .address = "10.0.0.2:80", .startedAtMs = 5},
+                         now);
+    vm.fleet.applyTarget({.id = "v", .service = "w", .address = "10.0.0.3:80", .startedAtMs = 5},
+                         now);
+    CHECK(vm.permits.isLimited(target));
+    // It has not answered yet.
+    CHECK(vm.permits.isLimited(limitKeyOf("u", 5)));
+    CHECK_FALSE(vm.permits.isLimited(limitKeyOf("v", 5)));
+    vm.fleet.removeTarget("u", now);
+    CHECK_FALSE(vm.permits.isLimited(limitKeyOf("u", 5)));
+    // Reports and orders take no room.
+    CHECK_FALSE(vm.permits.hasRate(target));
+    const TargetNotice sound{.wouldNameRefusals = true};
+    vm.fleet.applyNotice("t", target.startedAtMs, sound, now + 1ms, now + 1ms);
+    CHECK(vm.permits.isLimited(target));
+    vm.fleet.applyNotice("t", target.startedAtMs, sound, now + 2s, now + 2s);
+    CHECK_FALSE(vm.permits.isLimited(target));
+}
+
+namespace {
+
 struct FakeOrderChannel
 {
     void
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view claimPath = "/claim";
 constexpr std::string_view extensionPath = "/extension";
 constexpr std::string_view offerPath = "/offer";
+/// End of the path of messages about permits that are released.
+constexpr std::string_view releasePath = "/release";
 
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
@@ -65,8 +67,7 @@
     struct Acquisition
     {
         std::string organisation;
-        double units = 0.0;
-        Duration maxWait{0};
+        UsageNeed need;
         Handler handler;
         int queriesLeft = maxQueries;
         int retriesLeft = 0;
@@ -105,6 +106,7 @@
     void onQueryAnswered(const std::string &ownerId, Instant askedAt,
                          const http::BufferedResponse &response, Acquisition acquisition);
     void acquireFromFallback(const Acquisition &acquisition);
+    void acquirePermit(const Acquisition &acquisition);
 
     void claim(const std::string &organisation, std::function<void()> onEnded);
     void sendClaim(const std::string &organisation, size_t index);
@@ -119,6 +121,9 @@
     void handleQuery(const std::shared_ptr<http::Exchange> &exchange);
     void answerQuery(const std::shared_ptr<http::Exchange> &exchange, const schema::UsageAsk &query,
                      bool hasClaimed);
+    void grantPermit(const std::shared_ptr<http::Exchange> &exchange,
+                     const schema::UsageAsk &query);
+    void handleRelease(http::Exchange &exchange);
     void handleClaim(http::Exchange &exchange);
     void handleExtension(http::Exchange &exchange);
     void handleOffer(http::Exchange &exchange);
@@ -155,12 +160,10 @@
     m_impl->maintain();
 }
 
-void UsageTask::acquire(const std::string &organisation, double units, Handler handler,
-                        Duration maxWait)
+void UsageTask::acquire(const std::string &organisation, const UsageNeed &need, Handler handler)
 {
     m_impl->proceed({.organisation = organisation,
-                     .units = units,
-                     .maxWait = maxWait,
+                     .need = need,
                      .handler = std::move(handler),
                      .retriesLeft = m_impl->options.startupRetries});
 }
@@ -168,12 +171,16 @@
 void UsageTask::Impl::proceed(Acquisition acquisition)
 {
     const Instant now = http::EventLoop::now();
-    const UsageVerdict verdict = limiter().acquire(acquisition.organisation, acquisition.units, now,
-                                                   acquisition.maxWait);
+    const UsageVerdict verdict = limiter().acquire(acquisition.organisation, acquisition.need.units,
+                                                   now, acquisition.need.maxWait);
     switch (verdict.outcome) {
     case UsageOutcome::Granted:
     case UsageOutcome::Refused:
-        acquisition.handler(toDecision(verdict));
+        if (limits.permits != nullptr && verdict.outcome == UsageOutcome::Granted) {
+            acquirePermit(acquisition);
+        } else {
+            acquisition.handler(toDecision(verdict));
+        }
         return;
     case UsageOutcome::QueryOwner:
         query(std::string(verdict.owner), std::move(acquisition));
@@ -193,10 +200,26 @@
     acquireFromFallback(acquisition);
 }
 
+/// Grants a permit to this VM, which owns the limit.
+void UsageTask::Impl::acquirePermit(const Acquisition &acquisition)
+{
+    limits.permits->acquire(
+            {.limit = acquisition.organisation,
+             .priority = acquisition.need.priority,
+             .maxWait = acquisition.need.maxWait,
+             .term = acquisition.need.term},
+            [handler = acquisition.handler](const ConcurrencyPermitDecision &decision) {
+                handler({.isGranted = decision.permit != 0,
+                         .retryAfter = decision.retryAfter,
+                         .grantedAt = http::EventLoop::now(),
+                         .permit = decision.permit});
+            });
+}
+
 void UsageTask::Impl::acquireFromFallback(const Acquisition &acquisition)
 {
     const UsageVerdict verdict = limiter().acquireFallback(
-            acquisition.organisation, acquisition.units, http::EventLoop::now());
+            acquisition.organisation, acquisition.need.units, http::EventLoop::now());
     if (verdict.outcome == UsageOutcome::NoOwner && acquisition.retriesLeft > 0) {
         // All VMs may have started together, and the owner is not ready yet.
         Acquisition retried = acquisition;
@@ -226,11 +249,15 @@
     --acquisition.queriesLeft;
     schema::UsageAsk query;
     query.set_organisation(acquisition.organisation);
-    query.set_units(acquisition.units);
-    query.set_max_wait_us(acquisition.maxWait.count());
+    query.set_units(acquisition.need.units);
+    query.set_max_wait_us(acquisition.need.maxWait.count());
+    query.set_priority(acquisition.need.priority);
+    query.set_term_us(acquisition.need.term.count());
     query.set_limit(describe(acquisition.organisation));
+    // The owner of permits answers when it has decided.
+    const Duration wait = limits.permits == nullptr ? Duration(0) : acquisition.need.maxWait;
     calls.start(endpoint, {.method = "POST", .path = path(), .body = query.SerializeAsString()},
-                options.responseTimeout,
+                options.responseTimeout + wait,
                 [this, ownerId, askedAt,
                  acquisition = std::move(acquisition)](const http::BufferedResponse &response) {
                     onQueryAnswered(ownerId, askedAt, response, acquisition);
@@ -249,7 +276,9 @@
             acquisition.handler({.isGranted = grant.is_granted(),
                                  .retryAfter = Duration(grant.retry_after_us()),
                                  .grantedAt = askedAt,
-                                 .wait = Duration(grant.wait_us())});
+                                 .wait = Duration(grant.wait_us()),
+                                 .permit = grant.permit(),
+                                 .permitOwner = ownerId});
             return;
         }
         if (grant.owner().empty()) {
@@ -416,13 +445,48 @@
     m_impl->limiter().refund(organisation, units, grantedAt, http::EventLoop::now());
 }
 
+void UsageTask::release(const std::string &limit, const std::string &owner, uint64_t permit,
+                        const std::optional<ConcurrencyFeedback> &feedback)
+{
+    Impl &impl = *m_impl;
+    if (owner.empty()) {
+        if (feedback) {
+            impl.limits.permits->release(limit, permit, *feedback);
+        } else {
+            impl.limits.permits->cancel(limit, permit);
+        }
+        return;
+    }
+    http::Endpoint endpoint;
+    if (!http::parseEndpoint(impl.fleet.peerAddress(owner), endpoint)) {
+        return;
+    }
+    schema::PermitRelease message;
+    message.set_limit(limit);
+    message.set_permit(permit);
+    message.set_is_unused(!feedback);
+    if (feedback) {
+        message.set_was_refused(feedback->wasRefused);
+        message.set_waiting(feedback->waiting);
+        if (feedback->running) {
+            message.set_running(*feedback->running);
+        }
+    }
+    // A permit whose release is lost lapses.
+    impl.calls.start(
+            endpoint,
+            {.method = "POST", .path = impl.path(releasePath), .body = message.SerializeAsString()},
+            impl.options.maintenanceInterval, [](const http::BufferedResponse &) {});
+}
+
 bool UsageTask::isMessage(std::string_view path, std::string_view limits)
 {
     if (!path.starts_with(limits)) {
         return false;
     }
     const std::string_view end = path.substr(limits.size());
-    return end.empty() || end == claimPath || end == extensionPath || end == offerPath;
+    return end.empty() || end == claimPath || end == extensionPath || end == offerPath
+           || end == releasePath;
 }
 
 void UsageTask::handle(const std::shared_ptr<http::Exchange> &exchange)
@@ -435,6 +499,8 @@
         m_impl->handleExtension(*exchange);
     } else if (end == offerPath) {
         m_impl->handleOffer(*exchange);
+    } else if (end == releasePath) {
+        m_impl->handleRelease(*exchange);
     } else {
         m_impl->handleQuery(exchange);
     }
@@ -446,7 +512,8 @@
     if (!parse(*exchange, query)) {
         return;
     }
-    if (!std::isfinite(query.units()) || query.units() < 0.0 || query.max_wait_us() < 0) {
+    if (!std::isfinite(query.units()) || query.units() < 0.0 || query.max_wait_us() < 0
+        || query.term_us() < 0) {
         metrics.counter({"teaseldrift_usage_queries_invalid_total"}).add();
         exchange->respond({.status = statusBadRequest});
         return;
@@ -466,6 +533,10 @@
               [this, query, exchange] { answerQuery(exchange, query, true); });
         return;
     }
+    if (limits.permits != nullptr && verdict.outcome == UsageOutcome::Granted) {
+        grantPermit(exchange, query);
+        return;
+    }
     schema::UsageGrant grant;
     grant.set_is_granted(verdict.outcome == UsageOutcome::Granted);
     grant.set_retry_after_us(verdict.retryAfter.count());
@@ -476,6 +547,48 @@
     exchange->respond({.body = grant.SerializeAsString()});
 }
 
+/// Grants a permit to another VM, or refuses it, when that is decided.
+void UsageTask::Impl::grantPermit(const std::shared_ptr<http::Exchange> &exchange,
+                                  const schema::UsageAsk &query)
+{
+    limits.permits->acquire(
+            {.limit = query.organisation(),
+             .priority = query.priority(),
+             .maxWait = Duration(query.max_wait_us()),
+             .term = Duration(query.term_us()),
+             .isSenderGone = [exchange] { return exchange->isCallerDisconnected(); }},
+            [exchange](const ConcurrencyPermitDecision &decision) {
+                schema::UsageGrant grant;
+                grant.set_is_granted(decision.permit != 0);
+                grant.set_permit(decision.permit);
+                grant.set_retry_after_us(decision.retryAfter.count());
+                exchange->respond({.body = grant.SerializeAsString()});
+            });
+}
+
+void UsageTask::Impl::handleRelease(http::Exchange &exchange)
+{
+    schema::PermitRelease message;
+    if (!parse(exchange, message)) {
+        return;
+    }
+    if (limits.permits == nullptr) {
+        exchange.respond({.status = statusBadRequest});
+        return;
+    }
+    if (message.is_unused()) {
+        limits.permits->cancel(message.limit(), message.permit());
+    } else {
+        ConcurrencyFeedback feedback{.wasRefused = message.was_refused(),
+                                     .waiting = message.waiting()};
+        if (message.has_running()) {
+            feedback.running = message.running();
+        }
+        limits.permits->release(message.limit(), message.permit(), feedback);
+    }
+    exchange.respond({});
+}
+
 bool UsageTask::Impl::recordClaimant(http::Exchange &exchange, const schema::LimitClaim &message)
 {
     if (message.claimant().empty() || message.claimant() == fleet.options().vmId) {
