--- a/packages/policy/include/teaseldrift/targets/target_paths.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_paths.hpp
@@ -23,6 +23,14 @@
     /// Time for which VMs of an availability zone are asked last after one of them could not reach
     /// a target that another VM reached.
     Duration zoneCooldown = 2s;
+    /// Paths that must be cut or silent, while nothing arrives on any other, for the VM to count as
+    /// cut off from all targets.
+    size_t minFailedPaths = 3;
+    /// Time without anything from any target for the VM to count as cut off. Targets under load let
+    /// single requests wait for longer, but not all of them.
+    Duration minSilence = 300ms;
+    /// Time for which a path that was cut or silent counts towards that.
+    Duration failureMemory = 3s;
 };
 
 /// @brief A VM that may pass requests on to targets.
@@ -64,6 +72,21 @@
     /// @brief Records that none of the VMs that were asked reached the target.
     void reachedByNone(std::string_view address, Instant now);
 
+    /// @brief Records that a request that this VM has sent to the target itself is not answered for
+    /// unusually long.
+    void silent(std::string_view address, Instant now);
+
+    /// @brief Records that something has arrived from a target over a connection of this VM.
+    void arrived(Instant now)
+    {
+        m_failedAt.clear();
+        m_arrivedAt = now;
+    }
+
+    /// @brief Whether this VM is probably cut off from all targets: several paths failed, and
+    /// nothing has arrived on any for some time.
+    [[nodiscard]] bool isVmCutOff(Instant now) const;
+
     /// @brief Records that this VM has connected to the target.
     /// @return whether the path was cut until now
     bool reached(std::string_view address, Instant now);
@@ -101,6 +124,10 @@
     std::map<std::string, CutPath, std::less<>> m_cut;
     std::map<std::string, Instant, std::less<>> m_unreachableUntil;
     std::map<std::string, Instant, std::less<>> m_zoneCooldowns;
+    /// When something last arrived from any target.
+    std::optional<Instant> m_arrivedAt;
+    /// When paths were last found to be cut or silent, since something arrived on any.
+    std::map<std::string, Instant, std::less<>> m_failedAt;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/src/teaseldrift/targets/target_paths.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_paths.cpp
@@ -33,6 +33,7 @@
     if (unreachable != m_unreachableUntil.end()) {
         m_unreachableUntil.erase(unreachable);
     }
+    silent(address, now);
     const auto [path, isNew] = m_cut.try_emplace(std::string(address));
     path->second.reachedBy = vmId;
     if (isNew) {
@@ -49,8 +50,29 @@
     m_unreachableUntil.insert_or_assign(std::string(address), now + m_options.unreachableMemory);
 }
 
+void TargetPaths::silent(std::string_view address, Instant now)
+{
+    std::erase_if(m_failedAt, [&](const std::pair<const std::string, Instant> &path) {
+        return now - path.second > m_options.failureMemory;
+    });
+    m_failedAt.insert_or_assign(std::string(address), now);
+}
+
+bool TargetPaths::isVmCutOff(Instant now) const
+{
+    if (m_arrivedAt && now - *m_arrivedAt < m_options.minSilence) {
+        return false;
+    }
+    const ptrdiff_t failed = std::count_if(m_failedAt.begin(), m_failedAt.end(),
+                                           [&](const std::pair<const std::string, Instant> &path) {
+                                               return now - path.second <= m_options.failureMemory;
+                                           });
+    return static_cast<size_t>(failed) >= m_options.minFailedPaths;
+}
+
 bool TargetPaths::reached(std::string_view address, Instant now)
 {
+    arrived(now);
     const auto found = m_cut.find(address);
     if (found == m_cut.end()) {
         return false;
--- a/packages/policy/src/teaseldrift/targets/target_paths_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_paths_test.cpp
@@ -128,4 +128,49 @@
     CHECK(*std::max_element(chosen.begin(), chosen.end()) < 200);
 }
 
+// Guards against learning for one target after the other that this VM reaches none.
+TEST_CASE("a VM is cut off once several paths have failed and nothing has arrived since")
+{
+    TargetPaths paths("z");
+    const Instant now(100s);
+    paths.silent("a", now);
+    paths.silent("a", now);
+    paths.silent("b", now);
+    CHECK_FALSE(paths.isVmCutOff(now));
+    paths.reachedByOther("c", "vm", {}, now);
+    CHECK(paths.isVmCutOff(now));
+
+    SECTION("until something arrives")
+    {
+        paths.arrived(now);
+        CHECK_FALSE(paths.isVmCutOff(now));
+        paths.silent("a", now + 1s);
+        CHECK_FALSE(paths.isVmCutOff(now + 1s));
+    }
+
+    SECTION("until a path is whole again")
+    {
+        paths.reached("c", now);
+        CHECK_FALSE(paths.isVmCutOff(now));
+    }
+
+    SECTION("until that is long ago")
+    {
+        CHECK_FALSE(paths.isVmCutOff(now + 3500ms));
+    }
+}
+
+// Guards against taking a VM for cut off while targets under load answer some requests late.
+TEST_CASE("a VM is not cut off while something arrives from any target")
+{
+    TargetPaths paths("z");
+    const Instant now(100s);
+    paths.arrived(now);
+    for (const char *address : {"a", "b", "c", "d"}) {
+        paths.silent(address, now + 200ms);
+    }
+    CHECK_FALSE(paths.isVmCutOff(now + 200ms));
+    CHECK(paths.isVmCutOff(now + 300ms));
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -82,6 +82,8 @@
     void armTimer();
     void onTimer();
     void endAttempt(bool isPrefillFinished);
+    void finishPrefill(Instant now);
+    void discountLoad(AttemptId id);
     void end(std::string_view outcome, int status);
     [[nodiscard]] AttemptMetadata attemptMetadata(Instant now) const;
     [[nodiscard]] uint32_t priority() const;
@@ -116,6 +118,8 @@
     std::optional<TargetChoice> m_choice;
     AttemptPermit m_permit;
     bool m_isPrefillFinished = false;
+    /// The current attempt no longer counts as load of its target.
+    bool m_isLoadDiscounted = false;
     /// When the current attempt was sent.
     Instant m_sentAt;
     /// When the target of the current attempt began to answer.
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -424,6 +424,7 @@
     m_responseMetadata = {};
     m_status = 0;
     m_isPrefillFinished = false;
+    m_isLoadDiscounted = false;
     m_sentAt = now;
     m_answerBeganAt.reset();
     m_isAnswerRecorded = false;
@@ -445,7 +446,13 @@
              .use
              = action.useFreshConnection ? http::ConnectionUse::Fresh : http::ConnectionUse::Pooled,
              .isRepeatable = mayRepeat(m_admitted.route->kind),
-             .requestId = request.id},
+             .requestId = request.id,
+             .onPathLost =
+                     [weak, id] {
+                         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
+                             task->discountLoad(id);
+                         }
+                     }},
             std::move(message),
             {.onSent =
                      [weak, id] {
@@ -482,9 +489,29 @@
 void RequestTask<D>::endAttempt(bool isPrefillFinished)
 {
     m_permit.end(http::EventLoop::now());
-    if (m_choice) {
+    if (m_choice && !m_isLoadDiscounted) {
         m_context.fleet.targetSelector().ended(*m_choice, isPrefillFinished);
-        m_choice.reset();
+    }
+    m_choice.reset();
+}
+
+template <Dialect D>
+void RequestTask<D>::finishPrefill(Instant now)
+{
+    m_isPrefillFinished = true;
+    if (m_choice && !m_isLoadDiscounted) {
+        m_context.fleet.targetSelector().prefillFinished(*m_choice, now);
+    }
+}
+
+/// A request that hangs on a cut path says nothing about the load of its target; counted, it would
+/// make all targets look full that this VM cannot reach itself.
+template <Dialect D>
+void RequestTask<D>::discountLoad(AttemptId id)
+{
+    if (m_machine.isCurrent(id) && m_choice && !m_isLoadDiscounted) {
+        m_context.fleet.targetSelector().ended(*m_choice, m_isPrefillFinished);
+        m_isLoadDiscounted = true;
     }
 }
 
@@ -667,10 +694,9 @@
     }
     recordAnswer(now, false);
     if (!m_isPrefillFinished) {
-        m_isPrefillFinished = true;
+        finishPrefill(now);
         m_call->expectData();
         m_firstEventAt = m_firstEventAt == Instant() ? now : m_firstEventAt;
-        m_context.fleet.targetSelector().prefillFinished(*m_choice, http::EventLoop::now());
     }
     if (!m_callerHasHead) {
         m_callerHasHead = true;
@@ -704,8 +730,10 @@
     // nothing to send.
     const bool isEmptyStream = isStreaming() && m_endsWithConnection && !m_hasEvents;
     if (end == http::CallOutcome::Broken || m_events.hasPartialEvent() || isEmptyStream) {
-        recordLostAttempt(now);
-        health.report(target, HealthObservation::ConnectionBroken, now);
+        if (!m_call->isPathLost()) {
+            recordLostAttempt(now);
+            health.report(target, HealthObservation::ConnectionBroken, now);
+        }
         perform(m_machine.attemptFailed(id, now));
         return;
     }
@@ -758,10 +786,9 @@
 template <Dialect D>
 void RequestTask<D>::completeResponse()
 {
-    m_isPrefillFinished = true;
+    finishPrefill(http::EventLoop::now());
     if (m_choice) {
         recordAnswer(http::EventLoop::now(), true);
-        m_context.fleet.targetSelector().prefillFinished(*m_choice, http::EventLoop::now());
     }
     if (m_callerHasHead) {
         m_exchange->finish();
--- a/packages/relay/include/teaseldrift/relay/target_connector.hpp
+++ b/packages/relay/include/teaseldrift/relay/target_connector.hpp
@@ -28,8 +28,14 @@
 
 struct TargetConnectorOptions
 {
-    /// Most VMs that are asked to pass one request on.
+    /// Most VMs that try to pass one request on.
     size_t maxVms = 3;
+    /// Most VMs that refuse to pass one request on, because they are known to lack the path, too.
+    size_t maxRefusals = 12;
+    /// Time after which a request without any answer counts as silence on its path.
+    Duration silenceTime = 400ms;
+    /// Time for which a VM that has passed a request on is asked before unknown ones.
+    Duration helperMemory = 2s;
     /// Time in which a VM must report that it has sent a request; covers its connection attempt.
     Duration forwardingTimeout = 700ms;
     /// Time for which a VM is not asked again that did not pass a request on.
@@ -47,6 +53,8 @@
     bool isRepeatable = false;
     /// For the log.
     std::string requestId;
+    /// Optional; called if the request was sent to the target and hangs, as this VM is cut off.
+    std::function<void()> onPathLost = nullptr;
 };
 
 /// @brief A call to a target, directly or through another VM. Destroying it cancels it.
@@ -65,9 +73,13 @@
     /// @brief The VM through which the request was sent; empty if it was sent directly.
     [[nodiscard]] std::string_view vmId() const;
 
-    /// @brief Other VMs reach the target, so that its failure to answer says nothing about it.
+    /// @brief Other VMs reach the target, or this VM reaches none, so that its failure to answer
+    /// says nothing about it.
     [[nodiscard]] bool isPathCut() const;
 
+    /// @brief The request was sent directly and hangs or broke off as this VM is cut off.
+    [[nodiscard]] bool isPathLost() const;
+
     /// Implementation; public for TargetConnector only.
     struct Impl;
     explicit RoutedCall(std::shared_ptr<Impl> impl);
--- a/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
+++ b/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
@@ -103,7 +103,10 @@
     if (target == nullptr || target->isLeaving || target->address != message.target_address()) {
         return "unknown_target";
     }
-    return fleet.targetPaths().isCut(message.target_address()) ? cutOff : "";
+    const TargetPaths &paths = fleet.targetPaths();
+    const bool isCut
+            = paths.isCut(message.target_address()) || paths.isVmCutOff(http::EventLoop::now());
+    return isCut ? cutOff : "";
 }
 
 void RequestForwarder::handle(const std::shared_ptr<http::Exchange> &exchange)
--- a/packages/relay/src/teaseldrift/relay/target_connector.cpp
+++ b/packages/relay/src/teaseldrift/relay/target_connector.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/relay/target_connector.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -21,6 +22,9 @@
 /// Longer than any reason of RequestForwarder.
 constexpr size_t maxRefusalBytes = 64;
 
+/// Interval at which requests without an answer are looked for.
+constexpr Duration silenceCheckInterval = 100ms;
+
 /// Interval at which it is checked whether cut paths are due to be tried again.
 constexpr Duration probeCheckInterval = 100ms;
 
@@ -55,6 +59,13 @@
     std::map<std::string, std::string, std::less<>> cutTargets;
     std::map<std::string, std::unique_ptr<http::Call>, std::less<>> probes;
     http::EventLoop::TimerId probeTimer = 0;
+    /// Requests that were sent to targets directly, in this order, until they are answered.
+    std::deque<std::weak_ptr<RoutedCall::Impl>> directCalls;
+    http::EventLoop::TimerId silenceTimer = 0;
+    bool isCutOff = false;
+    /// The VM that last passed a request on, and when.
+    std::string lastHelper;
+    Instant lastHelpAt;
 
     Impl(http::EventLoop &eventLoop, TargetTransport targetTransport, http::Client &peerClient,
          FleetState &fleetState, telemetry::EventLog &eventLog, telemetry::Metrics &registry,
@@ -74,6 +85,11 @@
     void forget(std::string_view address);
     void startProbeTimer();
     void probe();
+    void startSilenceTimer();
+    void checkSilence();
+    void logCutOff(Instant now);
+    [[nodiscard]] const schema::VmRecord *knownHelper(const std::vector<std::string> &triedVms,
+                                                      Instant now) const;
 };
 
 struct RoutedCall::Impl : std::enable_shared_from_this<RoutedCall::Impl>
@@ -97,6 +113,13 @@
     std::unique_ptr<http::Call> call;
     http::EventLoop::TimerId timer = 0;
     bool isDirectTried = false;
+    /// When the request was sent to the target directly; empty before that and once it is answered.
+    std::optional<Instant> unansweredSince;
+    bool isPathLost = false;
+    /// VMs that tried to pass the request on in vain.
+    size_t failedVms = 0;
+    /// Those of them that could not connect to the target.
+    size_t unconnectedVms = 0;
     /// VMs that were asked, and availability zones of those that could not connect to the target.
     std::vector<std::string> triedVms;
     std::vector<std::string> failedZones;
@@ -111,6 +134,8 @@
     void start();
     void startDirect();
     void onDirectEnd(http::CallOutcome outcome);
+    void onDirectAnswer();
+    void onPathLost();
     /// @return false if there is no VM to ask
     bool startForwarded();
     void onForwardedData(std::string_view data);
@@ -179,6 +204,67 @@
     }
 }
 
+void TargetConnector::Impl::startSilenceTimer()
+{
+    if (silenceTimer == 0) {
+        silenceTimer = loop.startTimer(silenceCheckInterval, [weak = weak_from_this()] {
+            if (const std::shared_ptr<Impl> self = weak.lock()) {
+                self->silenceTimer = 0;
+                self->checkSilence();
+            }
+        });
+    }
+}
+
+/// Looks for requests on paths that have fallen silent: the kernel notices them much later.
+void TargetConnector::Impl::checkSilence()
+{
+    const Instant now = http::EventLoop::now();
+    std::erase_if(directCalls, [](const std::weak_ptr<RoutedCall::Impl> &weak) {
+        const std::shared_ptr<RoutedCall::Impl> call = weak.lock();
+        return call == nullptr || !call->unansweredSince;
+    });
+    std::vector<std::shared_ptr<RoutedCall::Impl>> silent;
+    for (const std::weak_ptr<RoutedCall::Impl> &weak : directCalls) {
+        const std::shared_ptr<RoutedCall::Impl> call = weak.lock();
+        if (now - *call->unansweredSince < options.silenceTime) {
+            break;
+        }
+        silent.push_back(call);
+        fleet.targetPaths().silent(call->options.targetAddress, now);
+    }
+    logCutOff(now);
+    if (isCutOff) {
+        for (const std::shared_ptr<RoutedCall::Impl> &call : silent) {
+            call->onPathLost();
+        }
+    }
+    if (!directCalls.empty() || isCutOff) {
+        startSilenceTimer();
+    }
+}
+
+void TargetConnector::Impl::logCutOff(Instant now)
+{
+    const bool wasCutOff = std::exchange(isCutOff, fleet.targetPaths().isVmCutOff(now));
+    if (wasCutOff != isCutOff) {
+        log.write(EventPriority::Important, isCutOff ? "vm_cut_off" : "vm_reaches_targets",
+                  {{"cut_paths", static_cast<int64_t>(fleet.targetPaths().cutCount())},
+                   {"unanswered", static_cast<int64_t>(directCalls.size())}});
+    }
+}
+
+const schema::VmRecord *TargetConnector::Impl::knownHelper(const std::vector<std::string> &triedVms,
+                                                           Instant now) const
+{
+    const bool isTried = std::find(triedVms.begin(), triedVms.end(), lastHelper) != triedVms.end();
+    if (isTried || now - lastHelpAt > options.helperMemory || unhelpful.contains(lastHelper, now)) {
+        return nullptr;
+    }
+    const schema::VmRecord *vm = fleet.findVm(lastHelper);
+    return vm != nullptr && !vm->is_leaving() ? vm : nullptr;
+}
+
 void TargetConnector::Impl::startProbeTimer()
 {
     if (probeTimer == 0) {
@@ -220,7 +306,9 @@
 
 void RoutedCall::Impl::start()
 {
-    const bool isCut = connector->fleet.targetPaths().isCut(options.targetAddress);
+    const TargetPaths &paths = connector->fleet.targetPaths();
+    const bool isCut
+            = paths.isCut(options.targetAddress) || paths.isVmCutOff(http::EventLoop::now());
     if (!isCut || !startForwarded()) {
         startDirect();
     }
@@ -237,12 +325,27 @@
                      [weak] {
                          if (const std::shared_ptr<Impl> self = weak.lock()) {
                              self->request = {};
+                             self->unansweredSince = http::EventLoop::now();
+                             self->connector->directCalls.push_back(weak);
+                             self->connector->startSilenceTimer();
                              self->handlers.onSent();
                          }
                      },
              .matchesRequest = handlers.matchesRequest,
-             .onHead = handlers.onHead,
-             .onData = handlers.onData,
+             .onHead =
+                     [weak](const http::ResponseHead &head) {
+                         if (const std::shared_ptr<Impl> self = weak.lock()) {
+                             self->onDirectAnswer();
+                             self->handlers.onHead(head);
+                         }
+                     },
+             .onData =
+                     [weak](std::string_view data) {
+                         if (const std::shared_ptr<Impl> self = weak.lock()) {
+                             self->connector->fleet.targetPaths().arrived(http::EventLoop::now());
+                             self->handlers.onData(data);
+                         }
+                     },
              .onEnd =
                      [weak](http::CallOutcome outcome) {
                          if (const std::shared_ptr<Impl> self = weak.lock()) {
@@ -251,9 +354,31 @@
                      }});
 }
 
+void RoutedCall::Impl::onDirectAnswer()
+{
+    unansweredSince.reset();
+    connector->fleet.targetPaths().arrived(http::EventLoop::now());
+}
+
+/// The request hangs on a path that is cut. It may have reached the target.
+void RoutedCall::Impl::onPathLost()
+{
+    if (isEnded || std::exchange(isPathLost, true)) {
+        return;
+    }
+    if (options.onPathLost) {
+        options.onPathLost();
+    }
+    if (options.isRepeatable) {
+        call.reset();
+        end(http::CallOutcome::Broken);
+    }
+}
+
 void RoutedCall::Impl::onDirectEnd(http::CallOutcome outcome)
 {
     const Instant now = http::EventLoop::now();
+    unansweredSince.reset();
     if (outcome != http::CallOutcome::NotSent) {
         end(outcome);
         return;
@@ -268,10 +393,14 @@
 bool RoutedCall::Impl::startForwarded()
 {
     const Instant now = http::EventLoop::now();
-    if (triedVms.size() >= connector->options.maxVms) {
+    if (failedVms >= connector->options.maxVms
+        || triedVms.size() >= connector->options.maxVms + connector->options.maxRefusals) {
         return false;
     }
-    const schema::VmRecord *vm = connector->chooseVm(options, triedVms, failedZones, now);
+    // While VMs of the path's own zones lack it, any VM that has it will do.
+    const schema::VmRecord *vm
+            = failedZones.empty() ? nullptr : connector->knownHelper(triedVms, now);
+    vm = vm == nullptr ? connector->chooseVm(options, triedVms, failedZones, now) : vm;
     http::Endpoint vmEndpoint;
     if (vm == nullptr || !http::parseEndpoint(vm->peer_address(), vmEndpoint)) {
         return false;
@@ -355,6 +484,8 @@
         connector->loop.cancelTimer(timer);
         timer = 0;
         connector->setCut(options, vmId, failedZones, now);
+        connector->lastHelper = vmId;
+        connector->lastHelpAt = now;
         connector->metrics.counter({"teaseldrift_requests_through_vms_total"}).add();
         connector->log.write(EventPriority::Routine, "request_through_vm",
                              {{"request_id", std::string_view(options.requestId)},
@@ -389,7 +520,13 @@
         return;
     }
     const bool isRefused = forwardingStatus != 0 && forwardingStatus != statusOk;
-    if (forwarding == ForwardingState::NotSent || refusal == RequestForwarder::cutOff) {
+    const bool isKnownCut = refusal == RequestForwarder::cutOff;
+    failedVms += isKnownCut ? 0 : 1;
+    unconnectedVms += forwarding == ForwardingState::NotSent ? 1 : 0;
+    if (forwarding == ForwardingState::NotSent || isKnownCut) {
+        if (isKnownCut) {
+            connector->unhelpful.add(vmId, now);
+        }
         const schema::VmRecord *vm = connector->fleet.findVm(vmId);
         failedZones.push_back(vm == nullptr ? std::string() : vm->availability_zone());
         tryNext();
@@ -421,7 +558,7 @@
         startDirect();
         return;
     }
-    if (!failedZones.empty()) {
+    if (unconnectedVms > 0) {
         TargetPaths &paths = connector->fleet.targetPaths();
         paths.reachedByNone(options.targetAddress, http::EventLoop::now());
     }
@@ -484,8 +621,16 @@
 
 bool RoutedCall::isPathCut() const
 {
-    return m_impl->connector->fleet.targetPaths().isCut(m_impl->options.targetAddress)
-           && m_impl->failedZones.empty();
+    const TargetPaths &paths = m_impl->connector->fleet.targetPaths();
+    const bool isCut = paths.isCut(m_impl->options.targetAddress)
+                       || paths.isVmCutOff(http::EventLoop::now());
+    return m_impl->unconnectedVms == 0 && isCut;
+}
+
+bool RoutedCall::isPathLost() const
+{
+    const bool isCutOff = m_impl->connector->fleet.targetPaths().isVmCutOff(http::EventLoop::now());
+    return m_impl->isPathLost || (m_impl->vmId.empty() && isCutOff);
 }
 
 TargetConnector::TargetConnector(http::EventLoop &loop, http::Client &targets, http::Client &peers,
@@ -504,6 +649,7 @@
 TargetConnector::~TargetConnector()
 {
     m_impl->loop.cancelTimer(m_impl->probeTimer);
+    m_impl->loop.cancelTimer(m_impl->silenceTimer);
     m_impl->probes.clear();
 }
 
