--- a/packages/relay/src/teaseldrift/relay/concurrency_owner.cpp
+++ b/packages/relay/src/teaseldrift/relay/concurrency_owner.cpp
@@ -103,7 +103,8 @@
 void ConcurrencyOwner::cancel(std::string_view limit, uint64_t permit)
 {
     const auto found = m_targets.find(limit);
-    if (found != m_targets.end()) {
+    // Only granted permits are returned, whatever a message names.
+    if (found != m_targets.end() && !found->second.waiting.contains(permit)) {
         found->second.limiter.cancel(permit, http::EventLoop::now());
         decide(found->first);
     }
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -321,4 +321,42 @@
     CHECK(waitFor(loop, lacksLimit));
 }
 
+// Guards against VMs that go on filling brittle targets, because another VM got the response.
+TEST_CASE(
+        "VMs of all availability zones learn that a service's targets are brittle, and of the end")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "south");
+    Vm d(loop, "d", "south");
+    const Vms vms = recordsOf({&a, &b, &c, &d});
+    const TargetEntry target{.id = "t", .service = "s", .address = "10.0.0.1:80", .startedAtMs = 1};
+    for (Vm *vm : {&a, &b, &c, &d}) {
+        const Instant now = http::EventLoop::now();
+        FleetDefinition definition{.version = 1};
+        definition.services.push_back({.name = "s", .slots = 6});
+        vm->fleet.applyDefinition(std::move(definition), {}, now);
+        vm->fleet.applyTarget(target, now);
+        vm->fleet.applyVms(vms, now, now);
+        vm->load.start();
+    }
+    const auto allHave = [&](std::optional<double> refusals) {
+        for (const Vm *vm : {&a, &b, &c, &d}) {
+            if (vm->fleet.bearableRefusals(limitKeyOf("t", 1)) != refusals) {
+                return false;
+            }
+        }
+        return true;
+    };
+    b.fleet.applyNotice("t", 1, {.bearableRefusals = 6.0}, http::EventLoop::now());
+    CHECK(waitFor(loop, [&] { return allHave(6.0); }));
+    const auto isSound = [&] {
+        const Instant now = http::EventLoop::now();
+        d.fleet.applyNotice("t", 1, {.wouldNameRefusals = true}, now, now);
+        return allHave(std::nullopt);
+    };
+    CHECK(waitFor(loop, isSound));
+}
+
 } // namespace teaseldrift::relay
