--- a/packages/policy/src/teaseldrift/targets/target_paths.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_paths.cpp
@@ -52,10 +52,16 @@
 
 void TargetPaths::silent(std::string_view address, Instant now)
 {
-    std::erase_if(m_failedAt, [&](const std::pair<const std::string, Instant> &path) {
-        return now - path.second > m_options.failureMemory;
-    });
-    m_failedAt.insert_or_assign(std::string(address), now);
+    // Enough to decide, however many targets there are.
+    constexpr size_t maxFailedPaths = 16;
+    if (m_failedAt.size() >= maxFailedPaths && !m_failedAt.contains(address)) {
+        std::erase_if(m_failedAt, [&](const std::pair<const std::string, Instant> &path) {
+            return now - path.second > m_options.failureMemory;
+        });
+    }
+    if (m_failedAt.size() < maxFailedPaths || m_failedAt.contains(address)) {
+        m_failedAt.insert_or_assign(std::string(address), now);
+    }
 }
 
 bool TargetPaths::isVmCutOff(Instant now) const
