--- a/packages/policy/include/teaseldrift/usage/concurrency_limiter.hpp
+++ b/packages/policy/include/teaseldrift/usage/concurrency_limiter.hpp
@@ -25,8 +25,8 @@
     Duration foreignLoadMaxAge = 500ms;
     /// Refusals a second that the target bears.
     double bearableRefusals = 1.0;
-    /// Queries are refused at once whose expected wait is more than this fraction of the longest one:
-    /// those that wait should not be refused later.
+    /// Queries are refused at once whose expected wait is more than this fraction of the longest
+    /// one: those that wait should not be refused later.
     double expectedWaitFraction = 0.5;
     /// Requests that wait for a permit at most.
     size_t maxWaiting = 256;
