--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,140 +1,147 @@
-"""Clients leave before their answers begin: does the machine still serve those that come after?"""
+"""One answer of one server doesn't end: do the requests that sound servers run get their answers?"""
 
 import asyncio
-import collections
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-from standins import MODEL, Platform, Server, model_service, now, read_head, route  # noqa: E402
+from standins import HOST, Platform, Server, head_of, now, plain_service, read_head, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RATE = 288.0          # requests a second that kb-rounds gets; the loss of all machines but one is to be borne
-CALM_RATE = 48.0      # what one of the 6 machines gets
-LEAVE_SHARE = 0.3     # `give_up`: share of the clients that leave, 0.3 in the site file
-LEAVE_AFTER_S = 0.15  # they leave within half the objective of 400 ms
-FIRST_EVENT_S = 0.38  # the servers' first event, within the objective
-BOUT_S = 5.0          # `give_up` for 5 s at a time, as in the site file
-PAUSE_S = 0.5
-BOUTS = 11
-CALM_S = 4.0          # longer than contact-ms; the usual requests go on, nobody leaves
-JUDGED_S = 4.0
-TIMEOUT_S = 2.5       # timeout-ms of the route
-
-
-async def watch_readiness(platform, edge, answers):
-    """The platform's check, once a second, on a channel that it keeps."""
-    reader, writer = await asyncio.open_connection(edge.ip, platform.ports["ready"])
-    while True:
-        writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+SPOILT_AT_S = (5.0, 9.0, 13.0)  # one answer each
+END_S = 17.0
+CHANNELS = 24
+MACHINES = 2
+WORK_S = 0.1
+RESTART_S = 0.5  # the platform starts a process that has ended again after a short delay
+CONTACT_S = 3.0
+CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+
+
+class TroubledServer(Server):
+    """A sound server, one of whose answers now and then is no answer and goes on until it is closed."""
+
+    spoils = 0
+    spoilt = 0
+    answers = 0
+
+    async def run(self, message, reader, writer):
+        self.answers += 1
+        if not self.spoils:
+            return await super().run(message, reader, writer)
+        self.spoils -= 1
+        self.spoilt += 1
+        self.platform.record.add("spoilt", server=self.id, request=message.headers["request-id"])
+        block = CHUNK * 1024
         try:
-            first, headers = await asyncio.wait_for(read_head(reader), 1)
-            await reader.readexactly(int(headers.get("content-length", "0")))
-            answers.append((now(), int(first.split(" ")[1])))
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            answers.append((now(), 0))
-            return
-        await asyncio.sleep(1.0)
+            # No Server-Seal, no Request-Id: not this server's answer.
+            writer.write(head_of(200, {"Transfer-Encoding": "chunked"}) + block)
+            started = now()
+            while now() - started < 3.0:
+                await writer.drain()
+                writer.write(block)
+        except ConnectionError:
+            pass
+        return False
 
 
-class Traffic:
-    """Requests of the class address-check at an even rate, each on a new channel."""
+class Channel:
+    """A client that sends one request after the other on a channel that it keeps."""
 
-    def __init__(self, platform, edge):
+    def __init__(self, platform, edge, number):
         self.platform = platform
         self.edge = edge
-        self.rate = RATE
-        self.sent = 0
-        self.left = 0
-
-    async def run(self, seconds, leave_share, quiet=True):
-        tasks = []
-        started = now()
-        while now() - started < seconds:
-            while len(tasks) < (now() - started) * self.rate:
-                self.sent += 1
-                # Evenly spread.
-                leaves = int(self.sent * leave_share) > int((self.sent - 1) * leave_share)
-                self.left += leaves
-                tasks.append(asyncio.create_task(self.request(LEAVE_AFTER_S if leaves else None, quiet)))
-            await asyncio.sleep(0.005)
-        return tasks
-
-    async def request(self, leave_after, quiet):
-        number = self.sent
-        headers = {"Model": MODEL, "Token-Count": "2368,3", 
-                   "Prompt-Prefix": f"{number % 20 + 256:x}:341,{number % 1765 + 4096:x}:227,"
-                                    f"{number + 65536:x}:1800"}
-        # Half a second past the route's time, to see whether an answer comes by then.
-        return await self.platform.request(
-            self.edge, "/xapu221/2f", method="POST", headers=headers, body=b"x" * 2400,
-            deadline_ms=int((TIMEOUT_S + 0.5) * 1000), leave_after=leave_after, quiet=quiet)
-
-    def note(self, phase, answers):
-        served = sum(answer.status == 200 and answer.complete for answer in answers)
-        stayed = sum(answer.error != "left" for answer in answers)
-        statuses = collections.Counter(answer.status or answer.error for answer in answers)
-        self.platform.record.add(phase, sent=len(answers), stayed=stayed, served=served,
-                                 left_so_far=self.left, outcomes=dict(statuses))
-
-
-def ended_by_itself(platform, edge):
-    summary = f"the process ended by itself with status {edge.process.returncode}"
-    platform.record.add("verdict", text=summary)
-    with open(edge.log.name, encoding="utf-8", errors="replace") as log:
-        print(summary, "last lines:", *log.read().splitlines()[-3:], sep="\n")
-    return 1
+        self.number = number
+        self.requests = []
+
+    async def run(self, until):
+        while now() < until:
+            try:
+                await self.use_channel(until)
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.1)
+
+    async def use_channel(self, until):
+        connecting = asyncio.open_connection(*self.edge.front)
+        reader, writer = await asyncio.wait_for(connecting, 1)
+        answered = 0
+        try:
+            while now() < until:
+                self.platform.last_request += 1
+                request = f"{self.platform.last_request:016x}"
+                sent = {"request": request, "machine": self.edge.name, "at": now(),
+                        "kept": answered > 0, "complete": False}
+                self.requests.append(sent)
+                self.platform.record.add("sent", **{k: v for k, v in sent.items() if k != "at"})
+                line = "POST /fiti832/2f" if self.number % 2 else "GET /filo73/2f"
+                body = b"bill 1" if self.number % 2 else b""
+                writer.write(f"{line} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request}\r\n"
+                             f"Deadline-Ms: 2500\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                first, headers = await asyncio.wait_for(read_head(reader), 2.5)
+                await reader.readexactly(int(headers["content-length"]))
+                sent["complete"] = True
+                self.platform.record.add("answered", request=request, status=first.split(" ")[1])
+                answered += 1
+                if headers.get("connection", "").lower() == "close":
+                    return
+        finally:
+            if not sent["complete"]:
+                self.platform.record.add("closed-without-answer", request=sent["request"])
+            writer.close()
+
+
+async def keep_running(platform, ends):
+    """Starts processes that have ended by themselves again, as the platform does."""
+    while True:
+        for edge in platform.edges:
+            if not edge.is_running():
+                code = edge.process.returncode
+                name = signal.Signals(-code).name if code < 0 else str(code)
+                ends.append((now(), edge.name, name))
+                platform.record.add("process-ended", machine=edge.name, by=name)
+                await asyncio.sleep(RESTART_S)
+                await edge.start()
+        await asyncio.sleep(0.02)
 
 
 async def play(platform):
-    platform.servers = [Server(platform, "dele69a", model=MODEL, work_s=FIRST_EVENT_S) for _ in range(8)]
+    troubled = TroubledServer(platform, "gowu98c", work_s=WORK_S)
+    sound = [Server(platform, "gowu98c", zone=zone, work_s=WORK_S) for zone in ("perth", "dundee", "forfar")]
+    platform.servers = [troubled, *sound]
     platform.operator_config(
         1,
-        [route("r-check", "/xapu221/", "streaming", "dele69a", sticky=True, resumable=True,
-               **{"timeout-ms": int(TIMEOUT_S * 1000), "target-latency-ms": 400, "max-attempts": 2,
-                  "target-gap-ms": 300})],
-        [model_service("dele69a")])
-    if not await platform.start(1):
+        [route("r-bill", "/fiti832/", "non_idempotent", "gowu98c"),
+         route("r-lookup", "/filo73/", "idempotent", "gowu98c", **{"max-attempts": 2})],
+        [plain_service("gowu98c")])
+    if not await platform.start(MACHINES):
         return 2
-    edge = platform.edges[0]
-    readiness = []
-    checks = asyncio.create_task(watch_readiness(platform, edge, readiness))
-    await asyncio.sleep(1)
-    platform.record.quiet = True
-    traffic = Traffic(platform, edge)
-    for bout in range(BOUTS):
-        tasks = await traffic.run(BOUT_S, LEAVE_SHARE if TROUBLE else 0.0)
-        await asyncio.sleep(PAUSE_S)
-        traffic.note(f"bout-{bout + 1}", [task.result() for task in tasks if task.done()])
-        if not edge.is_running():
-            return ended_by_itself(platform, edge)
-
-    traffic.rate = CALM_RATE
-    await traffic.run(CALM_S, 0.0)
-    judged_from = now()
-    tasks = await traffic.run(JUDGED_S, 0.0)
-    answers = await asyncio.gather(*tasks)
-    traffic.note("judged", answers)
-    ready = [status for at, status in readiness if at >= judged_from]
-    checks.cancel()
-    if not edge.is_running():
-        return ended_by_itself(platform, edge)
-    # CONFIG: of the requests without an answer at timeout-ms, more than half have none 0.5 s later.
-    sent = [answer for answer in answers if answer.connected]
-    waiting = [answer for answer in sent if answer.seconds >= TIMEOUT_S]
-    late = [answer for answer in waiting if answer.error == "no answer in time"]
-    config = len(late) > len(waiting) / 2 and len(late) > 20
-    # RECOVER: a machine that says it is ready takes no new channel for contact-ms, though seven try.
-    untaken = len(answers) - len(sent)
-    recover = (untaken >= 7 and not any(answer.status for answer in answers)
-               and all(status == 200 for status in ready))
-    broken = config or recover
-    rules = [name for name, is_broken in (("CONFIG", config), ("RECOVER", recover)) if is_broken]
-    served = sum(answer.status == 200 for answer in answers)
-    summary = (f"{' and '.join(rules) or 'no rule'} broken: {len(answers)} requests, {served} served; of"
-               f" {len(sent)} sent {len(waiting)} had no answer at timeout-ms and {len(late)} none"
-               f" half a second later; {untaken} channels not taken within 1 s; readiness {ready};"
-               f" {traffic.left} clients had left")
+    # Until the machines are in touch.
+    await asyncio.sleep(CONTACT_S)
+    ends = []
+    watch = asyncio.create_task(keep_running(platform, ends))
+    started = now()
+    channels = [Channel(platform, platform.edges[i % MACHINES], i) for i in range(CHANNELS)]
+    clients = [asyncio.create_task(channel.run(started + END_S)) for channel in channels]
+    for at in SPOILT_AT_S:
+        await asyncio.sleep(max(0.0, started + at - now()))
+        troubled.spoils = 1 if TROUBLE else 0
+    await asyncio.gather(*clients)
+    watch.cancel()
+
+    # LOST: on a kept channel, passed on to a sound server, and closed without an answer.
+    ran = {request for server in sound for _, request in server.runs}
+    requests = [request for channel in channels for request in channel.requests]
+    lost = [request for request in requests
+            if request["kept"] and not request["complete"] and request["request"] in ran]
+    for request in lost:
+        platform.record.add("lost", request=request["request"], machine=request["machine"])
+    broken = len(lost) > 3
+    summary = (f"LOST {'broken' if broken else 'held'}: {len(lost)} of {len(requests)} requests, on kept channels and"
+               f" run by sound servers, had no answer; {troubled.spoilt} of {troubled.answers} answers of one server"
+               f" in {len(platform.servers)} did not end; processes that ended by themselves:"
+               f" {[(name, by) for _, name, by in ends] or 'none'}")
     platform.record.add("verdict", text=summary)
     print(summary)
     return 1 if broken else 0
