--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,8 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-from standins import HOST, Platform, Server, head_of, now, plain_service, read_head, route  # noqa: E402
+from standins import (  # noqa: E402
+    BROKEN, HELD, HOST, NOT_RUN, Server, head_of, now, plain_service, read_head, route, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SPOILT_AT_S = (5.0, 9.0, 13.0)  # one answer each
@@ -17,6 +18,7 @@
 RESTART_S = 0.5  # the platform starts a process that has ended again after a short delay
 CONTACT_S = 3.0
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+LINK_BYTES_PER_S = 125e6  # link-mbps of a machine: 1,000
 
 
 class TroubledServer(Server):
@@ -33,14 +35,17 @@
         self.spoils -= 1
         self.spoilt += 1
         self.platform.record.add("spoilt", server=self.id, request=message.headers["request-id"])
-        block = CHUNK * 1024
+        block = CHUNK * 64
         try:
             # No Server-Seal, no Request-Id: not this server's answer.
             writer.write(head_of(200, {"Transfer-Encoding": "chunked"}) + block)
             started = now()
+            sent = len(block)
             while now() - started < 3.0:
+                await asyncio.sleep(max(0.0, sent / LINK_BYTES_PER_S - (now() - started)))
                 await writer.drain()
                 writer.write(block)
+                sent += len(block)
         except ConnectionError:
             pass
         return False
@@ -116,7 +121,7 @@
          route("r-lookup", "/filo73/", "idempotent", "gowu98c", **{"max-attempts": 2})],
         [plain_service("gowu98c")])
     if not await platform.start(MACHINES):
-        return 2
+        return NOT_RUN
     # Until the machines are in touch.
     await asyncio.sleep(CONTACT_S)
     ends = []
@@ -144,15 +149,7 @@
                f" {[(name, by) for _, name, by in ends] or 'none'}")
     platform.record.add("verdict", text=summary)
     print(summary)
-    return 1 if broken else 0
+    return BROKEN if broken else HELD
 
 
-async def main():
-    platform = Platform(os.path.dirname(os.path.abspath(__file__)))
-    try:
-        return await play(platform)
-    finally:
-        platform.end()
-
-
-sys.exit(asyncio.run(main()))
+run_case(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -16,8 +16,10 @@
 import socket
 import subprocess
 import tempfile
+import sys
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -586,3 +588,25 @@
         "slots": 32, "kv-capacity-tokens": 224892, "kv-token-bytes": 131072,
         "link-mbps": 260000.0, "moves": True, "backups": True, "stride": 9, "max-concurrent": 12,
         "pin-ms": 4000.0, "hold-ms": 2000.0, "handle_s": 5.0, "models": [{"name": MODEL}]}}
+
+
+# What a case returns; run.sh turns them into its exit status.
+HELD, NOT_RUN, BROKEN = 0, 2, 10
+
+
+def run_case(folder, play):
+    """Plays a case in its own platform, ends what it started, and exits with what `play` returns."""
+
+    async def run():
+        platform = Platform(folder)
+        try:
+            return await play(platform)
+        finally:
+            platform.end()
+
+    try:
+        status = asyncio.run(run())
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
+        status = NOT_RUN
+    sys.exit(status)
