--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -58,31 +58,37 @@
     return address;
 }
 
-/// Like h2o_socket_connect(), which cannot bind the socket first.
-h2o_socket_t *connectFrom(const std::string &source, h2o_loop_t *loop, const sockaddr_in &address,
-                          h2o_socket_cb onEnd)
+/// Unlike h2o_socket_connect(), can bind the socket first, and leaves reading to the connection:
+/// h2o reads until the kernel has no more bytes, which may be never.
+/// @param source empty for the address that the kernel selects
+h2o_socket_t *startConnecting(const std::string &source, h2o_loop_t *loop,
+                              const sockaddr_in &address, h2o_socket_cb onEnd)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     if (descriptor < 0) {
         return nullptr;
     }
-    // The port is selected by connect(), so that one port serves several peers.
     const int on = 1;
-    ::setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    const sockaddr_in local = toSocketAddress({.address = source, .port = 0});
-    const bool isUnderWay
-            = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) == 0
-              && (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address),
-                            sizeof(address))
-                          == 0
-                  || errno == EINPROGRESS);
+    bool isBound = true;
+    if (!source.empty()) {
+        // The port is selected by connect(), so that one port serves several peers.
+        ::setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+        const sockaddr_in local = toSocketAddress({.address = source, .port = 0});
+        isBound = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local))
+                  == 0;
+    }
+    const bool isUnderWay = isBound
+                            && (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address),
+                                          sizeof(address))
+                                        == 0
+                                || errno == EINPROGRESS);
     if (!isUnderWay) {
         ::close(descriptor);
         return nullptr;
     }
-    h2o_socket_t *socket
-            = h2o_evloop_socket_create(loop, descriptor, H2O_SOCKET_FLAG_IS_CONNECTING);
+    h2o_socket_t *socket = h2o_evloop_socket_create(
+            loop, descriptor, H2O_SOCKET_FLAG_IS_CONNECTING | H2O_SOCKET_FLAG_DONT_READ);
     h2o_socket_notify_write(socket, onEnd);
     return socket;
 }
@@ -119,7 +125,8 @@
     bool sendsNothing = false;
     size_t maxResponseBytes = 0;
     size_t responseBytes = 0;
-    CallHandlers handlers;
+    /// Shared with the handler that is running, which may destroy this call.
+    std::shared_ptr<const CallHandlers> handlers;
     ClientOptions options;
     h2o_socket_t *connecting = nullptr;
     std::shared_ptr<Connection> connection;
@@ -211,11 +218,12 @@
 
 ConnectionHandlers Call::Impl::connectionHandlers()
 {
-    return {.matchesRequest = handlers.matchesRequest,
+    return {.matchesRequest = handlers->matchesRequest,
             .onHead =
                     [this](const ResponseHead &head) {
                         lastByteAt = EventLoop::now();
-                        handlers.onHead(head);
+                        const std::shared_ptr<const CallHandlers> shared = handlers;
+                        shared->onHead(head);
                     },
             .onData = [this](std::string_view data) { receive(data); },
             .onEnd =
@@ -239,20 +247,17 @@
         postEnd(CallOutcome::Broken);
         return;
     }
-    handlers.onData(data);
+    const std::shared_ptr<const CallHandlers> shared = handlers;
+    shared->onData(data);
 }
 
 void Call::Impl::connect()
 {
-    sockaddr_in address = toSocketAddress(endpoint);
+    const sockaddr_in address = toSocketAddress(endpoint);
     const h2o_socket_cb onEnd = [](h2o_socket_t *socket, const char *error) {
         static_cast<Call::Impl *>(socket->data)->onConnected(error);
     };
-    connecting = options.sourceAddress.empty()
-                         ? h2o_socket_connect(loop->impl().loop,
-                                              reinterpret_cast<sockaddr *>(&address),
-                                              sizeof(address), onEnd)
-                         : connectFrom(options.sourceAddress, loop->impl().loop, address, onEnd);
+    connecting = startConnecting(options.sourceAddress, loop->impl().loop, address, onEnd);
     if (connecting == nullptr) {
         postEnd(CallOutcome::NotSent);
         return;
@@ -280,7 +285,7 @@
     if (options.ackTimeout > Duration(0)) {
         setAckTimeout(h2o_socket_get_fd(socket), options.ackTimeout, options.probes.idle);
     }
-    connection = std::make_shared<Connection>(socket);
+    connection = std::make_shared<Connection>(socket, loop->impl().readBuffer);
     if (!sendsNothing) {
         send();
         return;
@@ -295,8 +300,8 @@
 {
     sent = true;
     lastByteAt = EventLoop::now();
-    if (handlers.onSent) {
-        handlers.onSent();
+    if (handlers->onSent) {
+        handlers->onSent();
     }
     if (options.ackTimeout > Duration(0)) {
         connection->setProbeInterval(options.probes.interval);
@@ -338,9 +343,8 @@
     }
     ended = true;
     loop->cancelTimer(timer);
-    // The handler may destroy this call, so a copy of it is called.
-    const std::function<void(CallOutcome)> onEnd = handlers.onEnd;
-    onEnd(outcome);
+    const std::shared_ptr<const CallHandlers> shared = handlers;
+    shared->onEnd(outcome);
 }
 
 void Call::Impl::cancel()
@@ -413,7 +417,7 @@
     call->loop = m_impl->loop;
     call->client = m_impl;
     call->endpoint = endpoint;
-    call->handlers = std::move(handlers);
+    call->handlers = std::make_shared<const CallHandlers>(std::move(handlers));
     call->options = m_impl->options;
     call->isHead = request.method == "HEAD";
     call->maxResponseBytes = request.maxResponseBytes;
@@ -438,7 +442,7 @@
     call->loop = m_impl->loop;
     call->client = m_impl;
     call->endpoint = endpoint;
-    call->handlers.onEnd = std::move(onEnd);
+    call->handlers = std::make_shared<const CallHandlers>(CallHandlers{.onEnd = std::move(onEnd)});
     call->options = m_impl->options;
     call->sendsNothing = true;
     std::unique_ptr<Call> result = std::make_unique<Call>(std::move(impl));
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -1,6 +1,7 @@
 #include "connection.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -33,7 +34,8 @@
 
 } // namespace
 
-Connection::Connection(h2o_socket_t *socket) : m_socket(socket)
+Connection::Connection(h2o_socket_t *socket, std::span<char> readBuffer)
+    : m_socket(socket), m_readBuffer(readBuffer)
 {
     m_socket->data = this;
 }
@@ -79,7 +81,7 @@
                                                          findHeader(head.headers, "keep-alive"));
                                                  m_isSkipping = m_handlers.matchesRequest
                                                                 && !m_handlers.matchesRequest(head);
-                                                 if (!m_isSkipping) {
+                                                 if (!m_isSkipping && m_isBusy) {
                                                      m_handlers.onHead(head);
                                                  }
                                              },
@@ -91,42 +93,68 @@
                                              }});
 }
 
-void Connection::read(const char *error)
+void Connection::onReadable()
 {
-    if (!m_isBusy) {
-        const std::function<void()> callback = std::move(m_onUnusable);
-        close();
-        if (callback) {
-            callback();
-        }
+    if (m_isBusy) {
+        read();
+        return;
+    }
+    const std::function<void()> callback = std::exchange(m_onUnusable, nullptr);
+    close();
+    if (callback) {
+        callback();
+    }
+}
+
+void Connection::read()
+{
+    const ssize_t size
+            = ::recv(h2o_socket_get_fd(m_socket), m_readBuffer.data(), m_readBuffer.size(), 0);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    if (error != nullptr) {
-        handleReadError(error);
+    if (size < 0) {
+        finish(ConnectionOutcome::Broken);
         return;
     }
-    while (m_isBusy && !isClosed() && m_socket->input->size > 0) {
+    if (size == 0) {
+        handleClosed();
+        return;
+    }
+    m_mayHaveUnread = static_cast<size_t>(size) == m_readBuffer.size();
+    std::string joined = std::exchange(m_unparsed, {});
+    std::string_view input(m_readBuffer.data(), static_cast<size_t>(size));
+    if (!joined.empty()) {
+        joined.append(input);
+        input = joined;
+    }
+    m_unparsed = parse(input);
+    // A chunk's size or an interim head, for example, that does not end.
+    if (m_isBusy && m_unparsed.size() > ResponseParser::maxHeadBytes) {
+        finish(ConnectionOutcome::Broken);
+    }
+}
+
+std::string_view Connection::parse(std::string_view input)
+{
+    while (!input.empty()) {
         boost::beast::error_code failure;
-        const size_t used = m_parser->put(
-                boost::asio::const_buffer(m_socket->input->bytes, m_socket->input->size), failure);
-        if (isClosed() || !m_isBusy) {
-            return;
+        const size_t used
+                = m_parser->put(boost::asio::const_buffer(input.data(), input.size()), failure);
+        if (!m_isBusy) {
+            return {};
         }
-        h2o_buffer_consume(&m_socket->input, used);
+        input.remove_prefix(used);
         if (failure == boost::beast::http::error::need_more) {
-            // A chunk's size or an interim head, for example, that does not end.
-            if (m_socket->input->size > ResponseParser::maxHeadBytes) {
-                finish(ConnectionOutcome::Broken);
-            }
-            return;
+            break;
         }
         if (failure) {
             finish(ConnectionOutcome::Broken);
-            return;
+            return {};
         }
         if (!m_parser->is_done()) {
             if (used == 0) {
-                return;
+                break;
             }
             continue;
         }
@@ -135,19 +163,24 @@
             continue;
         }
         // Bytes after the response belong to no request, so the connection is not reused.
-        const bool isClean = m_socket->input->size == 0 && !m_isWriting;
+        const bool isClean = input.empty() && !m_isWriting && !hasUnreadBytes();
         finish(isClean && !m_parser->mustClose() ? ConnectionOutcome::Reusable
                                                  : ConnectionOutcome::Closing);
+        return {};
     }
+    return input;
 }
 
-void Connection::handleReadError(const char *error)
+void Connection::handleClosed()
 {
     boost::beast::error_code failure;
     // A response without a length is complete when its connection is closed, but not if it is
     // reset.
-    if (error == h2o_socket_error_closed && m_parser->got_some() && !m_isSkipping) {
+    if (m_parser->got_some() && !m_isSkipping) {
         m_parser->put_eof(failure);
+        if (!m_isBusy) {
+            return;
+        }
         if (!failure && m_parser->is_done()) {
             finish(ConnectionOutcome::Closing);
             return;
@@ -162,16 +195,24 @@
     if (end != ConnectionOutcome::Reusable) {
         close();
     }
-    const std::function<void(ConnectionOutcome)> callback = std::move(m_handlers.onEnd);
+    const std::function<void(ConnectionOutcome)> callback
+            = std::exchange(m_handlers.onEnd, nullptr);
     callback(end);
 }
 
+bool Connection::hasUnreadBytes() const
+{
+    char byte = 0;
+    return m_mayHaveUnread
+           && ::recv(h2o_socket_get_fd(m_socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Connection::idle(std::function<void()> onUnusable)
 {
     m_onUnusable = std::move(onUnusable);
     m_parser.reset();
     m_handlers = {};
-    m_request.clear();
+    m_request = {};
     startReading();
 }
 
@@ -194,9 +235,10 @@
     if (isClosed() || h2o_socket_is_reading(m_socket)) {
         return;
     }
-    h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char *error) {
+    h2o_socket_read_start(m_socket, [](h2o_socket_t *socket, const char * /*error*/) {
+        // A handler may drop the last other reference.
         const std::shared_ptr<Connection> self = of(socket).shared_from_this();
-        self->read(error);
+        self->onReadable();
     });
 }
 
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -4,7 +4,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 
 #include "event_loop_impl.hpp"
 #include "response_parser.hpp"
@@ -31,16 +33,22 @@
     std::function<void(ConnectionOutcome)> onEnd;
 };
 
-/// @brief A connection to a target. Its handlers may close it.
+/// @brief A connection to a target.
+///
+/// Its handlers may close it and drop the last reference to it: buffer, parser and handlers are
+/// kept until the parser has returned, and no handler is called after close().
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    explicit Connection(h2o_socket_t *socket);
+    /// @param socket must have been created with H2O_SOCKET_FLAG_DONT_READ
+    /// @param readBuffer used during each read; may be shared with other connections of the loop
+    Connection(h2o_socket_t *socket, std::span<char> readBuffer);
     ~Connection();
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /// @brief Sends a request and reads its response.
+    /// @brief Sends a request and reads its response. The connection must be open and have no
+    /// exchange in progress, as in onEnd after a reusable response.
     void exchange(std::string request, bool isHead, ConnectionHandlers handlers);
 
     /// @brief Marks the connection as idle and watches it.
@@ -61,17 +69,26 @@
     static Connection &of(h2o_socket_t *socket);
     void beginResponse();
     void startReading();
-    void read(const char *error);
-    void handleReadError(const char *error);
+    void onReadable();
+    void read();
+    /// @return the bytes that the parser needs again together with those that follow
+    std::string_view parse(std::string_view input);
+    void handleClosed();
     void finish(ConnectionOutcome end);
+    [[nodiscard]] bool hasUnreadBytes() const;
     [[nodiscard]] bool isClosed() const { return m_socket == nullptr; }
 
     h2o_socket_t *m_socket;
+    std::span<char> m_readBuffer;
+    /// Received bytes that the parser could not use without those that follow.
+    std::string m_unparsed;
     std::string m_request;
     bool m_isHead = false;
     bool m_isWriting = false;
     bool m_isSkipping = false;
     bool m_isBusy = false;
+    /// The last read filled the buffer, so that the kernel may hold more.
+    bool m_mayHaveUnread = false;
     std::optional<ResponseParser> m_parser;
     ConnectionHandlers m_handlers;
     std::function<void()> m_onUnusable;
--- a/packages/http/src/teaseldrift/http/event_loop_impl.hpp
+++ b/packages/http/src/teaseldrift/http/event_loop_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -37,6 +38,8 @@
     std::multimap<Instant, Timer> timers;
     std::map<TimerId, std::multimap<Instant, Timer>::iterator> timersById;
     TimerId lastTimer = 0;
+    /// Holds what a connection of the client reads at once, while its parser runs.
+    std::array<char, 64U << 10U> readBuffer{};
 };
 
 /// @brief Converts a view to h2o's vector.
