--- a/packages/policy/src/teaseldrift/weights/desired_weights_history.cpp
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history.cpp
@@ -62,6 +62,19 @@
     return minVersion;
 }
 
+std::optional<Instant> DesiredWeightsHistory::latestStart(uint64_t version,
+                                                          Duration gracePeriod) const
+{
+    std::optional<Instant> latest;
+    for (const Entry &entry : m_entries) {
+        if (entry.version > version) {
+            const Instant end = entry.changedAt() + gracePeriod;
+            latest = latest ? std::min(*latest, end) : end;
+        }
+    }
+    return latest;
+}
+
 std::vector<DesiredWeights> DesiredWeightsHistory::observed() const
 {
     std::vector<DesiredWeights> observed;
--- a/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
@@ -93,4 +93,17 @@
     CHECK(history.minVersion(start + 20s, grace) == 3);
 }
 
+TEST_CASE("the first change to a newer version bounds the start on an older one")
+{
+    DesiredWeightsHistory history;
+    history.add(2, start, ChangeTimeSource::Observed, start);
+    CHECK(history.latestStart(1, grace) == start + grace);
+    CHECK_FALSE(history.latestStart(2, grace));
+    history.add(3, start + 3s, ChangeTimeSource::Observed, start + 3s);
+    history.add(4, start + 6s, ChangeTimeSource::Observed, start + 6s);
+    CHECK(history.latestStart(1, grace) == start + grace);
+    CHECK(history.latestStart(2, grace) == start + 3s + grace);
+    CHECK(history.latestStart(3, grace) == start + 6s + grace);
+}
+
 } // namespace teaseldrift
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -235,9 +235,14 @@
     /// @brief Availability zones that have VMs, except this VM's own zone.
     [[nodiscard]] std::set<std::string> otherZones() const;
 
-    /// @brief Oldest weights version of a model on which a request may start now.
+    /// @brief Oldest weights version of a model on which a request may be sent to a target now.
     [[nodiscard]] uint64_t minWeights(std::string_view model, Instant now) const;
 
+    /// @brief Latest time at which a request may begin on a version of a model's weights; empty if
+    /// no newer one is known.
+    [[nodiscard]] std::optional<Instant> latestStart(std::string_view model,
+                                                     uint64_t version) const;
+
     /// @brief Applies a controller's rollout plan; a superseded one is ignored.
     /// @param announcedAt when the controller last announced it
     void applyRolloutPlan(const RolloutPlan &plan, Instant announcedAt);
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -11,6 +11,7 @@
 #include "teaseldrift/relay/attempt_permit.hpp"
 #include "teaseldrift/relay/message.hpp"
 #include "teaseldrift/relay/relay_context.hpp"
+#include "teaseldrift/relay/start_deadline.hpp"
 #include "teaseldrift/streams/sse_parser.hpp"
 
 namespace teaseldrift::relay {
@@ -64,6 +65,8 @@
     void onPermitDecided(const StartAttempt &action, TargetLimitKey target, Duration maxWait,
                          const PermitDecision &decision);
     [[nodiscard]] TargetQuery makeQuery(const StartAttempt &action, Instant now);
+    [[nodiscard]] std::optional<TargetChoice> chooseTarget(TargetQuery &query, Instant now);
+    void withdrawAttempt(Instant now);
     void handleNoTarget(const StartAttempt &action, const TargetQuery &query, Instant now);
     void cancelAttempt();
     [[nodiscard]] bool isOfRequest(const http::ResponseHead &head) const;
@@ -117,6 +120,7 @@
     std::unique_ptr<RoutedCall> m_call;
     std::optional<TargetChoice> m_choice;
     AttemptPermit m_permit;
+    StartDeadline m_startDeadline;
     bool m_isPrefillFinished = false;
     /// The current attempt no longer counts as load of its target.
     bool m_isLoadDiscounted = false;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -114,7 +114,7 @@
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
       m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
       m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget),
-      m_permit(context.permits)
+      m_permit(context.permits), m_startDeadline(context.fleet)
 {
     const std::string &last = m_admitted.request.lastEventId;
     uint64_t number = 0;
@@ -200,8 +200,8 @@
             return;
         }
     }
-    const TargetQuery query = makeQuery(action, now);
-    m_choice = m_context.fleet.targetSelector().choose(m_context.fleet.directory(), query, now);
+    TargetQuery query = makeQuery(action, now);
+    m_choice = chooseTarget(query, now);
     if (!m_choice) {
         handleNoTarget(action, query, now);
         return;
@@ -255,6 +255,24 @@
                                    : std::string_view()};
 }
 
+/// Chooses a target at which the request is expected to begin while the target's weights may still
+/// be used.
+template <Dialect D>
+std::optional<TargetChoice> RequestTask<D>::chooseTarget(TargetQuery &query, Instant now)
+{
+    while (true) {
+        std::optional<TargetChoice> choice
+                = m_context.fleet.targetSelector().choose(m_context.fleet.directory(), query, now);
+        if (!choice
+            || !m_startDeadline.mayBeMissed(query.model, choice->weights, choice->expectedWait,
+                                            now)) {
+            return choice;
+        }
+        query.minWeights = choice->weights + 1;
+        m_minWeights = query.minWeights;
+    }
+}
+
 /// Continues the attempt when the permit is granted or refused. The attempt remains without a
 /// target meanwhile, so that only its deadline ends it.
 template <Dialect D>
@@ -438,6 +456,7 @@
     if (action.id > 1) {
         m_context.metrics.counter({"teaseldrift_retries_total", "service", m_service}).add();
     }
+    m_startDeadline.start(request.model, m_choice->weights, now);
     std::weak_ptr<RequestTask> weak = this->weak_from_this();
     const AttemptId id = action.id;
     m_call = m_context.targets.start(
@@ -489,6 +508,7 @@
 void RequestTask<D>::endAttempt(bool isPrefillFinished)
 {
     m_permit.end(http::EventLoop::now());
+    m_startDeadline.clear();
     if (m_choice && !m_isLoadDiscounted) {
         m_context.fleet.targetSelector().ended(*m_choice, isPrefillFinished);
     }
@@ -522,6 +542,22 @@
     endAttempt(m_isPrefillFinished);
 }
 
+/// Takes a request back that has not begun at its target in time. It may begin just now, so it
+/// counts as one that may have run.
+template <Dialect D>
+void RequestTask<D>::withdrawAttempt(Instant now)
+{
+    m_context.metrics.counter({"teaseldrift_attempts_withdrawn_total", "service", m_service}).add();
+    m_context.log.write(telemetry::EventPriority::Important, "attempt_withdrawn",
+                        {{"request_id", std::string_view(m_admitted.request.id)},
+                         {"attempt", static_cast<int64_t>(m_machine.attempts())},
+                         {"target", std::string_view(m_choice->id)},
+                         {"weights", static_cast<int64_t>(m_choice->weights)},
+                         {"expected_wait_ms", toSeconds(m_expectedWait) * 1e3},
+                         {"after_ms", toSeconds(now - m_sentAt) * 1e3}});
+    perform(m_machine.attemptFailed(m_machine.attempts(), now));
+}
+
 template <Dialect D>
 void RequestTask<D>::recordResponse(const ResponseMetadata &metadata, int status, Instant now)
 {
@@ -622,6 +658,9 @@
     m_throughVm = m_call->vmId();
     m_responseMetadata = std::move(metadata);
     m_status = head.status;
+    if (!isStreaming()) {
+        m_startDeadline.clear();
+    }
     m_endsWithConnection = http::findHeader(head.headers, "content-length").empty()
                            && http::findHeader(head.headers, "transfer-encoding").empty();
     const RequestActions actions
@@ -666,6 +705,7 @@
     SseEvent event;
     while (m_events.next(event)) {
         m_hasEvents = true;
+        m_startDeadline.clear();
         uint64_t number = 0;
         const bool isNumbered
                 = event.hasId
@@ -864,6 +904,9 @@
     if (const std::optional<Instant> next = m_machine.nextDeadline()) {
         due = std::min(due, *next);
     }
+    if (const std::optional<Instant> next = m_startDeadline.nextCheck()) {
+        due = std::min(due, *next);
+    }
     std::weak_ptr<RequestTask> weak = this->weak_from_this();
     m_timer = m_context.loop.startTimer(due - http::EventLoop::now(), [weak] {
         if (const std::shared_ptr<RequestTask> task = weak.lock()) {
@@ -886,6 +929,10 @@
         end("deadline_in_stream", m_status);
         return;
     }
+    if (now < deadline() && m_choice && m_startDeadline.hasPassed(now)) {
+        withdrawAttempt(now);
+        return;
+    }
     const bool isStopping = m_answerBy && now >= *m_answerBy;
     perform(isStopping ? m_machine.drainDeadlineExpired(now) : m_machine.timerExpired(now));
 }
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -208,7 +208,8 @@
 
 uint64_t FleetState::minWeights(std::string_view model, Instant now) const
 {
-    // Covers the network delay to the target and the wait in its queue.
+    // Covers the network delay to the target and an ordinary wait in its queue. A request that
+    // waits for longer is withdrawn, see StartDeadline.
     constexpr Duration margin = 1500ms;
     const auto found = m_desiredWeights.find(model);
     return found == m_desiredWeights.end()
@@ -216,6 +217,14 @@
                    : found->second.minVersion(now, m_options.olderWeightsGracePeriod - margin);
 }
 
+std::optional<Instant> FleetState::latestStart(std::string_view model, uint64_t version) const
+{
+    const auto found = m_desiredWeights.find(model);
+    return found == m_desiredWeights.end()
+                   ? std::nullopt
+                   : found->second.latestStart(version, m_options.olderWeightsGracePeriod);
+}
+
 void FleetState::updateLoadedWeights(std::string_view target, std::string_view model,
                                      uint64_t version)
 {
