One budget for what a process buffers of messages: answers without end no longer use up its memory

Here one answer had a bound (8 MiB; teaseldriftd: 64 MiB), a process had none.

Ruled out: pausing alone, which keeps what an answer that never ends holds.

--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -11,6 +11,7 @@
 
 namespace teaseldrift::http {
 
+class BufferBudget;
 class EventLoop;
 
 /// @brief A request to a target.
@@ -126,6 +127,8 @@
     KeepAliveProbes probes;
     /// IPv4 address that connections come from; empty for the one that the kernel selects.
     std::string sourceAddress = {};
+    /// Budget for what is buffered of responses; null for no limit. Must outlive the client.
+    BufferBudget *buffers = nullptr;
 };
 
 /// @brief An HTTP/1.1 client on one event loop.
@@ -149,6 +152,9 @@
     [[nodiscard]] std::unique_ptr<Call> connect(const Endpoint &endpoint,
                                                 std::function<void(CallOutcome)> onEnd);
 
+    /// @brief ClientOptions::buffers.
+    [[nodiscard]] BufferBudget *buffers() const;
+
     /// @brief Closes the idle connections to an endpoint.
     void closeIdleConnections(const Endpoint &endpoint);
 
--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -14,6 +14,7 @@
 
 namespace teaseldrift::http {
 
+class BufferBudget;
 class EventLoop;
 
 /// @brief Endpoint, limits and certificate of a server.
@@ -37,6 +38,9 @@
     /// Returns headers to add to the error responses that the server sends itself, without calling
     /// the handler: 400 for a malformed head, 413 for a body over the limit.
     std::function<Headers(int status)> errorHeaders;
+    /// Budget for what callers have not read yet of their responses; null for no limit. Must
+    /// outlive the server and its exchanges.
+    BufferBudget *buffers = nullptr;
 };
 
 /// @brief A caller's request and its response.
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "teaseldrift/http/buffer_budget.hpp"
+
 namespace teaseldrift::http {
 
 struct BufferedClient::Impl
@@ -13,6 +15,7 @@
         std::unique_ptr<Call> call;
         EventLoop::TimerId timer = 0;
         BufferedResponse response;
+        std::unique_ptr<BufferAccount> account;
         Handler handler;
     };
 
@@ -48,6 +51,8 @@
     const uint64_t number = ++impl.lastCall;
     Impl::Pending &entry = impl.pending[number];
     entry.handler = std::move(handler);
+    entry.account = std::make_unique<BufferAccount>(
+            impl.client.buffers(), [&impl, number] { impl.finish(number, CallOutcome::Broken); });
     entry.timer = impl.loop.startTimer(
             timeout, [&impl, number] { impl.finish(number, CallOutcome::Broken); });
     entry.call = impl.client.start(
@@ -64,6 +69,7 @@
                      [&impl, number](std::string_view data) {
                          if (Impl::Pending *open = impl.find(number)) {
                              open->response.body.append(data);
+                             open->account->set(open->response.body.capacity());
                          }
                      },
              .onEnd = [&impl, number](CallOutcome end) { impl.finish(number, end); }});
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -285,7 +285,7 @@
     if (options.ackTimeout > Duration(0)) {
         setAckTimeout(h2o_socket_get_fd(socket), options.ackTimeout, options.probes.idle);
     }
-    connection = std::make_shared<Connection>(socket, loop->impl().readBuffer);
+    connection = std::make_shared<Connection>(socket, loop->impl().readBuffer, options.buffers);
     if (!sendsNothing) {
         send();
         return;
@@ -450,6 +450,11 @@
     return result;
 }
 
+BufferBudget *Client::buffers() const
+{
+    return m_impl->options.buffers;
+}
+
 void Client::closeIdleConnections(const Endpoint &endpoint)
 {
     m_impl->idle.erase(endpoint);
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -34,8 +34,12 @@
 
 } // namespace
 
-Connection::Connection(h2o_socket_t *socket, std::span<char> readBuffer)
-    : m_socket(socket), m_readBuffer(readBuffer)
+Connection::Connection(h2o_socket_t *socket, std::span<char> readBuffer, BufferBudget *buffers)
+    : m_socket(socket), m_readBuffer(readBuffer), m_account(buffers, [this] {
+          const std::shared_ptr<Connection> self = shared_from_this();
+          m_unparsed = {};
+          finish(ConnectionOutcome::Broken);
+      })
 {
     m_socket->data = this;
 }
@@ -133,6 +137,7 @@
     if (m_isBusy && m_unparsed.size() > ResponseParser::maxHeadBytes) {
         finish(ConnectionOutcome::Broken);
     }
+    m_account.set(m_unparsed.size());
 }
 
 std::string_view Connection::parse(std::string_view input)
@@ -256,6 +261,8 @@
 void Connection::close()
 {
     m_isBusy = false;
+    m_unparsed = {};
+    m_account.set(0);
     if (m_socket != nullptr) {
         h2o_socket_close(std::exchange(m_socket, nullptr));
     }
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -10,6 +10,7 @@
 
 #include "event_loop_impl.hpp"
 #include "response_parser.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/client.hpp"
 
 namespace teaseldrift::http {
@@ -42,7 +43,8 @@
 public:
     /// @param socket must have been created with H2O_SOCKET_FLAG_DONT_READ
     /// @param readBuffer used during each read; may be shared with other connections of the loop
-    Connection(h2o_socket_t *socket, std::span<char> readBuffer);
+    /// @param buffers budget for what is kept between reads; null for no limit
+    Connection(h2o_socket_t *socket, std::span<char> readBuffer, BufferBudget *buffers);
     ~Connection();
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -82,6 +84,7 @@
     std::span<char> m_readBuffer;
     /// Received bytes that the parser could not use without those that follow.
     std::string m_unparsed;
+    BufferAccount m_account;
     std::string m_request;
     bool m_isHead = false;
     bool m_isWriting = false;
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "event_loop_impl.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
 namespace teaseldrift::http {
@@ -38,12 +39,14 @@
     bool ended = false;
     size_t *openCount = nullptr;
     std::weak_ptr<Exchange> self;
+    std::unique_ptr<BufferAccount> account;
     std::function<void()> onDrained;
     std::function<void()> onDisconnected;
 
     void send();
     void end(h2o_send_state_t state);
     void requestEnded();
+    [[nodiscard]] size_t bufferedBytes() const { return pending.capacity() + inFlight.capacity(); }
 };
 
 namespace {
@@ -84,9 +87,10 @@
     Exchange::Impl &impl = *reinterpret_cast<Exchange::Impl::Generator *>(generator)->owner;
     const std::shared_ptr<Exchange> guard = impl.self.lock();
     impl.sending = false;
-    impl.inFlight.clear();
+    impl.inFlight = {};
     impl.lastProgress = EventLoop::now();
     impl.send();
+    impl.account->set(impl.bufferedBytes());
     if (!impl.sending && !impl.ended && impl.onDrained) {
         const std::function<void()> callback = impl.onDrained;
         callback();
@@ -153,6 +157,9 @@
     }
     const bool complete = ended && !aborting;
     ended = true;
+    pending = {};
+    inFlight = {};
+    account->set(0);
     const std::function<void()> callback = std::move(onDisconnected);
     onDisconnected = nullptr;
     onDrained = nullptr;
@@ -234,8 +241,11 @@
     if (m_impl->request == nullptr || m_impl->ended) {
         return 0;
     }
+    // The callbacks of an aborted exchange may drop the last reference.
+    const std::shared_ptr<Exchange> guard = m_impl->self.lock();
     m_impl->pending.append(data);
     m_impl->send();
+    m_impl->account->set(m_impl->bufferedBytes());
     return pendingBytes();
 }
 
@@ -251,7 +261,7 @@
         return;
     }
     m_impl->aborting = true;
-    m_impl->pending.clear();
+    m_impl->pending = {};
     if (m_impl->sending || !m_impl->streaming) {
         // A write is blocked or no response was started: only closing the connection ends it.
         const int descriptor = connectionDescriptor(m_impl->request);
@@ -503,6 +513,11 @@
         impl->openCount = &server.openExchanges;
         ++server.openExchanges;
         Exchange::Impl *raw = impl.get();
+        impl->account = std::make_unique<BufferAccount>(server.options.buffers, [raw] {
+            if (const std::shared_ptr<Exchange> caller = raw->self.lock()) {
+                caller->abort();
+            }
+        });
         std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(std::move(impl));
         raw->self = exchange;
         ExchangeHolder *holder = static_cast<ExchangeHolder *>(
--- a/packages/policy/include/teaseldrift/streams/sse_parser.hpp
+++ b/packages/policy/include/teaseldrift/streams/sse_parser.hpp
@@ -50,6 +50,9 @@
     /// @brief Whether the buffer contains unparsed bytes.
     [[nodiscard]] bool hasPartialEvent() const { return m_begin < m_buffer.size(); }
 
+    /// @brief Bytes that belong to no complete event yet.
+    [[nodiscard]] size_t bufferedBytes() const { return m_buffer.size() - m_begin; }
+
     /// @brief Discards all buffered bytes and the error state.
     void reset();
 
@@ -57,6 +60,7 @@
     void readEvent(std::string_view lines, SseEvent &event);
     void appendData(std::string_view value, SseEvent &event);
     void compact();
+    void releaseUnused();
 
     size_t m_maxEventBytes;
     std::string m_buffer;
--- a/packages/policy/include/teaseldrift/streams/stream_relay.hpp
+++ b/packages/policy/include/teaseldrift/streams/stream_relay.hpp
@@ -73,6 +73,9 @@
     /// @param out complete events for the caller are appended to it
     StreamProgress feed(std::string_view bytes, std::string &out);
 
+    /// @brief Bytes that belong to no complete event yet.
+    [[nodiscard]] size_t bufferedBytes() const { return m_parser.bufferedBytes(); }
+
     /// @brief Number of positions forwarded so far.
     [[nodiscard]] uint64_t position() const { return m_position; }
 
--- a/packages/policy/src/teaseldrift/streams/sse_parser.cpp
+++ b/packages/policy/src/teaseldrift/streams/sse_parser.cpp
@@ -55,6 +55,7 @@
         return false;
     }
     if (end == std::string::npos) {
+        releaseUnused();
         return false;
     }
     readEvent(std::string_view(m_buffer).substr(m_begin, end - m_begin), event);
@@ -71,6 +72,17 @@
     m_isEventTooLarge = false;
 }
 
+/// Most streams have small events, and thousands of them may be open.
+void SseParser::releaseUnused()
+{
+    constexpr size_t maxUnusedBytes = 8U << 10U;
+    if (!hasPartialEvent() && m_buffer.capacity() > maxUnusedBytes) {
+        m_buffer = {};
+        m_begin = 0;
+        m_scanned = 0;
+    }
+}
+
 void SseParser::compact()
 {
     if (m_begin == 0) {
--- a/packages/relay/include/teaseldrift/relay/relay_context.hpp
+++ b/packages/relay/include/teaseldrift/relay/relay_context.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
@@ -23,6 +24,8 @@
     TargetPermits &permits;
     telemetry::EventLog &log;
     telemetry::Metrics &metrics;
+    /// For what requests hold of responses; null for no limit.
+    http::BufferBudget *buffers = nullptr;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -67,6 +67,7 @@
     [[nodiscard]] TargetQuery makeQuery(const StartAttempt &action, Instant now);
     [[nodiscard]] std::optional<TargetChoice> chooseTarget(TargetQuery &query, Instant now);
     void withdrawAttempt(Instant now);
+    void giveUpResponse(std::string_view reason);
     void handleNoTarget(const StartAttempt &action, const TargetQuery &query, Instant now);
     void cancelAttempt();
     [[nodiscard]] bool isOfRequest(const http::ResponseHead &head) const;
@@ -140,6 +141,8 @@
     http::Headers m_responseHeaders;
     std::string m_body;
     SseParser m_events;
+    /// Of the budget, for `m_body` and `m_events`.
+    http::BufferAccount m_buffers;
     /// Highest event id delivered to the caller; empty before the first.
     std::optional<uint64_t> m_lastEventId;
     bool m_callerHasHead = false;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -114,7 +114,10 @@
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
       m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
       m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget),
-      m_permit(context.permits), m_startDeadline(context.fleet)
+      m_permit(context.permits), m_startDeadline(context.fleet), m_buffers(context.buffers, [this] {
+          const std::shared_ptr<RequestTask> task = this->shared_from_this();
+          giveUpResponse("buffer_budget");
+      })
 {
     const std::string &last = m_admitted.request.lastEventId;
     uint64_t number = 0;
@@ -437,8 +440,9 @@
                           .authority = request.host,
                           .headers = m_dialect.targetHeaders(request, metadata),
                           .body = std::string(m_exchange->body())};
-    m_events.reset();
-    m_body.clear();
+    m_events = SseParser();
+    m_body = {};
+    m_buffers.set(0);
     m_responseMetadata = {};
     m_status = 0;
     m_isPrefillFinished = false;
@@ -688,13 +692,43 @@
     if (isStreaming()) {
         m_events.append(data);
         forwardEvents(id);
+        if (m_machine.isCurrent(id)) {
+            m_buffers.set(m_events.bufferedBytes());
+        }
         return;
     }
     m_machine.bytesReceived(id, http::EventLoop::now());
     m_body.append(data);
     if (m_body.size() > maxResponseBytes) {
-        perform(m_machine.attemptFailed(id, http::EventLoop::now()));
+        giveUpResponse("response_too_large");
+        return;
     }
+    m_buffers.set(m_body.capacity());
+}
+
+/// Ends an attempt whose response takes too much memory, which may have no end.
+template <Dialect D>
+void RequestTask<D>::giveUpResponse(std::string_view reason)
+{
+    const Instant now = http::EventLoop::now();
+    const AttemptId id = m_machine.attempts();
+    if (m_isEnded || !m_choice || !m_machine.isCurrent(id)) {
+        return;
+    }
+    m_context.metrics.counter({"teaseldrift_responses_given_up_total", "reason", reason}).add();
+    m_context.log.write(
+            telemetry::EventPriority::Important, "response_given_up",
+            {{"request_id", std::string_view(m_admitted.request.id)},
+             {"target", std::string_view(m_choice->id)},
+             {"reason", reason},
+             {"status", static_cast<int64_t>(m_status)},
+             {"bytes", static_cast<int64_t>(std::max(m_body.size(), m_events.bufferedBytes()))}});
+    m_context.fleet.targetSelector().health().report(m_choice->id,
+                                                     HealthObservation::ConnectionBroken, now);
+    m_body = {};
+    m_events = SseParser();
+    m_buffers.set(0);
+    perform(m_machine.attemptFailed(id, now));
 }
 
 template <Dialect D>
@@ -726,7 +760,7 @@
         out += event.raw;
     }
     if (m_events.isEventTooLarge()) {
-        perform(m_machine.attemptFailed(id, now));
+        giveUpResponse("event_too_large");
         return;
     }
     if (out.empty()) {
@@ -742,7 +776,11 @@
         m_callerHasHead = true;
         m_exchange->startStream(m_status, m_responseHeaders);
     }
-    if (m_exchange->write(out) > maxPendingBytes && m_call) {
+    const size_t unread = m_exchange->write(out);
+    if (!m_machine.isCurrent(id)) {
+        return;
+    }
+    if (unread > maxPendingBytes && m_call) {
         m_call->pause();
     }
     armTimer();
@@ -953,6 +991,7 @@
         return;
     }
     m_isEnded = true;
+    m_buffers.set(0);
     m_permit.refund();
     const Instant now = http::EventLoop::now();
     m_context.loop.cancelTimer(m_timer);
--- a/packages/router/include/teaseldrift/router/frontend.hpp
+++ b/packages/router/include/teaseldrift/router/frontend.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/router/routing_table.hpp"
 #include "teaseldrift/schema/settings.pb.h"
 
@@ -38,6 +39,8 @@
     EntryVmSelector &entrySelector;
     QuarantineTask &quarantine;
     TargetPermits &permits;
+    /// For what requests hold of responses; null for no limit.
+    http::BufferBudget *buffers = nullptr;
     /// Seed of request ids.
     uint64_t seed = 0;
 };
--- a/packages/router/include/teaseldrift/router/request_task.hpp
+++ b/packages/router/include/teaseldrift/router/request_task.hpp
@@ -9,6 +9,7 @@
 
 #include "teaseldrift/attempts/retry_budget.hpp"
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/message.hpp"
 #include "teaseldrift/router/target_pool.hpp"
 #include "teaseldrift/schema/configuration.pb.h"
@@ -36,6 +37,8 @@
     RouterMetrics &metrics;
     QuarantineTask &quarantine;
     TargetPermits &permits;
+    /// For what requests hold of responses; null for no limit.
+    http::BufferBudget *buffers = nullptr;
     /// Bytes buffered for a slow caller before reading from the target is paused.
     size_t streamBufferBytes = 65536;
     /// Time without progress after which a caller with pending data is disconnected.
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -7,6 +7,7 @@
 #include "teaseldrift/configuration/settings_lookup.hpp"
 #include "teaseldrift/fleet/configuration_task.hpp"
 #include "teaseldrift/fleet/peer_network.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
 #include "teaseldrift/router/allowance_task.hpp"
@@ -46,7 +47,8 @@
     return {};
 }
 
-http::ServerOptions serverOptions(const schema::RouterSettings &settings)
+http::ServerOptions serverOptions(const schema::RouterSettings &settings,
+                                  http::BufferBudget &buffers)
 {
     return {
             .endpoint = {.address = settings.caller_address(),
@@ -56,6 +58,7 @@
             .certificateFile = settings.tls_certificate_file(),
             .keyFile = settings.tls_key_file(),
             .errorHeaders = resultHeaders,
+            .buffers = &buffers,
     };
 }
 
@@ -86,6 +89,8 @@
 
     schema::RouterSettings settings;
     DaemonIdentity identity;
+    /// Outlives the tasks that the event loop holds.
+    http::BufferBudget buffers;
     http::EventLoop loop;
     RouterMetrics metrics;
     store::EtcdStore store;
@@ -108,6 +113,7 @@
 
     Impl(schema::RouterSettings daemonSettings, DaemonIdentity daemonIdentity)
         : settings(std::move(daemonSettings)), identity(daemonIdentity),
+          buffers(settings.buffer_budget_bytes()),
           store(loop, endpointOf(settings.store_address())),
           vmList(loop, endpointOf(settings.vm_list_address())),
           peers(peerOptions(settings, identity.incarnation),
@@ -128,10 +134,12 @@
                                                             .entrySelector = entrySelector,
                                                             .quarantine = quarantine,
                                                             .permits = permits,
+                                                            .buffers = &buffers,
                                                             .seed = identity.seed}),
-          server(loop, serverOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) {
-              frontend.handle(std::move(exchange));
-          })
+          server(loop, serverOptions(settings, buffers),
+                 [this](std::shared_ptr<http::Exchange> exchange) {
+                     frontend.handle(std::move(exchange));
+                 })
     { }
 
     void startConfiguration();
--- a/packages/router/src/teaseldrift/router/frontend.cpp
+++ b/packages/router/src/teaseldrift/router/frontend.cpp
@@ -347,6 +347,7 @@
             .metrics = context.metrics,
             .quarantine = context.quarantine,
             .permits = context.permits,
+            .buffers = context.buffers,
             .streamBufferBytes = context.settings.stream_buffer_bytes(),
             .callerIdleTimeout = std::chrono::milliseconds(context.settings.caller_idle_ms()),
             .debugHeaders = context.settings.debug_headers(),
--- a/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
+++ b/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
@@ -219,6 +219,13 @@
         context.metrics.registry().setGauge(
                 {"teaseldrift_allowance_messages_refused"},
                 static_cast<double>(context.allowance.refusedMessages()));
+        if (context.buffers != nullptr) {
+            context.metrics.registry().setGauge(
+                    {"teaseldrift_buffered_bytes"},
+                    static_cast<double>(context.buffers->bufferedBytes()));
+            context.metrics.registry().setGauge({"teaseldrift_buffers_given_up_total"},
+                                                static_cast<double>(context.buffers->givenUp()));
+        }
         context.metrics.registry().setGauge({"teaseldrift_limited_targets"},
                                             static_cast<double>(context.permits.limitedTargets()));
         exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
--- a/packages/router/src/teaseldrift/router/frontend_impl.hpp
+++ b/packages/router/src/teaseldrift/router/frontend_impl.hpp
@@ -61,7 +61,8 @@
     explicit Impl(const FrontendContext &frontendContext)
         : context(frontendContext), generator(frontendContext.seed),
           client(frontendContext.loop, {.connectTimeout = std::chrono::milliseconds(
-                                                frontendContext.settings.connect_timeout_ms())})
+                                                frontendContext.settings.connect_timeout_ms()),
+                                        .buffers = frontendContext.buffers})
     { }
 
     void refuse(const IncomingRequest &request, schema::ResultCode code,
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -201,6 +201,7 @@
 void RequestTask::Impl::send(AttemptId id, const http::Endpoint &endpoint)
 {
     response = {};
+    buffers.set(0);
     answerBeganAt.reset();
     isAnswerRecorded = false;
     isStreamResponse = false;
@@ -252,14 +253,33 @@
     }
     if (isStreamResponse) {
         onStreamData(id, data);
+        if (!done && machine.isCurrent(id)) {
+            buffers.set(relay.bufferedBytes());
+        }
         return;
     }
     response.body.append(data);
     if (response.body.size() > services.maxResponseBytes) {
-        perform(machine.attemptFailed(id, http::EventLoop::now()));
+        giveUpResponse("response_too_large");
         return;
     }
     machine.bytesReceived(id, http::EventLoop::now());
+    buffers.set(response.body.capacity());
+}
+
+/// Ends an attempt whose response takes too much memory, which may have no end.
+void RequestTask::Impl::giveUpResponse(std::string_view reason)
+{
+    if (done || !machine.isCurrent(attempt)) {
+        return;
+    }
+    services.metrics.registry()
+            .counter({"teaseldrift_responses_given_up_total", "reason", reason})
+            .add();
+    response.body = {};
+    buffers.set(0);
+    releaseTarget(HealthObservation::ConnectionBroken);
+    perform(machine.attemptFailed(attempt, http::EventLoop::now()));
 }
 
 void RequestTask::Impl::onStreamData(AttemptId id, std::string_view data)
--- a/packages/router/src/teaseldrift/router/request_task_caller.cpp
+++ b/packages/router/src/teaseldrift/router/request_task_caller.cpp
@@ -154,6 +154,7 @@
         return;
     }
     done = true;
+    buffers.set(0);
     if (pendingAcquisition.has_value()) {
         services.targets.cancel(*pendingAcquisition);
         pendingAcquisition.reset();
--- a/packages/router/src/teaseldrift/router/request_task_impl.hpp
+++ b/packages/router/src/teaseldrift/router/request_task_impl.hpp
@@ -6,6 +6,7 @@
 
 #include "response_parsing.hpp"
 #include "teaseldrift/attempts/request_state_machine.hpp"
+#include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
@@ -29,6 +30,8 @@
     RequestStateMachine machine;
     StreamRelay relay;
     std::weak_ptr<RequestTask> self;
+    /// Of the budget, for `response.body` and the stream's incomplete event.
+    http::BufferAccount buffers;
 
     /// The current attempt.
     AttemptId attempt = 0;
@@ -66,7 +69,11 @@
          std::function<void(const RequestOutcome &)> doneHandler)
         : services(requestServices), exchange(std::move(callerExchange)),
           spec(std::move(requestSpec)), onDone(std::move(doneHandler)),
-          machine(machineOptions(spec), budget), relay(relayOptions(spec))
+          machine(machineOptions(spec), budget), relay(relayOptions(spec)),
+          buffers(services.buffers, [this] {
+              const std::shared_ptr<RequestTask> task = self.lock();
+              giveUpResponse("buffer_budget");
+          })
     { }
 
     void perform(const RequestActions &actions);
@@ -88,6 +95,7 @@
     void onHead(AttemptId id, const http::ResponseHead &head);
     void onData(AttemptId id, std::string_view data);
     void onStreamData(AttemptId id, std::string_view data);
+    void giveUpResponse(std::string_view reason);
     void onEnd(AttemptId id, http::CallOutcome end);
     void forwardEvents(const std::string &events, uint64_t count);
     void startStream();
--- a/testing/processes/requests_test.cpp
+++ b/testing/processes/requests_test.cpp
@@ -1,4 +1,9 @@
+#include <algorithm>
 #include <csignal>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -50,6 +55,21 @@
     return engines;
 }
 
+/// Largest resident memory that a process has had, in bytes.
+size_t residentPeak(pid_t process)
+{
+    constexpr std::string_view name = "VmHWM:";
+    constexpr size_t kibibyte = 1024;
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) * kibibyte;
+        }
+    }
+    return 0;
+}
+
 uint64_t keysSeen(FleetFixture &fleet, const http::Endpoint &target)
 {
     return json::parse(fleet.caller.fetch(target, {.path = "/runs"}).body)
@@ -72,6 +92,36 @@
     CHECK(keysSeen(fleet, fleet.plainService(0)) == 0);
 }
 
+// Guards against a process that buffers answers without end until it runs out of memory.
+TEST_CASE("answers without end stay within the buffer budget of a VM")
+{
+    constexpr size_t mebibyte = 1U << 20U;
+    FleetFixture fleet({.vms = 1,
+                        .engines = 1,
+                        .vmArguments = {"--buffer-budget-bytes", std::to_string(8 * mebibyte)}});
+    CHECK(fleet.caller.fetch(fleet.vm(0), {.path = "/public/a"}).status == 200);
+    const size_t before = residentPeak(fleet.vmProcess(0).pid());
+    fleet.caller.fetch(fleet.plainService(0),
+                       {.method = "POST", .path = "/fault", .body = R"({"mode": "endless"})"});
+    constexpr size_t requests = 24;
+    std::vector<std::shared_ptr<ReceivedResponse>> responses;
+    for (size_t i = 0; i < requests; ++i) {
+        responses.push_back(fleet.caller.start(fleet.vm(0), {.path = "/public/a"}));
+    }
+    CHECK(fleet.caller.waitFor([&responses] {
+        return std::all_of(
+                responses.begin(), responses.end(),
+                [](const std::shared_ptr<ReceivedResponse> &response) { return response->ended; });
+    }));
+    for (const std::shared_ptr<ReceivedResponse> &response : responses) {
+        CHECK(response->status >= 500);
+    }
+    CHECK(residentPeak(fleet.vmProcess(0).pid()) - before < 64 * mebibyte);
+    const std::string metrics = fleet.caller.fetch(fleet.vm(0), {.path = "/metrics"}).body;
+    CHECK(metrics.find("teaseldrift_responses_given_up_total{reason=\"buffer_budget\"}")
+          != std::string::npos);
+}
+
 TEST_CASE("an invalid request is rejected with its result code and not run")
 {
     FleetFixture fleet({.vms = 1, .engines = 1, .vmArguments = {"--max-body-bytes", "4096"}});
--- a/testing/standins/plain_service.cpp
+++ b/testing/standins/plain_service.cpp
@@ -36,6 +36,8 @@
     NoResponse,
     /// Runs the call after a delay.
     Slow,
+    /// Runs the call and sends a response that does not end.
+    Endless,
     /// Responds with 503 without running the call.
     Reject,
 };
@@ -51,6 +53,9 @@
     if (mode == "silent") {
         return Fault::NoResponse;
     }
+    if (mode == "endless") {
+        return Fault::Endless;
+    }
     if (mode == "slow") {
         return Fault::Slow;
     }
@@ -157,6 +162,8 @@
             exchange->abort();
         } else if (fault == Fault::NoResponse) {
             m_withoutResponse.push_back(exchange);
+        } else if (fault == Fault::Endless) {
+            respondWithoutEnd(exchange);
         } else {
             exchange->respond(jsonResponse(200, {{"call_id", id},
                                                  {"run", count},
@@ -166,6 +173,19 @@
         }
     }
 
+    static void respondWithoutEnd(const std::shared_ptr<http::Exchange> &exchange)
+    {
+        constexpr size_t partBytes = 256U << 10U;
+        exchange->startStream(200, {});
+        const std::weak_ptr<http::Exchange> weak = exchange;
+        exchange->onDrained([weak] {
+            if (const std::shared_ptr<http::Exchange> open = weak.lock()) {
+                open->write(std::string(partBytes, 'x'));
+            }
+        });
+        exchange->write(std::string(partBytes, 'x'));
+    }
+
     [[nodiscard]] http::Response runs() const
     {
         uint64_t total = 0;
