--- a/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
+++ b/packages/policy/include/teaseldrift/weights/desired_weights_history.hpp
@@ -49,7 +49,8 @@
     /// @param gracePeriod time after a change during which requests may start on older weights
     [[nodiscard]] uint64_t minVersion(Instant now, Duration gracePeriod) const;
 
-    /// @brief Latest time at which a request may start on a version; empty if no newer one is known.
+    /// @brief Latest time at which a request may start on a version; empty if no newer one is
+    /// known.
     /// @param gracePeriod as for minVersion()
     [[nodiscard]] std::optional<Instant> latestStart(uint64_t version, Duration gracePeriod) const;
 
