A response that is given up frees its memory at once, not when its request ends

Found on reading the change again: an empty string that is assigned keeps the memory of the former one, so that requests which wait for their next attempt held up to 8 MiB each, outside of the budget.

Before: the new case of endless_answers_test failed, 40 requests made the process 287 MB larger (64 MiB allowed). After: it passes, and the other cases of the file do.

--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "teaseldrift/base/release_memory.hpp"
+
 namespace teaseldrift::http {
 
 namespace {
@@ -37,7 +39,7 @@
 Connection::Connection(h2o_socket_t *socket, std::span<char> readBuffer, BufferBudget *buffers)
     : m_socket(socket), m_readBuffer(readBuffer), m_account(buffers, [this] {
           const std::shared_ptr<Connection> self = shared_from_this();
-          m_unparsed = {};
+          releaseMemory(m_unparsed);
           finish(ConnectionOutcome::Broken);
       })
 {
@@ -217,7 +219,7 @@
     m_onUnusable = std::move(onUnusable);
     m_parser.reset();
     m_handlers = {};
-    m_request = {};
+    releaseMemory(m_request);
     startReading();
 }
 
@@ -261,7 +263,7 @@
 void Connection::close()
 {
     m_isBusy = false;
-    m_unparsed = {};
+    releaseMemory(m_unparsed);
     m_account.set(0);
     if (m_socket != nullptr) {
         h2o_socket_close(std::exchange(m_socket, nullptr));
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "event_loop_impl.hpp"
+#include "teaseldrift/base/release_memory.hpp"
 #include "teaseldrift/http/buffer_budget.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 
@@ -87,7 +88,7 @@
     Exchange::Impl &impl = *reinterpret_cast<Exchange::Impl::Generator *>(generator)->owner;
     const std::shared_ptr<Exchange> guard = impl.self.lock();
     impl.sending = false;
-    impl.inFlight = {};
+    releaseMemory(impl.inFlight);
     impl.lastProgress = EventLoop::now();
     impl.send();
     impl.account->set(impl.bufferedBytes());
@@ -157,8 +158,8 @@
     }
     const bool complete = ended && !aborting;
     ended = true;
-    pending = {};
-    inFlight = {};
+    releaseMemory(pending);
+    releaseMemory(inFlight);
     account->set(0);
     const std::function<void()> callback = std::move(onDisconnected);
     onDisconnected = nullptr;
@@ -261,7 +262,7 @@
         return;
     }
     m_impl->aborting = true;
-    m_impl->pending = {};
+    releaseMemory(m_impl->pending);
     if (m_impl->sending || !m_impl->streaming) {
         // A write is blocked or no response was started: only closing the connection ends it.
         const int descriptor = connectionDescriptor(m_impl->request);
--- a/packages/policy/include/teaseldrift/streams/sse_parser.hpp
+++ b/packages/policy/include/teaseldrift/streams/sse_parser.hpp
@@ -53,7 +53,7 @@
     /// @brief Bytes that belong to no complete event yet.
     [[nodiscard]] size_t bufferedBytes() const { return m_buffer.size() - m_begin; }
 
-    /// @brief Discards all buffered bytes and the error state.
+    /// @brief Discards all buffered bytes, with their memory, and the error state.
     void reset();
 
 private:
--- a/packages/policy/src/teaseldrift/streams/sse_parser.cpp
+++ b/packages/policy/src/teaseldrift/streams/sse_parser.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "teaseldrift/base/release_memory.hpp"
+
 namespace teaseldrift {
 
 namespace {
@@ -66,7 +68,8 @@
 
 void SseParser::reset()
 {
-    m_buffer.clear();
+    releaseMemory(m_buffer);
+    releaseMemory(m_joinedData);
     m_begin = 0;
     m_scanned = 0;
     m_isEventTooLarge = false;
@@ -77,7 +80,7 @@
 {
     constexpr size_t maxUnusedBytes = 8U << 10U;
     if (!hasPartialEvent() && m_buffer.capacity() > maxUnusedBytes) {
-        m_buffer = {};
+        releaseMemory(m_buffer);
         m_begin = 0;
         m_scanned = 0;
     }
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "teaseldrift/base/release_memory.hpp"
 #include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/relay/request_task.hpp"
 
@@ -440,8 +441,8 @@
                           .authority = request.host,
                           .headers = m_dialect.targetHeaders(request, metadata),
                           .body = std::string(m_exchange->body())};
-    m_events = SseParser();
-    m_body = {};
+    m_events.reset();
+    releaseMemory(m_body);
     m_buffers.set(0);
     m_responseMetadata = {};
     m_status = 0;
@@ -725,8 +726,8 @@
              {"bytes", static_cast<int64_t>(std::max(m_body.size(), m_events.bufferedBytes()))}});
     m_context.fleet.targetSelector().health().report(m_choice->id,
                                                      HealthObservation::ConnectionBroken, now);
-    m_body = {};
-    m_events = SseParser();
+    releaseMemory(m_body);
+    m_events.reset();
     m_buffers.set(0);
     perform(m_machine.attemptFailed(id, now));
 }
--- a/packages/router/src/teaseldrift/router/request_task.cpp
+++ b/packages/router/src/teaseldrift/router/request_task.cpp
@@ -1,4 +1,5 @@
 #include "teaseldrift/router/request_task.hpp"
+#include "teaseldrift/base/release_memory.hpp"
 
 #include <variant>
 
@@ -201,6 +202,7 @@
 void RequestTask::Impl::send(AttemptId id, const http::Endpoint &endpoint)
 {
     response = {};
+    releaseMemory(response.body);
     buffers.set(0);
     answerBeganAt.reset();
     isAnswerRecorded = false;
@@ -276,7 +278,7 @@
     services.metrics.registry()
             .counter({"teaseldrift_responses_given_up_total", "reason", reason})
             .add();
-    response.body = {};
+    releaseMemory(response.body);
     buffers.set(0);
     releaseTarget(HealthObservation::ConnectionBroken);
     perform(machine.attemptFailed(attempt, http::EventLoop::now()));
