--- a/packages/relay/include/teaseldrift/relay/frontend.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "teaseldrift/relay/message.hpp"
 #include "teaseldrift/relay/relay_context.hpp"
@@ -26,11 +27,13 @@
     /// @brief Checks which callers have disconnected; call it several times per second.
     void checkCallers();
 
-    /// @brief Number of requests without a complete response.
-    [[nodiscard]] size_t openRequests() const { return m_tasks.size() + m_admissions; }
+    /// @brief Number of requests without a complete response, or whose callers have not read all of
+    /// it.
+    [[nodiscard]] size_t openRequests() const;
 
-    /// @brief This process ends soon: requests that cannot be expected to be complete by then are
-    /// refused, and all others are answered by then. May be called again with another time.
+    /// @brief This process ends soon: requests whose route and caller allow them to take longer are
+    /// refused, and all others are answered by then. Each response closes its connection, also
+    /// those under way. May be called again with another time.
     void answerBy(Instant time);
 
 private:
@@ -49,10 +52,13 @@
 
     void onUsageDecision(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
                          UsageDecision decision);
+    void taskEnded(uint64_t number);
     void startRequest(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted);
 
     /// @return false if the request was refused; the response has then been sent
     bool admit(http::Exchange &exchange, AdmittedRequest &admitted);
+    /// Closes the connection after the response if this process is to end.
+    void announceStop(http::Exchange &exchange);
     /// @return true if there is too little time before this process ends; the response has then
     /// been sent
     bool refuseLate(http::Exchange &exchange, const AdmittedRequest &admitted);
@@ -68,6 +74,8 @@
     size_t m_admissions = 0;
     uint64_t m_lastTask = 0;
     std::unordered_map<uint64_t, std::shared_ptr<RequestTask<D>>> m_tasks;
+    /// Exchanges of ended tasks; those that have been read are dropped by checkCallers().
+    std::vector<std::weak_ptr<http::Exchange>> m_unread;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -20,9 +22,7 @@
 {
     AdmittedRequest admitted{.request = m_dialect.readRequest(*exchange),
                              .arrivedAt = http::EventLoop::now()};
-    if (m_context.fleet.isLeaving()) {
-        exchange->closeAfterResponse();
-    }
+    announceStop(*exchange);
     if (!admit(*exchange, admitted) || refuseLate(*exchange, admitted)
         || refuseQuarantined(*exchange, admitted)) {
         return;
@@ -46,6 +46,7 @@
 void Frontend<D>::onUsageDecision(std::shared_ptr<http::Exchange> exchange,
                                   AdmittedRequest admitted, UsageDecision decision)
 {
+    announceStop(*exchange);
     if (decision.isGranted) {
         admitted.grantedAt = decision.grantedAt;
         startRequest(std::move(exchange), std::move(admitted));
@@ -63,10 +64,17 @@
 template <Dialect D>
 void Frontend<D>::startRequest(std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted)
 {
+    // The stop may have begun while the request waited for its admission.
+    if (refuseLate(*exchange, admitted)) {
+        if (admitted.organisation != nullptr) {
+            m_context.usage.refund(admitted.organisation->name, admitted.cost, admitted.grantedAt);
+        }
+        return;
+    }
     const uint64_t number = ++m_lastTask;
     const std::shared_ptr<RequestTask<D>> task = std::make_shared<RequestTask<D>>(
             m_context, m_dialect, std::move(exchange), std::move(admitted),
-            [this, number] { m_tasks.erase(number); });
+            [this, number] { taskEnded(number); });
     m_tasks.emplace(number, task);
     if (m_answerBy) {
         task->answerBy(*m_answerBy);
@@ -147,11 +155,21 @@
     return true;
 }
 
+template <Dialect D>
+void Frontend<D>::announceStop(http::Exchange &exchange)
+{
+    if (m_answerBy || m_context.fleet.isLeaving()) {
+        exchange.closeAfterResponse();
+    }
+}
+
+/// Decides by the longest time that the request may take, not by an average: a response that takes
+/// longer than usual would be cut off when this process ends.
 template <Dialect D>
 bool Frontend<D>::refuseLate(http::Exchange &exchange, const AdmittedRequest &admitted)
 {
-    const Duration expected = expectedDuration(admitted.request, *admitted.route);
-    if (!m_answerBy || admitted.arrivedAt + expected <= *m_answerBy) {
+    const Duration longest = allowedTime(admitted.request, *admitted.route);
+    if (!m_answerBy || admitted.arrivedAt + longest <= *m_answerBy) {
         return false;
     }
     constexpr int unavailable = 503;
@@ -209,9 +227,38 @@
                                            : m_context.fleet.table()->definition().version)}});
 }
 
+inline bool isUnread(const std::weak_ptr<http::Exchange> &weak)
+{
+    const std::shared_ptr<http::Exchange> exchange = weak.lock();
+    return exchange != nullptr && exchange->pendingBytes() > 0;
+}
+
+template <Dialect D>
+void Frontend<D>::taskEnded(uint64_t number)
+{
+    const auto ended = m_tasks.find(number);
+    if (ended != m_tasks.end()) {
+        const std::weak_ptr<http::Exchange> exchange = ended->second->exchange();
+        if (isUnread(exchange)) {
+            m_unread.push_back(exchange);
+        }
+        m_tasks.erase(ended);
+    }
+}
+
+template <Dialect D>
+size_t Frontend<D>::openRequests() const
+{
+    const ptrdiff_t unread = std::count_if(m_unread.begin(), m_unread.end(), isUnread);
+    return m_tasks.size() + m_admissions + static_cast<size_t>(unread);
+}
+
 template <Dialect D>
 void Frontend<D>::checkCallers()
 {
+    std::erase_if(m_unread, [](const std::weak_ptr<http::Exchange> &exchange) {
+        return !isUnread(exchange);
+    });
     const Instant now = http::EventLoop::now();
     std::vector<std::shared_ptr<RequestTask<D>>> old;
     for (const std::pair<const uint64_t, std::shared_ptr<RequestTask<D>>> &entry : m_tasks) {
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -55,6 +55,8 @@
     /// @brief Ends the request by then, as this process ends soon.
     void answerBy(Instant time);
 
+    [[nodiscard]] const std::shared_ptr<http::Exchange> &exchange() const { return m_exchange; }
+
     [[nodiscard]] Instant arrivedAt() const { return m_admitted.arrivedAt; }
 
 private:
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -91,19 +91,6 @@
     return request.deadline ? std::min(*request.deadline, route.timeout) : route.timeout;
 }
 
-/// Time in which a request usually completes. Of a call that may not be repeated, whose outcome is
-/// unknown to its caller if it does not, more is assumed.
-inline Duration expectedDuration(const CallerRequest &request, const Route &route)
-{
-    constexpr int unrepeatableFactor = 4;
-    const Duration expected
-            = route.kind == RouteKind::NonIdempotent
-                      ? route.latencyObjective * unrepeatableFactor
-                      : route.latencyObjective
-                                + (request.model.empty() ? Duration(0) : expectedRun(request));
-    return std::min(expected, allowedTime(request, route));
-}
-
 template <Dialect D>
 RequestTask<D>::RequestTask(RelayContext &context, const D &dialect,
                             std::shared_ptr<http::Exchange> exchange, AdmittedRequest admitted,
@@ -980,6 +967,9 @@
 void RequestTask<D>::answerBy(Instant time)
 {
     m_answerBy = time;
+    // A response that is under way has promised to keep the connection. Left open, it would take
+    // the next request of this caller.
+    m_exchange->closeAfterResponse();
     if (m_timer != 0) {
         armTimer();
     }
