A target that was ejected is tried by one request, then used again

Cause: after three failures in a row a target of teaseldrift-edge waited for a probe that nothing makes; teaseldriftd probes, teaseldrift-edge does not.

Once the ejection time has passed, one request may try the target (half-open); its response makes it eligible for all. The trial counts as failed until then. Each VM adds a delay by a hash, so that a fleet's trials are spread to about 50 a second.

A response that is aborted for the buffer budget, in the request or in its connection, no longer counts against its target.

Ruled out: the ejection itself (the threshold and the half of a pool that stays hold), refusals (they have a backoff that ends).

--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -91,6 +91,9 @@
     /// @brief Whether the peer's host refused the connection: no process listens at the endpoint.
     [[nodiscard]] bool wasRefused() const;
 
+    /// @brief Whether the call ended as Broken because ClientOptions::buffers was exhausted.
+    [[nodiscard]] bool wasGivenUp() const;
+
     /// Implementation; public for Client only.
     struct Impl;
     explicit Call(std::unique_ptr<Impl> impl);
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -134,6 +134,7 @@
     Instant lastByteAt;
     bool sent = false;
     bool refused = false;
+    bool givenUp = false;
     bool ended = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -230,6 +231,7 @@
                     [this](ConnectionOutcome end) {
                         const std::shared_ptr<Connection> used = std::move(connection);
                         const std::shared_ptr<Client::Impl> pool = client.lock();
+                        givenUp = used->wasGivenUp();
                         if (end == ConnectionOutcome::Reusable && pool) {
                             pool->addIdle(endpoint, used);
                         }
@@ -398,6 +400,11 @@
     return m_impl->refused;
 }
 
+bool Call::wasGivenUp() const
+{
+    return m_impl->givenUp;
+}
+
 Client::Client(EventLoop &loop, ClientOptions options) : m_impl(std::make_shared<Impl>())
 {
     m_impl->loop = &loop;
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -40,6 +40,7 @@
     : m_socket(socket), m_readBuffer(readBuffer), m_account(buffers, [this] {
           const std::shared_ptr<Connection> self = shared_from_this();
           releaseMemory(m_unparsed);
+          m_wasGivenUp = true;
           finish(ConnectionOutcome::Broken);
       })
 {
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -64,6 +64,9 @@
     /// @brief Sets the interval of TCP keep-alive probes.
     void setProbeInterval(std::chrono::seconds interval);
 
+    /// @brief Whether the connection was closed because its budget was exhausted.
+    [[nodiscard]] bool wasGivenUp() const { return m_wasGivenUp; }
+
     /// @brief Longest idle time that the target has announced; empty if it has not announced one.
     [[nodiscard]] std::optional<Duration> announcedIdleTime() const { return m_idleTime; }
 
@@ -90,6 +93,7 @@
     bool m_isWriting = false;
     bool m_isSkipping = false;
     bool m_isBusy = false;
+    bool m_wasGivenUp = false;
     /// The last read filled the buffer, so that the kernel may hold more.
     bool m_mayHaveUnread = false;
     std::optional<ResponseParser> m_parser;
--- a/packages/policy/include/teaseldrift/health/target_health.hpp
+++ b/packages/policy/include/teaseldrift/health/target_health.hpp
@@ -37,11 +37,21 @@
     Duration minProbeInterval = 1s;
     /// Fraction of a pool that is never ejected; always at least one target.
     double minAvailableFraction = 0.5;
+    /// Requests are the trials of ejected targets, instead of probes.
+    bool isTriedByRequests = false;
+    /// Trials of the senders' requests are spread so that about as many reach a target in a second.
+    /// More would add to the failures that callers' requests have to retry; fewer would leave a
+    /// target of 195 VMs without its share for longer than some seconds.
+    double maxTrialsPerSecond = 50.0;
+    /// Different for each sender, so that they try a target at different times.
+    uint64_t spreadKey = 0;
 };
 
 /// @brief Decides which targets may receive new requests, from the results of attempts and probes.
 ///
 /// Targets are ejected from their pool after consecutive failures and probed until they respond.
+/// With HealthOptions::isTriedByRequests, one request may try an ejected target once its ejection
+/// time has passed (half-open circuit breaker); its response makes the target eligible for all.
 ///
 /// ```cpp
 /// health.addTarget("engine-1", "model-a");
@@ -72,6 +82,16 @@
     /// Ejections are ignored while every target of the pool that is not leaving is ejected.
     [[nodiscard]] bool isEligible(std::string_view target) const;
 
+    /// @brief Like isEligible(target), or the target is ejected and one request may try it now.
+    [[nodiscard]] bool isEligible(std::string_view target, Instant now) const;
+
+    /// @brief Records that a request is sent to the target. If it tries an ejected target, no other
+    /// may until it has responded or a longer ejection time has passed.
+    void sent(std::string_view target, Instant now);
+
+    /// @brief Sets the number of senders that share the targets and their trials.
+    void setSenders(size_t count) { m_senders = count; }
+
     /// @brief Returns the targets to probe now, and records them as probed: targets whose ejection
     /// time has passed, and idle ones.
     std::vector<std::string> takeProbes(Instant now);
@@ -100,12 +120,16 @@
         size_t available = 0;
     };
 
-    void recordFailure(TargetState &state, Instant now);
+    void recordFailure(std::string_view target, TargetState &state, Instant now);
+    void eject(std::string_view target, TargetState &state, Instant now);
+    [[nodiscard]] bool isTrialDue(const TargetState &state, Instant now) const;
     [[nodiscard]] Duration ejectionTime(uint32_t earlierEjections) const;
+    [[nodiscard]] Duration trialDelay(std::string_view target, uint32_t earlierEjections) const;
     [[nodiscard]] PoolCounts countTargets(std::string_view pool) const;
     [[nodiscard]] bool mayEject(const TargetState &state) const;
 
     HealthOptions m_options;
+    size_t m_senders = 1;
     std::map<std::string, TargetState, std::less<>> m_targets;
 };
 
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -298,10 +298,11 @@
     struct PreferredTargets;
 
     [[nodiscard]] Instant availableFrom(const TargetEntry &target, Instant now) const;
-    [[nodiscard]] bool mayTake(const TargetEntry &target, const TargetQuery &query) const;
+    [[nodiscard]] bool mayTake(const TargetEntry &target, const TargetQuery &query,
+                               Instant now) const;
     [[nodiscard]] PreferredTargets
-    preferredTargetsOf(const std::vector<const TargetEntry *> &targets,
-                       const TargetQuery &query) const;
+    preferredTargetsOf(const std::vector<const TargetEntry *> &targets, const TargetQuery &query,
+                       Instant now) const;
     [[nodiscard]] double rolloutCostMs(const State &state, uint64_t weights,
                                        const TargetQuery &query, Instant now) const;
     [[nodiscard]] const InFlightLoad *peerLoad(const State &state, Instant now) const;
--- a/packages/policy/src/teaseldrift/health/target_health.cpp
+++ b/packages/policy/src/teaseldrift/health/target_health.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "teaseldrift/base/rendezvous.hpp"
+
 namespace teaseldrift {
 
 TargetHealth::TargetHealth(HealthOptions options) : m_options(options) { }
@@ -45,7 +47,7 @@
     TargetState &state = known->second;
     state.lastObservation = now;
     if (observation != HealthObservation::Responded) {
-        recordFailure(state, now);
+        recordFailure(target, state, now);
         return;
     }
     state.consecutiveFailures = 0;
@@ -53,7 +55,7 @@
     state.isEjected = false;
 }
 
-void TargetHealth::recordFailure(TargetState &state, Instant now)
+void TargetHealth::recordFailure(std::string_view target, TargetState &state, Instant now)
 {
     ++state.consecutiveFailures;
     const bool isProbeFailure = state.isEjected && now >= state.ejectedUntil;
@@ -62,11 +64,45 @@
     if (!isProbeFailure && !(reachesThreshold && mayEject(state))) {
         return;
     }
+    eject(target, state, now);
+}
+
+void TargetHealth::eject(std::string_view target, TargetState &state, Instant now)
+{
     state.isEjected = true;
-    state.ejectedUntil = now + ejectionTime(state.consecutiveEjections);
+    state.ejectedUntil = now + ejectionTime(state.consecutiveEjections)
+                         + trialDelay(target, state.consecutiveEjections);
     ++state.consecutiveEjections;
 }
 
+/// Spreads the trials of a target over the senders, which have ejected it at about the same time.
+Duration TargetHealth::trialDelay(std::string_view target, uint32_t earlierEjections) const
+{
+    if (!m_options.isTriedByRequests) {
+        return Duration(0);
+    }
+    constexpr uint64_t steps = 1U << 16U;
+    const uint64_t key = rendezvousKey(std::string(target) + '/' + std::to_string(earlierEjections)
+                                       + '/' + std::to_string(m_options.spreadKey));
+    const double position = static_cast<double>(key % steps) / static_cast<double>(steps);
+    const double seconds = position * static_cast<double>(m_senders) / m_options.maxTrialsPerSecond;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+bool TargetHealth::isTrialDue(const TargetState &state, Instant now) const
+{
+    return m_options.isTriedByRequests && state.isEjected && now >= state.ejectedUntil;
+}
+
+void TargetHealth::sent(std::string_view target, Instant now)
+{
+    const std::map<std::string, TargetState, std::less<>>::iterator known = m_targets.find(target);
+    if (known != m_targets.end() && isTrialDue(known->second, now)) {
+        // Counts as failed until it has a response: it may end without any observation.
+        eject(target, known->second, now);
+    }
+}
+
 Duration TargetHealth::ejectionTime(uint32_t earlierEjections) const
 {
     Duration duration = m_options.baseEjectionTime;
@@ -106,6 +142,14 @@
     return !known->second.isEjected || countTargets(known->second.pool).available == 0;
 }
 
+bool TargetHealth::isEligible(std::string_view target, Instant now) const
+{
+    const std::map<std::string, TargetState, std::less<>>::const_iterator known
+            = m_targets.find(target);
+    return known != m_targets.end() && !known->second.isLeaving
+           && (isTrialDue(known->second, now) || isEligible(target));
+}
+
 std::vector<std::string> TargetHealth::takeProbes(Instant now)
 {
     std::vector<std::string> probes;
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -189,7 +189,7 @@
 
 TargetSelector::PreferredTargets
 TargetSelector::preferredTargetsOf(const std::vector<const TargetEntry *> &targets,
-                                   const TargetQuery &query) const
+                                   const TargetQuery &query, Instant now) const
 {
     PreferredTargets preferred;
     if (query.model.empty()) {
@@ -204,7 +204,7 @@
     double secondScore = 0.0;
     for (const TargetEntry *target : targets) {
         const double score
-                = m_health.isEligible(target->id) ? rendezvousScore(key, target->id) : 0.0;
+                = m_health.isEligible(target->id, now) ? rendezvousScore(key, target->id) : 0.0;
         if (score > firstScore) {
             secondScore = std::exchange(firstScore, score);
             preferred.second = std::exchange(preferred.first, target->id);
@@ -264,7 +264,7 @@
     }
     for (const TargetEntry *target : targets) {
         const State *state = stateOf(target->id);
-        if (state == nullptr || !m_health.isEligible(target->id) || isQuiet(*target, now)) {
+        if (state == nullptr || !m_health.isEligible(target->id, now) || isQuiet(*target, now)) {
             continue;
         }
         const uint64_t confirmed
@@ -301,9 +301,9 @@
 }
 
 /// Whether a target may take the request, apart from its quiet period.
-bool TargetSelector::mayTake(const TargetEntry &target, const TargetQuery &query) const
+bool TargetSelector::mayTake(const TargetEntry &target, const TargetQuery &query, Instant now) const
 {
-    if (stateOf(target.id) == nullptr || !m_health.isEligible(target.id)) {
+    if (stateOf(target.id) == nullptr || !m_health.isEligible(target.id, now)) {
         return false;
     }
     const auto weights = target.weights.find(query.model);
@@ -325,7 +325,7 @@
 {
     std::optional<TargetAvailability> earliest;
     for (const TargetEntry *target : directory.ofService(query.service)) {
-        if (mayTake(*target, query)) {
+        if (mayTake(*target, query, now)) {
             const Instant from = availableFrom(*target, now);
             if (!earliest || from < earliest->from) {
                 earliest = {.from = from, .target = target->id, .startedAtMs = target->startedAtMs};
@@ -356,7 +356,7 @@
     const auto capacity = m_services.find(query.service);
     const double importRate
             = capacity == m_services.end() ? 0.0 : capacity->second.importTokensPerMs;
-    const PreferredTargets preferred = preferredTargetsOf(targets, query);
+    const PreferredTargets preferred = preferredTargetsOf(targets, query, now);
     std::optional<Candidate> best;
     std::optional<Candidate> avoided;
     for (const TargetEntry *target : targets) {
@@ -367,7 +367,7 @@
         const Instant from
                 = isPermitted ? m_quietPeriods.availableFrom(target->id, target->startedAtMs, now)
                               : availableFrom(*target, now);
-        if (isExcluded || !mayTake(*target, query) || from > now) {
+        if (isExcluded || !mayTake(*target, query, now) || from > now) {
             continue;
         }
         Candidate candidate{.target = target, .state = state};
@@ -457,6 +457,7 @@
         return;
     }
     ++state->inFlight;
+    m_health.sent(choice.id, now);
     m_quietPeriods.sent(choice.id, now);
     const double ownMs = choice.prefixes.empty() ? 0.0
                                                  : static_cast<double>(choice.prefillTokens)
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -39,6 +39,9 @@
 /// Largest Retry-After that callers follow, as a fraction of the time left until the deadline.
 inline constexpr double followedFraction = 1.0 / 3.0;
 
+/// Reason of responses that are given up because all responses together take too much memory.
+inline constexpr std::string_view bufferBudget = "buffer_budget";
+
 /// Time over which requests and callers return to a target that had asked to be left alone.
 inline constexpr Duration returnSpread = 200ms;
 
@@ -104,7 +107,7 @@
       m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget),
       m_permit(context.permits), m_startDeadline(context.fleet), m_buffers(context.buffers, [this] {
           const std::shared_ptr<RequestTask> task = this->shared_from_this();
-          giveUpResponse("buffer_budget");
+          giveUpResponse(bufferBudget);
       })
 {
     const std::string &last = m_admitted.request.lastEventId;
@@ -711,8 +714,11 @@
              {"reason", reason},
              {"status", static_cast<int64_t>(m_status)},
              {"bytes", static_cast<int64_t>(std::max(m_body.size(), m_events.bufferedBytes()))}});
-    m_context.fleet.targetSelector().health().report(m_choice->id,
-                                                     HealthObservation::ConnectionBroken, now);
+    // The memory of this VM says nothing about the target.
+    if (reason != bufferBudget) {
+        m_context.fleet.targetSelector().health().report(m_choice->id,
+                                                         HealthObservation::ConnectionBroken, now);
+    }
     releaseMemory(m_body);
     m_events.reset();
     m_buffers.set(0);
@@ -795,6 +801,10 @@
     // Without a length, a target that crashes before its first event looks like one that has
     // nothing to send.
     const bool isEmptyStream = isStreaming() && m_endsWithConnection && !m_hasEvents;
+    if (end == http::CallOutcome::Broken && m_call->wasGivenUp()) {
+        giveUpResponse(bufferBudget);
+        return;
+    }
     if (end == http::CallOutcome::Broken || m_events.hasPartialEvent() || isEmptyStream) {
         if (!m_call->isPathLost()) {
             recordLostAttempt(now);
--- a/packages/relay/include/teaseldrift/relay/target_connector.hpp
+++ b/packages/relay/include/teaseldrift/relay/target_connector.hpp
@@ -70,6 +70,9 @@
     void resume();
     void expectData();
 
+    /// @brief See http::Call.
+    [[nodiscard]] bool wasGivenUp() const;
+
     /// @brief The VM through which the request was sent; empty if it was sent directly.
     [[nodiscard]] std::string_view vmId() const;
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -45,7 +45,9 @@
 
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
     : m_options(std::move(options)), m_log(log),
-      m_targetSelector({.availabilityZone = m_options.availabilityZone}),
+      m_targetSelector(
+              {.availabilityZone = m_options.availabilityZone,
+               .health = {.isTriedByRequests = true, .spreadKey = rendezvousKey(m_options.vmId)}}),
       m_targetPaths(m_options.availabilityZone), m_retryBudgets(m_options.retryLimits),
       m_targetLimiter({.vmId = m_options.vmId,
                        .slack = m_options.targetLimitSlack,
@@ -263,6 +265,7 @@
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
         list.push_back({.id = vm.first, .isLeaving = vm.second.is_leaving()});
     }
+    m_targetSelector.health().setSenders(std::max<size_t>(list.size(), 1));
     m_usage.setVms(list, readAt, now);
     m_targetLimiter.setVms(list, readAt, now);
     m_concurrencyOwnership.setVms(list, readAt, now);
--- a/packages/relay/src/teaseldrift/relay/routed_call.cpp
+++ b/packages/relay/src/teaseldrift/relay/routed_call.cpp
@@ -327,6 +327,11 @@
     }
 }
 
+bool RoutedCall::wasGivenUp() const
+{
+    return m_impl->call && m_impl->call->wasGivenUp();
+}
+
 std::string_view RoutedCall::vmId() const
 {
     return m_impl->vmId;
