A VM that passes a request on records what the response states about its target

Cause: RequestForwarder handed the head of the response to the other VM and read nothing of it, so that the helping VM went on using a target that was leaving or had asked to be left alone, or did not learn its limit.

Server-Leaving, Retry-After and limits (the target's notice) are applied as for the VM's own requests, with the incarnation and time of sending. The load and the weights in the head are not: they belong to what the other VM accounts.

Ruled out: the load exchange, which carries limits only and is up to a second late.

Test: cut_off_vm_test, "what a response states about its target applies to the VM that passes it on, too".

--- a/packages/relay/include/teaseldrift/relay/request_forwarder.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_forwarder.hpp
@@ -9,6 +9,7 @@
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/targets/target_notice.hpp"
 #include "teaseldrift/telemetry/event_log.hpp"
 #include "teaseldrift/telemetry/metrics.hpp"
 
@@ -21,6 +22,8 @@
     /// Whether a response belongs to a request with these headers; see http::CallHandlers.
     std::function<bool(const http::Headers &request, const http::ResponseHead &response)>
             matchesRequest;
+    /// Reads what a response states about its target.
+    std::function<TargetNotice(const http::ResponseHead &response)> readNotice;
     /// Whether this process was suspended a moment ago. What has waited meanwhile is refused: the
     /// VM that sent it may have given up.
     std::function<bool()> wasSuspended;
@@ -29,7 +32,8 @@
 /// @brief Passes requests on to targets for VMs that cannot connect to them, see TargetConnector.
 ///
 /// The other VM has decided everything about the request. It is sent to the target that it names
-/// and never through a third VM.
+/// and never through a third VM. What the response states about the target, such as that it is
+/// leaving, applies to both VMs.
 class RequestForwarder
 {
 public:
--- a/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
+++ b/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
@@ -27,6 +27,10 @@
     {
         std::shared_ptr<http::Exchange> exchange;
         http::Headers requestHeaders;
+        std::string target;
+        /// Incarnation that is sent the request, see TargetEntry::startedAtMs.
+        uint64_t targetStartedAtMs = 0;
+        Instant sentAt;
         std::unique_ptr<http::Call> call;
 
         void write(const schema::ForwardedResponsePart &part)
@@ -59,6 +63,7 @@
     [[nodiscard]] std::string_view refusalOf(const schema::ForwardedRequest &message) const;
     void start(const std::shared_ptr<http::Exchange> &exchange,
                const schema::ForwardedRequest &message, const http::Endpoint &endpoint);
+    void onHead(uint64_t number, const http::ResponseHead &head);
     void onEnd(uint64_t number, http::CallOutcome outcome);
 
     /// @return null once it has ended
@@ -139,6 +144,11 @@
     http::Request request = readForwardedRequest(message);
     forwarding->exchange = exchange;
     forwarding->requestHeaders = request.headers;
+    forwarding->target = message.target();
+    if (const TargetEntry *target = fleet.directory().find(message.target())) {
+        forwarding->targetStartedAtMs = target->startedAtMs;
+    }
+    forwarding->sentAt = http::EventLoop::now();
     // The server of the exchange may outlive this object.
     const std::weak_ptr<Impl> weakSelf = weak_from_this();
     exchange->onDisconnected([weakSelf, number] {
@@ -172,14 +182,7 @@
                          return open == nullptr || !options.matchesRequest
                                 || options.matchesRequest(open->requestHeaders, head);
                      },
-             .onHead =
-                     [this, number](const http::ResponseHead &head) {
-                         if (const std::shared_ptr<Forwarding> open = find(number)) {
-                             schema::ForwardedResponsePart part;
-                             *part.mutable_head() = writeForwardedHead(head);
-                             open->write(part);
-                         }
-                     },
+             .onHead = [this, number](const http::ResponseHead &head) { onHead(number, head); },
              .onData =
                      [this, number](std::string_view data) {
                          if (const std::shared_ptr<Forwarding> open = find(number)) {
@@ -191,6 +194,21 @@
              .onEnd = [this, number](http::CallOutcome outcome) { onEnd(number, outcome); }});
 }
 
+void RequestForwarder::Impl::onHead(uint64_t number, const http::ResponseHead &head)
+{
+    const std::shared_ptr<Forwarding> open = find(number);
+    if (open == nullptr) {
+        return;
+    }
+    if (options.readNotice) {
+        fleet.applyNotice(open->target, open->targetStartedAtMs, options.readNotice(head),
+                          http::EventLoop::now(), open->sentAt);
+    }
+    schema::ForwardedResponsePart part;
+    *part.mutable_head() = writeForwardedHead(head);
+    open->write(part);
+}
+
 void RequestForwarder::Impl::onEnd(uint64_t number, http::CallOutcome outcome)
 {
     const std::shared_ptr<Forwarding> ended = find(number);
