Reads that are older than what is known bring back no VM and no target

Cause: MembershipTask judged the age of a read by when it was sent. A stale read that was older than the list known so far (also after compaction, when the changes are gone) replaced it, and so did the first read of a store that had returned from an older copy.

Targets: removals were remembered for a minute and by id. They are remembered for 10,000 incarnations, also for those that another one replaced.

Ruled out: PrefixWatcher (it makes current reads, and ignores calls that were made before the newest response), StoreClient (it drops late answers of an older epoch).

--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "teaseldrift/base/time.hpp"
@@ -48,9 +49,10 @@
 {
     /// Live targets register again within this time after the store has recovered.
     Duration lapseGrace = 2200ms;
-    /// Time for which the last registration of a removed target is remembered. A store that returns
-    /// from an older copy may contain it again.
-    Duration removalMemory = 60s;
+    /// Number of incarnations that are gone whose last registration is remembered; the oldest ones
+    /// are forgotten first. A store that returns from an older copy may contain them again, however
+    /// long ago they left.
+    size_t maxRemovedIncarnations = 10000;
     /// Number of leaving incarnations that are remembered; the oldest ones are forgotten first.
     size_t maxLeavingIncarnations = 4096;
 };
@@ -112,15 +114,11 @@
 
 private:
     /// The last registration of a target that is gone.
-    struct Removal
-    {
-        uint64_t startedAtMs = 0;
-        uint64_t heartbeats = 0;
-        Instant removedAt;
-    };
+    /// Id of a target and TargetEntry::startedAtMs.
+    using Incarnation = std::pair<std::string, uint64_t>;
 
     void rebuild();
-    void rememberRemoval(const TargetEntry &entry, Instant now);
+    void rememberRemoval(const TargetEntry &entry);
     [[nodiscard]] bool isOutdated(const TargetEntry &entry) const;
     void rememberLeaving(std::string_view id, uint64_t startedAtMs);
     [[nodiscard]] bool isKnownToLeave(std::string_view id, uint64_t startedAtMs) const;
@@ -131,7 +129,9 @@
     std::map<std::string, std::vector<const TargetEntry *>, std::less<>> m_byService;
     /// Lapsed targets with the end of their grace period; empty while the store is unavailable.
     std::map<std::string, std::optional<Instant>, std::less<>> m_lapsed;
-    std::map<std::string, Removal, std::less<>> m_removals;
+    /// Heartbeats in the last registration.
+    std::map<Incarnation, uint64_t> m_removals;
+    std::deque<Incarnation> m_removalOrder;
     /// Ids of leaving incarnations with their `startedAtMs`, and the order in which they are
     /// forgotten.
     std::map<std::string, uint64_t, std::less<>> m_leaving;
--- a/packages/policy/src/teaseldrift/targets/target_directory.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory.cpp
@@ -9,22 +9,26 @@
 bool TargetDirectory::isOutdated(const TargetEntry &entry) const
 {
     const auto known = m_targets.find(entry.id);
-    if (known != m_targets.end()) {
-        return known->second.startedAtMs == entry.startedAtMs
-               && entry.heartbeats < known->second.heartbeats;
+    if (known != m_targets.end() && known->second.startedAtMs == entry.startedAtMs) {
+        return entry.heartbeats < known->second.heartbeats;
     }
-    const auto removal = m_removals.find(entry.id);
-    return removal != m_removals.end() && removal->second.startedAtMs == entry.startedAtMs
-           && removal->second.heartbeats != 0 && entry.heartbeats <= removal->second.heartbeats;
+    const auto removal = m_removals.find(Incarnation(entry.id, entry.startedAtMs));
+    return removal != m_removals.end() && removal->second != 0
+           && entry.heartbeats <= removal->second;
 }
 
-void TargetDirectory::rememberRemoval(const TargetEntry &entry, Instant now)
+void TargetDirectory::rememberRemoval(const TargetEntry &entry)
 {
-    std::erase_if(m_removals, [&](const std::pair<const std::string, Removal> &removal) {
-        return now - removal.second.removedAt > m_options.removalMemory;
-    });
-    m_removals[entry.id]
-            = {.startedAtMs = entry.startedAtMs, .heartbeats = entry.heartbeats, .removedAt = now};
+    Incarnation incarnation(entry.id, entry.startedAtMs);
+    const bool isNew = m_removals.insert_or_assign(incarnation, entry.heartbeats).second;
+    if (!isNew) {
+        return;
+    }
+    m_removalOrder.push_back(std::move(incarnation));
+    if (m_removalOrder.size() > m_options.maxRemovedIncarnations) {
+        m_removals.erase(m_removalOrder.front());
+        m_removalOrder.pop_front();
+    }
 }
 
 TargetChange TargetDirectory::put(const TargetEntry &entry)
@@ -50,6 +54,9 @@
     const bool restarted = target.startedAtMs != entry.startedAtMs;
     const bool changed = target.isLeaving != isLeaving || target.address != entry.address
                          || target.service != entry.service || target.weights != entry.weights;
+    if (restarted) {
+        rememberRemoval(target);
+    }
     target = entry;
     target.isLeaving = isLeaving;
     if (restarted || changed || wasLapsed) {
@@ -75,7 +82,7 @@
         return TargetChange::Lapsed;
     }
     m_lapsed.erase(known->first);
-    rememberRemoval(known->second, now);
+    rememberRemoval(known->second);
     m_targets.erase(known);
     rebuild();
     return TargetChange::Removed;
@@ -155,7 +162,7 @@
         }
     }
     for (const std::string &id : gone) {
-        rememberRemoval(m_targets.at(id), now);
+        rememberRemoval(m_targets.at(id));
         m_lapsed.erase(id);
         m_targets.erase(id);
     }
--- a/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_directory_test.cpp
@@ -180,6 +180,41 @@
     CHECK(directory.put(entry) == TargetChange::Added);
 }
 
+// Guards against targets that are listed again because a store returns from an older copy, or a
+// read is older than what is known (DRAIN).
+TEST_CASE("a target that left long ago does not return with its old registration")
+{
+    TargetDirectory directory;
+    TargetEntry entry = engine("a");
+    entry.heartbeats = 5;
+    directory.put(entry);
+    directory.remove("a", start);
+    directory.put(engine("b"));
+    directory.remove("b", start + 600s);
+    entry.heartbeats = 4;
+    CHECK(directory.put(entry) == TargetChange::None);
+    CHECK(directory.find("a") == nullptr);
+}
+
+TEST_CASE("an incarnation that was replaced does not return with its old registration")
+{
+    TargetDirectory directory;
+    TargetEntry old = engine("a");
+    old.heartbeats = 5;
+    TargetEntry current = old;
+    current.startedAtMs = old.startedAtMs + 1;
+    current.heartbeats = 1;
+    directory.put(old);
+    REQUIRE(directory.put(current) == TargetChange::Restarted);
+    CHECK(directory.put(old) == TargetChange::None);
+    CHECK(directory.find("a")->startedAtMs == current.startedAtMs);
+    directory.remove("a", start);
+    CHECK(directory.put(old) == TargetChange::None);
+    CHECK(directory.put(current) == TargetChange::None);
+    old.heartbeats = 6;
+    CHECK(directory.put(old) == TargetChange::Added);
+}
+
 TEST_CASE("targets missing from a restored store are kept until they have had time to return")
 {
     TargetDirectory directory;
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -10,6 +10,7 @@
 
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/relay/leased_record.hpp"
+#include "teaseldrift/relay/removed_entries.hpp"
 
 namespace teaseldrift::relay {
 
@@ -38,6 +39,9 @@
         /// A stale read costs a tenth of a current one, and callers cache directory responses for
         /// about this long.
         Duration readInterval = 1s;
+        /// Reads that are older than what is known are passed over. After this time without another
+        /// one a current read is made; more than stale reads usually lag behind.
+        Duration maxStaleTime = 3s;
         /// Longest time that a call waits for a change of the list.
         Duration changesWait = 2500ms;
         /// Delay after a change: many VMs may join or leave within a short time.
@@ -81,6 +85,13 @@
     void leave() { announce(true); }
 
 private:
+    struct Record
+    {
+        schema::VmRecord value;
+        /// Of the entry's last write.
+        uint64_t revision = 0;
+    };
+
     void announce(bool isLeaving)
     {
         schema::VmRecord record;
@@ -109,8 +120,8 @@
         if (!mayBeIncomplete && m_store.relaysChanges()) {
             waitForChanges();
         } else {
-            read(m_hasJoined && !m_hasReadSinceJoining ? store::ReadConsistency::Current
-                                                       : store::ReadConsistency::AllowStale);
+            const bool isCurrent = m_needsCurrent || (m_hasJoined && !m_hasReadSinceJoining);
+            read(isCurrent ? store::ReadConsistency::Current : store::ReadConsistency::AllowStale);
         }
     }
 
@@ -125,14 +136,27 @@
         m_store.readPrefix(m_options.prefix, consistency,
                            [this, readAt = http::EventLoop::now(), hasJoined = m_hasJoined](
                                    std::error_code error, const store::StoreSnapshot &snapshot) {
-                               if (!error && readAt >= m_newestReadAt) {
+                               const bool isOld = !error && isOlderThanKnown(snapshot);
+                               if (!error && !isOld && readAt >= m_newestReadAt) {
                                    applySnapshot(snapshot, readAt);
                                    m_hasReadSinceJoining = m_hasReadSinceJoining || hasJoined;
                                }
-                               scheduleNext(m_options.readInterval);
+                               m_needsCurrent = isOld
+                                                && http::EventLoop::now() - m_newestReadAt
+                                                           >= m_options.maxStaleTime;
+                               scheduleNext(m_needsCurrent ? m_options.changesDelay
+                                                           : m_options.readInterval);
                            });
     }
 
+    /// A stale read may be older than what this VM has read before: it would list VMs again that
+    /// have left since.
+    [[nodiscard]] bool isOlderThanKnown(const store::StoreSnapshot &snapshot) const
+    {
+        return snapshot.epoch < m_epoch
+               || (snapshot.epoch == m_epoch && snapshot.revision < m_knownRevision);
+    }
+
     void waitForChanges()
     {
         m_store.followChanges(
@@ -152,27 +176,47 @@
 
     void applySnapshot(const store::StoreSnapshot &snapshot, Instant readAt)
     {
-        m_records.clear();
+        const Instant now = http::EventLoop::now();
+        const bool isRestored = m_epoch != 0 && m_epoch != snapshot.epoch;
+        if (isRestored) {
+            // What this snapshot lacks may only be younger than the store's copy.
+            m_removed.storeRestored(snapshot.revision, now);
+            m_records.clear();
+        }
+        std::map<std::string, Record, std::less<>> before = std::exchange(m_records, {});
+        store::StoreSnapshot present = snapshot;
+        std::erase_if(present.entries, [&](const store::StoreEntry &entry) {
+            before.erase(entry.key);
+            return m_removed.isOutdated(entry, now);
+        });
+        for (const std::pair<const std::string, Record> &gone : before) {
+            m_removed.add(gone.first, gone.second.revision, now);
+        }
         m_revision = snapshot.revision;
+        m_knownRevision = snapshot.revision;
         m_epoch = snapshot.epoch;
-        applyChanges(snapshot, readAt);
+        applyChanges(present, readAt);
     }
 
     void applyChanges(const store::StoreSnapshot &changes, Instant readAt)
     {
         for (const store::StoreEntry &entry : changes.entries) {
             schema::VmRecord record;
+            const auto known = m_records.find(entry.key);
             if (!entry.deleted && record.ParseFromString(entry.value) && !record.vm_id().empty()) {
-                m_records.insert_or_assign(entry.key, std::move(record));
-            } else {
-                m_records.erase(entry.key);
+                m_records.insert_or_assign(
+                        entry.key, Record{.value = std::move(record), .revision = entry.revision});
+            } else if (known != m_records.end()) {
+                m_removed.add(entry.key, known->second.revision, http::EventLoop::now());
+                m_records.erase(known);
             }
         }
         m_revision = std::max(m_revision, changes.revision);
+        m_knownRevision = m_revision;
         m_newestReadAt = readAt;
         std::map<std::string, schema::VmRecord, std::less<>> vms;
-        for (const std::pair<const std::string, schema::VmRecord> &record : m_records) {
-            vms.insert_or_assign(record.second.vm_id(), record.second);
+        for (const std::pair<const std::string, Record> &record : m_records) {
+            vms.insert_or_assign(record.second.value.vm_id(), record.second.value);
         }
         if (vms.size() >= m_options.largeFleet) {
             m_localRecord.setTimes(m_options.largeFleetTtl, m_options.largeFleetRenewInterval);
@@ -192,9 +236,14 @@
     LeasedRecord<Store> m_localRecord;
     http::EventLoop::TimerId m_timer = 0;
     /// Records by key, as of `m_revision`; 0 if a read is due.
-    std::map<std::string, schema::VmRecord, std::less<>> m_records;
+    std::map<std::string, Record, std::less<>> m_records;
     uint64_t m_revision = 0;
+    /// Revision of `m_records`, also while a read is due.
+    uint64_t m_knownRevision = 0;
     uint64_t m_epoch = 0;
+    RemovedEntries m_removed;
+    /// The next read must be a current one.
+    bool m_needsCurrent = false;
     Instant m_startedAt;
     bool m_isLargeFleet = false;
     /// This VM's record has been written.
