--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -94,6 +95,11 @@
     /// @brief Whether the call ended as Broken because ClientOptions::buffers was exhausted.
     [[nodiscard]] bool wasGivenUp() const;
 
+    /// @brief Whether bytes were sent that the peer's host has not acknowledged, and none of any
+    /// has been for `time`: the host or the network is silent, not only the process. Empty if the
+    /// kernel does not tell.
+    [[nodiscard]] std::optional<bool> isUnacknowledgedFor(Duration time) const;
+
     /// Implementation; public for Client only.
     struct Impl;
     explicit Call(std::unique_ptr<Impl> impl);
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -405,6 +405,12 @@
     return m_impl->givenUp;
 }
 
+std::optional<bool> Call::isUnacknowledgedFor(Duration time) const
+{
+    return m_impl->connection == nullptr ? std::nullopt
+                                         : m_impl->connection->isUnacknowledgedFor(time);
+}
+
 Client::Client(EventLoop &loop, ClientOptions options) : m_impl(std::make_shared<Impl>())
 {
     m_impl->loop = &loop;
--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -261,6 +262,19 @@
                  sizeof(seconds));
 }
 
+std::optional<bool> Connection::isUnacknowledgedFor(Duration time) const
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (isClosed()
+        || ::getsockopt(h2o_socket_get_fd(m_socket), IPPROTO_TCP, TCP_INFO, &info, &length) != 0
+        || length < offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(info.tcpi_last_ack_recv)) {
+        return std::nullopt;
+    }
+    // A peer whose window is closed acknowledges probes, so that nothing is outstanding then.
+    return info.tcpi_unacked > 0 && std::chrono::milliseconds(info.tcpi_last_ack_recv) >= time;
+}
+
 void Connection::close()
 {
     m_isBusy = false;
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -67,6 +67,9 @@
     /// @brief Whether the connection was closed because its budget was exhausted.
     [[nodiscard]] bool wasGivenUp() const { return m_wasGivenUp; }
 
+    /// @brief See Call::isUnacknowledgedFor().
+    [[nodiscard]] std::optional<bool> isUnacknowledgedFor(Duration time) const;
+
     /// @brief Longest idle time that the target has announced; empty if it has not announced one.
     [[nodiscard]] std::optional<Duration> announcedIdleTime() const { return m_idleTime; }
 
--- a/packages/relay/src/teaseldrift/relay/routed_call.cpp
+++ b/packages/relay/src/teaseldrift/relay/routed_call.cpp
@@ -73,6 +73,14 @@
     connector->fleet.targetPaths().arrived(http::EventLoop::now());
 }
 
+/// Whether this call's path has fallen silent, as opposed to its target. What the target's host has
+/// acknowledged has arrived: the target may be working on it.
+bool RoutedCall::Impl::isPathSilent() const
+{
+    // Where the kernel does not tell, silence counts as before.
+    return call && call->isUnacknowledgedFor(connector->options.ackSilence).value_or(true);
+}
+
 /// The request hangs on a path that is cut. It may have reached the target.
 void RoutedCall::Impl::onPathLost()
 {
--- a/packages/relay/src/teaseldrift/relay/target_connector.cpp
+++ b/packages/relay/src/teaseldrift/relay/target_connector.cpp
@@ -120,7 +120,9 @@
             break;
         }
         silent.push_back(call);
-        fleet.targetPaths().silent(call->options.targetAddress, now);
+        if (call->isPathSilent()) {
+            fleet.targetPaths().silent(call->options.targetAddress, now);
+        }
     }
     logCutOff(now);
     if (isCutOff) {
--- a/packages/relay/src/teaseldrift/relay/target_connector_impl.hpp
+++ b/packages/relay/src/teaseldrift/relay/target_connector_impl.hpp
@@ -106,6 +106,7 @@
     void startDirect();
     void onDirectEnd(http::CallOutcome outcome);
     void onDirectAnswer();
+    [[nodiscard]] bool isPathSilent() const;
     void onPathLost();
     /// @return false if there is no VM to ask
     bool startForwarded();
