--- a/cmake/TeaseldriftPackage.cmake
+++ b/cmake/TeaseldriftPackage.cmake
@@ -16,14 +16,19 @@
   endif()
 endfunction()
 
-# teaseldrift_test(NAME SOURCES file... DEPENDS lib...)
-# One Catch2 program, one CTest entry.
+# teaseldrift_test(NAME [SERIAL] SOURCES file... DEPENDS lib...)
+# One Catch2 program, registered with CTest case by case. With SERIAL, no other test runs beside
+# its cases.
 function(teaseldrift_test NAME)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   target_compile_options(${NAME} PRIVATE -Wall -Wextra -Wno-missing-field-initializers)
   target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS} ${RAPIDCHECK} Catch2::Catch2WithMain)
+  set(serial OFF)
+  if(ARG_SERIAL)
+    set(serial ON)
+  endif()
   include(Catch)
   catch_discover_tests(${NAME} TEST_PREFIX "${NAME}: " DISCOVERY_MODE PRE_TEST
-    PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261203")
+    PROPERTIES TIMEOUT 300 RUN_SERIAL ${serial} ENVIRONMENT "RC_PARAMS=seed=20261203")
 endfunction()
--- a/testing/processes/fleet_fixture.cpp
+++ b/testing/processes/fleet_fixture.cpp
@@ -26,6 +26,18 @@
                                   : folder + "/testing/standin-" + name;
 }
 
+/// Starts a program by a shell that limits its descriptors; it gets the limits as settings, too.
+void limitProgram(const VmLimits &limits, std::string &program, std::vector<std::string> &arguments)
+{
+    const std::string descriptors = std::to_string(limits.descriptors);
+    // Settings in the environment that the program does not have are ignored.
+    const std::string command = "ulimit -n " + descriptors + " && TEASELDRIFT_MEMORY_MB="
+                                + std::to_string(limits.memoryMb) + " TEASELDRIFT_MAX_DESCRIPTORS="
+                                + descriptors + " exec \"$0\" \"$@\"";
+    arguments.insert(arguments.begin(), {"-c", command, program});
+    program = "/bin/sh";
+}
+
 http::Endpoint loopback(uint16_t port)
 {
     return {.address = "127.0.0.1", .port = port};
@@ -113,11 +125,15 @@
         };
         arguments.insert(arguments.end(), m_options.vmArguments.begin(),
                          m_options.vmArguments.end());
+        std::string program = programPath("teaseldriftd");
+        if (m_options.vmLimits) {
+            limitProgram(*m_options.vmLimits, program, arguments);
+        }
         m_vms.push_back({.id = id,
                          .port = port,
                          .peerPort = peerPort,
                          .arguments = arguments,
-                         .program = programPath("teaseldriftd")});
+                         .program = program});
     }
     publishVms();
     for (FleetProcess &member : m_vms) {
--- a/testing/processes/fleet_fixture.hpp
+++ b/testing/processes/fleet_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,13 @@
 
 namespace teaseldrift::testing {
 
+/// @brief Limits of a VM's process.
+struct VmLimits
+{
+    size_t memoryMb = 0;
+    size_t descriptors = 0;
+};
+
 /// @brief Composition of a fleet of processes on loopback.
 struct FleetOptions
 {
@@ -19,6 +27,7 @@
     size_t plainServices = 1;
     std::vector<std::string> engineArguments{"--token-ms", "2"};
     std::vector<std::string> vmArguments;
+    std::optional<VmLimits> vmLimits;
     double rateTokensPerS = 1e7;
     double burstTokens = 1e7;
     uint32_t entryLifetimeMs = 200;
