--- a/packages/policy/include/teaseldrift/segments/prompt_segments.hpp
+++ b/packages/policy/include/teaseldrift/segments/prompt_segments.hpp
@@ -41,4 +41,11 @@
 std::vector<PromptPrefix> prefixesOf(std::span<const PromptSegment> segments,
                                      std::string_view salt);
 
+/// @brief Prefixes that other requests may share: all but the last, whose segment is the request's
+/// own.
+[[nodiscard]] inline std::span<const PromptPrefix> sharedOf(std::span<const PromptPrefix> prefixes)
+{
+    return prefixes.empty() ? prefixes : prefixes.first(prefixes.size() - 1);
+}
+
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -21,6 +21,7 @@
 #include "teaseldrift/targets/queue_delay_estimator.hpp"
 #include "teaseldrift/targets/quiet_periods.hpp"
 #include "teaseldrift/targets/target_directory.hpp"
+#include "teaseldrift/targets/target_speed.hpp"
 #include "teaseldrift/weights/rollout_plan.hpp"
 
 namespace teaseldrift {
@@ -31,6 +32,20 @@
     uint32_t running = 0;
     uint32_t waiting = 0;
     uint32_t slots = 0;
+    /// Time that work takes at this moment, in percent of what is usual for the target; empty if
+    /// the target does not report it.
+    std::optional<uint32_t> workTimePercent = {};
+};
+
+/// @brief What is known about the speed of a target, for gauges and messages between VMs.
+struct KnownTargetSpeed
+{
+    std::string_view id;
+    /// See targetKeyOf().
+    uint32_t targetKey = 0;
+    SharedSpeed speed;
+    /// When the speed last changed by more than its resolution in messages.
+    Instant changedAt;
 };
 
 /// @brief Parameters of target selection. Durations named cost are terms of the cost by which
@@ -38,7 +53,8 @@
 struct TargetSelectorOptions
 {
     std::string availabilityZone;
-    /// Assumed prefill speed of an engine; measurements do not change it.
+    /// Assumed prefill speed of an engine. Measurements replace it only for the targets of a service
+    /// that report the time that work takes at present.
     double prefillTokensPerMs = 100.0;
     /// Cost of a target in another availability zone: latency and charged traffic. More than the
     /// import of a KV cache takes, so an import within the zone is preferred; less than a queue.
@@ -69,6 +85,7 @@
     /// refusal.
     Duration refusalBackoff = 250ms;
     Duration maxRefusalBackoff = 1500ms;
+    TargetSpeedOptions speed;
     HealthOptions health;
 };
 
@@ -130,6 +147,9 @@
     uint32_t priority = 0;
     /// Set by TargetSelector::sent() for the queue delay estimate.
     uint64_t ticket = 0;
+    /// Set by TargetSelector::sent() if no prompt is known to be queued at the target: the time to
+    /// the first event then shows the target's speed.
+    std::optional<Instant> sentUnqueuedAt;
 };
 
 /// @brief Selects targets by load, health and the contents of their KV caches.
@@ -192,7 +212,9 @@
     void sent(TargetChoice &choice, Instant now);
 
     /// @brief Records the end of prefill, shown by the first event or the complete response.
-    void prefillFinished(const TargetChoice &choice, Instant now);
+    /// @param isFirstEvent whether the first event has just arrived; a complete response shows the
+    /// time of all of the work, not that to the first event
+    void prefillFinished(const TargetChoice &choice, Instant now, bool isFirstEvent = false);
 
     /// @brief Records that the request is no longer in flight.
     /// @param wasPrefilled whether prefillFinished() was called for it
@@ -215,6 +237,21 @@
 
     void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
 
+    /// @brief Speeds of the targets about which something was learned.
+    [[nodiscard]] std::vector<KnownTargetSpeed> speeds(Instant now) const;
+
+    /// @brief Speeds for one message to another VM: those that changed last, and some of the others
+    /// in case an earlier message was lost or the receiver has restarted.
+    /// @param seed arbitrary number that differs between messages
+    [[nodiscard]] std::vector<KnownTargetSpeed> speedsToSend(uint64_t seed, Instant now) const;
+
+    /// @brief Applies what another VM has learned about a target's speed.
+    void applySpeed(uint32_t targetKey, const SharedSpeed &speed, Instant now);
+
+    /// @brief Mean prefill speed learned of a service's targets, in prompt tokens per millisecond.
+    /// @return empty if no target of the service reports the time that work takes at present
+    [[nodiscard]] std::optional<double> meanPrefillTokensPerMs(std::string_view service) const;
+
     /// @brief Resets the backoff after the target has accepted a request.
     void accepted(std::string_view id, Instant now);
 
@@ -264,6 +301,9 @@
         uint32_t consecutiveRefusals = 0;
         SegmentIndex cache;
         QueueDelayEstimator queue;
+        TargetSpeed speed;
+        /// Mean of the service, shared by its targets.
+        std::shared_ptr<PrefillCurve> curve;
         /// The registration ended during a store outage.
         bool isUnconfirmed = false;
     };
@@ -293,6 +333,11 @@
         bool isBeingPrefilled = false;
 
         [[nodiscard]] std::span<const PromptPrefix> shared() const;
+        /// Tokens of the last segment, which no other request shares.
+        [[nodiscard]] uint64_t ownTokens() const
+        {
+            return prefixes.empty() ? 0 : prefixes.back().tokens;
+        }
     };
 
     struct PreferredTargets;
@@ -306,6 +351,12 @@
                                        const TargetQuery &query, Instant now) const;
     [[nodiscard]] const InFlightLoad *peerLoad(const State &state, Instant now) const;
     [[nodiscard]] double waitMs(const State &state, uint32_t priority, Instant now) const;
+    [[nodiscard]] bool isQueueEmpty(const State &state, Instant now) const;
+    static void observeSpeed(State &state, const TargetChoice &choice, Instant now);
+    [[nodiscard]] std::shared_ptr<PrefillCurve> curveOf(const std::string &service);
+    [[nodiscard]] double msPerToken(const State &state, Instant now) const;
+    [[nodiscard]] double firstEventMs(const State &state, Instant now) const;
+    [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, Instant now) const;
     [[nodiscard]] double crossZoneCostMs(const TargetEntry &target) const;
     static std::string cacheSaltOf(const TargetQuery &query, uint64_t weights);
     [[nodiscard]] const State *stateOf(std::string_view id) const;
@@ -314,7 +365,7 @@
     prefixAvailabilityOf(const std::vector<const TargetEntry *> &targets, const TargetQuery &query,
                          uint64_t weights, Instant now) const;
     [[nodiscard]] double cacheCostMs(const PrefixAvailability &availability, uint64_t heldTokens,
-                                     double importRate, bool isPrimary) const;
+                                     double importRate, double msPerToken, bool isPrimary) const;
     void addImport(TargetChoice &choice, const PrefixAvailability &availability,
                    uint64_t heldTokens) const;
     SegmentIndex *cacheOf(std::string_view id);
@@ -323,6 +374,8 @@
     TargetHealth m_health;
     std::map<std::string, ServiceCapacity, std::less<>> m_services;
     std::map<std::string, State, std::less<>> m_states;
+    /// By service.
+    std::map<std::string, std::shared_ptr<PrefillCurve>, std::less<>> m_curves;
     std::string m_cacheStoreAddress;
     SegmentIndex m_cacheStore;
     std::map<std::string, AnnouncedRolloutPlan, std::less<>> m_rolloutPlans;
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -1,7 +1,6 @@
 #include "teaseldrift/targets/target_selector.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "teaseldrift/base/milliseconds.hpp"
@@ -18,20 +17,12 @@
 
 /// Cost of a target that loads weights now: a last resort.
 constexpr double loadingPenaltyMs = 2000.0;
-/// Cost of a target whose registration ended during a store outage.
-constexpr double unconfirmedPenaltyMs = 500.0;
 /// Cost per time by which a request delays the target's load of weights. The target takes no other
 /// requests meanwhile.
 constexpr double loadDelayCostFactor = 0.02;
 /// Cost of a target with older weights, since operators prefer answers of the newest version.
 constexpr double outdatedWeightsPenaltyMs = 20.0;
 
-/// Prefixes that other requests may share: all but the last, whose segment is the request's own.
-std::span<const PromptPrefix> sharedOf(std::span<const PromptPrefix> prefixes)
-{
-    return prefixes.empty() ? prefixes : prefixes.first(prefixes.size() - 1);
-}
-
 uint64_t tokensOf(std::span<const PromptPrefix> prefixes)
 {
     uint64_t tokens = 0;
@@ -70,6 +61,8 @@
         state = State();
         state.service = target.service;
         state.targetKey = targetKeyOf(target.id);
+        state.speed = TargetSpeed(target.startedAtMs, m_options.speed);
+        state.curve = curveOf(target.service);
         m_idsByKey[state.targetKey] = target.id;
         const auto capacity = m_services.find(target.service);
         if (capacity != m_services.end()) {
@@ -98,50 +91,6 @@
     }
 }
 
-/// @return null if the other VMs' load is unknown or too old
-const InFlightLoad *TargetSelector::peerLoad(const State &state, Instant now) const
-{
-    static constexpr InFlightLoad none;
-    if (m_peerLoadAt == Instant() || now - m_peerLoadAt > m_options.peerLoadMaxAge) {
-        return nullptr;
-    }
-    const InFlightLoadTable::const_iterator found = m_peerLoad.find(state.targetKey);
-    return found == m_peerLoad.end() ? &none : &found->second;
-}
-
-double TargetSelector::waitMs(const State &state, uint32_t priority, Instant now) const
-{
-    double running = state.inFlight;
-    double waiting = 0.0;
-    double backlogTokens = static_cast<double>(state.backlogTokens);
-    const InFlightLoad *others = peerLoad(state, now);
-    // Past waits stand in for the other VMs' load only while that load is unknown.
-    const Duration queueDelay = others != nullptr ? state.queue.longestPendingWait(priority, now)
-                                                  : state.queue.expectedWait(priority, now);
-    const double slots = std::max<double>(1.0, state.report.slots);
-    if (others != nullptr) {
-        running += others->requests;
-        backlogTokens += others->backlogTokens;
-        waiting = state.report.slots == 0 ? 0.0 : std::max(0.0, running - slots);
-        running -= waiting;
-    } else if (state.reportedAt != Instant()
-               && now - state.reportedAt < m_options.loadReportMaxAge) {
-        const double since
-                = static_cast<double>(state.inFlight) - static_cast<double>(state.inFlightAtReport);
-        const double all
-                = std::max(0.0, static_cast<double>(state.report.running)
-                                        + static_cast<double>(state.report.waiting) + since);
-        running = std::max(running, all);
-        waiting = std::max(0.0, running - slots);
-        running = std::min(running, slots);
-    }
-    const double unconfirmedMs = state.isUnconfirmed ? unconfirmedPenaltyMs : 0.0;
-    const double prefillMs = backlogTokens / m_options.prefillTokensPerMs;
-    return unconfirmedMs + std::max(prefillMs, toMs(queueDelay))
-           + running * toMs(m_options.costPerRunningRequest)
-           + waiting * toMs(m_options.costPerWaitingRequest);
-}
-
 double TargetSelector::crossZoneCostMs(const TargetEntry &target) const
 {
     return target.availabilityZone == m_options.availabilityZone ? 0.0
@@ -286,7 +235,7 @@
 /// Prefill is weighted by duplicatePrefillFactor if a target already computes the prefix or another
 /// target is preferred for it.
 double TargetSelector::cacheCostMs(const PrefixAvailability &availability, uint64_t heldTokens,
-                                   double importRate, bool isPrimary) const
+                                   double importRate, double msPerToken, bool isPrimary) const
 {
     const uint64_t importable = importRate > 0.0 && availability.importableTokens > heldTokens
                                         ? availability.importableTokens - heldTokens
@@ -295,7 +244,7 @@
             = importable == 0 ? 0.0 : 1.0 + static_cast<double>(importable) / importRate;
     const double missingTokens
             = static_cast<double>(availability.sharedTokens - heldTokens - importable);
-    const double prefillMs = missingTokens / m_options.prefillTokensPerMs;
+    const double prefillMs = missingTokens * msPerToken;
     const bool isDuplicatePrefill = availability.isBeingPrefilled || !isPrimary;
     return importMs + prefillMs * (isDuplicatePrefill ? m_options.duplicatePrefillFactor : 1.0);
 }
@@ -385,7 +334,8 @@
             candidate.heldTokens = state->cache.heldTokens(availability->second.shared(),
                                                            SegmentCertainty::Expected, now);
             candidate.costMs += cacheCostMs(availability->second, candidate.heldTokens, importRate,
-                                            target->id == preferred.first);
+                                            msPerToken(*state, now), target->id == preferred.first);
+            candidate.costMs += ownPrefillCostMs(*state, availability->second.ownTokens(), now);
             candidate.costMs -= preferred.affinityBonusMs(target->id);
             candidate.costMs += rolloutCostMs(*state, candidate.weights, query, now);
         } else {
@@ -450,56 +400,6 @@
     }
 }
 
-void TargetSelector::sent(TargetChoice &choice, Instant now)
-{
-    State *state = mutableState(choice.id);
-    if (state == nullptr) {
-        return;
-    }
-    ++state->inFlight;
-    m_quietPeriods.sent(choice.id, now);
-    const double ownMs = choice.prefixes.empty() ? 0.0
-                                                 : static_cast<double>(choice.prefillTokens)
-                                                                   / m_options.prefillTokensPerMs
-                                                           + toMs(m_options.firstEventTime);
-    choice.ticket = state->queue.sent(choice.priority, fromMs(ownMs), now);
-    state->backlogTokens += choice.prefillTokens;
-    state->cache.expect(choice.prefixes, now);
-    if (!choice.saveTo.empty() && choice.saveTo == m_cacheStoreAddress) {
-        m_cacheStore.expect(sharedOf(choice.prefixes), now);
-    }
-}
-
-void TargetSelector::prefillFinished(const TargetChoice &choice, Instant now)
-{
-    State *state = mutableState(choice.id);
-    if (state != nullptr) {
-        state->backlogTokens -= std::min(state->backlogTokens, choice.prefillTokens);
-        state->queue.prefillFinished(choice.ticket, now);
-        for (const SegmentEvent &event : state->cache.confirm(sharedOf(choice.prefixes))) {
-            // Bounds the list when nothing takes the segments.
-            constexpr size_t maxEntries = 1000;
-            if (m_prefilledSegments.size() < maxEntries) {
-                m_prefilledSegments.push_back({.targetKey = state->targetKey, .event = event});
-            }
-        }
-    }
-}
-
-void TargetSelector::ended(const TargetChoice &choice, bool wasPrefilled)
-{
-    State *state = mutableState(choice.id);
-    if (state == nullptr) {
-        return;
-    }
-    state->inFlight -= std::min<uint32_t>(state->inFlight, 1);
-    state->queue.dropped(choice.ticket);
-    if (!wasPrefilled) {
-        state->backlogTokens -= std::min(state->backlogTokens, choice.prefillTokens);
-        state->cache.dropExpected(choice.prefixes);
-    }
-}
-
 SegmentIndex *TargetSelector::cacheOf(std::string_view id)
 {
     if (id.empty()) {
@@ -537,46 +437,6 @@
     }
 }
 
-void TargetSelector::reportLoad(std::string_view id, const TargetLoadReport &report, Instant now)
-{
-    State *state = mutableState(id);
-    if (state != nullptr) {
-        state->report = report;
-        state->reportedAt = now;
-        state->inFlightAtReport = state->inFlight;
-    }
-}
-
-InFlightLoadTable TargetSelector::inFlightLoad() const
-{
-    InFlightLoadTable load;
-    for (const std::pair<const std::string, State> &state : m_states) {
-        if (state.second.inFlight > 0) {
-            load[state.second.targetKey]
-                    += {.backlogTokens = static_cast<uint32_t>(std::min<uint64_t>(
-                                state.second.backlogTokens, std::numeric_limits<uint32_t>::max())),
-                        .requests = state.second.inFlight};
-        }
-    }
-    return load;
-}
-
-void TargetSelector::setPeerLoad(InFlightLoadTable load, Instant now)
-{
-    m_peerLoad = std::move(load);
-    m_peerLoadAt = now;
-}
-
-uint32_t TargetSelector::requestsAt(std::string_view id, Instant now) const
-{
-    const State *state = stateOf(id);
-    if (state == nullptr) {
-        return 0;
-    }
-    const InFlightLoad *others = peerLoad(*state, now);
-    return state->inFlight + (others == nullptr ? 0 : others->requests);
-}
-
 bool TargetSelector::setRolloutPlan(const RolloutPlan &plan, Instant announcedAt)
 {
     AnnouncedRolloutPlan &known = m_rolloutPlans[plan.model];
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -523,9 +523,10 @@
 template <Dialect D>
 void RequestTask<D>::finishPrefill(Instant now)
 {
+    const bool isFirstEvent = m_hasEvents && !m_isPrefillFinished;
     m_isPrefillFinished = true;
     if (m_choice && !m_isLoadDiscounted) {
-        m_context.fleet.targetSelector().prefillFinished(*m_choice, now);
+        m_context.fleet.targetSelector().prefillFinished(*m_choice, now, isFirstEvent);
     }
 }
 
