--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -356,7 +356,7 @@
     [[nodiscard]] std::shared_ptr<PrefillCurve> curveOf(const std::string &service);
     [[nodiscard]] double msPerToken(const State &state, Instant now) const;
     [[nodiscard]] double firstEventMs(const State &state, Instant now) const;
-    [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, Instant now) const;
+    [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed, Instant now) const;
     [[nodiscard]] double crossZoneCostMs(const TargetEntry &target) const;
     static std::string cacheSaltOf(const TargetQuery &query, uint64_t weights);
     [[nodiscard]] const State *stateOf(std::string_view id) const;
--- a/packages/policy/include/teaseldrift/targets/target_speed.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_speed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -13,12 +14,16 @@
     /// Bound of a target's factor, and the reciprocal of its lower bound. Limits what wrong figures
     /// of a target can do to its own share of the requests.
     double maxFactor = 4.0;
-    /// Observations after which the estimate is an exponential moving average with the reciprocal
-    /// as its gain. A power of two, because VMs exchange the count as a power of two.
-    uint32_t maxSamples = 32;
+    /// Observations after which the estimate is an exponential moving average with about the
+    /// reciprocal as its gain. The most that a message between VMs can state.
+    uint32_t maxSamples = 15;
     /// A reported momentary figure loses its effect linearly over this time: other load on a
     /// target's machine lasts about 0.6 s, and the figure arrives after its start.
     Duration momentaryTime = 500ms;
+    /// Without observations the estimate loses its effect linearly over this time. Otherwise a
+    /// target that was found slow, or has reported false figures, would get no request that could
+    /// show anything else.
+    Duration usualTime = 60s;
 };
 
 /// @brief What VMs tell each other about a target's speed; 4 bytes in a message.
@@ -51,8 +56,8 @@
 /// @brief Estimates how long work takes at one target, relative to the mean of its service.
 ///
 /// The product of a slow-moving estimate, from times to the first event, and a momentary factor,
-/// from the target's load reports. A false momentary figure has a bounded and passing effect: the
-/// estimate is measured relative to it, so a constant one cancels out.
+/// from the target's load reports. A false momentary figure has a bounded and passing effect. A
+/// constant one below 150 percent cancels out, since the estimate is measured relative to it.
 ///
 /// ```cpp
 /// speed.reportMomentary(250, now);
@@ -79,21 +84,19 @@
     /// @brief Time that work takes now, relative to the mean of the service's targets.
     [[nodiscard]] double factor(Instant now) const
     {
-        return m_isReported ? bounded(m_usualFactor * momentaryFactor(now)) : 1.0;
+        return m_isReported ? bounded(usualFactor(now) * momentaryFactor(now)) : 1.0;
     }
 
-    /// @brief Slow-moving part of factor(); 1 without observations.
-    [[nodiscard]] double usualFactor() const { return m_usualFactor; }
+    /// @brief Slow-moving part of factor(), which decays to 1 without observations.
+    [[nodiscard]] double usualFactor(Instant now) const
+    {
+        return decayed(m_usualFactor, now - m_observedAt, m_options.usualTime);
+    }
 
     /// @brief Momentary part of factor(), which decays to 1.
     [[nodiscard]] double momentaryFactor(Instant now) const
     {
-        const Duration age = now - m_momentaryAt;
-        if (age >= m_options.momentaryTime) {
-            return 1.0;
-        }
-        const double weight = 1.0 - toSeconds(age) / toSeconds(m_options.momentaryTime);
-        return 1.0 + (m_momentaryFactor - 1.0) * weight;
+        return decayed(m_momentaryFactor, now - m_momentaryAt, m_options.momentaryTime);
     }
 
     /// @brief When an estimate last changed by more than its resolution in messages.
@@ -109,7 +112,14 @@
     void merge(const SharedSpeed &other, Instant now);
 
 private:
-    [[nodiscard]] double bounded(double factor) const;
+    [[nodiscard]] double bounded(double factor) const
+    {
+        return std::clamp(factor, 1.0 / m_options.maxFactor, m_options.maxFactor);
+    }
+    static double decayed(double factor, Duration age, Duration time)
+    {
+        return age >= time ? 1.0 : 1.0 + (factor - 1.0) * (1.0 - toSeconds(age) / toSeconds(time));
+    }
     void noteChange(Instant now);
 
     TargetSpeedOptions m_options;
@@ -138,6 +148,9 @@
     /// @brief Records a request that did not queue.
     void observe(double tokens, double ms);
 
+    /// @brief Whether enough requests were observed for targets to be compared with the mean.
+    [[nodiscard]] bool isSettled() const { return m_observations >= minObservations; }
+
     [[nodiscard]] double msPerToken() const { return m_msPerToken; }
     [[nodiscard]] double baseMs() const { return m_baseMs; }
     [[nodiscard]] double expectedMs(double tokens) const
@@ -148,6 +161,9 @@
 private:
     void add(double tokens, double ms, double weight);
 
+    static constexpr uint32_t minObservations = 16;
+
+    uint32_t m_observations = 0;
     double m_priorMsPerToken;
     double m_msPerToken;
     double m_baseMs;
--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -1,6 +1,7 @@
 /// Use of the targets' speeds in their selection.
 
 #include <algorithm>
+#include <cmath>
 
 #include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/targets/target_selector.hpp"
@@ -12,6 +13,11 @@
 /// Shorter prefills say little about the speed: the fixed part of the time prevails.
 constexpr uint64_t minObservedTokens = 200;
 
+/// Scale of the spreading cost, relative to the time to the first event at a target of the mean
+/// speed. Chosen by target_speed_simulation_test: with 0.35 targets that are 1.7 times as slow get
+/// too many requests, with 0.1 long prompts queue for longer.
+constexpr double spread = 0.15;
+
 /// Speeds in one message, at 8 bytes each: at most 256 bytes.
 constexpr std::ptrdiff_t maxRecentPerMessage = 24;
 constexpr size_t maxOthersPerMessage = 8;
@@ -46,13 +52,25 @@
 }
 
 /// Additional time of the parts of a request that take the same time at all targets of the mean
-/// speed; they are in no other term of the cost.
+/// speed, and so are in no other term of the cost. Adds a random cost by target and request, so
+/// that targets are chosen with a probability that falls exponentially with their cost: the load of
+/// the other VMs is known late, and without it all of them would send to the same few targets
+/// meanwhile.
 /// @param tokens prompt tokens that no target holds
-double TargetSelector::ownPrefillCostMs(const State &state, uint64_t tokens, Instant now) const
+double TargetSelector::ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed,
+                                        Instant now) const
 {
-    return state.speed.isReported() ? state.curve->expectedMs(static_cast<double>(tokens))
-                                              * (state.speed.factor(now) - 1.0)
-                                    : 0.0;
+    if (!state.speed.isReported()) {
+        return 0.0;
+    }
+    constexpr uint64_t multiplier = 0x9e3779b97f4a7c15U;
+    constexpr int fractionShift = 40;
+    constexpr double fractionRange = 1U << 24U;
+    uint64_t hash = ((state.targetKey * multiplier) ^ seed) * multiplier;
+    hash = (hash ^ (hash >> 32U)) * multiplier;
+    const double fraction = (static_cast<double>(hash >> fractionShift) + 0.5) / fractionRange;
+    return state.curve->expectedMs(static_cast<double>(tokens))
+           * (state.speed.factor(now) - 1.0 + spread * std::log(-std::log(fraction)));
 }
 
 /// Whether no prompt is known to be queued at a target.
@@ -76,7 +94,9 @@
     }
     const double tokens = static_cast<double>(choice.prefillTokens);
     const double ms = toMs(now - *choice.sentUnqueuedAt);
-    state.speed.observe(ms / state.curve->expectedMs(tokens), now);
+    if (state.curve->isSettled()) {
+        state.speed.observe(ms / state.curve->expectedMs(tokens), now);
+    }
     state.curve->observe(tokens, ms);
 }
 
--- a/packages/policy/src/teaseldrift/targets/target_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed.cpp
@@ -1,7 +1,6 @@
 #include "teaseldrift/targets/target_speed.hpp"
 
 #include <algorithm>
-#include <bit>
 #include <cmath>
 
 #include "teaseldrift/base/milliseconds.hpp"
@@ -12,9 +11,9 @@
 
 /// Layout of a packed SharedSpeed, from the lowest bit.
 constexpr unsigned usualBits = 8;
-constexpr unsigned samplesBits = 3;
+constexpr unsigned samplesBits = 4;
 constexpr unsigned observedAgeBits = 5;
-constexpr unsigned momentaryBits = 6;
+constexpr unsigned momentaryBits = 5;
 constexpr unsigned momentaryAgeBits = 5;
 static_assert(usualBits + samplesBits + observedAgeBits + momentaryBits + momentaryAgeBits
                       + SharedSpeed::incarnationBits
@@ -22,7 +21,7 @@
 
 /// Steps per doubling of a factor. Two bounds of 4 fit: factors are at most 16 and at least 1/16.
 constexpr double usualSteps = 16.0;
-/// Momentary factors are at most 4 and at least 1/4.
+/// Momentary factors are at most 3.7 and at least 1/4.
 constexpr double momentarySteps = 8.0;
 /// Ages of a momentary figure are told in these steps and capped at 31 of them, longer than
 /// TargetSpeedOptions::momentaryTime.
@@ -31,13 +30,23 @@
 constexpr double observedAgeSteps = 2.0;
 constexpr double observedAgeUnitMs = 20.0;
 
+/// Weight of an observation that is slower than expected. Queues that a VM can't see only add time,
+/// so the estimates lean towards the fastest observations.
+constexpr double slowerWeight = 0.5;
+
+/// A machine without other load is little faster than usual. Bounds what a target can attract by
+/// false figures.
+constexpr double minMomentaryFactor = 0.7;
+/// The usual speed is not observed while a target is slower than this.
+constexpr double maxObservedMomentaryFactor = 1.5;
+
 /// Change of a factor that is told to other VMs at once; a smaller one waits for its turn.
 constexpr double notableChange = 1.1;
 
 /// Weight of the prior of a PrefillCurve, in observations.
-constexpr double priorWeight = 8.0;
+constexpr double priorWeight = 1.0;
 /// Factor by which the weight of older observations shrinks with each new one.
-constexpr double keptWeight = 1.0 - 1.0 / 256.0;
+constexpr double keptWeight = 1.0 - 1.0 / 128.0;
 /// Prompt at which the prior's second point lies, about that of a long prompt.
 constexpr double priorTokens = 4000.0;
 /// The learned speed differs from the prior by no more than this factor.
@@ -94,7 +103,7 @@
         shift += bits;
     };
     put(toLevel(usualFactor, usualSteps, usualBits), usualBits);
-    put(capped(std::bit_width(samples), samplesBits), samplesBits);
+    put(capped(samples, samplesBits), samplesBits);
     put(capped(std::round(std::log2(1.0 + std::max(0.0, toMs(observedAge)) / observedAgeUnitMs)
                           * observedAgeSteps),
                observedAgeBits),
@@ -110,8 +119,7 @@
 {
     SharedSpeed speed;
     speed.usualFactor = fromLevel(takeBits(packed, usualBits), usualSteps, usualBits);
-    const uint32_t samplesWidth = takeBits(packed, samplesBits);
-    speed.samples = samplesWidth == 0 ? 0 : 1U << (samplesWidth - 1U);
+    speed.samples = takeBits(packed, samplesBits);
     speed.observedAge
             = fromMs((std::exp2(takeBits(packed, observedAgeBits) / observedAgeSteps) - 1.0)
                      * observedAgeUnitMs);
@@ -127,11 +135,6 @@
     : m_options(options), m_incarnation(incarnationNumber(startedAtMs))
 { }
 
-double TargetSpeed::bounded(double factor) const
-{
-    return std::clamp(factor, 1.0 / m_options.maxFactor, m_options.maxFactor);
-}
-
 void TargetSpeed::noteChange(Instant now)
 {
     if (isNotable(m_notedUsual, m_usualFactor) || isNotable(m_notedMomentary, m_momentaryFactor)) {
@@ -147,21 +150,24 @@
     m_isReported = true;
     // A figure that has lost its effect counts as 1, whatever it was.
     m_notedMomentary = now - m_momentaryAt >= m_options.momentaryTime ? 1.0 : m_notedMomentary;
-    m_momentaryFactor = bounded(percent / usualPercent);
+    m_momentaryFactor
+            = std::clamp(percent / usualPercent, minMomentaryFactor, m_options.maxFactor);
     m_momentaryAt = now;
     noteChange(now);
 }
 
 void TargetSpeed::observe(double relativeTime, Instant now)
 {
-    if (!(relativeTime > 0.0)) {
+    // The momentary factor may have changed during a slowed prefill, or be false.
+    if (!(relativeTime > 0.0) || momentaryFactor(now) > maxObservedMomentaryFactor) {
         return;
     }
     const double observed = bounded(relativeTime / momentaryFactor(now));
     m_samples = std::min(m_samples + 1, m_options.maxSamples);
     // The first observation has half the weight of the prior's, so that one late response does not
     // decide alone.
-    const double gain = 1.0 / (static_cast<double>(m_samples) + 1.0);
+    const double gain = (observed > m_usualFactor ? slowerWeight : 1.0)
+                        / (static_cast<double>(m_samples) + 1.0);
     m_usualFactor = bounded(m_usualFactor * std::pow(observed / m_usualFactor, gain));
     m_observedAt = now;
     noteChange(now);
@@ -194,17 +200,15 @@
     if (other.momentaryAge < m_options.momentaryTime
         && momentaryAt > m_momentaryAt + momentaryAgeStep) {
         m_notedMomentary = now - m_momentaryAt >= m_options.momentaryTime ? 1.0 : m_notedMomentary;
-        m_momentaryFactor = bounded(other.momentaryFactor);
+        m_momentaryFactor
+                = std::clamp(other.momentaryFactor, minMomentaryFactor, m_options.maxFactor);
         m_momentaryAt = momentaryAt;
     }
     // An estimate of few observations does not replace one of many; between equal ones the newer
     // counts.
-    const int otherWidth = std::bit_width(other.samples);
-    const int ownWidth = std::bit_width(m_samples);
-    const Duration ageStep = other.observedAge / 2;
-    const bool isNewer
-            = now - other.observedAge > m_observedAt + std::max<Duration>(ageStep, momentaryAgeStep);
-    if (other.samples > 0 && (otherWidth > ownWidth || (otherWidth == ownWidth && isNewer))) {
+    const Duration resolution = std::max<Duration>(other.observedAge / 2, momentaryAgeStep);
+    const bool isNewer = now - other.observedAge > m_observedAt + resolution;
+    if (other.samples > 0 && (other.samples > m_samples || (other.samples == m_samples && isNewer))) {
         m_samples = std::min(other.samples, m_options.maxSamples);
         m_usualFactor = bounded(other.usualFactor);
         m_observedAt = now - other.observedAge;
@@ -237,8 +241,10 @@
         *sum *= keptWeight;
     }
     // One response that was held up must not move the mean by more than its weight.
+    m_observations = std::min(m_observations + 1, minObservations);
     const double expected = expectedMs(tokens);
-    add(tokens, std::clamp(ms, expected / maxSpeedRatio, expected * maxSpeedRatio), 1.0);
+    add(tokens, std::clamp(ms, expected / maxSpeedRatio, expected * maxSpeedRatio),
+        ms > expected ? slowerWeight : 1.0);
     const double variance = m_tokensSquared - m_tokens * m_tokens / m_weight;
     // Prompts of one length say nothing about the speed; the fixed part then takes the difference.
     constexpr double minDeviation = 50.0;
--- a/packages/policy/src/teaseldrift/targets/target_speed_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed_simulation_test.cpp
@@ -27,6 +27,8 @@
 struct Behaviour
 {
     double tokensPerMs = 112.0;
+    /// Prompts have 100 tokens at least.
+    uint32_t maxTokens = 1400;
     /// Time that work takes at a target, relative to the configured engine.
     std::function<double(size_t target, Instant now)> factor;
     /// Fourth figure of its load reports; none for three figures.
@@ -34,6 +36,8 @@
             = [](size_t, Instant) { return std::optional<uint32_t>(100); };
     /// Selects by exact queues and speeds instead.
     bool isCentral = false;
+    /// The VMs are told the exact speeds at each exchange.
+    bool areSpeedsKnown = false;
 };
 
 struct Sent
@@ -70,7 +74,7 @@
     double run(Duration warmUp, Duration length)
     {
         std::exponential_distribution<double> gap(requestsPerSecond);
-        std::uniform_int_distribution<uint32_t> tokens(500, 7500);
+        std::uniform_int_distribution<uint32_t> tokens(100, m_behaviour.maxTokens);
         double sumMs = 0.0;
         size_t count = 0;
         Instant now = start;
@@ -201,6 +205,17 @@
             m_total[key] += load;
         }
         m_vms[vm].reported = std::move(own);
+        if (m_behaviour.areSpeedsKnown) {
+            for (size_t i = 0; i < targetCount; ++i) {
+                m_vms[vm].selector.applySpeed(targetKeyOf(idOf(i)),
+                                              {.usualFactor = m_behaviour.factor(i, now),
+                                               .samples = 15,
+                                               .momentaryAge = 1s,
+                                               .incarnation = incarnationNumber(1)},
+                                              now);
+            }
+            return;
+        }
         tell(vm, 0, now);
         tell(0, vm, now);
     }
@@ -240,18 +255,100 @@
 TEST_CASE("a third of the targets is 1.7 times as slow: the mean time to the first event is near "
           "that of a central scheduler")
 {
-    for (const double tokensPerMs : {112.0}) {
-        const double central = Fleet({.tokensPerMs = tokensPerMs,
-                                      .factor = thirdIsSlow,
-                                      .isCentral = true})
-                                       .run(5s, 10s);
-        Fleet learning({.tokensPerMs = tokensPerMs, .factor = thirdIsSlow});
-        const double learned = learning.run(5s, 10s);
-        const double without = Fleet({.tokensPerMs = tokensPerMs, .factor = thirdIsSlow, .figure = noFigure}).run(5s, 10s);
-        const double uniform = Fleet({.tokensPerMs = tokensPerMs, .factor = [](size_t, Instant) { return 1.0; }}).run(5s, 10s);
-        const double uniformC = Fleet({.tokensPerMs = tokensPerMs, .factor = [](size_t, Instant) { return 1.0; }, .isCentral = true}).run(5s, 10s);
-        WARN("central " << central << " learned " << learned << " without " << without << " uniform " << uniform << " uniform central " << uniformC
-             << " share slow " << learning.share([](const Sent &s) { return s.target % 3 == 0; }));
+    // Prompts of the same time at both speeds; longer ones queue for load that is known late.
+    for (const Behaviour &behaviour :
+         {Behaviour{.tokensPerMs = 48.2, .maxTokens = 600, .factor = thirdIsSlow},
+          Behaviour{.tokensPerMs = 112.0, .maxTokens = 1400, .factor = thirdIsSlow}}) {
+        Behaviour central = behaviour;
+        central.isCentral = true;
+        Behaviour unreported = behaviour;
+        unreported.figure = noFigure;
+        const double centralMs = Fleet(central).run(10s, 10s);
+        CAPTURE(centralMs);
+        CHECK(Fleet(behaviour).run(10s, 10s) < 1.1 * centralMs);
+        // The check above can fail.
+        CHECK(Fleet(unreported).run(10s, 10s) > 1.1 * centralMs);
+    }
+}
+
+TEST_CASE("long prompts: learned speeds cost little more than known ones")
+{
+    Behaviour behaviour{.maxTokens = 7000, .factor = thirdIsSlow};
+    const double learned = Fleet(behaviour).run(10s, 10s);
+    behaviour.areSpeedsKnown = true;
+    const double known = Fleet(behaviour).run(10s, 10s);
+    behaviour.figure = noFigure;
+    behaviour.areSpeedsKnown = false;
+    const double without = Fleet(behaviour).run(10s, 10s);
+    behaviour.isCentral = true;
+    WARN("learned " << learned << " known " << known << " without " << without << " central " << Fleet(behaviour).run(10s, 10s));
+    CHECK(learned < 1.1 * known);
+    CHECK(learned < without);
+}
+
+TEST_CASE("a target that is slowed for 0.6 s is avoided soon after the first report and used again "
+          "soon afterwards")
+{
+    // Each second another target is slowed.
+    const auto isSlowed = [](size_t target, Instant now, Duration from, Duration to) {
+        const Duration since = now - start - static_cast<int64_t>(target) * 1s;
+        return since >= from && since < to;
+    };
+    Fleet fleet({.factor =
+                         [&](size_t target, Instant now) {
+                             return isSlowed(target, now, 0ms, 600ms) ? 2.5 : 1.0;
+                         },
+                 .figure =
+                         [&](size_t target, Instant now) {
+                             return isSlowed(target, now, 0ms, 600ms) ? 250U : 100U;
+                         }});
+    fleet.run(0s, 60s);
+    const auto shareBetween = [&](Duration from, Duration to) {
+        // Of the requests in these parts of all seconds; a fair one is 1.
+        size_t all = 0;
+        size_t slowed = 0;
+        for (const Sent &sent : fleet.sent()) {
+            const Duration inSecond = (sent.at - start) % 1s;
+            if (sent.at - start >= 5s && inSecond >= from % 1s && inSecond < from % 1s + (to - from)) {
+                ++all;
+                slowed += isSlowed(sent.target, sent.at, from, to) ? 1 : 0;
+            }
+        }
+        return static_cast<double>(slowed) * targetCount / static_cast<double>(all);
+    };
+    for (int i = 0; i < 20; ++i) WARN(i << " " << shareBetween(i * 100ms, i * 100ms + 100ms));
+    // Requests of the slowed target arrive at 13 a second, so that the first report takes about 0.1 s.
+    CHECK(shareBetween(300ms, 600ms) < 0.5);
+    CHECK(shareBetween(1100ms, 1500ms) > 0.8);
+}
+
+TEST_CASE("a target that reports false figures changes only its own share")
+{
+    constexpr size_t liar = 7;
+    const auto even = [](size_t, Instant) { return 1.0; };
+    Fleet honest({.factor = even});
+    const double honestMs = honest.run(5s, 20s);
+    for (const uint32_t figure : {10U, 1000U, 0U}) {
+        std::mt19937_64 random(1);
+        Fleet fleet({.factor = even, .figure = [&](size_t target, Instant) {
+                         const uint32_t any = random() % 2 == 0 ? 10 : 1000;
+                         return target == liar ? (figure == 0 ? any : figure) : 100;
+                     }});
+        const double ms = fleet.run(5s, 20s);
+        const double share = targetCount * fleet.share([](const Sent &sent) { return sent.target == liar; });
+        double least = 10.0;
+        double most = 0.0;
+        for (size_t i = 0; i < targetCount; ++i) {
+            if (i != liar) {
+                const double other = targetCount * fleet.share([i](const Sent &sent) { return sent.target == i; });
+                least = std::min(least, other);
+                most = std::max(most, other);
+            }
+        }
+        WARN(figure << " ms " << ms << " honest " << honestMs << " share " << share << " others " << least << " to " << most);
+        CHECK(ms < 1.1 * honestMs);
+        CHECK(share > 0.0);
+        CHECK(share < 4.0);
     }
 }
 
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -12,6 +12,7 @@
 #include "target_limit_messages.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/quarantine/crash_reports.hpp"
+#include "teaseldrift/relay/target_speed_messages.hpp"
 #include "teaseldrift/relay/unresponsive_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/targets/peer_load_tracker.hpp"
@@ -296,11 +297,13 @@
             fleet.brittleServices(), known ? std::optional(known->brittleServices) : std::nullopt,
             firstLimit, now);
     firstLimit += static_cast<size_t>(message.target_limits().limits_size());
+    writeTargetSpeeds(fleet.targetSelector(), now, message);
 }
 
 void LoadTask::Impl::mergeRecords(const schema::FleetLoad &message, Instant now)
 {
     fleet.quarantine().merge(readCrashReports(message.crash_reports(), now), now);
+    applyTargetSpeeds(message, now, fleet.targetSelector());
     for (const schema::TargetLimit &limit : message.target_limits().limits()) {
         fleet.applyTargetLimit(limit, now);
     }
