--- a/bench/micro/bench_selection.cpp
+++ b/bench/micro/bench_selection.cpp
@@ -12,7 +12,8 @@
 
 using namespace teaseldrift;
 
-/// Prompts of a shared and an own segment, at engines that have run some requests.
+/// Prompts of a shared and an own segment, at engines that have run some requests. The second
+/// argument states whether the engines report the time that work takes at present.
 void selection(benchmark::State &state)
 {
     const size_t targetCount = static_cast<size_t>(state.range(0));
@@ -29,7 +30,12 @@
                                 .startedAtMs = 1,
                                 .weights = {{"m", 1}}};
         selector.update(entry, directory.put(entry), now);
-        selector.reportLoad(entry.id, {.running = 3, .slots = 32}, now);
+        selector.reportLoad(entry.id,
+                            {.running = 3,
+                             .slots = 32,
+                             .workTimePercent
+                             = state.range(1) == 0 ? std::nullopt : std::optional<uint32_t>(120)},
+                            now);
     }
     uint64_t number = 0;
     const auto choose = [&] {
@@ -57,6 +63,6 @@
 
 } // namespace
 
-BENCHMARK(selection)->Arg(20)->Arg(100)->Arg(400)->ArgName("targets");
+BENCHMARK(selection)->ArgsProduct({{20, 100, 400}, {0, 1}})->ArgNames({"targets", "speeds"});
 
 BENCHMARK_MAIN();
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -53,8 +53,8 @@
 struct TargetSelectorOptions
 {
     std::string availabilityZone;
-    /// Assumed prefill speed of an engine. Measurements replace it only for the targets of a service
-    /// that report the time that work takes at present.
+    /// Assumed prefill speed of an engine. Measurements replace it only for the targets of a
+    /// service that report the time that work takes at present.
     double prefillTokensPerMs = 100.0;
     /// Cost of a target in another availability zone: latency and charged traffic. More than the
     /// import of a KV cache takes, so an import within the zone is preferred; less than a queue.
@@ -356,7 +356,8 @@
     [[nodiscard]] std::shared_ptr<PrefillCurve> curveOf(const std::string &service);
     [[nodiscard]] double msPerToken(const State &state, Instant now) const;
     [[nodiscard]] double firstEventMs(const State &state, Instant now) const;
-    [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed, Instant now) const;
+    [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed,
+                                          Instant now) const;
     [[nodiscard]] double crossZoneCostMs(const TargetEntry &target) const;
     static std::string cacheSaltOf(const TargetQuery &query, uint64_t weights);
     [[nodiscard]] const State *stateOf(std::string_view id) const;
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -335,7 +335,8 @@
                                                            SegmentCertainty::Expected, now);
             candidate.costMs += cacheCostMs(availability->second, candidate.heldTokens, importRate,
                                             msPerToken(*state, now), target->id == preferred.first);
-            candidate.costMs += ownPrefillCostMs(*state, availability->second.ownTokens(), query.seed, now);
+            candidate.costMs
+                    += ownPrefillCostMs(*state, availability->second.ownTokens(), query.seed, now);
             // Without a prefix to share, targets of known speed are spread by ownPrefillCostMs().
             if (!state->speed.isReported() || availability->second.sharedTokens > 0) {
                 candidate.costMs -= preferred.affinityBonusMs(target->id);
--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -122,8 +122,7 @@
     };
     const auto others = std::partition(known.begin(), known.end(), isRecent);
     const auto lastRecent
-            = known.begin()
-              + std::min<std::ptrdiff_t>(others - known.begin(), maxRecentPerMessage);
+            = known.begin() + std::min<std::ptrdiff_t>(others - known.begin(), maxRecentPerMessage);
     std::partial_sort(known.begin(), lastRecent, others,
                       [](const KnownTargetSpeed &left, const KnownTargetSpeed &right) {
                           return left.changedAt > right.changedAt;
--- a/packages/policy/src/teaseldrift/targets/target_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed.cpp
@@ -150,8 +150,7 @@
     m_isReported = true;
     // A figure that has lost its effect counts as 1, whatever it was.
     m_notedMomentary = now - m_momentaryAt >= m_options.momentaryTime ? 1.0 : m_notedMomentary;
-    m_momentaryFactor
-            = std::clamp(percent / usualPercent, minMomentaryFactor, m_options.maxFactor);
+    m_momentaryFactor = std::clamp(percent / usualPercent, minMomentaryFactor, m_options.maxFactor);
     m_momentaryAt = now;
     noteChange(now);
 }
@@ -208,7 +207,8 @@
     // counts.
     const Duration resolution = std::max<Duration>(other.observedAge / 2, momentaryAgeStep);
     const bool isNewer = now - other.observedAge > m_observedAt + resolution;
-    if (other.samples > 0 && (other.samples > m_samples || (other.samples == m_samples && isNewer))) {
+    if (other.samples > 0
+        && (other.samples > m_samples || (other.samples == m_samples && isNewer))) {
         m_samples = std::min(other.samples, m_options.maxSamples);
         m_usualFactor = bounded(other.usualFactor);
         m_observedAt = now - other.observedAge;
--- a/packages/policy/src/teaseldrift/targets/target_speed_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed_simulation_test.cpp
@@ -179,11 +179,10 @@
             } else if (event.kind == Event::End) {
                 selector.ended(event.choice, true);
             } else {
-                selector.reportLoad(
-                        event.choice.id,
-                        {.slots = 32,
-                         .workTimePercent = m_behaviour.figure(event.target, event.at)},
-                        event.at);
+                selector.reportLoad(event.choice.id,
+                                    {.slots = 32,
+                                     .workTimePercent = m_behaviour.figure(event.target, event.at)},
+                                    event.at);
                 selector.prefillFinished(event.choice, event.at, true);
                 event.kind = Event::End;
                 event.at += 300ms;
@@ -222,10 +221,9 @@
 
     void tell(size_t from, size_t to, Instant now)
     {
-        for (const KnownTargetSpeed &known :
-             m_vms[from].selector.speedsToSend(m_random(), now)) {
-            m_vms[to].selector.applySpeed(known.targetKey,
-                                          SharedSpeed::unpack(known.speed.pack()), now);
+        for (const KnownTargetSpeed &known : m_vms[from].selector.speedsToSend(m_random(), now)) {
+            m_vms[to].selector.applySpeed(known.targetKey, SharedSpeed::unpack(known.speed.pack()),
+                                          now);
         }
     }
 
@@ -280,8 +278,6 @@
     behaviour.figure = noFigure;
     behaviour.areSpeedsKnown = false;
     const double without = Fleet(behaviour).run(10s, 10s);
-    behaviour.isCentral = true;
-    WARN("learned " << learned << " known " << known << " without " << without << " central " << Fleet(behaviour).run(10s, 10s));
     CHECK(learned < 1.1 * known);
     CHECK(learned < without);
 }
@@ -294,14 +290,12 @@
         const Duration since = now - start - static_cast<int64_t>(target) * 1s;
         return since >= from && since < to;
     };
-    Fleet fleet({.factor =
-                         [&](size_t target, Instant now) {
-                             return isSlowed(target, now, 0ms, 600ms) ? 2.5 : 1.0;
-                         },
-                 .figure =
-                         [&](size_t target, Instant now) {
-                             return isSlowed(target, now, 0ms, 600ms) ? 250U : 100U;
-                         }});
+    Fleet fleet(
+            {.factor = [&](size_t target,
+                           Instant now) { return isSlowed(target, now, 0ms, 600ms) ? 2.5 : 1.0; },
+             .figure
+             = [&](size_t target,
+                   Instant now) { return isSlowed(target, now, 0ms, 600ms) ? 250U : 100U; }});
     fleet.run(0s, 60s);
     const auto shareBetween = [&](Duration from, Duration to) {
         // Of the requests in these parts of all seconds; a fair one is 1.
@@ -309,15 +303,15 @@
         size_t slowed = 0;
         for (const Sent &sent : fleet.sent()) {
             const Duration inSecond = (sent.at - start) % 1s;
-            if (sent.at - start >= 5s && inSecond >= from % 1s && inSecond < from % 1s + (to - from)) {
+            if (sent.at - start >= 5s && inSecond >= from % 1s
+                && inSecond < from % 1s + (to - from)) {
                 ++all;
                 slowed += isSlowed(sent.target, sent.at, from, to) ? 1 : 0;
             }
         }
         return static_cast<double>(slowed) * targetCount / static_cast<double>(all);
     };
-    for (int i = 0; i < 20; ++i) WARN(i << " " << shareBetween(i * 100ms, i * 100ms + 100ms));
-    // Requests of the slowed target arrive at 13 a second, so that the first report takes about 0.1 s.
+    // A target gets 13 requests a second, so that the first report takes about 0.1 s.
     CHECK(shareBetween(300ms, 600ms) < 0.5);
     CHECK(shareBetween(1100ms, 1500ms) > 0.8);
 }
@@ -335,20 +329,26 @@
                          return target == liar ? (figure == 0 ? any : figure) : 100;
                      }});
         const double ms = fleet.run(5s, 20s);
-        const double share = targetCount * fleet.share([](const Sent &sent) { return sent.target == liar; });
+        const double share
+                = targetCount * fleet.share([](const Sent &sent) { return sent.target == liar; });
         double least = 10.0;
         double most = 0.0;
         for (size_t i = 0; i < targetCount; ++i) {
             if (i != liar) {
-                const double other = targetCount * fleet.share([i](const Sent &sent) { return sent.target == i; });
+                const double other = targetCount * fleet.share([i](const Sent &sent) {
+                    return sent.target == i;
+                });
                 least = std::min(least, other);
                 most = std::max(most, other);
             }
         }
-        WARN(figure << " ms " << ms << " honest " << honestMs << " share " << share << " others " << least << " to " << most);
+        CAPTURE(figure);
         CHECK(ms < 1.1 * honestMs);
-        CHECK(share > 0.0);
-        CHECK(share < 4.0);
+        // A fair share is 1.
+        CHECK(share > 0.2);
+        CHECK(share < 2.0);
+        CHECK(least > 0.5);
+        CHECK(most < 2.0);
     }
 }
 
--- a/packages/relay/include/teaseldrift/relay/target_speed_messages.hpp
+++ b/packages/relay/include/teaseldrift/relay/target_speed_messages.hpp
@@ -16,7 +16,6 @@
 
 /// @brief Sets gauges of the estimates: by target the time that work takes relative to the mean of
 /// its service. Bounded: the 100 targets that differ most from the mean.
-void setTargetSpeedGauges(const TargetSelector &selector, Instant now,
-                          telemetry::Metrics &metrics);
+void setTargetSpeedGauges(const TargetSelector &selector, Instant now, telemetry::Metrics &metrics);
 
 } // namespace teaseldrift::relay
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include "teaseldrift/http/buffered_client.hpp"
+#include "teaseldrift/relay/target_speed_messages.hpp"
 
 namespace teaseldrift::relay {
 
@@ -96,6 +97,38 @@
 
 } // namespace
 
+TEST_CASE("what one VM has learned of a target's speed reaches the VMs of all availability zones")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "south");
+    Vm d(loop, "d", "south");
+    const Vms vms = recordsOf({&a, &b, &c, &d});
+    for (Vm *vm : {&a, &b, &c, &d}) {
+        vm->fleet.applyVms(vms, http::EventLoop::now(), http::EventLoop::now());
+        vm->load.start();
+    }
+    a.fleet.targetSelector().applySpeed(
+            targetKeyOf("t"),
+            {.usualFactor = 1.7, .samples = 9, .incarnation = incarnationNumber(1)},
+            http::EventLoop::now());
+    CHECK(waitFor(loop, [&] {
+        return std::ranges::all_of(std::array{&a, &b, &c, &d}, [](const Vm *vm) {
+            return vm->fleet.targetSelector().speeds(http::EventLoop::now()).size() == 1;
+        });
+    }));
+}
+
+TEST_CASE("messages about speeds are empty while nothing was learned")
+{
+    http::EventLoop loop;
+    const Vm vm(loop, "a", "north");
+    schema::FleetLoad message;
+    writeTargetSpeeds(vm.fleet.targetSelector(), http::EventLoop::now(), message);
+    CHECK(message.ByteSizeLong() == 0);
+}
+
 TEST_CASE("each VM counts the load of each other VM once, across availability zones")
 {
     http::EventLoop loop;
--- a/packages/relay/src/teaseldrift/relay/target_speed_messages.cpp
+++ b/packages/relay/src/teaseldrift/relay/target_speed_messages.cpp
@@ -24,8 +24,7 @@
     }
 }
 
-void setTargetSpeedGauges(const TargetSelector &selector, Instant now,
-                          telemetry::Metrics &metrics)
+void setTargetSpeedGauges(const TargetSelector &selector, Instant now, telemetry::Metrics &metrics)
 {
     constexpr std::ptrdiff_t maxGauges = 100;
     std::vector<KnownTargetSpeed> known = selector.speeds(now);
