Connections of callers that leave before their response begins are freed

Exchange::abort() only shut the socket down while no response had started. h2o reads nothing from a connection while a handler has its request, so it never detected that, and the connection kept its descriptor. A response is now started on the closed connection, whose failed write makes h2o free it. RequestForwarder::checkCallers() aborts the exchange instead of only dropping the forwarding, and teaseldriftd aborts one whose caller was found to have left.

--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -76,7 +76,8 @@
     /// @brief Completes the stream.
     void finish();
 
-    /// @brief Aborts the stream, so that the caller sees an incomplete response.
+    /// @brief Aborts the stream, so that the caller sees an incomplete response. Before a response
+    /// has started, closes the connection without one (HTTP/2: resets the stream).
     void abort();
 
     /// @brief Like abort(), but only after all data written so far has been sent.
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -46,6 +46,7 @@
 
     void send();
     void end(h2o_send_state_t state);
+    void abortUnstarted();
     void requestEnded();
     [[nodiscard]] size_t bufferedBytes() const { return pending.capacity() + inFlight.capacity(); }
 };
@@ -147,6 +148,22 @@
     h2o_send(request, nullptr, 0, state);
 }
 
+/// h2o reads nothing from a connection while a handler has its request, so it does not detect that
+/// the connection was shut down. The failed write of a response makes it free the connection.
+void Exchange::Impl::abortUnstarted()
+{
+    constexpr int internalError = 500;
+    request->http1_is_persistent = 0;
+    request->res.status = internalError;
+    request->res.reason = "";
+    streaming = true;
+    generator.base.proceed = onProceed;
+    generator.base.stop = onStop;
+    generator.owner = this;
+    h2o_start_response(request, &generator.base);
+    end(H2O_SEND_STATE_ERROR);
+}
+
 void Exchange::Impl::requestEnded()
 {
     if (request == nullptr) {
@@ -261,21 +278,31 @@
     if (m_impl->request == nullptr || m_impl->ended) {
         return;
     }
+    // The callbacks of the aborted exchange may drop the last reference.
+    const std::shared_ptr<Exchange> guard = m_impl->self.lock();
     m_impl->aborting = true;
     releaseMemory(m_impl->pending);
-    if (m_impl->sending || !m_impl->streaming) {
-        // A write is blocked or no response was started: only closing the connection ends it.
+    if (m_impl->sending) {
+        // A write is blocked: only closing the connection ends it.
         const int descriptor = connectionDescriptor(m_impl->request);
         if (descriptor >= 0) {
             ::shutdown(descriptor, SHUT_RDWR);
         }
         return;
     }
+    if (!m_impl->streaming) {
+        m_impl->abortUnstarted();
+        return;
+    }
     m_impl->send();
 }
 
 void Exchange::abortAfterWrites()
 {
+    if (!m_impl->streaming) {
+        abort();
+        return;
+    }
     m_impl->abortsWhenDrained = true;
     m_impl->send();
 }
--- a/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
+++ b/packages/relay/src/teaseldrift/relay/request_forwarder.cpp
@@ -214,15 +214,17 @@
 
 void RequestForwarder::checkCallers()
 {
-    std::vector<uint64_t> gone;
+    std::vector<std::shared_ptr<Impl::Forwarding>> gone;
     for (const std::pair<const uint64_t, std::shared_ptr<Impl::Forwarding>> &entry :
          m_impl->forwardings) {
         if (entry.second->exchange->isCallerDisconnected()) {
-            gone.push_back(entry.first);
+            gone.push_back(entry.second);
         }
     }
-    for (const uint64_t number : gone) {
-        m_impl->forwardings.erase(number);
+    // Closes the connection; onDisconnected() then removes the forwarding.
+    for (const std::shared_ptr<Impl::Forwarding> &forwarding : gone) {
+        forwarding->call.reset();
+        forwarding->exchange->abort();
     }
 }
 
--- a/packages/router/src/teaseldrift/router/request_task_caller.cpp
+++ b/packages/router/src/teaseldrift/router/request_task_caller.cpp
@@ -144,7 +144,10 @@
     // A non-idempotent request that was already sent continues, so that its outcome can be
     // recorded.
     if (machine.phase() == RequestPhase::Finished) {
+        const std::shared_ptr<http::Exchange> abandoned = exchange;
         end(schema::CALLER_GONE, schema::RAN_UNKNOWN);
+        // The connection may only have been found to be closed, see mayBegin().
+        abandoned->abort();
     }
 }
 
