Connections of clients that hold too much are closed

ConnectionLimiter, shared by the servers of a process, examines the input buffers of all accepted connections at most every 5 ms. It bounds the bytes of incomplete requests (the largest are closed first), requests that handlers have with their copies (503 and Retry-After before the handler), heads, declared lengths, the number of connections of a server and of an address.

--- a/packages/http/include/teaseldrift/http/server.hpp
+++ b/packages/http/include/teaseldrift/http/server.hpp
@@ -15,6 +15,7 @@
 namespace teaseldrift::http {
 
 class BufferBudget;
+class ConnectionLimiter;
 class EventLoop;
 
 /// @brief Endpoint, limits and certificate of a server.
@@ -41,6 +42,17 @@
     /// Budget for what callers have not read yet of their responses; null for no limit. Must
     /// outlive the server and its exchanges.
     BufferBudget *buffers = nullptr;
+    /// Bounds what clients may hold; null for no bounds. Must outlive the server.
+    ConnectionLimiter *limiter = nullptr;
+    /// Name of the server in the limiter's reports.
+    std::string name;
+    /// Largest number of connections, if there is a limiter; 0 for no limit.
+    size_t maxConnections = 0;
+    /// Copies that the handler makes of a request's body while it has the request; they count
+    /// toward the limiter's budget.
+    size_t bodyCopies = 0;
+    /// Accepts HTTP/2 without TLS.
+    bool acceptsPlainHttp2 = true;
 };
 
 /// @brief A caller's request and its response.
--- a/packages/http/src/teaseldrift/http/event_loop.cpp
+++ b/packages/http/src/teaseldrift/http/event_loop.cpp
@@ -144,6 +144,9 @@
         // Completes writes that were sent immediately. Otherwise h2o polls their sockets for
         // writability, and an assertion fails if more than 256 of them are ready at once.
         h2o_timeout__do_post_callback(m_impl->loop);
+        if (m_impl->afterTurn) {
+            m_impl->afterTurn();
+        }
         mayWait = !ranTasks && !firedTimers;
     }
     m_impl->stopped = false;
--- a/packages/http/src/teaseldrift/http/event_loop_impl.hpp
+++ b/packages/http/src/teaseldrift/http/event_loop_impl.hpp
@@ -38,6 +38,8 @@
     std::multimap<Instant, Timer> timers;
     std::map<TimerId, std::multimap<Instant, Timer>::iterator> timersById;
     TimerId lastTimer = 0;
+    /// Runs after each iteration; see ConnectionLimiter.
+    std::function<void()> afterTurn;
     /// Holds what a connection of the client reads at once, while its parser runs.
     std::array<char, 64U << 10U> readBuffer{};
 };
--- a/packages/http/src/teaseldrift/http/server.cpp
+++ b/packages/http/src/teaseldrift/http/server.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "connection_limiter_impl.hpp"
 #include "event_loop_impl.hpp"
 #include "teaseldrift/base/release_memory.hpp"
 #include "teaseldrift/http/buffer_budget.hpp"
@@ -41,12 +42,15 @@
     size_t *openCount = nullptr;
     std::weak_ptr<Exchange> self;
     std::unique_ptr<BufferAccount> account;
+    /// Null without a limiter, or if the limiter refused the request.
+    std::unique_ptr<HandledRequest> handled;
     std::function<void()> onDrained;
     std::function<void()> onDisconnected;
 
     void send();
     void end(h2o_send_state_t state);
     void abortUnstarted();
+    void setEnded();
     void requestEnded();
     [[nodiscard]] size_t bufferedBytes() const { return pending.capacity() + inFlight.capacity(); }
 };
@@ -128,7 +132,7 @@
     inFlight.swap(pending);
     h2o_iovec_t buffer = toIovec(inFlight);
     if (finishing) {
-        ended = true;
+        setEnded();
     }
     h2o_send(request, &buffer, 1, ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
@@ -136,7 +140,7 @@
 void Exchange::Impl::end(h2o_send_state_t state)
 {
     constexpr int http2 = 0x200;
-    ended = true;
+    setEnded();
     if (state == H2O_SEND_STATE_ERROR && request->version < http2) {
         // h2o signals the error with a chunk that is not valid HTTP. Closing the connection is
         // enough to mark the response as incomplete, and keeps to the protocol.
@@ -148,6 +152,14 @@
     h2o_send(request, nullptr, 0, state);
 }
 
+void Exchange::Impl::setEnded()
+{
+    ended = true;
+    if (handled) {
+        handled->setResponded();
+    }
+}
+
 /// h2o reads nothing from a connection while a handler has its request, so it does not detect that
 /// the connection was shut down. The failed write of a response makes it free the connection.
 void Exchange::Impl::abortUnstarted()
@@ -173,6 +185,7 @@
     if (openCount != nullptr) {
         --*openCount;
     }
+    handled.reset();
     const bool complete = ended && !aborting;
     ended = true;
     releaseMemory(pending);
@@ -366,6 +379,7 @@
     SSL_CTX *tls = nullptr;
     uint16_t port = 0;
     size_t openExchanges = 0;
+    ConnectionGroup connections;
 
     std::error_code loadCertificate();
 };
@@ -473,6 +487,13 @@
     delete holder->exchange;
 }
 
+void refuseForOverload(Exchange &exchange)
+{
+    constexpr int unavailable = 503;
+    exchange.closeAfterResponse();
+    exchange.respond({.status = unavailable, .headers = {{"retry-after", "1"}}});
+}
+
 /// Adds the configured headers to error responses that h2o sends without calling the handler.
 void onSetupErrorStream(h2o_filter_t *filter, h2o_req_t *request, h2o_ostream_t **slot)
 {
@@ -517,6 +538,10 @@
     m_impl->config.server_name = toIovec("teaseldrift");
     m_impl->config.max_request_entity_size = m_impl->options.maxBodyBytes;
     m_impl->config.http1.req_timeout = toMilliseconds(m_impl->options.requestTimeout);
+    m_impl->config.http1.upgrade_to_http2 = m_impl->options.acceptsPlainHttp2 ? 1 : 0;
+    m_impl->connections = {.name = m_impl->options.name,
+                           .maxConnections = m_impl->options.maxConnections,
+                           .bodyCopies = m_impl->options.bodyCopies};
     h2o_hostconf_t *host = h2o_config_register_host(&m_impl->config, toIovec("default"), 65535);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
     Impl::H2oHandler *slot = reinterpret_cast<Impl::H2oHandler *>(
@@ -535,7 +560,9 @@
                 return 0;
             }
         }
+        ConnectionLimiter *limiter = server.options.limiter;
         std::unique_ptr<Exchange::Impl> impl = std::make_unique<Exchange::Impl>();
+        impl->handled = limiter == nullptr ? nullptr : limiter->impl().admit(request);
         impl->request = request;
         impl->headers = toHeaders(request->headers.entries, request->headers.size);
         impl->openCount = &server.openExchanges;
@@ -552,6 +579,10 @@
                 h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeHolder), onHolderFreed));
         holder->observer.impl = raw;
         holder->exchange = new std::shared_ptr<Exchange>(exchange);
+        if (limiter != nullptr && !raw->handled) {
+            refuseForOverload(*exchange);
+            return 0;
+        }
         server.handler(std::move(exchange));
         return 0;
     };
@@ -585,6 +616,12 @@
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int on = 1;
     ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    ConnectionLimiter *limiter = m_impl->options.limiter;
+    if (limiter != nullptr) {
+        // Accepted connections inherit it.
+        const int received = limiter->impl().receiveBufferBytes();
+        ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &received, sizeof(received));
+    }
     if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0
         || ::listen(descriptor, listenBacklog) != 0) {
         const std::error_code error = lastError();
@@ -605,9 +642,16 @@
         Impl &server = *static_cast<Impl *>(listener->data);
         for (int i = 0; i < maxAcceptsPerEvent; ++i) {
             h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+            ConnectionLimiter *limiter = server.options.limiter;
             if (socket == nullptr) {
+                if (limiter != nullptr) {
+                    limiter->impl().countFailedAccept(errno);
+                }
                 return;
             }
+            if (limiter != nullptr) {
+                limiter->impl().add(socket, server.connections);
+            }
             if (server.options.ackTimeout > Duration(0)) {
                 setAckTimeout(h2o_socket_get_fd(socket), server.options.ackTimeout,
                               std::chrono::seconds(1));
