--- a/packages/router/include/teaseldrift/router/frontend.hpp
+++ b/packages/router/include/teaseldrift/router/frontend.hpp
@@ -9,6 +9,7 @@
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/buffer_budget.hpp"
+#include "teaseldrift/http/connection_limiter.hpp"
 #include "teaseldrift/router/routing_table.hpp"
 #include "teaseldrift/schema/settings.pb.h"
 
@@ -41,6 +42,8 @@
     TargetPermits &permits;
     /// For what requests hold of responses; null for no limit.
     http::BufferBudget *buffers = nullptr;
+    /// Limiter of the server, for its metrics; null if there is none.
+    const http::ConnectionLimiter *limiter = nullptr;
     /// Seed of request ids.
     uint64_t seed = 0;
 };
--- a/packages/router/src/teaseldrift/router/daemon.cpp
+++ b/packages/router/src/teaseldrift/router/daemon.cpp
@@ -4,10 +4,12 @@
 #include <optional>
 #include <set>
 
+#include "process_limits.hpp"
 #include "teaseldrift/configuration/settings_lookup.hpp"
 #include "teaseldrift/fleet/configuration_task.hpp"
 #include "teaseldrift/fleet/peer_network.hpp"
 #include "teaseldrift/http/buffer_budget.hpp"
+#include "teaseldrift/http/connection_limiter.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
 #include "teaseldrift/router/allowance_task.hpp"
@@ -48,7 +50,7 @@
 }
 
 http::ServerOptions serverOptions(const schema::RouterSettings &settings,
-                                  http::BufferBudget &buffers)
+                                  http::BufferBudget &buffers, http::ConnectionLimiter &limiter)
 {
     return {
             .endpoint = {.address = settings.caller_address(),
@@ -59,6 +61,10 @@
             .keyFile = settings.tls_key_file(),
             .errorHeaders = resultHeaders,
             .buffers = &buffers,
+            .limiter = &limiter,
+            .name = "callers",
+            .maxConnections = maxCallerConnections(processResources(settings)),
+            .bodyCopies = callerBodyCopies,
     };
 }
 
@@ -92,6 +98,7 @@
     /// Outlives the tasks that the event loop holds.
     http::BufferBudget buffers;
     http::EventLoop loop;
+    http::ConnectionLimiter limiter;
     RouterMetrics metrics;
     store::EtcdStore store;
     store::HttpVmList vmList;
@@ -110,10 +117,14 @@
     bool shuttingDown = false;
     bool requestsAborted = false;
     Instant shutdownDeadline{};
+    Instant limitedSecond{};
+    size_t limitedLines = 0;
 
     Impl(schema::RouterSettings daemonSettings, DaemonIdentity daemonIdentity)
         : settings(std::move(daemonSettings)), identity(daemonIdentity),
           buffers(settings.buffer_budget_bytes()),
+          limiter(loop, connectionLimits(settings, processResources(settings)),
+                  [this](const http::LimitedConnection &limited) { logLimited(limited); }),
           store(loop, endpointOf(settings.store_address())),
           vmList(loop, endpointOf(settings.vm_list_address())),
           peers(peerOptions(settings, identity.incarnation),
@@ -135,13 +146,15 @@
                                                             .quarantine = quarantine,
                                                             .permits = permits,
                                                             .buffers = &buffers,
+                                                            .limiter = &limiter,
                                                             .seed = identity.seed}),
-          server(loop, serverOptions(settings, buffers),
+          server(loop, serverOptions(settings, buffers, limiter),
                  [this](std::shared_ptr<http::Exchange> exchange) {
                      frontend.handle(std::move(exchange));
                  })
     { }
 
+    void logLimited(const http::LimitedConnection &limited);
     void startConfiguration();
     [[nodiscard]] ConfigurationStatus configurationStatus(std::string_view name,
                                                           uint64_t revision) const;
@@ -156,6 +169,25 @@
     void awaitOpenRequests();
 };
 
+/// A client can cause any number of these lines; the metrics count all of them.
+void Daemon::Impl::logLimited(const http::LimitedConnection &limited)
+{
+    constexpr size_t linesPerSecond = 50;
+    const Instant now = http::EventLoop::now();
+    if (now - limitedSecond >= 1s) {
+        limitedSecond = now;
+        limitedLines = 0;
+    }
+    if (++limitedLines > linesPerSecond) {
+        return;
+    }
+    telemetry::log(telemetry::LogLevel::Warn, "connection limited",
+                   {{"reason", std::string(toString(limited.reason))},
+                    {"address", std::string(limited.address)},
+                    {"bytes", std::to_string(limited.bytes)},
+                    {"age_ms", std::to_string(limited.age / 1ms)}});
+}
+
 void Daemon::Impl::startConfiguration()
 {
     fleet::ConfigurationTaskOptions options{
--- a/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
+++ b/packages/router/src/teaseldrift/router/frontend_endpoints.cpp
@@ -7,6 +7,7 @@
 #include <openssl/crypto.h>
 
 #include "teaseldrift/base/json_input.hpp"
+#include "teaseldrift/http/connection_gauges.hpp"
 #include "teaseldrift/quarantine/quarantine_json.hpp"
 #include "teaseldrift/router/entry_vm_selector.hpp"
 #include "teaseldrift/router/refusal.hpp"
@@ -205,7 +206,9 @@
     if (path == "/healthz") {
         exchange->respond({.body = "ok\n"});
     } else if (path == "/readyz") {
-        const bool ready = table != nullptr && !leaving && isConfigurationCurrent();
+        const bool canConnect = context.limiter == nullptr
+                                || (!context.limiter->failsToAccept() && http::canOpenDescriptor());
+        const bool ready = table != nullptr && !leaving && isConfigurationCurrent() && canConnect;
         exchange->respond(
                 {.status = ready ? 200 : unavailable, .body = ready ? "ready\n" : "not ready\n"});
     } else if (path == "/metrics") {
@@ -226,6 +229,12 @@
             context.metrics.registry().setGauge({"teaseldrift_buffers_given_up_total"},
                                                 static_cast<double>(context.buffers->givenUp()));
         }
+        if (context.limiter != nullptr) {
+            for (const http::ConnectionGauge &gauge : connectionGauges(*context.limiter)) {
+                context.metrics.registry().setGauge({gauge.name, gauge.label, gauge.labelValue},
+                                                    gauge.value);
+            }
+        }
         context.metrics.registry().setGauge({"teaseldrift_limited_targets"},
                                             static_cast<double>(context.permits.limitedTargets()));
         exchange->respond({.headers = {{"content-type", "text/plain; version=0.0.4"}},
