Settings of memory and descriptors are validated; tests wait for what they check

The tests of connections waited fixed times, which are too short on a busy machine. Bytes of connections that were just closed no longer count as incomplete in the gauge.

--- a/packages/http/src/teaseldrift/http/connection_limiter.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter.cpp
@@ -293,6 +293,7 @@
     if (incompleteBytes > limits.incompleteBytes) {
         for (const size_t chosen : chooseOverBudget(loads, limits.incompleteBytes)) {
             close(*sockets[chosen], LimitReason::IncompleteBytes, loads[chosen].bytes);
+            totals.incompleteBytes -= loads[chosen].bytes;
         }
     }
     if (std::exchange(hasExcess, false)) {
--- a/packages/http/src/teaseldrift/http/connection_limiter_test.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter_test.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cerrno>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -111,9 +112,13 @@
         REQUIRE_FALSE(server.listen());
     }
 
-    void run(std::vector<RawClient> &clients, int rounds = 40)
+    /// Lets clients send until a condition is true, and a few rounds more.
+    void run(std::vector<RawClient> &clients, const std::function<bool()> &isTrue)
     {
-        for (int i = 0; i < rounds; ++i) {
+        constexpr int maxRounds = 1000;
+        int roundsLeft = 5;
+        for (int i = 0; i < maxRounds && roundsLeft > 0; ++i) {
+            roundsLeft -= isTrue() ? 1 : 0;
             for (RawClient &client : clients) {
                 client.pump();
             }
@@ -122,6 +127,11 @@
         }
     }
 
+    void runUntilLimited(std::vector<RawClient> &clients, size_t count)
+    {
+        run(clients, [this, count] { return reasons.size() >= count; });
+    }
+
     std::vector<RawClient> connect(size_t count) const
     {
         std::vector<RawClient> clients;
@@ -136,8 +146,12 @@
     {
         std::vector<RawClient> clients = connect(1);
         clients.front().send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
-        run(clients, 10);
-        return clients.front().receive();
+        std::string received;
+        run(clients, [&] {
+            received += clients.front().receive();
+            return !received.empty();
+        });
+        return received;
     }
 };
 
@@ -166,7 +180,7 @@
             client.send(post("/", mebibyte, mebibyte - 1));
         }
     }
-    limited.run(clients);
+    limited.runUntilLimited(clients, 16);
     const ConnectionTotals totals = limited.limiter.totals();
     CHECK(totals.incompleteBytes <= 4 * mebibyte);
     CHECK(totals.incompleteBytes > mebibyte);
@@ -184,7 +198,7 @@
     for (RawClient &client : clients) {
         client.send(post("/", mebibyte, mebibyte));
     }
-    limited.run(clients);
+    limited.run(clients, [&] { return limited.handled + limited.reasons.size() >= 8; });
     size_t served = 0;
     for (RawClient &client : clients) {
         served += client.receive().starts_with("HTTP/1.1 200") ? 1 : 0;
@@ -199,7 +213,7 @@
     for (RawClient &client : clients) {
         client.send("GET / HTTP/1.1\r\nx: " + std::string(100000, 'y'));
     }
-    limited.run(clients);
+    limited.runUntilLimited(clients, 5);
     for (RawClient &client : clients) {
         CHECK(client.receive().ends_with("closed"));
     }
@@ -211,8 +225,7 @@
     LimitedServer limited({.incompleteBytes = mebibyte});
     std::vector<RawClient> clients = limited.connect(1);
     clients.front().send(post("/", 2 * mebibyte, 0));
-    limited.run(clients, 10);
-    // The limiter examines only when something happens, and the tests' timer does that.
+    limited.runUntilLimited(clients, 1);
     const std::string received = clients.front().receive();
     CHECK(received.starts_with("HTTP/1.1 503"));
     CHECK(received.ends_with("closed"));
@@ -227,7 +240,7 @@
     for (RawClient &client : clients) {
         client.send(post("/held", mebibyte, mebibyte));
     }
-    limited.run(clients);
+    limited.runUntilLimited(clients, 4);
     CHECK(limited.held.size() == 2);
     CHECK(limited.limiter.totals().handledBytes <= 8 * mebibyte);
     size_t refused = 0;
@@ -243,7 +256,7 @@
     for (const std::shared_ptr<Exchange> &exchange : limited.held) {
         exchange->respond({});
     }
-    limited.run(clients, 10);
+    limited.run(clients, [&] { return limited.limiter.totals().handledBytes == 0; });
     CHECK(limited.limiter.totals().handledBytes == 0);
 }
 
@@ -256,7 +269,7 @@
     for (RawClient &client : slow) {
         client.send(sent);
     }
-    limited.run(slow, 10);
+    limited.runUntilLimited(slow, 40);
     const std::array<size_t, 5> states = limited.limiter.totals().connectionsByState;
     CHECK(states[0] + states[1] + states[2] <= 20);
     CHECK(limited.ordinaryResponse().starts_with("HTTP/1.1 200"));
@@ -271,13 +284,13 @@
     for (RawClient &client : clients) {
         client.send(post("/held", 1, 1));
     }
-    limited.run(clients, 10);
+    limited.run(clients, [&] { return limited.held.size() == 4; });
     REQUIRE(limited.held.size() == 4);
     const std::string large(16 * mebibyte, 'x');
     for (const std::shared_ptr<Exchange> &exchange : limited.held) {
         exchange->respond({.body = large});
     }
-    limited.run(clients, 4);
+    limited.run(clients, [&] { return limited.limiter.totals().connectionsByState[4] == 4; });
     CHECK(limited.limiter.totals().connectionsByState[4] == 4);
     CHECK(limited.ordinaryResponse().starts_with("HTTP/1.1 200"));
 }
--- a/packages/http/src/teaseldrift/http/server_connections_test.cpp
+++ b/packages/http/src/teaseldrift/http/server_connections_test.cpp
@@ -37,8 +37,10 @@
 {
     EventLoop loop;
     std::vector<std::shared_ptr<Exchange>> exchanges;
+    size_t answeredCount = 0;
     Server server{loop, {}, [this](const std::shared_ptr<Exchange> &exchange) {
                       if (exchange->path() == "/answered") {
+                          ++answeredCount;
                           exchange->respond({.body = "ok"});
                           return;
                       }
@@ -47,10 +49,27 @@
 
     HoldingServer() { REQUIRE_FALSE(server.listen()); }
 
-    void runFor(Duration time)
+    /// @return false if it does not become true within a time that is enough on a busy machine
+    bool runUntil(const std::function<bool()> &isTrue)
     {
-        loop.startTimer(time, [this] { loop.stop(); });
-        loop.run();
+        constexpr int rounds = 1000;
+        for (int i = 0; i < rounds && !isTrue(); ++i) {
+            loop.startTimer(5ms, [this] { loop.stop(); });
+            loop.run();
+        }
+        return isTrue();
+    }
+
+    bool runUntilHeld(size_t count)
+    {
+        return runUntil([this, count] { return exchanges.size() == count; });
+    }
+
+    bool runUntilFreed(size_t descriptors)
+    {
+        return runUntil([this, descriptors] {
+            return server.openExchanges() == 0 && openDescriptors() == descriptors;
+        });
     }
 
     [[nodiscard]] std::vector<int> connect(size_t count) const
@@ -93,7 +112,6 @@
 TEST_CASE("aborting requests without a response frees their connections")
 {
     HoldingServer holder;
-    holder.runFor(20ms);
     const size_t before = openDescriptors();
     const bool isKept = GENERATE(false, true);
     const bool isPipelined = GENERATE(false, true);
@@ -102,11 +120,10 @@
     const std::vector<int> callers = holder.connect(callerCount);
     if (isKept) {
         sendAll(callers, answered);
-        holder.runFor(50ms);
+        CHECK(holder.runUntil([&] { return holder.answeredCount == callerCount; }));
     }
     sendAll(callers, isPipelined ? std::string(held) + std::string(held) : std::string(held));
-    holder.runFor(50ms);
-    REQUIRE(holder.exchanges.size() == callerCount);
+    REQUIRE(holder.runUntilHeld(callerCount));
     if (leavesFirst) {
         closeAll(callers);
     }
@@ -115,8 +132,8 @@
         exchange->abort();
         exchange->abort();
     }
-    holder.runFor(50ms);
-    CHECK(holder.server.openExchanges() == 0);
+    const size_t clients = leavesFirst ? 0 : callerCount;
+    CHECK(holder.runUntilFreed(before + clients));
     if (!leavesFirst) {
         // An aborted request has no response, not even a part of one.
         for (const int caller : callers) {
@@ -129,6 +146,7 @@
         }
         closeAll(callers);
     }
+    CHECK(holder.server.openExchanges() == 0);
     CHECK(openDescriptors() == before);
 }
 
@@ -136,13 +154,12 @@
 TEST_CASE("incomplete uploads of callers that left are freed")
 {
     HoldingServer holder;
-    holder.runFor(20ms);
     const size_t before = openDescriptors();
     const std::vector<int> callers = holder.connect(callerCount);
     sendAll(callers, "POST /held HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nabc");
-    holder.runFor(50ms);
+    CHECK(holder.runUntil([&] { return openDescriptors() == before + 2 * callerCount; }));
     closeAll(callers);
-    holder.runFor(50ms);
+    CHECK(holder.runUntilFreed(before));
     CHECK(holder.server.openExchanges() == 0);
     CHECK(openDescriptors() == before);
 }
@@ -151,18 +168,16 @@
 TEST_CASE("responses to callers that left free their connections")
 {
     HoldingServer holder;
-    holder.runFor(20ms);
     const size_t before = openDescriptors();
     const std::vector<int> callers = holder.connect(callerCount);
     sendAll(callers, held);
-    holder.runFor(50ms);
+    REQUIRE(holder.runUntilHeld(callerCount));
     closeAll(callers);
-    holder.runFor(20ms);
     for (const std::shared_ptr<Exchange> &exchange : holder.exchanges) {
         exchange->respond({.status = 503});
         exchange->abort();
     }
-    holder.runFor(50ms);
+    CHECK(holder.runUntilFreed(before));
     CHECK(holder.server.openExchanges() == 0);
     CHECK(openDescriptors() == before);
 }
--- a/packages/router/src/teaseldrift/router/settings_validation.cpp
+++ b/packages/router/src/teaseldrift/router/settings_validation.cpp
@@ -65,6 +65,14 @@
         }
     }
 
+    /// 0 stands for a value that is derived from the machine.
+    void checkZeroOrAtLeast(std::string_view flag, uint64_t value, uint64_t least)
+    {
+        if (value != 0 && value < least) {
+            reject(flag, std::to_string(value), "0 or at least " + std::to_string(least));
+        }
+    }
+
     void addError(std::string error) { m_errors.push_back(std::move(error)); }
 
     std::vector<std::string> takeErrors() { return std::move(m_errors); }
@@ -98,6 +106,16 @@
                               settings.peer_secret_key());
     validator.checkCurveKey("--peer-public-key", settings.peer_public_key());
     validator.checkCurveKey("--peer-secret-key", settings.peer_secret_key());
+    // Two incomplete bodies, and one with its copies in a handler, take at most half of the memory.
+    constexpr uint64_t bytesPerMiB = 1U << 20U;
+    constexpr uint64_t bodiesInMemory = 10;
+    constexpr uint64_t minMemoryMb = 32;
+    validator.checkZeroOrAtLeast(
+            "--memory-mb", settings.memory_mb(),
+            std::max(minMemoryMb, settings.max_body_bytes() * bodiesInMemory / bytesPerMiB));
+    // 200 are for files and others, see maxCallerConnections().
+    constexpr uint64_t minDescriptors = 256;
+    validator.checkZeroOrAtLeast("--max-descriptors", settings.max_descriptors(), minDescriptors);
     return validator.takeErrors();
 }
 
--- a/packages/router/src/teaseldrift/router/settings_validation_test.cpp
+++ b/packages/router/src/teaseldrift/router/settings_validation_test.cpp
@@ -38,6 +38,22 @@
     CHECK(validateSettings(settings).size() == 4);
 }
 
+// Guards against bounds on clients that refuse a single request, or every connection.
+TEST_CASE("too little memory or too few descriptors are reported")
+{
+    schema::RouterSettings settings = validSettings();
+    settings.set_max_body_bytes(8U << 20U);
+    settings.set_memory_mb(80);
+    settings.set_max_descriptors(256);
+    CHECK(validateSettings(settings).empty());
+    settings.set_memory_mb(79);
+    settings.set_max_descriptors(255);
+    CHECK(validateSettings(settings)
+          == std::vector<std::string>{
+                  "--memory-mb: '79' is not allowed; allowed: 0 or at least 80",
+                  "--max-descriptors: '255' is not allowed; allowed: 0 or at least 256"});
+}
+
 TEST_CASE("the same port for callers and other VMs is rejected, unless the addresses differ")
 {
     schema::RouterSettings settings = validSettings();
