--- a/packages/policy/include/teaseldrift/routing/route_table.hpp
+++ b/packages/policy/include/teaseldrift/routing/route_table.hpp
@@ -35,6 +35,10 @@
 
     [[nodiscard]] const Service *findService(std::string_view name) const;
 
+    /// @brief Shortest latency objective among the routes that use a service.
+    /// @param fallback returned if no route uses it
+    [[nodiscard]] Duration shortestObjective(std::string_view service, Duration fallback) const;
+
     /// @brief The service that is the KV cache store; null if there is none.
     [[nodiscard]] const Service *cacheStore() const { return m_cacheStore; }
 
@@ -50,6 +54,8 @@
     std::map<std::string, std::vector<const Route *>, std::less<>> m_hosts;
     std::unordered_map<std::string_view, const Organisation *> m_keys;
     std::map<std::string_view, const Service *> m_services;
+    /// By service.
+    std::map<std::string_view, Duration> m_shortestObjectives;
     const Service *m_cacheStore = nullptr;
 };
 
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -17,6 +17,7 @@
 #include "teaseldrift/segments/prefilled_segment_log.hpp"
 #include "teaseldrift/segments/prompt_segments.hpp"
 #include "teaseldrift/segments/segment_index.hpp"
+#include "teaseldrift/targets/congestion_estimator.hpp"
 #include "teaseldrift/targets/peer_load_tracker.hpp"
 #include "teaseldrift/targets/queue_delay_estimator.hpp"
 #include "teaseldrift/targets/quiet_periods.hpp"
@@ -140,8 +141,12 @@
     std::string saveTo;
     /// Prompt tokens that the target is expected to compute.
     uint64_t prefillTokens = 0;
-    /// Expected time in the target's queue.
+    /// Expected time by which load delays the first event.
     Duration expectedWait{0};
+    /// Expected time to the first event by the known load alone; 0 if speeds are not measured.
+    Duration firstEventByLoad{0};
+    /// Set by TargetSelector::sent().
+    Instant sentAt;
     /// Age of the other VMs' in-flight load; empty if it was unknown or too old.
     std::optional<Duration> loadAge;
     uint32_t priority = 0;
@@ -304,6 +309,8 @@
         TargetSpeed speed;
         /// Mean of the service, shared by its targets.
         std::shared_ptr<PrefillCurve> curve;
+        /// Of the service, shared by its targets.
+        std::shared_ptr<CongestionEstimator> congestion;
         /// The registration ended during a store outage.
         bool isUnconfirmed = false;
     };
@@ -355,6 +362,9 @@
     [[nodiscard]] bool isQueueEmpty(const State &state, Instant now) const;
     static void observeSpeed(State &state, const TargetChoice &choice, Instant now);
     [[nodiscard]] std::shared_ptr<PrefillCurve> curveOf(const std::string &service);
+    static void observeCongestion(const State &state, const TargetChoice &choice, Instant now);
+    void addCongestion(const State &state, TargetChoice &choice, Instant now) const;
+    [[nodiscard]] std::shared_ptr<CongestionEstimator> congestionOf(const std::string &service);
     [[nodiscard]] double msPerToken(const State &state, Instant now) const;
     [[nodiscard]] double firstEventMs(const State &state, Instant now) const;
     [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed,
@@ -378,6 +388,8 @@
     std::map<std::string, State, std::less<>> m_states;
     /// By service.
     std::map<std::string, std::shared_ptr<PrefillCurve>, std::less<>> m_curves;
+    /// By service.
+    std::map<std::string, std::shared_ptr<CongestionEstimator>, std::less<>> m_congestion;
     std::string m_cacheStoreAddress;
     SegmentIndex m_cacheStore;
     std::map<std::string, AnnouncedRolloutPlan, std::less<>> m_rolloutPlans;
--- a/packages/policy/include/teaseldrift/targets/target_speed.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_speed.hpp
@@ -11,6 +11,9 @@
 /// @brief Parameters of the speed estimates.
 struct TargetSpeedOptions
 {
+    /// Targets are known to differ in speed, so that measured times take effect also for targets
+    /// that report no momentary figure.
+    bool isAlwaysMeasured = false;
     /// Bound of a target's factor, and the reciprocal of its lower bound. Limits what wrong figures
     /// of a target can do to its own share of the requests.
     double maxFactor = 4.0;
@@ -77,8 +80,8 @@
     /// @param relativeTime measured time divided by that expected of the service's mean target
     void observe(double relativeTime, Instant now);
 
-    /// @brief Whether the target, or another VM about it, has reported a momentary figure. Without,
-    /// the estimates have no effect.
+    /// @brief Whether the target, or another VM about it, has reported a momentary figure, or
+    /// targets are always measured. Without, the estimates have no effect.
     [[nodiscard]] bool isReported() const { return m_isReported; }
 
     /// @brief Time that work takes now, relative to the mean of the service's targets.
--- a/packages/policy/src/teaseldrift/routing/route_table.cpp
+++ b/packages/policy/src/teaseldrift/routing/route_table.cpp
@@ -22,6 +22,11 @@
 {
     for (const Route &route : m_definition.routes) {
         m_hosts[lowerCaseHost(route.host)].push_back(&route);
+        for (const WeightedService &service : route.services) {
+            const auto known
+                    = m_shortestObjectives.emplace(service.service, route.latencyObjective).first;
+            known->second = std::min(known->second, route.latencyObjective);
+        }
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end(); ++it) {
         std::stable_sort(it->second.begin(), it->second.end(), [](const Route *a, const Route *b) {
@@ -56,6 +61,12 @@
     return nullptr;
 }
 
+Duration RouteTable::shortestObjective(std::string_view service, Duration fallback) const
+{
+    const auto found = m_shortestObjectives.find(service);
+    return found == m_shortestObjectives.end() ? fallback : found->second;
+}
+
 const Organisation *RouteTable::findOrganisation(std::string_view key) const
 {
     const auto found = m_keys.find(key);
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -63,6 +63,7 @@
         state.targetKey = targetKeyOf(target.id);
         state.speed = TargetSpeed(target.startedAtMs, m_options.speed);
         state.curve = curveOf(target.service);
+        state.congestion = congestionOf(target.service);
         m_idsByKey[state.targetKey] = target.id;
         const auto capacity = m_services.find(target.service);
         if (capacity != m_services.end()) {
@@ -375,6 +376,7 @@
         choice.cacheSalt = cacheSaltOf(query, chosen->weights);
         choice.prefixes = availability.prefixes;
         addImport(choice, availability, chosen->heldTokens);
+        addCongestion(*chosen->state, choice, now);
     }
     return choice;
 }
--- a/packages/policy/src/teaseldrift/targets/target_selector_load.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_load.cpp
@@ -68,6 +68,7 @@
         return;
     }
     ++state->inFlight;
+    choice.sentAt = now;
     m_health.sent(choice.id, now);
     m_quietPeriods.sent(choice.id, now);
     const double ownMs = choice.prefixes.empty() ? 0.0
@@ -93,6 +94,7 @@
         state->queue.prefillFinished(choice.ticket, now);
         if (isFirstEvent) {
             observeSpeed(*state, choice, now);
+            observeCongestion(*state, choice, now);
         }
         for (const SegmentEvent &event : state->cache.confirm(sharedOf(choice.prefixes))) {
             // Bounds the list when nothing takes the segments.
--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -100,6 +100,35 @@
     state.curve->observe(tokens, ms);
 }
 
+std::shared_ptr<CongestionEstimator> TargetSelector::congestionOf(const std::string &service)
+{
+    std::shared_ptr<CongestionEstimator> &congestion = m_congestion[service];
+    if (congestion == nullptr) {
+        congestion = std::make_shared<CongestionEstimator>();
+    }
+    return congestion;
+}
+
+void TargetSelector::observeCongestion(const State &state, const TargetChoice &choice, Instant now)
+{
+    if (choice.firstEventByLoad > Duration(0)) {
+        state.congestion->observe(now - choice.sentAt, choice.firstEventByLoad, now);
+    }
+}
+
+/// Corrects the expected wait by how much later first events come than the known load explains.
+void TargetSelector::addCongestion(const State &state, TargetChoice &choice, Instant now) const
+{
+    if (!state.speed.isReported()) {
+        return;
+    }
+    const Duration idle = fromMs(static_cast<double>(choice.prefillTokens) * msPerToken(state, now)
+                                 + firstEventMs(state, now));
+    choice.firstEventByLoad = choice.expectedWait + idle;
+    choice.expectedWait
+            = fromMs(toMs(choice.firstEventByLoad) * state.congestion->factor(now)) - idle;
+}
+
 std::vector<KnownTargetSpeed> TargetSelector::speeds(Instant now) const
 {
     std::vector<KnownTargetSpeed> known;
--- a/packages/policy/src/teaseldrift/targets/target_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed.cpp
@@ -132,7 +132,8 @@
 }
 
 TargetSpeed::TargetSpeed(uint64_t startedAtMs, TargetSpeedOptions options)
-    : m_options(options), m_incarnation(incarnationNumber(startedAtMs))
+    : m_options(options), m_isReported(options.isAlwaysMeasured),
+      m_incarnation(incarnationNumber(startedAtMs))
 { }
 
 void TargetSpeed::noteChange(Instant now)
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -65,6 +65,9 @@
     /// this many VMs when it divides limits.
     size_t minVmCount = 3;
     Duration settlingTime = 3s;
+    /// Targets of a service differ in speed: their speeds are measured, and all routes of a service
+    /// share its queues by the shortest objective.
+    bool hasUnevenTargets = false;
 };
 
 /// @brief This VM's view of the fleet: configuration, targets, weights, other VMs and limits.
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "teaseldrift/admission/queue_bound.hpp"
 #include "teaseldrift/base/release_memory.hpp"
 #include "teaseldrift/base/rendezvous.hpp"
 #include "teaseldrift/relay/request_task.hpp"
@@ -20,9 +21,6 @@
 /// Bytes buffered for a slow caller before reading from the target is paused.
 inline constexpr size_t maxPendingBytes = 256U << 10U;
 
-/// Largest expected wait in a target's queue, as a fraction of the route's latency objective.
-inline constexpr double maxQueueWaitFraction = 1.0;
-
 /// Largest response that is buffered before it is forwarded.
 inline constexpr size_t maxResponseBytes = 8U << 20U;
 
@@ -392,13 +390,14 @@
 template <Dialect D>
 bool RequestTask<D>::isTooLate(Duration expectedWait, Instant now) const
 {
-    // Only the wait counts, not the prefill of the request's own prompt, so that long prompts are
-    // not refused for their length. If all requests queued for longer than the objective, all
-    // responses would be late; refusing some keeps the others on time.
     const Duration objective = m_admitted.route->latencyObjective;
-    const bool isOverObjective
-            = toSeconds(expectedWait) > toSeconds(objective) * maxQueueWaitFraction;
-    return isOverObjective || now + expectedWait >= deadline();
+    const bool isShared = m_context.fleet.options().hasUnevenTargets;
+    return isQueueTooLong({.objective = objective,
+                           .shortestObjective
+                           = isShared ? m_admitted.table->shortestObjective(m_service, objective)
+                                      : objective,
+                           .timeLeft = deadline() - now},
+                          expectedWait);
 }
 
 template <Dialect D>
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -47,6 +47,7 @@
     : m_options(std::move(options)), m_log(log),
       m_targetSelector(
               {.availabilityZone = m_options.availabilityZone,
+               .speed = {.isAlwaysMeasured = m_options.hasUnevenTargets},
                .health = {.isTriedByRequests = true, .spreadKey = rendezvousKey(m_options.vmId)}}),
       m_targetPaths(m_options.availabilityZone), m_retryBudgets(m_options.retryLimits),
       m_targetLimiter({.vmId = m_options.vmId,
