--- a/packages/policy/include/teaseldrift/rollout/version_evidence.hpp
+++ b/packages/policy/include/teaseldrift/rollout/version_evidence.hpp
@@ -99,15 +99,14 @@
 
     void sent(bool isNewVersion);
 
-    /// @brief Records the end of an attempt that sent() was called for.
+    /// @brief Records a response, or the failure of an attempt, also one that had responded.
     /// @param targetKey targetKeyOf() of a target of the new version; EvidenceKey::oldVersion else
-    /// @param time empty if it says nothing about the version, as in a failed or cancelled attempt
-    void ended(std::string_view route, uint32_t targetKey, bool isFailure,
-               std::optional<Duration> time, Instant now);
+    /// @param time empty if it says nothing about the version
+    void responded(std::string_view route, uint32_t targetKey, bool isFailure,
+                   std::optional<Duration> time, Instant now);
 
-    /// @brief Records the end of an attempt that says nothing about the version, such as one that
-    /// the caller has left.
-    void cancelled(bool isNewVersion);
+    /// @brief Records that an attempt that sent() was called for is no longer at its target.
+    void finished(bool isNewVersion);
 
     [[nodiscard]] const RolloutCounts &counts() const { return m_counts; }
 
--- a/packages/policy/include/teaseldrift/rollout/version_split.hpp
+++ b/packages/policy/include/teaseldrift/rollout/version_split.hpp
@@ -134,6 +134,9 @@
     /// is running: the old version, unless the new one is the only one.
     [[nodiscard]] VersionRule withoutCredit(std::string_view service, Instant now) const;
 
+    /// @brief The newest order for a service; null if none is known.
+    [[nodiscard]] const RolloutOrder *order(std::string_view service) const;
+
     /// @brief The newest announcement for a service; null if none is known.
     [[nodiscard]] const AnnouncedRollout *find(std::string_view service) const;
 
--- a/packages/policy/src/teaseldrift/rollout/rollout_controller.cpp
+++ b/packages/policy/src/teaseldrift/rollout/rollout_controller.cpp
@@ -366,11 +366,18 @@
 
 void RolloutController::selectShare(const RolloutInput &input, Instant now)
 {
-    if (!m_isFull) {
-        planFull(now);
+    if (input.newTargets.size() <= m_decision.avoided.size()) {
+        // Without targets the requests must not be bound to the new version.
+        m_isFull = false;
+        m_decision.fullFrom.reset();
+        m_decision.share = 0.0;
+        m_decision.reason = "the new version has no target";
+    } else {
+        if (!m_isFull) {
+            planFull(now);
+        }
+        m_decision.share = m_isFull ? 1.0 : m_canaryShare;
     }
-    const bool hasTargets = input.newTargets.size() > m_decision.avoided.size();
-    m_decision.share = !hasTargets ? 0.0 : m_isFull ? 1.0 : m_canaryShare;
     selectTargets(input.newTargets);
 }
 
--- a/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.hpp
@@ -225,9 +225,11 @@
             }
             Vm &vm = *m_vms[ended.vm];
             if (vm.incarnation == ended.incarnation) {
-                vm.evidence.ended("route-" + std::to_string(request.route),
-                                  request.isNew ? keyOf(request.target) : EvidenceKey::oldVersion,
-                                  isFailure, time, now());
+                vm.evidence.finished(request.isNew);
+                vm.evidence.responded("route-" + std::to_string(request.route),
+                                      request.isNew ? keyOf(request.target)
+                                                    : EvidenceKey::oldVersion,
+                                      isFailure, time, now());
             }
         }
     }
--- a/packages/policy/src/teaseldrift/rollout/version_evidence.cpp
+++ b/packages/policy/src/teaseldrift/rollout/version_evidence.cpp
@@ -62,7 +62,7 @@
     }
 }
 
-void VersionEvidence::cancelled(bool isNewVersion)
+void VersionEvidence::finished(bool isNewVersion)
 {
     // The attempt may have begun before the last reset().
     if (!isNewVersion && m_counts.oldInFlight > 0) {
@@ -98,11 +98,10 @@
     return toMs(time) > m_options.slowFactor * mean->second.ms;
 }
 
-void VersionEvidence::ended(std::string_view route, uint32_t targetKey, bool isFailure,
-                            std::optional<Duration> time, Instant now)
+void VersionEvidence::responded(std::string_view route, uint32_t targetKey, bool isFailure,
+                                std::optional<Duration> time, Instant now)
 {
     const bool isOld = targetKey == EvidenceKey::oldVersion;
-    cancelled(!isOld);
     const uint32_t routeKey = routeKeyOf(route);
     ResponseCounts *counts = countsOf(routeKey, targetKey);
     if (counts == nullptr) {
--- a/packages/policy/src/teaseldrift/rollout/version_split.cpp
+++ b/packages/policy/src/teaseldrift/rollout/version_split.cpp
@@ -187,6 +187,12 @@
     return ruleOf(state, isOnlyNew, now);
 }
 
+const RolloutOrder *VersionSplit::order(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second.order;
+}
+
 const AnnouncedRollout *VersionSplit::find(std::string_view service) const
 {
     const auto found = m_services.find(service);
