Rollouts: settings, order and software version are read; selection by version

Requests select a version once per attempt and report outcomes if RelayContext::rollouts is set, which teaseldrift-edge does not do yet. docs/design/rollouts.md describes the design and what is missing.

--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -30,6 +30,8 @@
     uint64_t heartbeats = 0;
     /// Weights version by model.
     std::map<std::string, uint64_t, std::less<>> weights;
+    /// Version of the target's software; empty if the registration does not state it.
+    std::string softwareVersion = {};
 };
 
 /// @brief Effect of a registration event on its target.
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -13,6 +13,7 @@
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/health/target_health.hpp"
+#include "teaseldrift/rollout/version_split.hpp"
 #include "teaseldrift/routing/fleet_definition.hpp"
 #include "teaseldrift/segments/prefilled_segment_log.hpp"
 #include "teaseldrift/segments/prompt_segments.hpp"
@@ -95,6 +96,8 @@
     /// Target that is selected if it may take the request, since the request has a permit for it;
     /// empty for none.
     std::string_view permitted = {};
+    /// Software versions that may take the request; null for all.
+    const VersionRule *versionRule = nullptr;
 };
 
 /// @brief When and where a request can be sent that no target may take now.
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -303,7 +303,10 @@
 /// Whether a target may take the request, apart from its quiet period.
 bool TargetSelector::mayTake(const TargetEntry &target, const TargetQuery &query) const
 {
-    if (stateOf(target.id) == nullptr || !m_health.isEligible(target.id)) {
+    const State *state = stateOf(target.id);
+    if (state == nullptr || !m_health.isEligible(target.id)
+        || (query.versionRule != nullptr
+            && !query.versionRule->allows(target.softwareVersion, state->targetKey))) {
         return false;
     }
     const auto weights = target.weights.find(query.model);
--- a/packages/relay/include/teaseldrift/relay/fleet_records.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_records.hpp
@@ -28,8 +28,17 @@
     uint64_t version = 0;
 };
 
+/// @brief The operators' order to move a service's traffic to another software version.
+struct RolloutRecord
+{
+    std::string service;
+    std::string version;
+    /// Time within which the rollout is to end.
+    Duration duration{0};
+};
+
 /// @brief A parsed operators' record; empty if its kind is unknown or it cannot be parsed.
-using OperatorRecord = std::variant<std::monostate, DefinitionRecord, WeightsRecord>;
+using OperatorRecord = std::variant<std::monostate, DefinitionRecord, WeightsRecord, RolloutRecord>;
 
 /// @brief Store prefixes of the operators' records and of the targets' registrations, and their
 /// parsers.
--- a/packages/relay/include/teaseldrift/relay/relay_context.hpp
+++ b/packages/relay/include/teaseldrift/relay/relay_context.hpp
@@ -6,6 +6,7 @@
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
+#include "teaseldrift/relay/service_rollouts.hpp"
 #include "teaseldrift/relay/target_connector.hpp"
 #include "teaseldrift/relay/target_permits.hpp"
 #include "teaseldrift/relay/usage_task.hpp"
@@ -26,6 +27,8 @@
     telemetry::Metrics &metrics;
     /// For what requests hold of responses; null for no limit.
     http::BufferBudget *buffers = nullptr;
+    /// Null if the deployment makes no rollouts of services.
+    ServiceRollouts *rollouts = nullptr;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -122,6 +122,7 @@
     std::optional<TargetChoice> m_choice;
     AttemptPermit m_permit;
     StartDeadline m_startDeadline;
+    VersionedAttempt m_version;
     bool m_isPrefillFinished = false;
     /// The current attempt no longer counts as load of its target.
     bool m_isLoadDiscounted = false;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -115,7 +115,9 @@
       m_timeAllowed(allowedTime(m_admitted.request, *m_admitted.route)),
       m_retryBudget(context.fleet.retryBudget(m_service, http::EventLoop::now())),
       m_machine(stateMachineOptions(*m_admitted.route, m_timeAllowed), *m_retryBudget),
-      m_permit(context.permits), m_startDeadline(context.fleet), m_buffers(context.buffers, [this] {
+      m_permit(context.permits), m_startDeadline(context.fleet),
+      m_version(context.rollouts, m_service, m_admitted.route->name),
+      m_buffers(context.buffers, [this] {
           const std::shared_ptr<RequestTask> task = this->shared_from_this();
           giveUpResponse("buffer_budget");
       })
@@ -206,6 +208,9 @@
     }
     TargetQuery query = makeQuery(action, now);
     m_choice = chooseTarget(query, now);
+    if (!m_choice && m_version.fallBack(now)) {
+        m_choice = chooseTarget(query, now);
+    }
     if (!m_choice) {
         handleNoTarget(action, query, now);
         return;
@@ -256,7 +261,8 @@
             .expectedRun = expectedRun(request),
             .seed = m_seed,
             .permitted = permitted ? m_context.fleet.targetSelector().idOf(permitted->target)
-                                   : std::string_view()};
+                                   : std::string_view(),
+            .versionRule = m_version.select(action.id, now)};
 }
 
 /// Chooses a target at which the request is expected to begin while the target's weights may still
@@ -458,6 +464,7 @@
     m_triedTargets += m_choice->id;
     m_context.fleet.targetSelector().sent(*m_choice, now);
     m_context.fleet.countTargetCall(m_choice->id, m_choice->startedAtMs, TargetCall::Request);
+    m_version.sent(m_context.fleet.directory().find(m_choice->id), now);
     if (action.id > 1) {
         m_context.metrics.counter({"teaseldrift_retries_total", "service", m_service}).add();
     }
@@ -514,6 +521,7 @@
 {
     m_permit.end(http::EventLoop::now());
     m_startDeadline.clear();
+    m_version.end();
     if (m_choice && !m_isLoadDiscounted) {
         m_context.fleet.targetSelector().ended(*m_choice, isPrefillFinished);
     }
@@ -524,6 +532,7 @@
 void RequestTask<D>::finishPrefill(Instant now)
 {
     m_isPrefillFinished = true;
+    m_version.responded(now);
     if (m_choice && !m_isLoadDiscounted) {
         m_context.fleet.targetSelector().prefillFinished(*m_choice, now);
     }
@@ -586,6 +595,10 @@
     if (isQuiet) {
         return;
     }
+    constexpr int serverError = 500;
+    if (status != misdirected && (metadata.reportsNotRun || status >= serverError)) {
+        m_version.failed(now);
+    }
     if (metadata.reportsNotRun) {
         targetSelector.refused(m_choice->id, now);
         if (status == misdirected && !metadata.weights && m_choice->weights > 0) {
@@ -599,7 +612,6 @@
         return;
     }
     targetSelector.accepted(m_choice->id, now);
-    constexpr int serverError = 500;
     const bool failed = status >= serverError && !m_admitted.request.model.empty();
     targetSelector.health().report(
             m_choice->id, failed ? HealthObservation::ErrorResponse : HealthObservation::Responded,
@@ -799,6 +811,7 @@
     m_permit.end(now);
     if (end == http::CallOutcome::NotSent) {
         if (!m_call->isPathCut()) {
+            m_version.failed(now);
             health.report(target, HealthObservation::ConnectFailed, now);
         }
         m_machine.nothingSent(id);
@@ -811,6 +824,7 @@
     if (end == http::CallOutcome::Broken || m_events.hasPartialEvent() || isEmptyStream) {
         if (!m_call->isPathLost()) {
             recordLostAttempt(now);
+            m_version.failed(now);
             health.report(target, HealthObservation::ConnectionBroken, now);
         }
         perform(m_machine.attemptFailed(id, now));
@@ -962,6 +976,9 @@
     if (m_isEnded) {
         return;
     }
+    if (now >= deadline()) {
+        m_version.failed(now);
+    }
     if (now >= deadline() && m_callerHasHead) {
         cancelAttempt();
         m_exchange->abortAfterWrites();
