Limiter: consumed input counts, heads are searched once, impossible lengths get 413

h2o keeps the memory of consumed input until the whole buffer is consumed, so a client that sent a large body and one byte of a further request held the body uncounted. Unfinished heads were searched again in each examination. A declared length that can never fit was answered with 503 and Retry-After. Found by review; the tests of the limiter pass, none of them shows these three.

--- a/packages/http/src/teaseldrift/http/connection_limiter.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter.cpp
@@ -55,6 +55,9 @@
         = "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n"
           "content-length: 0\r\n\r\n";
 
+constexpr std::string_view bodyTooLargeResponse
+        = "HTTP/1.1 413 Payload Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// @return the value of Content-Length; 0 if there is none or it is invalid, which h2o refuses
 size_t declaredLength(std::string_view head)
 {
@@ -77,12 +80,20 @@
     return 0;
 }
 
-size_t heldBytes(const h2o_buffer_t &input)
+/// Memory that the input buffer of a connection takes.
+size_t heldBytes(LimitedSocket &socket)
 {
+    const h2o_buffer_t &input = *socket.socket->input;
     if (input.bytes == nullptr) {
+        socket.buffer = nullptr;
         return 0;
     }
-    return input.capacity <= maxHeapCapacity ? input.capacity : input.size;
+    if (std::exchange(socket.buffer, &input) != &input) {
+        socket.writtenBytes = 0;
+    }
+    const size_t end = static_cast<size_t>(input.bytes - input._buf) + input.size;
+    socket.writtenBytes = std::min(std::max(socket.writtenBytes, end), input.capacity);
+    return input.capacity <= maxHeapCapacity ? input.capacity : socket.writtenBytes;
 }
 
 bool isTls(const h2o_socket_t &socket)
@@ -202,8 +213,9 @@
                                          limited->settledBytes + frameBytes + request->entity.len);
     } else {
         // The body is a part of the input buffer, which may also hold requests after this one.
-        bytes = socket->input->size + request->entity.len * copies;
+        bytes = std::max(socket->input->size, heldBytes(*limited)) + request->entity.len * copies;
         limited->isHeadExamined = false;
+        limited->searchedBytes = 0;
     }
     const size_t allowed = bytes <= smallRequestBytes
                                    ? limits.handledBytes + limits.handledBytes / 4
@@ -247,12 +259,12 @@
         const size_t settled = (written - socket.settledWritten) / writtenPerSettledByte;
         socket.settledWritten += settled * writtenPerSettledByte;
         socket.settledBytes = std::min(received, socket.settledBytes + settled);
-        bytes = received - socket.settledBytes + heldBytes(input);
+        bytes = received - socket.settledBytes + heldBytes(socket);
         if (state <= ConnectionState::Idle && bytes > maxIdleCapacity) {
             state = ConnectionState::Incomplete;
         }
     } else if (state == ConnectionState::Incomplete) {
-        bytes = heldBytes(input);
+        bytes = heldBytes(socket);
     } else if (input.size == 0 && input.bytes != nullptr && input.capacity > maxIdleCapacity
                && state == ConnectionState::Idle) {
         idleBytes += input.capacity;
@@ -306,7 +318,16 @@
 {
     const h2o_buffer_t &input = *socket.socket->input;
     const std::string_view bytes(input.bytes, std::min(input.size, limits.headBytes));
-    const size_t headEnd = std::min(bytes.find("\r\n\r\n"), bytes.find("\n\n"));
+    if (bytes.size() == socket.searchedBytes && input.size <= limits.headBytes) {
+        return;
+    }
+    // The end may begin in what was searched before.
+    constexpr size_t endBytes = 4;
+    const size_t from = socket.searchedBytes < bytes.size()
+                                ? socket.searchedBytes - std::min(socket.searchedBytes, endBytes)
+                                : 0;
+    socket.searchedBytes = bytes.size();
+    const size_t headEnd = std::min(bytes.find("\r\n\r\n", from), bytes.find("\n\n", from));
     std::optional<LimitReason> reason;
     if (headEnd != std::string_view::npos) {
         socket.isHeadExamined = true;
@@ -367,8 +388,10 @@
                             && !isTls(*socket.socket);
     if (canRespond) {
         const std::string_view response
-                = reason == LimitReason::HeadBytes ? headTooLargeResponse : unavailableResponse;
-        // A client that reads nothing does without.
+                = reason == LimitReason::HeadBytes        ? headTooLargeResponse
+                  : reason == LimitReason::DeclaredLength ? bodyTooLargeResponse
+                                                          : unavailableResponse;
+        // Sent only if it fits the socket's send buffer.
         [[maybe_unused]] const ssize_t sent
                 = ::send(descriptor, response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     }
--- a/packages/http/src/teaseldrift/http/connection_limiter_impl.hpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter_impl.hpp
@@ -42,6 +42,12 @@
     bool isHeadExamined = false;
     /// Shut down by the limiter. h2o may still read what the kernel had received.
     bool isClosing = false;
+    /// Bytes of an unfinished head that were searched for its end.
+    size_t searchedBytes = 0;
+    /// Largest part of `buffer` that was written so far. h2o keeps the memory of what it has
+    /// consumed until the whole buffer is.
+    size_t writtenBytes = 0;
+    const h2o_buffer_t *buffer = nullptr;
     /// With HTTP/2: bytes received that need not be counted any more.
     size_t settledBytes = 0;
     size_t settledWritten = 0;
