--- a/packages/policy/include/teaseldrift/health/target_health.hpp
+++ b/packages/policy/include/teaseldrift/health/target_health.hpp
@@ -89,6 +89,10 @@
     /// may until it has responded or a longer ejection time has passed.
     void sent(std::string_view target, Instant now);
 
+    /// @brief Records that the target has refused a request. An ejected one can then be reached
+    /// again; otherwise a refusal says nothing about the target's health.
+    void refused(std::string_view target);
+
     /// @brief Sets the number of senders that share the targets and their trials.
     void setSenders(size_t count) { m_senders = count; }
 
--- a/packages/policy/src/teaseldrift/health/target_health.cpp
+++ b/packages/policy/src/teaseldrift/health/target_health.cpp
@@ -103,6 +103,16 @@
     }
 }
 
+void TargetHealth::refused(std::string_view target)
+{
+    const std::map<std::string, TargetState, std::less<>>::iterator known = m_targets.find(target);
+    if (known != m_targets.end() && known->second.isEjected) {
+        known->second.consecutiveFailures = 0;
+        known->second.consecutiveEjections = 0;
+        known->second.isEjected = false;
+    }
+}
+
 Duration TargetHealth::ejectionTime(uint32_t earlierEjections) const
 {
     Duration duration = m_options.baseEjectionTime;
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -582,6 +582,9 @@
     if (metadata.reportsNotRun) {
         m_permit.end(now);
     }
+    if (isQuiet || metadata.reportsNotRun) {
+        targetSelector.health().refused(m_choice->id);
+    }
     if (isQuiet) {
         return;
     }
