Entries that are written again are no longer known as removed

After a return of the store from an older copy, a VM that had left and joined again within an hour could be passed over for 10 s, in large fleets until the next whole read. Found by review; not shown by a test yet.

--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -116,7 +116,8 @@
     /// Reads the list, or waits for its changes where that costs less.
     void proceed()
     {
-        const bool mayBeIncomplete = !m_hasReadSinceJoining || m_revision == 0;
+        const bool mayBeIncomplete
+                = !m_hasReadSinceJoining || m_revision == 0 || m_hasPassedOver;
         if (!mayBeIncomplete && m_store.relaysChanges()) {
             waitForChanges();
         } else {
@@ -185,10 +186,12 @@
         }
         std::map<std::string, Record, std::less<>> before = std::exchange(m_records, {});
         store::StoreSnapshot present = snapshot;
-        std::erase_if(present.entries, [&](const store::StoreEntry &entry) {
+        const size_t passedOver = std::erase_if(present.entries, [&](const store::StoreEntry &entry) {
             before.erase(entry.key);
             return m_removed.isOutdated(entry, now);
         });
+        // Entries that are still there later belong to VMs that renew them, and no change says so.
+        m_hasPassedOver = passedOver > 0;
         for (const std::pair<const std::string, Record> &gone : before) {
             m_removed.add(gone.first, gone.second.revision, now);
         }
@@ -204,6 +207,7 @@
             schema::VmRecord record;
             const auto known = m_records.find(entry.key);
             if (!entry.deleted && record.ParseFromString(entry.value) && !record.vm_id().empty()) {
+                m_removed.erase(entry.key);
                 m_records.insert_or_assign(
                         entry.key, Record{.value = std::move(record), .revision = entry.revision});
             } else if (known != m_records.end()) {
@@ -242,6 +246,8 @@
     uint64_t m_knownRevision = 0;
     uint64_t m_epoch = 0;
     RemovedEntries m_removed;
+    /// The last snapshot held entries that are known to be removed.
+    bool m_hasPassedOver = false;
     /// The next read must be a current one.
     bool m_needsCurrent = false;
     Instant m_startedAt;
--- a/packages/relay/include/teaseldrift/relay/removed_entries.hpp
+++ b/packages/relay/include/teaseldrift/relay/removed_entries.hpp
@@ -49,6 +49,9 @@
         m_entries.insert_or_assign(key, Removal{.revision = revision, .at = now});
     }
 
+    /// @brief The entry has been written again.
+    void erase(const std::string &key) { m_entries.erase(key); }
+
     /// @brief The store has returned from an older copy.
     /// @param revision of the store, as first seen after that
     void storeRestored(uint64_t revision, Instant now)
