--- a/packages/policy/include/teaseldrift/targets/congestion_estimator.hpp
+++ b/packages/policy/include/teaseldrift/targets/congestion_estimator.hpp
@@ -9,36 +9,38 @@
 {
     /// Weight of an observation halves in this time, about that in which a queue changes.
     Duration halfLife = 500ms;
-    /// Expected time, in milliseconds, of the assumed observations without congestion. They prevail
-    /// when there are few others, so that single slow requests have little effect.
-    double priorMs = 300.0;
+    /// Number of assumed observations without delay. They prevail when there are few others, so
+    /// that single slow requests have little effect.
+    double priorObservations = 2.0;
+    /// Longer delays count as this one: a target that stalls says nothing about the others.
+    Duration maxDelay = 2s;
 };
 
-/// @brief Estimates by how much times to the first event exceed the expected ones at a service's
-/// targets.
+/// @brief Estimates by how much first events are delayed at a service's targets beyond what the
+/// known load explains.
 ///
-/// The expected times count the prompts that are queued, by what the VMs tell each other. They leave
-/// out that a target computes the prompts of a batch side by side with its streams, and what was
-/// sent since the last messages. A VM sends too few requests to a single target to learn this of
-/// each, so the estimate is one for the service.
+/// The known load is that of the prompts that are queued, by what the VMs send each other. It
+/// leaves out that a target computes the prompts of a batch side by side with its streams, and what
+/// was sent since the last messages. A VM sends too few requests to a single target to learn this
+/// of each, so the estimate is one for the service.
 class CongestionEstimator
 {
 public:
     explicit CongestionEstimator(CongestionEstimatorOptions options = {});
 
     /// @brief Records the time to the first event of a request.
+    /// @param expected by the known load
     void observe(Duration measured, Duration expected, Instant now);
 
-    /// @brief Measured times divided by expected ones; at least 1, which it returns to without
-    /// observations.
-    [[nodiscard]] double factor(Instant now) const;
+    /// @brief Mean delay of recent requests; at least 0, which it returns to without observations.
+    [[nodiscard]] Duration delay(Instant now) const;
 
 private:
     [[nodiscard]] double decay(Instant now) const;
 
     CongestionEstimatorOptions m_options;
-    double m_measuredMs = 0.0;
-    double m_expectedMs = 0.0;
+    double m_delayMs = 0.0;
+    double m_observations = 0.0;
     Instant m_observedAt;
 };
 
--- a/packages/policy/include/teaseldrift/targets/target_directory.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_directory.hpp
@@ -115,7 +115,6 @@
     void setWeights(std::string_view id, std::string_view model, uint64_t version);
 
 private:
-    /// The last registration of a target that is gone.
     /// Id of a target and TargetEntry::startedAtMs.
     using Incarnation = std::pair<std::string, uint64_t>;
 
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -393,6 +393,8 @@
     std::map<std::string, std::shared_ptr<PrefillCurve>, std::less<>> m_curves;
     /// By service.
     std::map<std::string, std::shared_ptr<CongestionEstimator>, std::less<>> m_congestion;
+    /// Some target's speed has been reported or is measured.
+    bool m_knowsSpeeds = false;
     std::string m_cacheStoreAddress;
     SegmentIndex m_cacheStore;
     std::map<std::string, AnnouncedRolloutPlan, std::less<>> m_rolloutPlans;
--- a/packages/policy/src/teaseldrift/routing/route_table.cpp
+++ b/packages/policy/src/teaseldrift/routing/route_table.cpp
@@ -23,6 +23,9 @@
     for (const Route &route : m_definition.routes) {
         m_hosts[lowerCaseHost(route.host)].push_back(&route);
         for (const WeightedService &service : route.services) {
+            if (service.weight == 0 || route.latencyObjective <= Duration(0)) {
+                continue;
+            }
             const auto known
                     = m_shortestObjectives.emplace(service.service, route.latencyObjective).first;
             known->second = std::min(known->second, route.latencyObjective);
--- a/packages/policy/src/teaseldrift/targets/congestion_estimator.cpp
+++ b/packages/policy/src/teaseldrift/targets/congestion_estimator.cpp
@@ -12,16 +12,16 @@
 void CongestionEstimator::observe(Duration measured, Duration expected, Instant now)
 {
     const double weight = decay(now);
-    m_measuredMs = m_measuredMs * weight + toMs(measured);
-    m_expectedMs = m_expectedMs * weight + toMs(expected);
+    m_delayMs = m_delayMs * weight + toMs(std::min(measured - expected, m_options.maxDelay));
+    m_observations = m_observations * weight + 1.0;
     m_observedAt = now;
 }
 
-double CongestionEstimator::factor(Instant now) const
+Duration CongestionEstimator::delay(Instant now) const
 {
     const double weight = decay(now);
-    return std::max(1.0, (m_measuredMs * weight + m_options.priorMs)
-                                 / (m_expectedMs * weight + m_options.priorMs));
+    return fromMs(std::max(0.0, m_delayMs * weight)
+                  / (m_observations * weight + m_options.priorObservations));
 }
 
 double CongestionEstimator::decay(Instant now) const
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -35,7 +35,8 @@
 } // namespace
 
 TargetSelector::TargetSelector(TargetSelectorOptions options)
-    : m_options(std::move(options)), m_health(m_options.health)
+    : m_options(std::move(options)), m_health(m_options.health),
+      m_knowsSpeeds(m_options.speed.isAlwaysMeasured)
 { }
 
 void TargetSelector::setService(const Service &service, double importTokensPerMs)
--- a/packages/policy/src/teaseldrift/targets/target_selector_load.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_load.cpp
@@ -129,6 +129,7 @@
         state->inFlightAtReport = state->inFlight;
         if (report.workTimePercent) {
             state->speed.reportMomentary(*report.workTimePercent, now);
+            m_knowsSpeeds = true;
         }
     }
 }
--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -116,7 +116,8 @@
     }
 }
 
-/// Corrects the expected wait by how much later first events come than the known load explains.
+/// Adds the delay that the known load does not explain to the expected wait. It is the same for
+/// prompts of all lengths, so that long ones are not refused for their length.
 void TargetSelector::addCongestion(const State &state, TargetChoice &choice, Instant now) const
 {
     if (!state.speed.isReported()) {
@@ -125,8 +126,7 @@
     const Duration idle = fromMs(static_cast<double>(choice.prefillTokens) * msPerToken(state, now)
                                  + firstEventMs(state, now));
     choice.firstEventByLoad = choice.expectedWait + idle;
-    choice.expectedWait
-            = fromMs(toMs(choice.firstEventByLoad) * state.congestion->factor(now)) - idle;
+    choice.expectedWait += state.congestion->delay(now);
 }
 
 std::vector<KnownTargetSpeed> TargetSelector::speeds(Instant now) const
@@ -145,6 +145,9 @@
 
 std::vector<KnownTargetSpeed> TargetSelector::speedsToSend(uint64_t seed, Instant now) const
 {
+    if (!m_knowsSpeeds) {
+        return {};
+    }
     std::vector<KnownTargetSpeed> known = speeds(now);
     const auto isRecent = [now](const KnownTargetSpeed &speed) {
         return speed.changedAt != Instant() && now - speed.changedAt < changeTellingTime;
@@ -170,6 +173,7 @@
 {
     if (State *state = mutableState(idOf(targetKey))) {
         state->speed.merge(speed, now);
+        m_knowsSpeeds = true;
     }
 }
 
