--- a/packages/policy/src/teaseldrift/health/target_health_test.cpp
+++ b/packages/policy/src/teaseldrift/health/target_health_test.cpp
@@ -55,6 +55,26 @@
     }
 }
 
+// Guards against a busy target that is avoided for longer and longer although it can be reached
+// again: its trials are answered with refusals.
+TEST_CASE("a trial that is refused ends the ejection, a refusal before does not hide failures")
+{
+    TargetHealth health(HealthOptions{.isTriedByRequests = true});
+    for (const char *target : {"t0", "t1", "t2", "t3"}) {
+        health.addTarget(target, "pool", Instant());
+    }
+    const Instant now = Instant() + 100s;
+    health.report("t0", HealthObservation::ConnectFailed, now);
+    health.report("t0", HealthObservation::ConnectFailed, now);
+    health.refused("t0");
+    health.report("t0", HealthObservation::ConnectFailed, now);
+    REQUIRE(health.ejectedCount("pool") == 1);
+    health.sent("t0", now + 60s);
+    health.refused("t0");
+    CHECK(health.ejectedCount("pool") == 0);
+    CHECK(health.isEligible("t0", now + 60s));
+}
+
 TEST_CASE("a leaving target becomes ineligible immediately, even as the last of its pool")
 {
     TargetHealth health = poolOf(1);
--- a/packages/policy/src/teaseldrift/targets/target_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed.cpp
@@ -165,8 +165,8 @@
     // An estimate that has lost its effect by its age has no weight in the new one either.
     if (m_samples > 0 && now - m_observedAt >= m_options.usualTime) {
         m_samples = 0;
+        m_usualFactor = 1.0;
     }
-    m_usualFactor = usualFactor(now);
     const double observed = bounded(relativeTime / momentaryFactor(now));
     m_samples = std::min(m_samples + 1, m_options.maxSamples);
     // The first observation has half the weight of the prior's, so that one late response does not
--- a/packages/policy/src/teaseldrift/targets/target_speed_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed_test.cpp
@@ -44,6 +44,9 @@
     CHECK(speed.factor(start + 2s) <= 4.0);
     CHECK(speed.factor(start + 2s) > 3.0);
     CHECK(speed.factor(start + 90s) == 1.0);
+    // A single response must not bring the lapsed estimate back.
+    speed.observe(1.0, start + 90s);
+    CHECK(speed.factor(start + 90s) == Approx(1.0));
 }
 
 TEST_CASE("target speed: messages keep the estimates within their resolution")
