--- a/packages/http/src/teaseldrift/http/connection_limiter.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter.cpp
@@ -387,10 +387,10 @@
     const bool canRespond = socket.state == ConnectionState::Incomplete && !socket.isHttp2
                             && !isTls(*socket.socket);
     if (canRespond) {
-        const std::string_view response
-                = reason == LimitReason::HeadBytes        ? headTooLargeResponse
-                  : reason == LimitReason::DeclaredLength ? bodyTooLargeResponse
-                                                          : unavailableResponse;
+        const std::string_view response = reason == LimitReason::HeadBytes ? headTooLargeResponse
+                                          : reason == LimitReason::DeclaredLength
+                                                  ? bodyTooLargeResponse
+                                                  : unavailableResponse;
         // Sent only if it fits the socket's send buffer.
         [[maybe_unused]] const ssize_t sent
                 = ::send(descriptor, response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
--- a/packages/policy/src/teaseldrift/admission/queue_bound_test.cpp
+++ b/packages/policy/src/teaseldrift/admission/queue_bound_test.cpp
@@ -55,8 +55,7 @@
 {
     constexpr double tokensPerMs = 45 * 48.2;
     const RequestClass shortPrompts{.perSecond = 222.0, .tokens = 1800.0, .objective = 500ms};
-    const RequestClass longPrompts{
-            .perSecond = 2.3 * 250.0, .tokens = 6610.0, .objective = 2500ms};
+    const RequestClass longPrompts{.perSecond = 2.3 * 250.0, .tokens = 6610.0, .objective = 2500ms};
     RequestClass shortShared = shortPrompts;
     RequestClass longShared = longPrompts;
     serve(shortShared, longShared, tokensPerMs, true);
@@ -68,8 +67,8 @@
     CHECK(shortOwn.inTime < 0.2 * shortOwn.sent);
     CHECK(shortShared.inTime > 0.4 * shortShared.sent);
     // Neither class is starved: each is served at least a quarter as often as both together.
-    const double served = (shortShared.inTime + longShared.inTime)
-                          / (shortShared.sent + longShared.sent);
+    const double served
+            = (shortShared.inTime + longShared.inTime) / (shortShared.sent + longShared.sent);
     CHECK(shortShared.inTime > 0.25 * served * shortShared.sent);
     CHECK(longShared.inTime > 0.25 * served * longShared.sent);
 }
--- a/packages/policy/src/teaseldrift/targets/congestion_estimator.cpp
+++ b/packages/policy/src/teaseldrift/targets/congestion_estimator.cpp
@@ -7,7 +7,8 @@
 
 namespace teaseldrift {
 
-CongestionEstimator::CongestionEstimator(CongestionEstimatorOptions options) : m_options(options) { }
+CongestionEstimator::CongestionEstimator(CongestionEstimatorOptions options)
+    : m_options(options) { }
 
 void CongestionEstimator::observe(Duration measured, Duration expected, Instant now)
 {
--- a/packages/policy/src/teaseldrift/targets/congestion_estimator_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/congestion_estimator_test.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-// Guards against waits that are estimated far too short under overload, so that requests are sent to
-// targets where they cannot begin in time. The load: first events come 900 ms later than the queued
-// prompts explain.
+// Guards against waits that are estimated far too short under overload, so that requests are sent
+// to targets where they cannot begin in time. The load: first events come 900 ms later than the
+// queued prompts explain.
 TEST_CASE("a delay that the known load does not explain is learned within a second")
 {
     CongestionEstimator congestion;
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -116,8 +116,7 @@
     /// Reads the list, or waits for its changes where that costs less.
     void proceed()
     {
-        const bool mayBeIncomplete
-                = !m_hasReadSinceJoining || m_revision == 0 || m_hasPassedOver;
+        const bool mayBeIncomplete = !m_hasReadSinceJoining || m_revision == 0 || m_hasPassedOver;
         if (!mayBeIncomplete && m_store.relaysChanges()) {
             waitForChanges();
         } else {
@@ -186,10 +185,11 @@
         }
         std::map<std::string, Record, std::less<>> before = std::exchange(m_records, {});
         store::StoreSnapshot present = snapshot;
-        const size_t passedOver = std::erase_if(present.entries, [&](const store::StoreEntry &entry) {
-            before.erase(entry.key);
-            return m_removed.isOutdated(entry, now);
-        });
+        const size_t passedOver
+                = std::erase_if(present.entries, [&](const store::StoreEntry &entry) {
+                      before.erase(entry.key);
+                      return m_removed.isOutdated(entry, now);
+                  });
         // Entries that are still there later belong to VMs that renew them, and no change says so.
         m_hasPassedOver = passedOver > 0;
         for (const std::pair<const std::string, Record> &gone : before) {
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -398,12 +398,12 @@
 {
     const Duration objective = m_admitted.route->latencyObjective;
     const bool isShared = m_context.fleet.options().hasUnevenTargets;
-    return isQueueTooLong({.objective = objective,
-                           .shortestObjective
-                           = isShared ? m_admitted.table->shortestObjective(m_service, objective)
-                                      : objective,
-                           .timeLeft = deadline() - now},
-                          expectedWait);
+    return isQueueTooLong(
+            {.objective = objective,
+             .shortestObjective
+             = isShared ? m_admitted.table->shortestObjective(m_service, objective) : objective,
+             .timeLeft = deadline() - now},
+            expectedWait);
 }
 
 template <Dialect D>
