--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -97,7 +97,7 @@
 
     /// @brief Whether bytes were sent that the peer's host has not acknowledged, and none of any
     /// has been for `time`: the host or the network is silent, not only the process. Empty if the
-    /// kernel does not tell.
+    /// kernel does not report it.
     [[nodiscard]] std::optional<bool> isUnacknowledgedFor(Duration time) const;
 
     /// Implementation; public for Client only.
--- a/packages/http/include/teaseldrift/http/connection_choice.hpp
+++ b/packages/http/include/teaseldrift/http/connection_choice.hpp
@@ -50,7 +50,7 @@
     /// Largest part of them that one address holds while other addresses have connections.
     double addressShare = 0.5;
     Instant now{};
-    /// Time in which a connection without any request is given up only after all others: the
+    /// Time in which a connection without any request is closed only after all others: the
     /// request of an ordinary client arrives just after its connection.
     Duration newConnectionTime = 1s;
 };
--- a/packages/http/src/teaseldrift/http/connection_choice.cpp
+++ b/packages/http/src/teaseldrift/http/connection_choice.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Order in which connections are given up; see chooseDisplaced().
+/// Order in which connections are closed; see chooseDisplaced().
 int displacementRank(const ConnectionLoad &load, const ConnectionCountLimit &limit)
 {
     constexpr int justAccepted = 4;
--- a/packages/http/src/teaseldrift/http/connection_limiter.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter.cpp
@@ -22,13 +22,14 @@
 constexpr uint64_t connectionsPerIntervalMs = 250;
 
 /// An input buffer that is larger than this is freed when its connection has been idle for
-/// `idleBufferTime`; h2o keeps it at the size of the largest request.
+/// `idleBufferTime`.
 constexpr size_t maxIdleCapacity = 64U << 10U;
 
-/// Buffers are kept for this time because the next request needs them again, ...
+/// The next request of a busy connection needs its buffer again within this time.
 constexpr Duration idleBufferTime = 1s;
 
-/// ... unless all together hold more than this part of the budget of incomplete requests.
+/// Buffers of idle connections that together hold more than this part of the budget of incomplete
+/// requests are freed at once.
 constexpr size_t idleBudgetPart = 8;
 
 /// Buffers up to this size come from the heap and may have been used before, so all of it counts;
@@ -348,15 +349,15 @@
 /// Closes connections of the servers that have more than their limit.
 void ConnectionLimiter::Impl::displace()
 {
-    std::vector<ConnectionGroup *> crowded;
+    std::vector<ConnectionGroup *> overLimit;
     for (const std::shared_ptr<LimitedSocket> &socket : sockets) {
         ConnectionGroup *group = socket->group;
         if (group->maxConnections > 0 && group->count > group->maxConnections
-            && std::find(crowded.begin(), crowded.end(), group) == crowded.end()) {
-            crowded.push_back(group);
+            && std::find(overLimit.begin(), overLimit.end(), group) == overLimit.end()) {
+            overLimit.push_back(group);
         }
     }
-    for (const ConnectionGroup *group : crowded) {
+    for (const ConnectionGroup *group : overLimit) {
         std::vector<size_t> positions;
         std::vector<ConnectionLoad> groupLoads;
         for (size_t i = 0; i < sockets.size(); ++i) {
--- a/packages/http/src/teaseldrift/http/connection_limiter_test.cpp
+++ b/packages/http/src/teaseldrift/http/connection_limiter_test.cpp
@@ -190,7 +190,7 @@
     CHECK(limited.ordinaryResponse().starts_with("HTTP/1.1 200"));
 }
 
-// Guards against a request that runs although its caller was told that it does not.
+// Guards against a request that runs although its caller received a refusal.
 TEST_CASE("a request whose connection is closed never reaches the handler")
 {
     LimitedServer limited({.incompleteBytes = mebibyte});
--- a/packages/policy/include/teaseldrift/targets/target_speed.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_speed.hpp
@@ -29,7 +29,7 @@
     Duration usualTime = 60s;
 };
 
-/// @brief What VMs tell each other about a target's speed; 4 bytes in a message.
+/// @brief Speed of a target as VMs exchange it; 4 bytes in a message.
 struct SharedSpeed
 {
     /// Time that work takes, relative to the mean of the service's targets.
--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -23,7 +23,7 @@
 constexpr size_t maxOthersPerMessage = 8;
 /// A change is sent with all messages for this time: two intervals of the exchange in a large
 /// region.
-constexpr Duration changeTellingTime = 500ms;
+constexpr Duration changeAnnouncementTime = 500ms;
 
 } // namespace
 
@@ -150,7 +150,7 @@
     }
     std::vector<KnownTargetSpeed> known = speeds(now);
     const auto isRecent = [now](const KnownTargetSpeed &speed) {
-        return speed.changedAt != Instant() && now - speed.changedAt < changeTellingTime;
+        return speed.changedAt != Instant() && now - speed.changedAt < changeAnnouncementTime;
     };
     const auto others = std::partition(known.begin(), known.end(), isRecent);
     const auto lastRecent
--- a/packages/policy/src/teaseldrift/targets/target_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed.cpp
@@ -40,7 +40,7 @@
 /// The usual speed is not observed while a target is slower than this.
 constexpr double maxObservedMomentaryFactor = 1.5;
 
-/// Change of a factor that is told to other VMs at once; a smaller one waits for its turn.
+/// Change of a factor that is sent to other VMs at once; a smaller one waits for its turn.
 constexpr double notableChange = 1.1;
 
 /// Weight of the prior of a PrefillCurve, in observations.
--- a/packages/policy/src/teaseldrift/targets/target_speed_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_speed_test.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-TEST_CASE("target speed: nothing has an effect or is told before a momentary figure is reported")
+TEST_CASE("target speed: nothing has an effect or is sent before a momentary figure is reported")
 {
     TargetSpeed speed(1);
     speed.observe(3.0, start);
@@ -106,7 +106,7 @@
 }
 
 // Guards deployments whose load reports have three figures against any effect of measured times.
-TEST_CASE("without the fourth figure measured times change no choice and nothing is told")
+TEST_CASE("without the fourth figure measured times change no choice and nothing is sent")
 {
     struct Vm
     {
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -997,7 +997,7 @@
 void RequestTask<D>::answerBy(Instant time)
 {
     m_answerBy = time;
-    // A response that is under way has promised to keep the connection. Left open, it would take
+    // A response that is under way has announced keep-alive. Left open, it would take
     // the next request of this caller.
     m_exchange->closeAfterResponse();
     if (m_timer != 0) {
--- a/packages/relay/include/teaseldrift/relay/target_connector.hpp
+++ b/packages/relay/include/teaseldrift/relay/target_connector.hpp
@@ -36,7 +36,7 @@
     Duration silenceTime = 400ms;
     /// Time without an acknowledgement of anything that was sent, after which such silence is that
     /// of the path and not of the target. A host acknowledges within 40 ms, also for a process that
-    /// stands still; less than `silenceTime`, as the last acknowledgement may precede the request.
+    /// is suspended; less than `silenceTime`, as the last acknowledgement may precede the request.
     Duration ackSilence = 300ms;
     /// Time for which a VM that has passed a request on is asked before unknown ones.
     Duration helperMemory = 2s;
--- a/packages/relay/src/teaseldrift/relay/routed_call.cpp
+++ b/packages/relay/src/teaseldrift/relay/routed_call.cpp
@@ -77,7 +77,7 @@
 /// acknowledged has arrived: the target may be working on it.
 bool RoutedCall::Impl::isPathSilent() const
 {
-    // Where the kernel does not tell, silence counts as before.
+    // Where the kernel does not report it, silence counts as before.
     return call && call->isUnacknowledgedFor(connector->options.ackSilence).value_or(true);
 }
 
