--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -116,7 +116,9 @@
     /// Reads the list, or waits for its changes where that costs less.
     void proceed()
     {
-        const bool mayBeIncomplete = !m_hasReadSinceJoining || m_revision == 0 || m_hasPassedOver;
+        const bool mayBeIncomplete
+                = !m_hasReadSinceJoining || m_revision == 0
+                  || (m_hasPassedOver && http::EventLoop::now() > m_removed.settlesAt());
         if (!mayBeIncomplete && m_store.relaysChanges()) {
             waitForChanges();
         } else {
--- a/packages/relay/include/teaseldrift/relay/removed_entries.hpp
+++ b/packages/relay/include/teaseldrift/relay/removed_entries.hpp
@@ -72,6 +72,9 @@
                && entry.revision <= m_restoredRevision;
     }
 
+    /// @brief Time from which no entry is passed over any more.
+    [[nodiscard]] Instant settlesAt() const { return m_restoredAt + m_options.settlingTime; }
+
 private:
     struct Removal
     {
