--- a/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_speed.cpp
@@ -14,8 +14,8 @@
 constexpr uint64_t minObservedTokens = 200;
 
 /// Scale of the spreading cost, relative to the time to the first event at a target of the mean
-/// speed. Chosen by target_speed_simulation_test: with 0.35 targets that are 1.7 times as slow get
-/// too many requests, with 0.1 long prompts queue for longer.
+/// speed. A larger one sends too many requests to slow targets, a smaller one lets long prompts
+/// queue because all VMs choose the same targets.
 constexpr double spread = 0.15;
 
 /// Speeds in one message, at 8 bytes each: at most 256 bytes.
