--- a/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.cpp
+++ b/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.cpp
@@ -113,7 +113,7 @@
                              ? 1
                              : 0;
     }
-    CHECK(completed >= 11);
+    CHECK(completed == 12);
 }
 
 // Guards against a version that fails from the start and gets more than the canary's share.
