--- a/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.hpp
+++ b/packages/policy/src/teaseldrift/rollout/rollout_simulation_test.hpp
@@ -103,7 +103,8 @@
 
 private:
     static constexpr Duration step = 10ms;
-    /// Longer than RolloutBounds::rollbackTime, so that a fault which begins near the end is judged.
+    /// Longer than RolloutBounds::rollbackTime, so that a fault which begins near the end is
+    /// judged.
     static constexpr Duration observedAfterEnd = 6s;
     static constexpr Duration exchangeInterval = 300ms;
     static constexpr Duration reportMaxAge = 1s;
