--- a/review/9/run.py
+++ b/review/10/run.py
@@ -41,7 +41,7 @@
 async def main():
     record = standin.Record(os.path.join(HERE, "record.txt"))
     folder = standin.make_folder()
-    rng = standin.seeded(9)
+    rng = standin.seeded(10)
     store = standin.Store(record)
     vms, runs = [], []
     isolated = set()
@@ -63,7 +63,7 @@
         ports = {name: standin.free_port("127.0.0.1")
                  for name in ("front", "ready", "directory", "peer")}
         for index, (name, zone) in enumerate(VMS):
-            vms.append(standin.Vm(record, folder, name, zone, f"127.0.9.{index + 1}",
+            vms.append(standin.Vm(record, folder, name, zone, f"127.0.10.{index + 1}",
                                   "127.0.0.1", store_port, ports))
         for vm in vms:
             await vm.start()
