--- a/review/standins2/standin.py
+++ b/review/standins2/standin.py
@@ -7,11 +7,13 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -560,8 +562,13 @@
     return f"{rng.getrandbits(64):016x}"
 
 
+FOLDERS = []
+
+
 def make_folder():
-    return tempfile.mkdtemp(prefix="teaseldrift-review-")
+    """A temporary folder for settings and logs, which run() removes."""
+    FOLDERS.append(tempfile.mkdtemp(prefix="teaseldrift-review-"))
+    return FOLDERS[-1]
 
 
 def seeded(seed):
@@ -576,6 +583,10 @@
         loop = asyncio.new_event_loop()
         asyncio.set_event_loop(loop)
         code = loop.run_until_complete(main())
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
     finally:
+        for folder in FOLDERS:
+            shutil.rmtree(folder, ignore_errors=True)
         sys.stdout.flush()
         os._exit(code)
