--- a/review/10/run.py
+++ b/review/10/run.py
@@ -11,7 +11,9 @@
 import standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-VMS = [("edge-perth-1", "perth"), ("edge-dundee-1", "dundee"), ("edge-forfar-1", "forfar")]
+VMS = [("edge-colombo-a-1", "colombo-a"), ("edge-gampaha-b-1", "gampaha-b"),
+       ("edge-kalutara-c-1", "kalutara-c")]
+ZONES = [zone for _, zone in VMS]
 MODEL = "daka510000"
 TENANTS = {"sese880": "key-of-sese880", "kabo54": "key-of-kabo54"}
 ISOLATED = "sese880"
@@ -21,20 +23,20 @@
 def config(version, isolated):
     return {
         "version": version,
-        "routes": [{"name": "summary", "host": "app.example", "prefix": "/summary/",
-                    "kind": "streaming", "timeout-ms": 10000, "target-latency-ms": 600,
-                    "priority": 1, "service": "round-writer", "max-attempts": 1,
+        "routes": [{"name": "draft", "host": "app.example", "prefix": "/draft/",
+                    "kind": "streaming", "timeout-ms": 15000, "target-latency-ms": 800,
+                    "priority": 1, "service": "estimator", "max-attempts": 1,
                     "anonymous": False, "sticky": True, "resumable": False,
                     "target-gap-ms": 300}],
-        "services": [{"name": "round-writer", "health-path": "/health", "max-conns": 230,
+        "services": [{"name": "estimator", "health-path": "/health", "max-conns": 360,
                       "protocol": "h1", "tls": False,
-                      "engine": {"slots": 32, "kv-capacity-tokens": 224892,
-                                 "kv-token-bytes": 131072, "link-mbps": 260000.0, "stride": 9,
+                      "engine": {"slots": 64, "kv-capacity-tokens": 220993,
+                                 "kv-token-bytes": 35136, "link-mbps": 260000.0, "stride": 6,
                                  "max-concurrent": 12, "models": [{"name": MODEL}]}}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
         "tenants": [{"name": name, "api-keys": [key], "priority": 1, "unit": "tokens",
-                     "plain-tokens": 200, "rate-per-s": 399980, "burst": 399980,
+                     "plain-tokens": 200, "rate-per-s": 154029, "burst": 154029,
                      "isolated": name in isolated} for name, key in TENANTS.items()]}
 
 
@@ -56,8 +58,8 @@
             record.line(f"{server.ident} runs {ident} for {headers.get('tenant')} under the salt"
                         f" {headers.get('cache-salt')!r}; it uses {used}")
 
-        for index, zone in enumerate(["perth", "dundee", "forfar"]):
-            engine = standin.Engine(record, store, f"i-writer{index}", "round-writer",
+        for index, zone in enumerate(ZONES):
+            engine = standin.Engine(record, store, f"i-estimator{index}", "estimator",
                                     "127.0.0.1", zone, MODEL, on_run)
             await engine.listen()
         ports = {name: standin.free_port("127.0.0.1")
@@ -76,9 +78,9 @@
                 ident = standin.new_id(rng)
                 own = f"{rng.getrandbits(32):08x}"
                 status, _, _ = await client.call(
-                    vm.address, ports["front"], "POST", "/summary/round",
-                    {"request-id": ident, "deadline-ms": "10000", "api-key": TENANTS[tenant],
-                     "model": MODEL, "token-count": "6610,42",
+                    vm.address, ports["front"], "POST", "/draft/plot",
+                    {"request-id": ident, "deadline-ms": "15000", "api-key": TENANTS[tenant],
+                     "model": MODEL, "token-count": "6610,64",
                      "prompt-prefix": f"5c1e07a2:512,91bd3f06:4870,{own}:1228"},
                     b"x" * 1000, timeout=10.0)
                 answered.append(status)
--- a/review/standins2/standin.py
+++ b/review/standins2/standin.py
@@ -442,10 +442,10 @@
 
 
 class Vm:
-    """One teaseldrift-edge process, started as by the platform."""
+    """One teaseldrift-edge process, started with the settings of dcas-acreage."""
 
     def __init__(self, record, folder, name, zone, address, store_address, store_port, ports,
-                 memory_mb=260):
+                 memory_mb=110):
         self.record, self.folder, self.name, self.zone = record, folder, name, zone
         self.address = address
         self.ports = ports
@@ -454,8 +454,8 @@
         self.log = os.path.join(folder, name + ".log")
         lines = [
             f"node={name}", "role=edge", "class=edge", "serves=edge,directory", f"ip={address}",
-            f"zone={zone}", "region=tayside", "zones.perth=tayside", "zones.dundee=tayside",
-            "zones.forfar=tayside", f"listen.front={address}:{ports['front']}",
+            f"zone={zone}", "region=lk-west", "zones.colombo-a=lk-west",
+            "zones.gampaha-b=lk-west", "zones.kalutara-c=lk-west", f"listen.front={address}:{ports['front']}",
             f"listen.ready={address}:{ports['ready']}",
             f"listen.directory={address}:{ports['directory']}",
             f"port-range={ports['peer']},{ports['peer']}", "bootstrap=true", "fault-counted=false",
@@ -466,10 +466,10 @@
             "platform",
             "bounds.contact-ms=3000", "bounds.drain-ms=2000", "bounds.grace-s=8",
             "bounds.loss-slack-ms=200", "bounds.config-apply-ms=2000",
-            "bounds.retry-budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-slack=52",
+            "bounds.retry-budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-slack=54",
             "bounds.quota-window-s=8", "bounds.quota-overrun=0.1", "bounds.quota-slack=140000",
             "bounds.recover-s=12", "bounds.require-fence=true", "bounds.lease-ms=3000",
-            "bounds.thaw-slack-ms=300", "bounds.version-ms=6000", "bounds.version-all-ms=8400",
+            "bounds.thaw-slack-ms=300", "bounds.version-ms=12000", "bounds.version-all-ms=17000",
             "bounds.ttl_max_s=5", f"platform.address={store_address}:{store_port}",
             "platform.form=kv", "platform.writes-per-s=400", "platform.reads-per-s=2000",
             "platform.history-s=20", "platform.value-bytes=1048576", "platform.ttl-min-ms=1000"]
