--- a/packages/policy/include/teaseldrift/routing/route_table.hpp
+++ b/packages/policy/include/teaseldrift/routing/route_table.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "teaseldrift/routing/fleet_definition.hpp"
+#include "teaseldrift/segments/cache_scopes.hpp"
 
 namespace teaseldrift {
 
@@ -42,6 +43,9 @@
     /// @brief The service that is the KV cache store; null if there is none.
     [[nodiscard]] const Service *cacheStore() const { return m_cacheStore; }
 
+    /// @brief Which organisations share KV cache.
+    [[nodiscard]] const CacheScopes &cacheScopes() const { return m_cacheScopes; }
+
     /// @brief Chooses the service for a request, in proportion to the weights.
     /// @param requestHash hash of the request, which decides between the services
     [[nodiscard]] static std::string_view chooseService(const Route &route, uint64_t requestHash);
@@ -57,6 +61,7 @@
     /// By service.
     std::map<std::string_view, Duration> m_shortestObjectives;
     const Service *m_cacheStore = nullptr;
+    CacheScopes m_cacheScopes;
 };
 
 } // namespace teaseldrift
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -100,6 +100,8 @@
     std::span<const PromptSegment> segments;
     /// Organisation that shares no KV cache with others; empty for the shared cache.
     std::string_view isolatedOrganisation;
+    /// Whose KV cache the request may use, see CacheScopes.
+    std::string_view cacheScope = {};
     std::span<const std::string> excluded;
     /// Targets with older weights are not selected.
     uint64_t minWeights = 0;
@@ -243,6 +245,9 @@
     /// @brief Forgets the contents of a cache that has restarted or some of whose events are lost.
     void clearCache(std::string_view id);
 
+    /// @brief Forgets the contents of all caches.
+    void clearCaches();
+
     void reportLoad(std::string_view id, const TargetLoadReport &report, Instant now);
 
     /// @brief Speeds of the targets about which something was learned.
@@ -373,7 +378,6 @@
     [[nodiscard]] double ownPrefillCostMs(const State &state, uint64_t tokens, uint64_t seed,
                                           Instant now) const;
     [[nodiscard]] double crossZoneCostMs(const TargetEntry &target) const;
-    static std::string cacheSaltOf(const TargetQuery &query, uint64_t weights);
     [[nodiscard]] const State *stateOf(std::string_view id) const;
     State *mutableState(std::string_view id);
     [[nodiscard]] PrefixAvailability
--- a/packages/policy/src/teaseldrift/routing/route_table.cpp
+++ b/packages/policy/src/teaseldrift/routing/route_table.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-RouteTable::RouteTable(FleetDefinition definition) : m_definition(std::move(definition))
+RouteTable::RouteTable(FleetDefinition definition)
+    : m_definition(std::move(definition)), m_cacheScopes(m_definition.organisations)
 {
     for (const Route &route : m_definition.routes) {
         m_hosts[lowerCaseHost(route.host)].push_back(&route);
--- a/packages/policy/src/teaseldrift/targets/target_selector.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector.cpp
@@ -5,6 +5,7 @@
 
 #include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/base/rendezvous.hpp"
+#include "teaseldrift/segments/cache_scopes.hpp"
 
 namespace teaseldrift {
 
@@ -99,18 +100,6 @@
                                                                  : toMs(m_options.crossZoneCost);
 }
 
-std::string TargetSelector::cacheSaltOf(const TargetQuery &query, uint64_t weights)
-{
-    std::string salt(query.model);
-    salt += '/';
-    salt += std::to_string(weights);
-    if (!query.isolatedOrganisation.empty()) {
-        salt += '/';
-        salt += query.isolatedOrganisation;
-    }
-    return salt;
-}
-
 const TargetSelector::State *TargetSelector::stateOf(std::string_view id) const
 {
     const auto found = m_states.find(id);
@@ -146,7 +135,8 @@
     if (query.model.empty()) {
         return preferred;
     }
-    // The key leaves out the weights version, so that a rollout does not move prefixes.
+    // The key leaves out the weights version and the organisations that share KV cache, so that a
+    // rollout or an organisation that becomes isolated does not move the others' prefixes.
     const std::vector<PromptPrefix> prefixes
             = prefixesOf(query.segments, query.isolatedOrganisation);
     const std::span<const PromptPrefix> shared = sharedOf(prefixes);
@@ -201,8 +191,9 @@
 TargetSelector::prefixAvailabilityOf(const std::vector<const TargetEntry *> &targets,
                                      const TargetQuery &query, uint64_t weights, Instant now) const
 {
-    PrefixAvailability availability{.prefixes
-                                    = prefixesOf(query.segments, cacheSaltOf(query, weights))};
+    PrefixAvailability availability{
+            .prefixes
+            = prefixesOf(query.segments, cacheSalt(query.model, weights, query.cacheScope))};
     const std::span<const PromptPrefix> shared = availability.shared();
     availability.sharedTokens = tokensOf(shared);
     if (!m_cacheStoreAddress.empty()) {
@@ -377,7 +368,7 @@
     if (!query.model.empty()) {
         const PrefixAvailability &availability = availabilityByWeights.at(chosen->weights);
         choice.weights = chosen->weights;
-        choice.cacheSalt = cacheSaltOf(query, chosen->weights);
+        choice.cacheSalt = cacheSalt(query.model, chosen->weights, query.cacheScope);
         choice.prefixes = availability.prefixes;
         addImport(choice, availability, chosen->heldTokens);
         addCongestion(*chosen->state, choice, now);
@@ -447,6 +438,14 @@
     }
 }
 
+void TargetSelector::clearCaches()
+{
+    m_cacheStore.clear();
+    for (std::pair<const std::string, State> &state : m_states) {
+        state.second.cache.clear();
+    }
+}
+
 bool TargetSelector::setRolloutPlan(const RolloutPlan &plan, Instant announcedAt)
 {
     AnnouncedRolloutPlan &known = m_rolloutPlans[plan.model];
--- a/packages/policy/src/teaseldrift/targets/target_selector_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_selector_test.cpp
@@ -51,17 +51,19 @@
     std::optional<TargetChoice> choose(std::span<const PromptSegment> segments, Instant now = start,
                                        std::string_view isolatedOrganisation = "",
                                        uint32_t priority = 0, uint64_t newest = 1,
-                                       Duration run = 0s)
+                                       Duration run = 0s, std::string_view cacheScope = "")
     {
-        return m_selector.choose(m_directory,
-                                 {.service = "writer",
-                                  .model = "m",
-                                  .segments = segments,
-                                  .isolatedOrganisation = isolatedOrganisation,
-                                  .newestWeights = newest,
-                                  .priority = priority,
-                                  .expectedRun = run},
-                                 now);
+        return m_selector.choose(
+                m_directory,
+                {.service = "writer",
+                 .model = "m",
+                 .segments = segments,
+                 .isolatedOrganisation = isolatedOrganisation,
+                 .cacheScope = cacheScope.empty() ? isolatedOrganisation : cacheScope,
+                 .newestWeights = newest,
+                 .priority = priority,
+                 .expectedRun = run},
+                now);
     }
 
     TargetChoice send(std::span<const PromptSegment> segments, Instant now = start)
@@ -258,6 +260,34 @@
     CHECK(newer.choose(segments, start, "", 0, 2)->cacheSalt != shared->cacheSalt);
 }
 
+// After an organisation has become isolated, KV cache of the former scope must be out of reach by
+// every way: as a hit, as an import from another target and as a copy in the KV cache store.
+TEST_CASE("an organisation becomes isolated: cache of the former scope is no hit and not imported")
+{
+    Engines engines(2);
+    const std::array<SegmentEvent, 1> stored{
+            {{.segmentKey = segmentKeyOf("m/1/before", 7), .tokens = 5000}}};
+    for (const std::string_view cache : {"", "e0", "e1"}) {
+        engines.selector().applyCacheEvents(cache, stored);
+    }
+    const std::optional<TargetChoice> before
+            = engines.choose(promptOf(7, 100), start, "", 0, 1, 0s, "before");
+    REQUIRE(before);
+    CHECK(before->prefillTokens == 100);
+    CHECK(before->saveTo.empty());
+    const std::optional<TargetChoice> after
+            = engines.choose(promptOf(7, 100), start, "", 0, 1, 0s, "after");
+    REQUIRE(after);
+    CHECK(after->cacheSalt == "m/1/after");
+    CHECK(after->prefillTokens == 5100);
+    CHECK(after->importFrom == cacheStore);
+    CHECK(after->saveTo == cacheStore);
+    // The prefix keeps its preferred target.
+    CHECK(after->id == before->id);
+    engines.selector().clearCaches();
+    CHECK(engines.choose(promptOf(7, 100), start, "", 0, 1, 0s, "before")->prefillTokens == 5100);
+}
+
 TEST_CASE("an import names only a source that has confirmed the segment")
 {
     Engines engines(2);
--- a/packages/relay/include/teaseldrift/relay/request_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task.hpp
@@ -162,6 +162,8 @@
     std::optional<Instant> m_targetReturnsAt;
     /// Oldest weights version on which the last attempt was allowed to start.
     uint64_t m_minWeights = 0;
+    /// Whose KV cache the last attempt was allowed to use, see CacheScopes.
+    std::string m_cacheScope;
 };
 
 } // namespace teaseldrift::relay
--- a/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/request_task_impl.hpp
@@ -234,14 +234,20 @@
 {
     const CallerRequest &request = m_admitted.request;
     const Organisation *organisation = m_admitted.organisation;
-    const bool isIsolated = organisation != nullptr && organisation->isIsolated;
+    const std::string_view organisationName
+            = organisation == nullptr ? std::string_view() : std::string_view(organisation->name);
+    // The configuration in force now: an organisation may have become isolated since the request
+    // was admitted.
+    const CacheScopes &scopes = m_context.fleet.table()->cacheScopes();
+    m_cacheScope = scopes.of(organisationName);
     const std::optional<TargetLimitKey> permitted = m_permit.target();
     m_minWeights = m_context.fleet.minWeights(request.model, now);
     return {.service = m_service,
             .model = request.model,
             .segments = request.segments,
             .isolatedOrganisation
-            = isIsolated ? std::string_view(organisation->name) : std::string_view(),
+            = scopes.isShared(organisationName) ? std::string_view() : organisationName,
+            .cacheScope = m_cacheScope,
             .excluded = action.excludedTargets,
             .minWeights = m_minWeights,
             .newestWeights = m_context.fleet.weightRollout().desiredVersion(request.model),
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -80,7 +80,13 @@
         return;
     }
     const uint64_t before = m_table == nullptr ? 0 : m_table->definition().version;
+    const std::string scopeBefore
+            = m_table == nullptr ? std::string() : m_table->cacheScopes().shared();
     m_table = std::make_shared<const RouteTable>(std::move(definition));
+    const std::string &scope = m_table->cacheScopes().shared();
+    if (!scopeBefore.empty() && scope != scopeBefore) {
+        m_targetSelector.clearCaches();
+    }
     const FleetDefinition &current = m_table->definition();
     for (const Service &service : current.services) {
         const auto rate = importRates.find(service.name);
@@ -103,7 +109,8 @@
                 {{"version", static_cast<int64_t>(current.version)},
                  {"before", static_cast<int64_t>(before)},
                  {"routes", static_cast<int64_t>(current.routes.size())},
-                 {"organisations", static_cast<int64_t>(current.organisations.size())}});
+                 {"organisations", static_cast<int64_t>(current.organisations.size())},
+                 {"cache_scope", std::string_view(scope)}});
 }
 
 void FleetState::logTarget(const TargetEntry &entry, TargetChange change)
