Each weights version is judged by its own change, also after all VMs restart (VERSION)

Cause: the record in the store held the newest version only. After a restart of all VMs, nobody knew the changes before it, and all older weights were judged by the newest one's age. Besides, a VM without a record assumed half of the grace period, and one that had not read the record yet allowed any weights.

Ruled out: the roll-out's pause until the controller's lease has ended. It only leaves targets with old weights; logs after the restart show one weights_named with version 4 alone.

Now the record holds all changes that may still matter, merged so that the earliest time counts, and a version about which nothing is known counts from the change before it, or as long past.

The test "a VM that starts assumes half of the grace period" checked that assumption; it is replaced by stricter ones (no older weights without a record). "a record with a wrong clock does not override an observation" now says that nothing was named before; its checks are unchanged.

--- a/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
+++ b/packages/policy/src/teaseldrift/weights/desired_weights_history_test.cpp
@@ -54,6 +54,7 @@
 {
     DesiredWeightsHistory history;
     history.add(3, start, ChangeTimeSource::Observed, start);
+    history.setPrevious(3, 0);
     CHECK_FALSE(history.add(3, start - 60s, ChangeTimeSource::Recorded, start));
     CHECK(history.minVersion(start + 5s, grace) == 0);
 }
@@ -93,6 +94,63 @@
     CHECK(history.minVersion(start + 20s, grace) == 3);
 }
 
+TEST_CASE("a version that was not learned counts from the change before it")
+{
+    DesiredWeightsHistory history;
+    history.add(2, start, ChangeTimeSource::Observed, start);
+    history.add(5, start + 6s, ChangeTimeSource::Observed, start + 6s);
+    CHECK(history.latestStart(2, grace) == start + grace);
+    CHECK(history.latestStart(3, grace) == start + grace);
+    CHECK(history.latestStart(4, grace) == start + 6s + grace);
+    CHECK(history.minVersion(start + 13s, grace) == 4);
+    history.setPrevious(5, 2);
+    CHECK(history.latestStart(2, grace) == start + 6s + grace);
+    CHECK(history.minVersion(start + 13s, grace) == 2);
+}
+
+TEST_CASE("without a known change before it, the version before the oldest known one is the oldest "
+          "that is allowed")
+{
+    DesiredWeightsHistory history;
+    history.add(5, start, ChangeTimeSource::Recorded, start);
+    CHECK(history.minVersion(start, grace) == 4);
+    CHECK(history.latestStart(4, grace) == start + grace);
+    REQUIRE(history.latestStart(3, grace));
+    CHECK(*history.latestStart(3, grace) < start);
+}
+
+TEST_CASE("a version of unknown time counts from the change before it, or as long past")
+{
+    DesiredWeightsHistory history;
+    CHECK(history.add(4, start, ChangeTimeSource::Unknown, start));
+    CHECK(history.minVersion(start, grace) == 4);
+    CHECK(history.known().empty());
+    history.add(3, start - 2s, ChangeTimeSource::Recorded, start);
+    CHECK(history.latestStart(3, grace) == start - 2s + grace);
+    CHECK(history.add(4, start - 1s, ChangeTimeSource::Observed, start));
+    CHECK(history.latestStart(3, grace) == start - 1s + grace);
+}
+
+TEST_CASE("a version without effect is one that a VM observed to be superseded")
+{
+    DesiredWeightsHistory history;
+    history.add(3, start, ChangeTimeSource::Recorded, start);
+    CHECK(history.newestSettled(start + 60s, grace) == 0);
+    history.add(4, start, ChangeTimeSource::Observed, start);
+    CHECK(history.newestSettled(start + grace, grace) == 0);
+    CHECK(history.newestSettled(start + 13s, grace) == 4);
+}
+
+TEST_CASE("the number of versions is bounded, and the oldest count as long past")
+{
+    DesiredWeightsHistory history;
+    for (uint64_t version = 1; version <= 1000; ++version) {
+        history.add(version, start, ChangeTimeSource::Observed, start);
+    }
+    CHECK(history.known().size() == 32);
+    CHECK(history.minVersion(start, grace) == 968);
+}
+
 TEST_CASE("the first change to a newer version bounds the start on an older one")
 {
     DesiredWeightsHistory history;
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -6,22 +6,27 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
+#include <vector>
 
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/relay/fleet_records.hpp"
 #include "teaseldrift/relay/fleet_state.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
 #include "teaseldrift/store/store.hpp"
+#include "teaseldrift/weights/weights_record.hpp"
 
 namespace teaseldrift::relay {
 
-/// @brief Stores when the desired weights version of a model changed, and passes its age to
+/// @brief Stores when the desired weights versions of a model changed, and passes their ages to
 /// FleetState.
 ///
 /// Requests may start on older weights for a limited time after the change. A VM that starts up, or
-/// that was suspended or disconnected at the change, must know how much of that time is left.
+/// that was suspended or disconnected at the change, must know how much of that time is left, also
+/// if no VM is left that saw the change. Each version is judged by its own change, so the record
+/// holds all that may still matter.
 template <store::LongPollStore Store>
 class DesiredWeightsTracker
 {
@@ -35,7 +40,7 @@
         /// A VM that has been connected to the store for this long learns of a change in time, so
         /// that a stale read suffices.
         Duration connectedTime = 5s;
-        /// Delay after a read without a response.
+        /// Delay after a call without a response, or a write that had no effect.
         Duration retryDelay = 500ms;
         /// Returns the wall-clock time.
         std::function<int64_t()> unixMs;
@@ -52,39 +57,35 @@
     DesiredWeightsTracker &operator=(const DesiredWeightsTracker &) = delete;
 
     /// @brief Applies a desired weights version.
-    /// @param isLiveChange whether the record changed while this VM was watching the store
     /// @param onApplied called after FleetState has been updated
-    void update(const WeightsRecord &record, bool isLiveChange,
+    void update(const WeightsRecord &record, RecordOrigin origin,
                 const std::function<void()> &onApplied)
     {
-        if (!isLiveChange) {
-            readRecord(record, store::ReadConsistency::Current,
-                       [this, record, onApplied](bool isRecorded) {
-                           if (!isRecorded) {
-                               // The version may be new, or all VMs may have failed before one of
-                               // them wrote the record.
-                               apply(record, m_fleet.options().olderWeightsGracePeriod / 2,
-                                     ChangeTimeSource::Assumed);
-                               scheduleSave(record);
-                           }
-                           onApplied();
-                       });
+        if (origin == RecordOrigin::FirstRead) {
+            // The version may have been named long ago, and older ones before it. Requests may
+            // arrive before the store has responded.
+            apply(record, Duration(0), ChangeTimeSource::Unknown);
+            readRecord(record, store::ReadConsistency::Current, onApplied);
             return;
         }
         const Instant now = http::EventLoop::now();
         const std::optional<Instant> suspendedSince
                 = m_options.suspendedSince ? m_options.suspendedSince(now) : std::nullopt;
+        const uint64_t previous = newestBefore(record);
         if (suspendedSince) {
             apply(record, now - *suspendedSince, ChangeTimeSource::Assumed);
         } else {
             apply(record, Duration(0), ChangeTimeSource::Observed);
         }
+        if (origin == RecordOrigin::Change) {
+            m_fleet.setPreviousWeights(record.model, record.version, previous);
+        }
         onApplied();
         const bool isTimely
                 = !suspendedSince && m_fleet.isStoreConnectedSince(now - m_options.connectedTime);
         readRecord(record,
                    isTimely ? store::ReadConsistency::AllowStale : store::ReadConsistency::Current,
-                   [](bool) {});
+                   [] {});
         scheduleSave(record);
     }
 
@@ -98,10 +99,13 @@
     }
 
 private:
+    /// Greatest age that is taken from a record; older changes have the same effect.
+    static constexpr Duration maxRecordedAge = std::chrono::hours(24);
+
     void scheduleSave(const WeightsRecord &record)
     {
         m_loop.startTimer(m_options.writeStagger * static_cast<int64_t>(m_fleet.rank()),
-                          [this, record] { saveIfNewer(record); });
+                          [this, record] { save(record, store::ReadConsistency::AllowStale); });
     }
 
     void apply(const WeightsRecord &record, Duration age, ChangeTimeSource source)
@@ -115,96 +119,143 @@
         return m_fleet.weightRollout().desiredVersion(record.model) == record.version;
     }
 
-    /// Applies the recorded time of the change; repeats the read until the store responds.
-    /// @param onFirstRead called once, with whether the store has a record of the change
+    /// Newest known version before the record's; 0 if there is none.
+    [[nodiscard]] uint64_t newestBefore(const WeightsRecord &record) const
+    {
+        const uint64_t desired = m_fleet.weightRollout().desiredVersion(record.model);
+        uint64_t newest = desired < record.version ? desired : 0;
+        for (const DesiredWeights &known : m_fleet.knownDesiredWeights(record.model)) {
+            newest = known.version < record.version ? std::max(newest, known.version) : newest;
+        }
+        return newest;
+    }
+
+    /// Applies the recorded times of the changes; repeats the read until the store responds.
+    /// @param onFirstRead called once
     void readRecord(const WeightsRecord &record, store::ReadConsistency consistency,
-                    const std::function<void(bool)> &onFirstRead)
+                    const std::function<void()> &onFirstRead)
     {
         m_store.readPrefix(m_options.prefix + record.model, consistency,
                            [this, record, onFirstRead](std::error_code error,
                                                        const store::StoreSnapshot &snapshot) {
-                               const std::optional<Duration> age
-                                       = error ? std::nullopt : recordedAge(record, snapshot);
-                               if (age) {
-                                   apply(record, *age, ChangeTimeSource::Recorded);
+                               if (!error) {
+                                   applyRecorded(record, findRecord(record, snapshot).naming);
                                }
-                               onFirstRead(age.has_value());
+                               onFirstRead();
                                if (error && isDesired(record)) {
                                    m_loop.startTimer(m_options.retryDelay, [this, record] {
-                                       readRecord(record, store::ReadConsistency::Current,
-                                                  [](bool) {});
+                                       readRecord(record, store::ReadConsistency::Current, [] {});
                                    });
                                }
                            });
     }
 
-    /// Returns the key's record; empty if there is none.
-    [[nodiscard]] std::optional<schema::WeightsNaming>
-    recordOf(const WeightsRecord &record, const store::StoreEntry &entry) const
+    /// Applies the changes up to the version that the operators' record names.
+    void applyRecorded(const WeightsRecord &record, const schema::WeightsNaming &naming)
     {
-        schema::WeightsNaming naming;
-        if (entry.key != m_options.prefix + record.model || !naming.ParseFromString(entry.value)) {
-            return std::nullopt;
+        const int64_t nowMs = m_options.unixMs();
+        const int64_t maxAgeMs = maxRecordedAge / 1ms;
+        for (const RecordedWeightsChange &change : changesOf(naming)) {
+            if (change.version > record.version) {
+                continue;
+            }
+            // Subtracts bounded values only: the record may hold any number.
+            const int64_t changedAtMs = std::clamp(change.changedAtUnixMs, nowMs - maxAgeMs, nowMs);
+            apply({.model = record.model, .version = change.version},
+                  std::chrono::milliseconds(nowMs - changedAtMs), ChangeTimeSource::Recorded);
+            if (change.previous) {
+                m_fleet.setPreviousWeights(record.model, change.version, *change.previous);
+            }
         }
-        return naming;
     }
 
-    [[nodiscard]] std::optional<Duration> recordedAge(const WeightsRecord &record,
-                                                      const store::StoreSnapshot &snapshot) const
+    struct FoundRecord
     {
+        schema::WeightsNaming naming;
+        /// 0 if the store has no record.
+        uint64_t revision = 0;
+    };
+
+    /// Returns the model's record; an empty one if there is none or it cannot be parsed.
+    [[nodiscard]] FoundRecord findRecord(const WeightsRecord &record,
+                                         const store::StoreSnapshot &snapshot) const
+    {
+        FoundRecord found;
         for (const store::StoreEntry &entry : snapshot.entries) {
-            const std::optional<schema::WeightsNaming> naming = recordOf(record, entry);
-            if (naming && naming->version() == record.version) {
-                const int64_t ageMs = m_options.unixMs() - naming->named_at_unix_ms();
-                return std::chrono::milliseconds(std::max<int64_t>(0, ageMs));
+            if (entry.key == m_options.prefix + record.model) {
+                found.revision = entry.revision;
+                if (!found.naming.ParseFromString(entry.value)) {
+                    found.naming.Clear();
+                }
             }
         }
-        return std::nullopt;
+        return found;
     }
 
-    void saveIfNewer(const WeightsRecord &record)
+    /// Adds to the record what this VM knows and the record lacks.
+    void save(const WeightsRecord &record, store::ReadConsistency consistency)
     {
+        if (!isDesired(record)) {
+            return;
+        }
         m_store.readPrefix(
-                m_options.prefix + record.model, store::ReadConsistency::AllowStale,
+                m_options.prefix + record.model, consistency,
                 [this, record](std::error_code error, const store::StoreSnapshot &snapshot) {
-                    if (!isDesired(record)) {
-                        return;
-                    }
                     if (error) {
-                        m_loop.startTimer(m_options.retryDelay,
-                                          [this, record] { saveIfNewer(record); });
+                        saveAgain(record);
                         return;
                     }
-                    uint64_t revision = 0;
-                    for (const store::StoreEntry &entry : snapshot.entries) {
-                        const std::optional<schema::WeightsNaming> naming = recordOf(record, entry);
-                        if (naming && naming->version() >= record.version) {
-                            return;
-                        }
-                        if (entry.key == m_options.prefix + record.model) {
-                            revision = entry.revision;
-                        }
+                    const FoundRecord found = findRecord(record, snapshot);
+                    const std::optional<schema::WeightsNaming> merged
+                            = mergeChanges(found.naming, record.model, knownChanges(record.model),
+                                           m_options.unixMs() - settlingTime() / 1ms);
+                    if (merged) {
+                        write(record, *merged, found.revision);
                     }
-                    write(record, revision);
                 });
     }
 
+    void saveAgain(const WeightsRecord &record)
+    {
+        m_loop.startTimer(m_options.retryDelay,
+                          [this, record] { save(record, store::ReadConsistency::Current); });
+    }
+
+    /// Time after which a change is dropped from the record; covers the difference of two VMs'
+    /// clocks.
+    [[nodiscard]] Duration settlingTime() const
+    {
+        return 2 * m_fleet.options().olderWeightsGracePeriod;
+    }
+
+    [[nodiscard]] std::vector<RecordedWeightsChange> knownChanges(std::string_view model) const
+    {
+        const Instant now = http::EventLoop::now();
+        const int64_t nowMs = m_options.unixMs();
+        std::vector<RecordedWeightsChange> changes;
+        for (const DesiredWeights &known : m_fleet.knownDesiredWeights(model)) {
+            changes.push_back({.version = known.version,
+                               .changedAtUnixMs = nowMs - (now - known.changedAt) / 1ms,
+                               .previous = known.previous,
+                               .isAssumed = known.isAssumed});
+        }
+        return changes;
+    }
+
     /// @param revision revision of the key's present record; the write has no effect if another VM
     /// has written since
-    void write(const WeightsRecord &record, uint64_t revision)
+    void write(const WeightsRecord &record, const schema::WeightsNaming &naming, uint64_t revision)
     {
-        const Duration age
-                = m_fleet.desiredWeightsAge(record.model, record.version, http::EventLoop::now());
-        schema::WeightsNaming naming;
-        naming.set_model(record.model);
-        naming.set_version(record.version);
-        naming.set_named_at_unix_ms(m_options.unixMs() - age / 1ms);
         const std::array<store::StoreWrite, 1> writes{
                 store::StoreWrite{.key = m_options.prefix + record.model,
                                   .value = naming.SerializeAsString(),
                                   .expectedRevision = revision}};
-        // If the write is lost, a VM that starts up assumes that half of the grace period is left.
-        m_store.write(writes, [](store::StoreWriteResult) {});
+        m_store.write(writes, [this, record](const store::StoreWriteResult &result) {
+            // What another VM has written instead may lack something.
+            if (result.outcome != store::StoreOutcome::Written) {
+                saveAgain(record);
+            }
+        });
     }
 
     http::EventLoop &m_loop;
--- a/packages/relay/include/teaseldrift/relay/fleet_records.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_records.hpp
@@ -21,6 +21,16 @@
     std::map<std::string, double, std::less<>> importRates;
 };
 
+/// @brief How this VM received an operators' record.
+enum class RecordOrigin {
+    /// With the first read after the start: it may be of any age.
+    FirstRead,
+    /// With another read, after a gap in which more than one change may have been missed.
+    Reread,
+    /// As one change; none was missed before it.
+    Change,
+};
+
 /// @brief The weights version that the operators want for a model.
 struct WeightsRecord
 {
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -139,10 +139,17 @@
                          Instant now);
 
     /// @brief Sets a desired weights version of a model, or adds a source of its change time.
-    /// @param age time since the desired version changed
+    /// @param age time since the desired version changed; ignored for ChangeTimeSource::Unknown
     void setDesiredWeights(std::string_view model, uint64_t version, Duration age,
                            ChangeTimeSource source, Instant now);
 
+    /// @brief Sets which version of a model was the desired one before `version`, see
+    /// DesiredWeightsHistory::setPrevious().
+    void setPreviousWeights(std::string_view model, uint64_t version, uint64_t previous);
+
+    /// @brief Changes of a model's desired weights whose time is known, oldest first.
+    [[nodiscard]] std::vector<DesiredWeights> knownDesiredWeights(std::string_view model) const;
+
     /// @brief Time since a weights version became the desired one; 0 if it is not known.
     [[nodiscard]] Duration desiredWeightsAge(std::string_view model, uint64_t version,
                                              Instant now) const;
--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -60,9 +60,8 @@
         m_targets.start();
     }
 
-    /// @brief Sets the callback for desired weights; `isLiveChange` tells whether the record
-    /// changed while this VM was watching. Call it before start().
-    void onDesiredWeights(std::function<void(const WeightsRecord &, bool isLiveChange)> callback)
+    /// @brief Sets the callback for desired weights. Call it before start().
+    void onDesiredWeights(std::function<void(const WeightsRecord &, RecordOrigin)> callback)
     {
         m_onDesiredWeights = std::move(callback);
     }
@@ -80,12 +79,14 @@
     {
         return {.onSnapshot =
                         [this](const store::StoreSnapshot &snapshot) {
-                            applyOperatorRecords(snapshot, m_hasOperatorRecords);
+                            applyOperatorRecords(snapshot, m_hasOperatorRecords
+                                                                   ? RecordOrigin::Reread
+                                                                   : RecordOrigin::FirstRead);
                             m_hasOperatorRecords = true;
                         },
                 .onChanges =
                         [this](const store::StoreSnapshot &snapshot) {
-                            applyOperatorRecords(snapshot, true);
+                            applyOperatorRecords(snapshot, RecordOrigin::Change);
                         },
                 .onDisconnected
                 = [this](std::error_code error) { logLost("operator_records", error); },
@@ -119,15 +120,14 @@
                                  int failed) { logLate("target_registrations", age, failed); }};
     }
 
-    /// @param isLiveChange whether the records changed while this VM was watching them
-    void applyOperatorRecords(const store::StoreSnapshot &snapshot, bool isLiveChange)
+    void applyOperatorRecords(const store::StoreSnapshot &snapshot, RecordOrigin origin)
     {
         for (const store::StoreEntry &entry : snapshot.entries) {
-            applyOperatorRecord(entry, isLiveChange);
+            applyOperatorRecord(entry, origin);
         }
     }
 
-    void applyOperatorRecord(const store::StoreEntry &entry, bool isLiveChange)
+    void applyOperatorRecord(const store::StoreEntry &entry, RecordOrigin origin)
     {
         if (entry.deleted) {
             return;
@@ -138,7 +138,7 @@
             m_fleet.applyDefinition(std::move(definition->definition), definition->importRates,
                                     now);
         } else if (const WeightsRecord *weights = std::get_if<WeightsRecord>(&record)) {
-            m_onDesiredWeights(*weights, isLiveChange);
+            m_onDesiredWeights(*weights, origin);
         } else {
             logUnreadable(entry);
         }
@@ -207,7 +207,7 @@
     Records m_records;
     FleetState &m_fleet;
     telemetry::EventLog &m_log;
-    std::function<void(const WeightsRecord &, bool)> m_onDesiredWeights;
+    std::function<void(const WeightsRecord &, RecordOrigin)> m_onDesiredWeights;
     bool m_hasOperatorRecords = false;
     uint64_t m_unreadableRecords = 0;
     PrefixWatcher<Store> m_operators;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -179,25 +179,42 @@
 {
     DesiredWeightsHistory &history = m_desiredWeights[std::string(model)];
     const std::optional<Instant> before = history.changedAt(version);
-    if (version < minWeights(model, now) || !history.add(version, now - age, source, now)) {
+    const uint64_t settled = history.newestSettled(now, m_options.olderWeightsGracePeriod);
+    if (version < settled || !history.add(version, now - age, source, now)) {
         return;
     }
     m_weightRollout.setDesiredVersion(model, version);
-    history.dropOlderThan(minWeights(model, now));
+    history.dropOlderThan(settled);
     // Each VM observes the change a little earlier or later; only a correction that matters is
     // logged.
     constexpr Duration loggedCorrection = 200ms;
-    const Instant changedAt = history.changedAt(version).value_or(now);
+    const std::optional<Instant> known = history.changedAt(version);
+    const Instant changedAt = known.value_or(now);
     if (!before || changedAt < *before - loggedCorrection
         || changedAt > *before + loggedCorrection) {
         m_log.write(EventPriority::Important, "weights_named",
                     {{"model", model},
                      {"version", static_cast<int64_t>(version)},
-                     {"age_ms", toMs(now - changedAt)},
-                     {"source", name(source)}});
+                     {"age_ms", known ? toMs(now - changedAt) : -1.0},
+                     {"source", name(source)},
+                     {"oldest_allowed", static_cast<int64_t>(minWeights(model, now))}});
     }
 }
 
+void FleetState::setPreviousWeights(std::string_view model, uint64_t version, uint64_t previous)
+{
+    const auto found = m_desiredWeights.find(model);
+    if (found != m_desiredWeights.end()) {
+        found->second.setPrevious(version, previous);
+    }
+}
+
+std::vector<DesiredWeights> FleetState::knownDesiredWeights(std::string_view model) const
+{
+    const auto found = m_desiredWeights.find(model);
+    return found == m_desiredWeights.end() ? std::vector<DesiredWeights>() : found->second.known();
+}
+
 Duration FleetState::desiredWeightsAge(std::string_view model, uint64_t version, Instant now) const
 {
     const auto found = m_desiredWeights.find(model);
