--- a/packages/policy/include/teaseldrift/segments/cache_scopes.hpp
+++ b/packages/policy/include/teaseldrift/segments/cache_scopes.hpp
@@ -31,6 +31,7 @@
     /// configuration does not name shares none
     [[nodiscard]] std::string of(std::string_view organisation) const;
 
+    /// @brief Whether an organisation's requests have the shared scope; see of().
     [[nodiscard]] bool isShared(std::string_view organisation) const;
 
     /// @brief Scope of all organisations that are not isolated.
--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -40,7 +40,8 @@
         /// A VM that has been connected to the store for this long learns of a change in time, so
         /// that a stale read suffices.
         Duration connectedTime = 5s;
-        /// Delay after a call without a response, or a write that had no effect.
+        /// Delay after a call without a response, or a write that had no effect. It doubles with
+        /// each further failure to write a record, as all VMs try to.
         Duration retryDelay = 500ms;
         /// Returns the wall-clock time.
         std::function<int64_t()> unixMs;
@@ -105,7 +106,7 @@
     void scheduleSave(const WeightsRecord &record)
     {
         m_loop.startTimer(m_options.writeStagger * static_cast<int64_t>(m_fleet.rank()),
-                          [this, record] { save(record, store::ReadConsistency::AllowStale); });
+                          [this, record] { save(record, store::ReadConsistency::AllowStale, 0); });
     }
 
     void apply(const WeightsRecord &record, Duration age, ChangeTimeSource source)
@@ -192,33 +193,37 @@
         return found;
     }
 
-    /// Adds to the record what this VM knows and the record lacks.
-    void save(const WeightsRecord &record, store::ReadConsistency consistency)
+    /// Adds the changes to the record that it lacks.
+    /// @param failures number of earlier attempts
+    void save(const WeightsRecord &record, store::ReadConsistency consistency, unsigned failures)
     {
         if (!isDesired(record)) {
             return;
         }
-        m_store.readPrefix(
-                m_options.prefix + record.model, consistency,
-                [this, record](std::error_code error, const store::StoreSnapshot &snapshot) {
-                    if (error) {
-                        saveAgain(record);
-                        return;
-                    }
-                    const FoundRecord found = findRecord(record, snapshot);
-                    const std::optional<schema::WeightsNaming> merged
-                            = mergeChanges(found.naming, record.model, knownChanges(record.model),
-                                           m_options.unixMs() - settlingTime() / 1ms);
-                    if (merged) {
-                        write(record, *merged, found.revision);
-                    }
-                });
+        m_store.readPrefix(m_options.prefix + record.model, consistency,
+                           [this, record, failures](std::error_code error,
+                                                    const store::StoreSnapshot &snapshot) {
+                               if (error) {
+                                   saveAgain(record, failures + 1);
+                                   return;
+                               }
+                               const FoundRecord found = findRecord(record, snapshot);
+                               const std::optional<schema::WeightsNaming> merged = mergeChanges(
+                                       found.naming, record.model, knownChanges(record.model),
+                                       m_options.unixMs() - settlingTime() / 1ms);
+                               if (merged) {
+                                   write(record, *merged, found.revision, failures);
+                               }
+                           });
     }
 
-    void saveAgain(const WeightsRecord &record)
+    void saveAgain(const WeightsRecord &record, unsigned failures)
     {
-        m_loop.startTimer(m_options.retryDelay,
-                          [this, record] { save(record, store::ReadConsistency::Current); });
+        constexpr unsigned maxDoublings = 5;
+        m_loop.startTimer(m_options.retryDelay * (1U << std::min(failures - 1, maxDoublings)),
+                          [this, record, failures] {
+                              save(record, store::ReadConsistency::Current, failures);
+                          });
     }
 
     /// Time after which a change is dropped from the record; covers the difference of two VMs'
@@ -244,16 +249,18 @@
 
     /// @param revision revision of the key's present record; the write has no effect if another VM
     /// has written since
-    void write(const WeightsRecord &record, const schema::WeightsNaming &naming, uint64_t revision)
+    /// @param failures as for save()
+    void write(const WeightsRecord &record, const schema::WeightsNaming &naming, uint64_t revision,
+               unsigned failures)
     {
         const std::array<store::StoreWrite, 1> writes{
                 store::StoreWrite{.key = m_options.prefix + record.model,
                                   .value = naming.SerializeAsString(),
                                   .expectedRevision = revision}};
-        m_store.write(writes, [this, record](const store::StoreWriteResult &result) {
+        m_store.write(writes, [this, record, failures](const store::StoreWriteResult &result) {
             // What another VM has written instead may lack something.
             if (result.outcome != store::StoreOutcome::Written) {
-                saveAgain(record);
+                saveAgain(record, failures + 1);
             }
         });
     }
