A weights version that is written again says nothing of those before it (VERSION)

Found on reading the change once more. An operator writes the record of a version again, as after the store has returned from an older copy. A VM that had restarted, and knew that version alone, took this for proof that none had been named before, and allowed all older weights until the version's own bound.

The number before a version is now taken only from a change that brings a new version; the function that searched for it is gone.

The case "after a gap in the changes..." compared with <=, which held with the rule broken; now <.

--- a/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
+++ b/packages/relay/include/teaseldrift/relay/desired_weights_tracker.hpp
@@ -72,14 +72,15 @@
         const Instant now = http::EventLoop::now();
         const std::optional<Instant> suspendedSince
                 = m_options.suspendedSince ? m_options.suspendedSince(now) : std::nullopt;
-        const uint64_t previous = newestBefore(record);
+        const uint64_t before = m_fleet.weightRollout().desiredVersion(record.model);
         if (suspendedSince) {
             apply(record, now - *suspendedSince, ChangeTimeSource::Assumed);
         } else {
             apply(record, Duration(0), ChangeTimeSource::Observed);
         }
-        if (origin == RecordOrigin::Change) {
-            m_fleet.setPreviousWeights(record.model, record.version, previous);
+        // A version that is written again says nothing of those before it.
+        if (origin == RecordOrigin::Change && before < record.version) {
+            m_fleet.setPreviousWeights(record.model, record.version, before);
         }
         onApplied();
         const bool isTimely
@@ -120,17 +121,6 @@
         return m_fleet.weightRollout().desiredVersion(record.model) == record.version;
     }
 
-    /// Newest known version before the record's; 0 if there is none.
-    [[nodiscard]] uint64_t newestBefore(const WeightsRecord &record) const
-    {
-        const uint64_t desired = m_fleet.weightRollout().desiredVersion(record.model);
-        uint64_t newest = desired < record.version ? desired : 0;
-        for (const DesiredWeights &known : m_fleet.knownDesiredWeights(record.model)) {
-            newest = known.version < record.version ? std::max(newest, known.version) : newest;
-        }
-        return newest;
-    }
-
     /// Applies the recorded times of the changes; repeats the read until the store responds.
     /// @param onFirstRead called once
     void readRecord(const WeightsRecord &record, store::ReadConsistency consistency,
--- a/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/desired_weights_tracker_test.cpp
@@ -302,6 +302,18 @@
     CHECK(vm.minWeightsAfter(11s) == 7);
 }
 
+// An operator writes the record again after the store has returned from an older copy. A VM that
+// had restarted then allowed weights that were superseded before the version at hand.
+TEST_CASE("a weights version that is written again after a restart says nothing of those before it")
+{
+    Vm vm;
+    vm.store.record = recordOf(4, 3s);
+    vm.learn(4, RecordOrigin::FirstRead);
+    vm.learn(4);
+    CHECK(vm.minWeightsAfter(0s) == 3);
+    CHECK(vm.minWeightsAfter(8s) == 4);
+}
+
 TEST_CASE("after a gap in the changes, a version that may have been missed counts as named")
 {
     Vm vm;
@@ -310,7 +322,7 @@
     CHECK(vm.minWeightsAfter(8s) <= 1);
     const std::optional<Instant> latest = vm.fleet.latestStart("m", 6);
     REQUIRE(latest);
-    CHECK(vm.fleet.latestStart("m", 2) <= vm.fleet.latestStart("m", 6));
+    CHECK(vm.fleet.latestStart("m", 2) < latest);
 }
 
 TEST_CASE("a record of an older version is replaced, one of the same version is kept")
