Failed calls to the store and to other VMs state their reason (CONFIG)

A call now states whether it was refused, had no connection, no response, a part of one, or a broken one, how long it took and how many bytes had arrived. Calls to the store that fail are logged and counted.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/client.hpp"
@@ -10,6 +11,26 @@
 
 namespace teaseldrift::http {
 
+/// @brief Why a call has no complete response.
+enum class CallFailure {
+    None,
+    /// No process listens at the endpoint.
+    Refused,
+    /// No connection was established in time.
+    NoConnection,
+    /// Nothing of a response arrived in time.
+    NoResponse,
+    /// A part of the response arrived in time.
+    Incomplete,
+    /// The connection ended, or what arrived is not a valid response.
+    Broken,
+    /// ClientOptions::buffers was exhausted.
+    BufferBudget,
+};
+
+/// @brief Name of a failure for logs.
+std::string_view toString(CallFailure failure);
+
 /// @brief The complete response of a call.
 struct BufferedResponse
 {
@@ -17,10 +38,17 @@
     int status = 0;
     Headers headers;
     std::string body;
-    /// No connection was established, so nothing was sent.
-    bool notSent = false;
-    /// No process listens at the endpoint.
-    bool wasRefused = false;
+    CallFailure failure = CallFailure::None;
+    /// Time from start() to the end of the call.
+    Duration elapsed{0};
+    /// Bytes of the body that arrived, also if the call failed.
+    size_t receivedBytes = 0;
+
+    /// @brief No connection was established, so nothing was sent.
+    [[nodiscard]] bool notSent() const
+    {
+        return failure == CallFailure::Refused || failure == CallFailure::NoConnection;
+    }
 };
 
 /// @brief Makes small calls, each with its own time-out, and buffers their responses.
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -8,6 +8,27 @@
 
 namespace teaseldrift::http {
 
+std::string_view toString(CallFailure failure)
+{
+    switch (failure) {
+    case CallFailure::None:
+        return "none";
+    case CallFailure::Refused:
+        return "refused";
+    case CallFailure::NoConnection:
+        return "no_connection";
+    case CallFailure::NoResponse:
+        return "no_response";
+    case CallFailure::Incomplete:
+        return "incomplete";
+    case CallFailure::Broken:
+        return "broken";
+    case CallFailure::BufferBudget:
+        return "buffer_budget";
+    }
+    return "none";
+}
+
 struct BufferedClient::Impl
 {
     struct Pending
@@ -15,6 +36,7 @@
         std::unique_ptr<Call> call;
         EventLoop::TimerId timer = 0;
         BufferedResponse response;
+        Instant startedAt;
         std::unique_ptr<BufferAccount> account;
         Handler handler;
     };
@@ -24,7 +46,9 @@
     uint64_t lastCall = 0;
     std::map<uint64_t, Pending> pending;
 
-    void finish(uint64_t number, CallOutcome end);
+    void finish(uint64_t number, CallFailure failure);
+    void timeOut(uint64_t number);
+    void end(uint64_t number, CallOutcome outcome);
 
     /// @return null once the call has ended
     Pending *find(uint64_t number)
@@ -51,10 +75,11 @@
     const uint64_t number = ++impl.lastCall;
     Impl::Pending &entry = impl.pending[number];
     entry.handler = std::move(handler);
-    entry.account = std::make_unique<BufferAccount>(
-            impl.client.buffers(), [&impl, number] { impl.finish(number, CallOutcome::Broken); });
-    entry.timer = impl.loop.startTimer(
-            timeout, [&impl, number] { impl.finish(number, CallOutcome::Broken); });
+    entry.startedAt = EventLoop::now();
+    entry.account = std::make_unique<BufferAccount>(impl.client.buffers(), [&impl, number] {
+        impl.finish(number, CallFailure::BufferBudget);
+    });
+    entry.timer = impl.loop.startTimer(timeout, [&impl, number] { impl.timeOut(number); });
     entry.call = impl.client.start(
             endpoint, std::move(request), ConnectionUse::Pooled,
             {.matchesRequest = std::move(matchesRequest),
@@ -72,10 +97,41 @@
                              open->account->set(open->response.body.capacity());
                          }
                      },
-             .onEnd = [&impl, number](CallOutcome end) { impl.finish(number, end); }});
+             .onEnd = [&impl, number](CallOutcome outcome) { impl.end(number, outcome); }});
+}
+
+void BufferedClient::Impl::timeOut(uint64_t number)
+{
+    const Pending *open = find(number);
+    if (open == nullptr) {
+        return;
+    }
+    const bool hasHead = open->response.status != 0;
+    finish(number, hasHead                   ? CallFailure::Incomplete
+                   : open->call->maybeSent() ? CallFailure::NoResponse
+                                             : CallFailure::NoConnection);
+}
+
+void BufferedClient::Impl::end(uint64_t number, CallOutcome outcome)
+{
+    const Pending *open = find(number);
+    if (open == nullptr) {
+        return;
+    }
+    switch (outcome) {
+    case CallOutcome::Complete:
+        finish(number, CallFailure::None);
+        return;
+    case CallOutcome::NotSent:
+        finish(number, open->call->wasRefused() ? CallFailure::Refused : CallFailure::NoConnection);
+        return;
+    case CallOutcome::Broken:
+        finish(number, open->call->wasGivenUp() ? CallFailure::BufferBudget : CallFailure::Broken);
+        return;
+    }
 }
 
-void BufferedClient::Impl::finish(uint64_t number, CallOutcome end)
+void BufferedClient::Impl::finish(uint64_t number, CallFailure failure)
 {
     const auto found = pending.find(number);
     if (found == pending.end()) {
@@ -86,11 +142,16 @@
     pending.erase(found);
     loop.cancelTimer(ended->timer);
     loop.post([ended] {});
-    if (end != CallOutcome::Complete) {
-        ended->response
-                = {.notSent = end == CallOutcome::NotSent, .wasRefused = ended->call->wasRefused()};
+    BufferedResponse &response = ended->response;
+    response.receivedBytes = response.body.size();
+    response.elapsed = EventLoop::now() - ended->startedAt;
+    response.failure = failure;
+    if (failure != CallFailure::None) {
+        response.status = 0;
+        response.headers.clear();
+        response.body.clear();
     }
-    ended->handler(ended->response);
+    ended->handler(response);
 }
 
 } // namespace teaseldrift::http
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/http/client.hpp"
 #include "teaseldrift/http/event_loop.hpp"
 #include "teaseldrift/http/server.hpp"
@@ -51,14 +52,14 @@
     Failed,
 };
 
-/// @brief How a VM's queries reach the others, and what is called with a response: a status, 0 if
-/// there is none, and the body.
+/// @brief How a VM's queries reach the others.
 struct StoreRelayTransport
 {
     using Respond = std::function<void(int status, std::string body)>;
+    using ResponseHandler = std::function<void(const http::BufferedResponse &)>;
 
     std::function<void(const http::Endpoint &vm, std::string query, Duration timeout,
-                       Respond onResponse)>
+                       ResponseHandler onResponse)>
             send;
 };
 
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -444,7 +444,7 @@
     }
 
     void send(size_t from, const http::Endpoint &to, const std::string &query, Duration timeout,
-              const StoreRelayTransport::Respond &onResponse);
+              const StoreRelayTransport::ResponseHandler &onResponse);
 
     [[nodiscard]] std::string idOf(size_t i) const { return "vm-" + std::to_string(i); }
     [[nodiscard]] std::string zoneOf(size_t i) const
@@ -673,13 +673,13 @@
               fleet.log, http::EventLoop::now()),
       m_connections(fleet.loop, fleet.store),
       m_relay(fleet.loop,
-              StoreRelayTransport{.send =
-                                          [&fleet, index](const http::Endpoint &vm,
-                                                          const std::string &query,
-                                                          Duration timeout,
-                                                          StoreRelayTransport::Respond respond) {
-                                              fleet.send(index, vm, query, timeout, respond);
-                                          }},
+              StoreRelayTransport{
+                      .send =
+                              [&fleet, index](const http::Endpoint &vm, const std::string &query,
+                                              Duration timeout,
+                                              StoreRelayTransport::ResponseHandler respond) {
+                                  fleet.send(index, vm, query, timeout, respond);
+                              }},
               m_state, fleet.log, fleet.metrics, {}),
       m_store(m_connections, m_relay),
       m_watcher(fleet.loop, m_store,
@@ -708,19 +708,19 @@
 }
 
 inline void Fleet::send(size_t from, const http::Endpoint &to, const std::string &query,
-                        Duration timeout, const StoreRelayTransport::Respond &onResponse)
+                        Duration timeout, const StoreRelayTransport::ResponseHandler &onResponse)
 {
     static constexpr Duration latency = 1500us;
     struct Exchange
     {
-        StoreRelayTransport::Respond onResponse;
+        StoreRelayTransport::ResponseHandler onResponse;
         std::weak_ptr<bool> caller;
         bool isEnded = false;
 
         void end(int status, std::string body)
         {
             if (!std::exchange(isEnded, true) && !caller.expired()) {
-                onResponse(status, std::move(body));
+                onResponse({.status = status, .body = std::move(body)});
             }
         }
     };
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "target_limit_messages.hpp"
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/quarantine/crash_reports.hpp"
 #include "teaseldrift/relay/target_speed_messages.hpp"
@@ -350,7 +351,9 @@
                     metrics.counter({"teaseldrift_load_unanswered_total"}).add();
                     log.write(telemetry::EventPriority::Routine, "load_gatherer_silent",
                               {{"silent_vm", std::string_view(vmId)},
-                               {"status", static_cast<int64_t>(response.status)}});
+                               {"status", static_cast<int64_t>(response.status)},
+                               {"failure", toString(response.failure)},
+                               {"elapsed_ms", toMs(response.elapsed)}});
                 });
 }
 
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/http/buffered_client.hpp"
 #include "teaseldrift/relay/unresponsive_vms.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
@@ -66,14 +67,11 @@
     const std::shared_ptr<http::BufferedClient> calls
             = std::make_shared<http::BufferedClient>(loop, peers);
     return {.send = [calls](const http::Endpoint &vm, std::string query, Duration timeout,
-                            StoreRelayTransport::Respond onResponse) {
+                            StoreRelayTransport::ResponseHandler onResponse) {
         calls->start(
                 vm,
                 {.method = "POST", .path = std::string(StoreRelay::path), .body = std::move(query)},
-                timeout,
-                [onResponse = std::move(onResponse)](const http::BufferedResponse &response) {
-                    onResponse(response.status, response.body);
-                });
+                timeout, std::move(onResponse));
     }};
 }
 
@@ -106,7 +104,7 @@
     void answerPendingQueries(Instant now);
     bool tryAnswer(const PendingQuery &pendingQuery, Instant now);
     [[nodiscard]] const schema::VmRecord *zoneRepresentative(Instant now) const;
-    void onQueryFailed(const std::string &vmId, int status);
+    void onQueryFailed(const std::string &vmId, const http::BufferedResponse &response);
 };
 
 StoreRelay::StoreRelay(http::EventLoop &loop, http::Client &peers, FleetState &fleet,
@@ -159,12 +157,17 @@
                && m_impl->zoneRepresentative(now) == nullptr);
 }
 
-void StoreRelay::Impl::onQueryFailed(const std::string &vmId, int status)
+void StoreRelay::Impl::onQueryFailed(const std::string &vmId,
+                                     const http::BufferedResponse &response)
 {
     unresponsive.add(vmId, http::EventLoop::now());
     metrics.counter({"teaseldrift_changes_unanswered_total"}).add();
     log.write(telemetry::EventPriority::Important, "changes_not_passed_on",
-              {{"asked_vm", std::string_view(vmId)}, {"status", static_cast<int64_t>(status)}});
+              {{"asked_vm", std::string_view(vmId)},
+               {"status", static_cast<int64_t>(response.status)},
+               {"failure", toString(response.failure)},
+               {"elapsed_ms", toMs(response.elapsed)},
+               {"received_bytes", static_cast<int64_t>(response.receivedBytes)}});
 }
 
 void StoreRelay::query(const std::string &prefix, uint64_t revision, uint64_t epoch,
@@ -184,17 +187,18 @@
     const Duration timeout = impl.options.maxQueryWait + impl.options.roundTripTime;
     impl.transport.send(endpoint, query.SerializeAsString(), timeout,
                         [&impl, vmId = vm->vm_id(), sentBefore = http::EventLoop::now() + timeout,
-                         handler = std::move(handler)](int status, const std::string &body) {
+                         handler = std::move(handler)](const http::BufferedResponse &response) {
                             schema::ChangesAnswer changes;
-                            if (status == statusOk && changes.ParseFromString(body)) {
+                            if (response.status == statusOk
+                                && changes.ParseFromString(response.body)) {
                                 handler(RelayResult::Changes, read(changes, sentBefore));
                                 return;
                             }
-                            if (status == statusGone) {
+                            if (response.status == statusGone) {
                                 handler(RelayResult::NotRetained, {});
                                 return;
                             }
-                            impl.onQueryFailed(vmId, status);
+                            impl.onQueryFailed(vmId, response);
                             handler(RelayResult::Failed, {});
                         });
 }
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -292,8 +292,8 @@
     log.write(EventPriority::Routine, "usage_keeper_silent",
               {{"keeper", std::string_view(ownerId)},
                {"organisation", std::string_view(acquisition.organisation)},
-               {"process_gone", response.wasRefused}});
-    if (response.wasRefused) {
+               {"process_gone", response.failure == http::CallFailure::Refused}});
+    if (response.failure == http::CallFailure::Refused) {
         limiter().setUnavailable(ownerId, now);
         proceed(std::move(acquisition));
         return;
@@ -337,7 +337,7 @@
                 options.claimTimeout,
                 [this, organisation, index](const http::BufferedResponse &response) {
                     LimitClaimResult &result = claims[organisation].results[index];
-                    result.isProcessGone = response.wasRefused;
+                    result.isProcessGone = response.failure == http::CallFailure::Refused;
                     if (response.status == statusOk) {
                         result.reply = readLimitClaimReply(response.body);
                     }
