What a VM has missed of the configuration costs it no more than the configuration (CONFIG)

Cause: a VM that is behind asked the store for all changes since its revision, each a whole configuration (270 KB). Over a link of 10 Mbit/s four of them took longer than the call's 1.2 s; what had arrived was dropped and asked for again, two at a time, until the store had no history (20 s) and the VM read the entries instead. These calls filled the link, so that connections to other VMs failed too. Class: work that grows with what was missed, repeated from the start, by a time-out that does not look at progress.

A representative that reads the entries sends its zone to the store at once instead of passing for one without a store.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "teaseldrift/base/time.hpp"
 #include "teaseldrift/http/client.hpp"
@@ -26,6 +28,8 @@
     Broken,
     /// ClientOptions::buffers was exhausted.
     BufferBudget,
+    /// The response exceeds Request::maxResponseBytes.
+    TooLarge,
 };
 
 /// @brief Name of a failure for logs.
@@ -51,7 +55,17 @@
     }
 };
 
-/// @brief Makes small calls, each with its own time-out, and buffers their responses.
+/// @brief Time-outs of a buffered call.
+struct CallTimeouts
+{
+    /// Time in which the response must be complete, unless it is being received.
+    Duration response{0};
+    /// Time in which a response that is being received must be complete: what has arrived over a
+    /// slow link is not dropped and requested again. 0 for `response`.
+    Duration receiving{0};
+};
+
+/// @brief Makes small calls, each with its own time-outs, and buffers their responses.
 ///
 /// ```cpp
 /// BufferedClient calls(loop, client);
@@ -70,6 +84,9 @@
     /// Largest response body, unless the request sets another limit.
     static constexpr size_t defaultMaxResponseBytes = 16U << 20U;
 
+    /// A response is being received if bytes of it have arrived within this time.
+    static constexpr Duration longestPause = 300ms;
+
     /// @brief Starts a call. The handler is called once, never inside start(). A call that times
     /// out may still take effect; its connection is closed.
     /// @param matchesRequest optional; see CallHandlers
--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -24,8 +24,8 @@
     std::string authority;
     Headers headers;
     std::string body;
-    /// Largest body of the response; a call whose response is larger ends as Broken. 0 for no
-    /// limit.
+    /// Largest body of the response; a call whose response is larger ends as Broken, at its head if
+    /// that announces the length. 0 for no limit.
     size_t maxResponseBytes = 0;
 };
 
@@ -95,6 +95,10 @@
     /// @brief Whether the call ended as Broken because ClientOptions::buffers was exhausted.
     [[nodiscard]] bool wasGivenUp() const;
 
+    /// @brief Whether the call ended as Broken because its response exceeds
+    /// Request::maxResponseBytes.
+    [[nodiscard]] bool wasTooLarge() const;
+
     /// @brief Whether bytes were sent that the peer's host has not acknowledged, and none of any
     /// has been for `time`: the host or the network is silent, not only the process. Empty if the
     /// kernel does not report it.
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -1,5 +1,6 @@
 #include "teaseldrift/http/buffered_client.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -25,6 +26,8 @@
         return "broken";
     case CallFailure::BufferBudget:
         return "buffer_budget";
+    case CallFailure::TooLarge:
+        return "too_large";
     }
     return "none";
 }
@@ -37,6 +40,9 @@
         EventLoop::TimerId timer = 0;
         BufferedResponse response;
         Instant startedAt;
+        CallTimeouts timeouts;
+        /// When bytes of the response last arrived.
+        Instant receivedAt;
         std::unique_ptr<BufferAccount> account;
         Handler handler;
     };
@@ -50,6 +56,9 @@
     void timeOut(uint64_t number);
     void end(uint64_t number, CallOutcome outcome);
 
+    void startTimer(uint64_t number, Pending &call, Duration delay);
+    [[nodiscard]] static bool isReceiving(const Pending &call);
+
     /// @return null once the call has ended
     Pending *find(uint64_t number)
     {
@@ -64,9 +73,9 @@
 
 BufferedClient::~BufferedClient() = default;
 
-void BufferedClient::start(const Endpoint &endpoint, Request request, Duration timeout,
-                           Handler handler,
-                           std::function<bool(const ResponseHead &)> matchesRequest)
+uint64_t BufferedClient::start(const Endpoint &endpoint, Request request, CallTimeouts timeouts,
+                               Handler handler,
+                               std::function<bool(const ResponseHead &)> matchesRequest)
 {
     Impl &impl = *m_impl;
     if (request.maxResponseBytes == 0) {
@@ -79,7 +88,8 @@
     entry.account = std::make_unique<BufferAccount>(impl.client.buffers(), [&impl, number] {
         impl.finish(number, CallFailure::BufferBudget);
     });
-    entry.timer = impl.loop.startTimer(timeout, [&impl, number] { impl.timeOut(number); });
+    entry.timeouts = timeouts;
+    impl.startTimer(number, entry, timeouts.response);
     entry.call = impl.client.start(
             endpoint, std::move(request), ConnectionUse::Pooled,
             {.matchesRequest = std::move(matchesRequest),
@@ -88,11 +98,13 @@
                          if (Impl::Pending *open = impl.find(number)) {
                              open->response.status = head.status;
                              open->response.headers = head.headers;
+                             open->receivedAt = EventLoop::now();
                          }
                      },
              .onData =
                      [&impl, number](std::string_view data) {
                          if (Impl::Pending *open = impl.find(number)) {
+                             open->receivedAt = EventLoop::now();
                              open->response.body.append(data);
                              open->account->set(open->response.body.capacity());
                          }
@@ -102,10 +114,15 @@
 
 void BufferedClient::Impl::timeOut(uint64_t number)
 {
-    const Pending *open = find(number);
+    Pending *open = find(number);
     if (open == nullptr) {
         return;
     }
+    const Duration left = open->timeouts.receiving - (EventLoop::now() - open->startedAt);
+    if (left > Duration(0) && isReceiving(*open)) {
+        startTimer(number, *open, std::min(left, longestPause));
+        return;
+    }
     const bool hasHead = open->response.status != 0;
     finish(number, hasHead                   ? CallFailure::Incomplete
                    : open->call->maybeSent() ? CallFailure::NoResponse
@@ -126,7 +143,9 @@
         finish(number, open->call->wasRefused() ? CallFailure::Refused : CallFailure::NoConnection);
         return;
     case CallOutcome::Broken:
-        finish(number, open->call->wasGivenUp() ? CallFailure::BufferBudget : CallFailure::Broken);
+        finish(number, open->call->wasGivenUp()    ? CallFailure::BufferBudget
+                       : open->call->wasTooLarge() ? CallFailure::TooLarge
+                                                   : CallFailure::Broken);
         return;
     }
 }
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -49,6 +50,15 @@
     return wire;
 }
 
+/// Length of a body that its head announces; 0 if it does not.
+size_t announcedLength(const ResponseHead &head)
+{
+    const std::string_view text = findHeader(head.headers, "content-length");
+    size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
 sockaddr_in toSocketAddress(const Endpoint &endpoint)
 {
     sockaddr_in address{};
@@ -135,6 +145,7 @@
     bool sent = false;
     bool refused = false;
     bool givenUp = false;
+    bool tooLarge = false;
     bool ended = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -142,7 +153,9 @@
     void onConnected(const char *error);
     void send();
     void startIoTimer();
+    void receiveHead(const ResponseHead &head);
     void receive(std::string_view data);
+    void giveUpTooLarge();
     void postEnd(CallOutcome outcome);
     void end(CallOutcome outcome);
     void cancel();
@@ -220,12 +233,7 @@
 ConnectionHandlers Call::Impl::connectionHandlers()
 {
     return {.matchesRequest = handlers->matchesRequest,
-            .onHead =
-                    [this](const ResponseHead &head) {
-                        lastByteAt = EventLoop::now();
-                        const std::shared_ptr<const CallHandlers> shared = handlers;
-                        shared->onHead(head);
-                    },
+            .onHead = [this](const ResponseHead &head) { receiveHead(head); },
             .onData = [this](std::string_view data) { receive(data); },
             .onEnd =
                     [this](ConnectionOutcome end) {
@@ -240,13 +248,30 @@
                     }};
 }
 
+void Call::Impl::receiveHead(const ResponseHead &head)
+{
+    lastByteAt = EventLoop::now();
+    if (maxResponseBytes > 0 && !isHead && announcedLength(head) > maxResponseBytes) {
+        giveUpTooLarge();
+        return;
+    }
+    const std::shared_ptr<const CallHandlers> shared = handlers;
+    shared->onHead(head);
+}
+
+void Call::Impl::giveUpTooLarge()
+{
+    tooLarge = true;
+    std::exchange(connection, nullptr)->close();
+    postEnd(CallOutcome::Broken);
+}
+
 void Call::Impl::receive(std::string_view data)
 {
     lastByteAt = EventLoop::now();
     responseBytes += data.size();
     if (maxResponseBytes > 0 && responseBytes > maxResponseBytes) {
-        std::exchange(connection, nullptr)->close();
-        postEnd(CallOutcome::Broken);
+        giveUpTooLarge();
         return;
     }
     const std::shared_ptr<const CallHandlers> shared = handlers;
@@ -292,7 +317,7 @@
         send();
         return;
     }
-    if (const std::shared_ptr<Client::Impl> pool = client.lock()) {
+    if (pool) {
         pool->addIdle(endpoint, std::exchange(connection, nullptr));
     }
     end(CallOutcome::Complete);
@@ -405,6 +430,11 @@
     return m_impl->givenUp;
 }
 
+bool Call::wasTooLarge() const
+{
+    return m_impl->tooLarge;
+}
+
 std::optional<bool> Call::isUnacknowledgedFor(Duration time) const
 {
     return m_impl->connection == nullptr ? std::nullopt
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -293,9 +293,9 @@
 
     /// Divides what the VMs share anew if their number has changed.
     void divideLimits(Instant now);
-    /// @param localScore rendezvous score of this VM; 0 if it is no candidate
-    /// @return VM with the highest rendezvous score among those that `isCandidate` accepts; null if
-    /// it is this VM
+    /// @param localScore score of this VM; 0 if it is no candidate
+    /// @param scoreOf score of another VM; 0 if it is no candidate
+    /// @return VM with the highest score; null if it is this VM
     [[nodiscard]] const schema::VmRecord *
     rendezvousWinner(uint64_t key, double localScore,
                      const std::function<bool(const schema::VmRecord &)> &isCandidate) const;
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -191,6 +191,13 @@
 
     void search()
     {
+        if constexpr (store::DirectStore<Store>) {
+            // Another call would take a part of the link from it.
+            if (m_store.isReceiving(m_options.prefix)) {
+                scheduleSearch(http::EventLoop::now() + spread(m_options.searchInterval));
+                return;
+            }
+        }
         m_isSearching = true;
         m_loop.cancelTimer(m_callTimer);
         if constexpr (store::DirectStore<Store>) {
--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -48,6 +48,11 @@
 
     void closeIdleConnections() { m_store.closeIdleConnections(); }
 
+    [[nodiscard]] bool isReceiving(std::string_view prefix) const
+    {
+        return m_store.isReceiving(prefix);
+    }
+
     /// @brief Whether followChanges() costs no call of this VM, or serves other VMs.
     [[nodiscard]] bool relaysChanges() const
     {
@@ -149,7 +154,10 @@
                 [this, prefix, revision, sentAt, sentBefore, handler = std::move(handler)](
                         std::error_code error, const store::StoreSnapshot &changes) {
                     m_epoch = std::max(m_epoch, changes.epoch);
-                    if (error) {
+                    if (error == store::StoreError::Compacted) {
+                        // The store has responded; the others get the changes from it.
+                        m_relay.dropChanges(prefix);
+                    } else if (error) {
                         m_relay.markStoreUnavailable(prefix, sentAt);
                     } else {
                         m_relay.recordChanges(prefix, revision, changes,
--- a/packages/relay/include/teaseldrift/relay/store_relay.hpp
+++ b/packages/relay/include/teaseldrift/relay/store_relay.hpp
@@ -100,6 +100,10 @@
     void recordChanges(const std::string &prefix, uint64_t after,
                        const store::StoreSnapshot &changes, Instant confirmedAt);
 
+    /// @brief Records that this VM has not received all changes of a prefix: other VMs that query
+    /// them call the store.
+    void dropChanges(const std::string &prefix);
+
     /// @brief Records that a call of this VM to the store failed.
     void markStoreUnavailable(const std::string &prefix, Instant sentAt);
 
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
@@ -1,5 +1,7 @@
 #include "change_simulation_test.hpp"
 
+#include <span>
+
 #include <catch2/catch.hpp>
 
 namespace teaseldrift::relay::changesimulation {
@@ -54,21 +56,29 @@
     return changes;
 }
 
+using Kind = Fault::Kind;
+
+constexpr std::array mixedKinds{
+        Kind::VmSuspended,         Kind::VmRestarted,       Kind::StorePath,
+        Kind::StorePath,           Kind::PeerPath,          Kind::Store,
+        Kind::StoreForgetsHistory, Kind::StoreReturnsOlder, Kind::ConnectionsSilent,
+        Kind::OlderVmList};
+
+/// What changes who relays for whom.
+constexpr std::array membershipKinds{Kind::VmSuspended,      Kind::VmRestarted, Kind::VmReplaced,
+                                     Kind::VmReplaced,       Kind::VmReplaced,  Kind::VmDrained,
+                                     Kind::VmDrained,        Kind::StorePath,   Kind::PeerPath,
+                                     Kind::ConnectionsSilent};
+
 /// Faults that come alone, in series and together.
-std::vector<Fault> drawFaults(Draw &draw, Fleet &fleet)
+std::vector<Fault> drawFaults(Draw &draw, Fleet &fleet, std::span<const Kind> kinds)
 {
-    using Kind = Fault::Kind;
-    constexpr std::array kinds{
-            Kind::VmSuspended,         Kind::VmRestarted,       Kind::StorePath,
-            Kind::StorePath,           Kind::PeerPath,          Kind::Store,
-            Kind::StoreForgetsHistory, Kind::StoreReturnsOlder, Kind::ConnectionsSilent,
-            Kind::OlderVmList};
     std::vector<Fault> faults;
     Duration at = 5s;
     while (at < dayLength - 10s) {
         const size_t together = 1 + draw.below(4);
         for (size_t i = 0; i < together; ++i) {
-            Fault fault{.kind = kinds.at(draw.below(kinds.size())),
+            Fault fault{.kind = kinds[draw.below(kinds.size())],
                         .at = at + draw.between(0ms, 3s),
                         .length = draw.between(500ms, 10s),
                         .vm = draw.vm(fleet),
@@ -96,12 +106,13 @@
     return text;
 }
 
-void playDays(const FleetShape &shape, uint64_t seeds, uint64_t firstSeed = 1)
+void playDays(const FleetShape &shape, uint64_t seeds, uint64_t firstSeed = 1,
+              std::span<const Kind> kinds = mixedKinds)
 {
     for (uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
         Fleet fleet(shape);
         Draw draw(seed);
-        const std::vector<Fault> faults = drawFaults(draw, fleet);
+        const std::vector<Fault> faults = drawFaults(draw, fleet, kinds);
         const DayResult result = fleet.play(dayLength, drawChanges(draw), faults);
         INFO("seed " << seed << ": " << result.breach << describe(faults));
         CHECK(result.breach.empty());
@@ -127,6 +138,20 @@
     playDays({.vms = 195, .zones = 5, .contactTime = 5s, .applyTime = 4s}, 6);
 }
 
+// Guards against a VM that relies on a representative that has ended, is new, or does not know that
+// it is one (CONFIG).
+TEST_CASE("changes are in force in time while VMs leave, join and know older lists of VMs")
+{
+    const size_t vms = GENERATE(7, 65, 88);
+    const bool isSmall = vms < StoreRelayOptions().minVmCount;
+    playDays({.vms = vms,
+              .zones = 3,
+              .contactTime = isSmall ? 3s : 4s,
+              .applyTime = isSmall ? 2s : 3s,
+              .readsLists = true},
+             8, 1, membershipKinds);
+}
+
 // By hand: relay-test "[fresh-seeds]".
 TEST_CASE("changes are in force in time under overlapping faults, fresh seeds", "[.][fresh-seeds]")
 {
@@ -134,6 +159,15 @@
     playDays({.vms = 7, .zones = 3, .contactTime = 3s, .applyTime = 2s}, 2000, firstSeed);
     playDays({}, 100, firstSeed);
     playDays({.vms = 195, .zones = 5, .contactTime = 5s, .applyTime = 4s}, 10, firstSeed);
+    playDays({.vms = 65, .readsLists = true}, 100, firstSeed, membershipKinds);
+    playDays({.vms = 88, .zones = 1, .readsLists = true}, 50, firstSeed, membershipKinds);
+    playDays({.vms = 195,
+              .zones = 5,
+              .contactTime = 5s,
+              .applyTime = 4s,
+              .readsLists = true,
+              .maxListAge = 6s},
+             10, firstSeed, membershipKinds);
 }
 
 // By hand: relay-test "[measure]". Calls that reach the store, and how late VMs in touch are.
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -45,6 +45,10 @@
     Duration contactTime = 4s;
     /// Time from the acknowledgement of a version until it must be in force.
     Duration applyTime = 3s;
+    /// Each VM reads the list of VMs itself, at its own times, as it was up to `maxListAge` before;
+    /// otherwise all of them know it at once.
+    bool readsLists = false;
+    Duration maxListAge = 3s;
 };
 
 /// A fault, from `at` for `length`.
@@ -53,6 +57,11 @@
     enum class Kind {
         VmSuspended,
         VmRestarted,
+        /// Its process ends; with Condition::Silent, so does its host. A process at another address
+        /// follows.
+        VmReplaced,
+        /// Is listed as leaving, and starts again at the end.
+        VmDrained,
         /// Path between a VM and the store.
         StorePath,
         /// Path between a VM and the other VMs.
@@ -191,6 +200,7 @@
 
     /// @brief The next call goes over a new connection.
     void closeIdleConnections() { m_silentIdle = 0; }
+    [[nodiscard]] static bool isReceiving(std::string_view) { return false; }
 
     void write(std::span<const store::StoreWrite>, std::function<void(store::StoreWriteResult)>) { }
     void grantLease(Duration, std::function<void(std::error_code, uint64_t)>) { }
@@ -405,8 +415,11 @@
     {
         store.put(configurationKey, "1");
         for (size_t i = 0; i < shape.vms; ++i) {
+            m_hosts[i].port = static_cast<uint16_t>(firstPort + i);
+            m_ports.emplace(m_hosts[i].port, i);
             m_list.emplace(idOf(i), recordOf(i));
         }
+        listChanged();
         for (size_t i = 0; i < shape.vms; ++i) {
             startVm(i);
         }
@@ -439,7 +452,7 @@
             members.push_back(i);
         }
         std::sort(members.begin(), members.end(),
-                  [&](size_t a, size_t b) { return rankOf(zone, a) < rankOf(zone, b); });
+                  [&](size_t a, size_t b) { return scoreOf(zone, a) > scoreOf(zone, b); });
         return members.at(std::min(rank, members.size() - 1));
     }
 
@@ -464,6 +477,9 @@
     struct Host
     {
         std::unique_ptr<Vm> vm;
+        uint16_t port = 0;
+        /// Without a process: whether its address refuses connections.
+        bool refuses = false;
         Condition peerPath = Condition::Sound;
         Condition storePath = Condition::Sound;
         Instant suspendedUntil;
@@ -483,18 +499,42 @@
         schema::VmRecord record;
         record.set_vm_id(idOf(i));
         record.set_availability_zone(zoneOf(i));
-        record.set_peer_address("10.0.0.1:" + std::to_string(firstPort + i));
+        record.set_peer_address("10.0.0.1:" + std::to_string(m_hosts[i].port));
         return record;
     }
 
-    size_t rankOf(size_t zone, size_t vm)
+    void listChanged() { m_lists.emplace_back(http::EventLoop::now(), m_list); }
+
+    Duration draw(Duration least, Duration most)
     {
-        size_t rank = 0;
-        while (rank < shape.vms
-               && !m_hosts[vm].vm->state().isAmongFirst("zone-" + std::to_string(zone), rank + 1)) {
-            ++rank;
-        }
-        return rank;
+        return Duration(std::uniform_int_distribution<Duration::rep>(least.count(),
+                                                                     most.count())(m_random));
+    }
+
+    /// A VM reads the list, which may be a stale one, and goes on to do so.
+    void readList(size_t i, const std::weak_ptr<bool> &process, Duration delay)
+    {
+        loop.startTimer(delay, [this, i, process] {
+            if (process.expired()) {
+                return;
+            }
+            const Instant now = http::EventLoop::now();
+            const Host &host = m_hosts[i];
+            if (host.storePath == Condition::Sound && store.condition == Condition::Sound
+                && now >= host.suspendedUntil) {
+                const Instant readAt = now - draw(Duration(0), shape.maxListAge);
+                const auto newer = std::find_if(
+                        m_lists.begin() + 1, m_lists.end(),
+                        [readAt](const TimedList &list) { return list.first > readAt; });
+                host.vm->state().applyVms(std::prev(newer)->second, readAt, now);
+            }
+            readList(i, process, draw(300ms, 1500ms));
+        });
+    }
+
+    [[nodiscard]] double scoreOf(size_t zone, size_t vm) const
+    {
+        return rendezvousScore(rendezvousKey("zone-" + std::to_string(zone)), idOf(vm));
     }
 
     void startVm(size_t i)
@@ -502,7 +542,11 @@
         m_hosts[i].vm = nullptr;
         m_hosts[i].vm = std::make_unique<Vm>(*this, i);
         Vm &vm = *m_hosts[i].vm;
-        vm.state().applyVms(m_list, http::EventLoop::now(), http::EventLoop::now());
+        if (shape.readsLists) {
+            readList(i, vm.alive, draw(5ms, 500ms));
+        } else {
+            vm.state().applyVms(m_list, http::EventLoop::now(), http::EventLoop::now());
+        }
         vm.connections().suspendedUntil = m_hosts[i].suspendedUntil;
         vm.connections().path = m_hosts[i].storePath;
     }
@@ -526,11 +570,33 @@
             ++host.faults;
             host.suspendedUntil
                     = std::max(host.suspendedUntil, http::EventLoop::now() + fault.length);
-            host.vm->connections().suspendedUntil = host.suspendedUntil;
+            if (host.vm != nullptr) {
+                host.vm->connections().suspendedUntil = host.suspendedUntil;
+            }
             break;
         case Fault::Kind::VmRestarted:
             ++host.faults;
-            startVm(fault.vm);
+            if (host.vm != nullptr) {
+                startVm(fault.vm);
+            }
+            break;
+        case Fault::Kind::VmReplaced:
+            ++host.faults;
+            host.vm = nullptr;
+            host.refuses = fault.condition != Condition::Silent;
+            loop.startTimer(leaseTime, [this, vm = fault.vm] {
+                if (m_hosts[vm].vm == nullptr) {
+                    m_list.erase(idOf(vm));
+                    listChanged();
+                }
+            });
+            break;
+        case Fault::Kind::VmDrained:
+            ++host.faults;
+            if (const auto listed = m_list.find(idOf(fault.vm)); listed != m_list.end()) {
+                listed->second.set_is_leaving(true);
+                listChanged();
+            }
             break;
         case Fault::Kind::StorePath:
             ++host.faults;
@@ -554,7 +620,9 @@
             break;
         case Fault::Kind::ConnectionsSilent:
             for (Host &each : m_hosts) {
-                each.vm->connections().silenceConnections();
+                if (each.vm != nullptr) {
+                    each.vm->connections().silenceConnections();
+                }
                 each.silentPeers = 1;
                 each.disturbedUntil = std::max(each.disturbedUntil, http::EventLoop::now());
             }
@@ -562,8 +630,10 @@
         case Fault::Kind::OlderVmList: {
             std::map<std::string, schema::VmRecord, std::less<>> list = m_list;
             list.erase(idOf(vmByRank(fault.vm % shape.zones, 0)));
-            host.vm->state().applyVms(std::move(list), http::EventLoop::now(),
-                                      http::EventLoop::now());
+            if (host.vm != nullptr) {
+                host.vm->state().applyVms(std::move(list), http::EventLoop::now(),
+                                          http::EventLoop::now());
+            }
             break;
         }
         }
@@ -579,6 +649,18 @@
             --host.faults;
             host.disturbedUntil = now;
             break;
+        case Fault::Kind::VmReplaced:
+            m_ports.erase(host.port);
+            host.port = static_cast<uint16_t>(firstPort + shape.vms + m_replaced++);
+            m_ports.emplace(host.port, fault.vm);
+            [[fallthrough]];
+        case Fault::Kind::VmDrained:
+            --host.faults;
+            host.disturbedUntil = now;
+            startVm(fault.vm);
+            m_list.insert_or_assign(idOf(fault.vm), recordOf(fault.vm));
+            listChanged();
+            break;
         case Fault::Kind::StorePath:
             --host.faults;
             host.disturbedUntil = now;
@@ -599,7 +681,9 @@
         case Fault::Kind::ConnectionsSilent:
             break;
         case Fault::Kind::OlderVmList:
-            host.vm->state().applyVms(m_list, now, now);
+            if (host.vm != nullptr) {
+                host.vm->state().applyVms(m_list, now, now);
+            }
             break;
         }
     }
@@ -607,7 +691,9 @@
     static void setStorePath(Host &host, Condition condition)
     {
         host.storePath = condition;
-        host.vm->connections().path = condition;
+        if (host.vm != nullptr) {
+            host.vm->connections().path = condition;
+        }
     }
 
     [[nodiscard]] bool isInTouch(const Host &host, Instant now) const
@@ -622,6 +708,9 @@
         const Instant now = http::EventLoop::now();
         for (size_t i = 0; i < shape.vms; ++i) {
             const Host &host = m_hosts[i];
+            if (host.vm == nullptr) {
+                continue;
+            }
             if (host.vm->wentBack && m_result.breach.empty()) {
                 m_result.breach = describe(start, i, "went back to version", host.vm->version);
             }
@@ -645,7 +734,8 @@
         }
         while (m_acknowledged.size() > 1
                && std::all_of(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
-                      return host.vm->version >= m_acknowledged.front().second;
+                      return host.vm == nullptr
+                             || host.vm->version >= m_acknowledged.front().second;
                   })) {
             m_acknowledged.pop_front();
         }
@@ -659,7 +749,17 @@
                + " " + std::string(what) + " " + std::to_string(version);
     }
 
+    using TimedList = std::pair<Instant, std::map<std::string, schema::VmRecord, std::less<>>>;
+
+    /// Time for which a process that has ended stays in the list.
+    static constexpr Duration leaseTime = 5s;
+
+    std::mt19937_64 m_random{1};
     std::map<std::string, schema::VmRecord, std::less<>> m_list;
+    /// The list after each change.
+    std::deque<TimedList> m_lists;
+    std::map<uint16_t, size_t> m_ports;
+    size_t m_replaced = 0;
     std::vector<Host> m_hosts;
     int m_storeFaults = 0;
     Instant m_storeDisturbedUntil;
@@ -732,11 +832,21 @@
         --source.silentPeers;
         return;
     }
-    const size_t target = to.port - firstPort;
-    const auto isOpen = [this, from, target] {
+    const auto owner = m_ports.find(to.port);
+    if (owner == m_ports.end()) {
+        return;
+    }
+    const size_t target = owner->second;
+    const std::weak_ptr<bool> process
+            = m_hosts[target].vm == nullptr ? std::weak_ptr<bool>() : m_hosts[target].vm->alive;
+    const auto isOpen = [this, from, target, process] {
         return m_hosts[from].peerPath == Condition::Sound
-               && m_hosts[target].peerPath == Condition::Sound;
+               && m_hosts[target].peerPath == Condition::Sound && !process.expired();
     };
+    if (m_hosts[target].vm == nullptr && m_hosts[target].refuses) {
+        loop.startTimer(latency, [exchange] { exchange->end(0, {}); });
+        return;
+    }
     const auto arrival = [this, target, from](Duration delay) {
         const Instant now = http::EventLoop::now();
         return std::max({now + delay, m_hosts[target].suspendedUntil, m_hosts[from].suspendedUntil})
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -416,7 +416,7 @@
     const schema::VmRecord *first = nullptr;
     double best = localScore;
     for (const std::pair<const std::string, schema::VmRecord> &vm : m_vms) {
-        if (vm.first == m_options.vmId || vm.second.is_leaving() || !isCandidate(vm.second)) {
+        if (vm.first == m_options.vmId || vm.second.is_leaving()) {
             continue;
         }
         const double score = rendezvousScore(key, vm.first);
--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -223,12 +223,14 @@
     }
 
     void closeIdleConnections() { ++closedConnections; }
+    [[nodiscard]] bool isReceiving(std::string_view) const { return isResponseArriving; }
     void write(std::span<const store::StoreWrite>, std::function<void(store::StoreWriteResult)>) { }
     void grantLease(Duration, std::function<void(std::error_code, uint64_t)>) { }
     void renewLease(uint64_t, std::function<void(std::error_code)>) { }
     void revokeLease(uint64_t) { }
 
     bool isDirectSilent = false;
+    bool isResponseArriving = false;
     int pendingCalls = 0;
     int directCalls = 0;
     int closedConnections = 0;
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -215,6 +215,13 @@
     m_impl->answerPendingQueries(now);
 }
 
+void StoreRelay::dropChanges(const std::string &prefix)
+{
+    if (m_impl->logs.erase(prefix) > 0) {
+        m_impl->answerPendingQueries(http::EventLoop::now());
+    }
+}
+
 void StoreRelay::markStoreUnavailable(const std::string &prefix, Instant sentAt)
 {
     const auto log = m_impl->logs.find(prefix);
--- a/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay_test.cpp
@@ -54,8 +54,10 @@
     void renewLease(uint64_t, std::function<void(std::error_code)>) { }
     void revokeLease(uint64_t) { }
     void closeIdleConnections() { }
+    [[nodiscard]] static bool isReceiving(std::string_view) { return false; }
 
     bool isUnavailable = false;
+    bool hasNoHistory = false;
     /// Number of long polls that fail.
     int failuresLeft = 0;
     /// The VM reads responses for this prefix late, as if it had been suspended.
@@ -68,6 +70,10 @@
     void poll(uint64_t revision, Instant until, ReadHandler handler)
     {
         m_loop.startTimer(5ms, [this, revision, until, handler = std::move(handler)] {
+            if (hasNoHistory) {
+                handler(StoreError::Compacted, {});
+                return;
+            }
             if (isUnavailable || failuresLeft > 0) {
                 failuresLeft = std::max(0, failuresLeft - 1);
                 handler(StoreError::Unavailable, {});
@@ -272,6 +278,19 @@
     CHECK(vms.other->store.calls > 0);
 }
 
+// Guards against VMs that take the relaying VM for one without its store, and wait or query the
+// next one, because it has to read everything again (CONFIG).
+TEST_CASE("if the relaying VM has to read everything again, the others call the store at once")
+{
+    VmPair vms;
+    vms.settle();
+    vms.relaying->store.hasNoHistory = true;
+    vms.other->store.calls = 0;
+    CHECK(vms.waitFor([&] { return vms.other->store.calls > 0; }, 200ms));
+    CHECK(vms.other->metrics.text().find("teaseldrift_changes_unanswered_total 1")
+          == std::string::npos);
+}
+
 // Guards against time-outs that add up: of the VMs that relay changes, and of a call to the store
 // that failed (CONFIG). Changes must be in force within 3 s.
 TEST_CASE("a VM learns of a change in time although all VMs that could relay it are suspended")
--- a/packages/store/include/teaseldrift/store/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -146,6 +146,10 @@
                       std::function<void(std::error_code, const StoreSnapshot &)>());
     // Makes the next call use a new connection.
     store.closeIdleConnections();
+    // Whether a response to a call for the prefix is being received.
+    {
+        store.isReceiving(prefix)
+        } -> std::same_as<bool>;
 };
 
 } // namespace teaseldrift::store
