Connections to other VMs and to the store have as long as connections take (CONFIG)

Connections to other VMs had 50 ms, and those to the store 0.5 s, whatever the link.

The time-out now follows the measured time (RFC 6298) and doubles while no connection is established at all, up to 200 ms to VMs and 1.2 s to the store. Calls that are answered at once have as much longer.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -90,8 +90,22 @@
     /// @brief Starts a call. The handler is called once, never inside start(). A call that times
     /// out may still take effect; its connection is closed.
     /// @param matchesRequest optional; see CallHandlers
-    void start(const Endpoint &endpoint, Request request, Duration timeout, Handler handler,
-               std::function<bool(const ResponseHead &)> matchesRequest = nullptr);
+    /// @return number of the call
+    uint64_t start(const Endpoint &endpoint, Request request, CallTimeouts timeouts,
+                   Handler handler,
+                   std::function<bool(const ResponseHead &)> matchesRequest = nullptr);
+    uint64_t start(const Endpoint &endpoint, Request request, Duration timeout, Handler handler,
+                   std::function<bool(const ResponseHead &)> matchesRequest = nullptr)
+    {
+        return start(endpoint, std::move(request), CallTimeouts{.response = timeout},
+                     std::move(handler), std::move(matchesRequest));
+    }
+
+    /// @brief Client::connectDelay(), for the time-outs of calls that are answered at once.
+    [[nodiscard]] Duration connectDelay() const;
+
+    /// @brief Whether the response to a call is being received.
+    [[nodiscard]] bool isReceiving(uint64_t call) const;
 
 private:
     struct Impl;
--- a/packages/http/include/teaseldrift/http/client.hpp
+++ b/packages/http/include/teaseldrift/http/client.hpp
@@ -128,6 +128,8 @@
 struct ClientOptions
 {
     Duration connectTimeout = 1s;
+    /// The time-out follows the time that connections take, up to this; 0 for a fixed one.
+    Duration maxConnectTimeout{0};
     /// Longest time without receiving a byte of the response; 0 for no limit.
     Duration ioTimeout = 60s;
     /// Longest time that an idle connection is kept; shorter if the target announces so.
@@ -165,6 +167,10 @@
     [[nodiscard]] std::unique_ptr<Call> connect(const Endpoint &endpoint,
                                                 std::function<void(CallOutcome)> onEnd);
 
+    /// @brief By how much the time-out of connections exceeds ClientOptions::connectTimeout at
+    /// present, because packets are delayed.
+    [[nodiscard]] Duration connectDelay() const;
+
     /// @brief ClientOptions::buffers.
     [[nodiscard]] BufferBudget *buffers() const;
 
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -110,6 +110,28 @@
                          }
                      },
              .onEnd = [&impl, number](CallOutcome outcome) { impl.end(number, outcome); }});
+    return number;
+}
+
+Duration BufferedClient::connectDelay() const
+{
+    return m_impl->client.connectDelay();
+}
+
+bool BufferedClient::isReceiving(uint64_t call) const
+{
+    const Impl::Pending *open = m_impl->find(call);
+    return open != nullptr && Impl::isReceiving(*open);
+}
+
+bool BufferedClient::Impl::isReceiving(const Pending &call)
+{
+    return call.receivedAt != Instant() && EventLoop::now() - call.receivedAt < longestPause;
+}
+
+void BufferedClient::Impl::startTimer(uint64_t number, Pending &call, Duration delay)
+{
+    call.timer = loop.startTimer(delay, [this, number] { timeOut(number); });
 }
 
 void BufferedClient::Impl::timeOut(uint64_t number)
--- a/packages/http/src/teaseldrift/http/client.cpp
+++ b/packages/http/src/teaseldrift/http/client.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <utility>
 
+#include "connect_timeout.hpp"
 #include "connection.hpp"
 #include "event_loop_impl.hpp"
 #include "teaseldrift/http/event_loop.hpp"
@@ -113,8 +114,14 @@
         Instant expiresAt;
     };
 
-    EventLoop *loop = nullptr;
+    Impl(EventLoop &eventLoop, const ClientOptions &clientOptions)
+        : loop(&eventLoop), options(clientOptions),
+          connectTimeout(options.connectTimeout, options.maxConnectTimeout)
+    { }
+
+    EventLoop *loop;
     ClientOptions options;
+    ConnectTimeout connectTimeout;
     std::map<Endpoint, std::vector<IdleConnection>> idle;
     EventLoop::TimerId idleTimer = 0;
 
@@ -141,6 +148,7 @@
     h2o_socket_t *connecting = nullptr;
     std::shared_ptr<Connection> connection;
     EventLoop::TimerId timer = 0;
+    Instant connectingSince;
     Instant lastByteAt;
     bool sent = false;
     bool refused = false;
@@ -290,9 +298,15 @@
         return;
     }
     connecting->data = this;
-    timer = loop->startTimer(options.connectTimeout, [this] {
+    connectingSince = EventLoop::now();
+    const std::shared_ptr<Client::Impl> pool = client.lock();
+    const Duration timeout = pool ? pool->connectTimeout.value() : options.connectTimeout;
+    timer = loop->startTimer(timeout, [this] {
         timer = 0;
         h2o_socket_close(std::exchange(connecting, nullptr));
+        if (const std::shared_ptr<Client::Impl> owner = client.lock()) {
+            owner->connectTimeout.failed(connectingSince, EventLoop::now());
+        }
         end(CallOutcome::NotSent);
     });
 }
@@ -302,6 +316,11 @@
     loop->cancelTimer(timer);
     timer = 0;
     h2o_socket_t *socket = std::exchange(connecting, nullptr);
+    const std::shared_ptr<Client::Impl> pool = client.lock();
+    if (pool) {
+        // The host has responded, also if it refuses the connection.
+        pool->connectTimeout.succeeded(EventLoop::now() - connectingSince);
+    }
     if (error != nullptr) {
         h2o_socket_close(socket);
         // A host that does not respond is noticed by the timer instead.
@@ -441,11 +460,9 @@
                                          : m_impl->connection->isUnacknowledgedFor(time);
 }
 
-Client::Client(EventLoop &loop, ClientOptions options) : m_impl(std::make_shared<Impl>())
-{
-    m_impl->loop = &loop;
-    m_impl->options = options;
-}
+Client::Client(EventLoop &loop, ClientOptions options)
+    : m_impl(std::make_shared<Impl>(loop, options))
+{ }
 
 Client::~Client()
 {
@@ -493,6 +510,11 @@
     return result;
 }
 
+Duration Client::connectDelay() const
+{
+    return m_impl->connectTimeout.value() - m_impl->options.connectTimeout;
+}
+
 BufferBudget *Client::buffers() const
 {
     return m_impl->options.buffers;
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -334,7 +334,7 @@
                  http::EventLoop::now());
     calls.start(endpoint,
                 {.method = "POST", .path = std::string(path), .body = report.SerializeAsString()},
-                options.responseTimeout,
+                options.responseTimeout + calls.connectDelay(),
                 [this, vmId = vm.vm_id(),
                  handler = std::move(handler)](const http::BufferedResponse &response) {
                     schema::FleetLoad load;
--- a/packages/relay/src/teaseldrift/relay/usage_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/usage_task.cpp
@@ -257,7 +257,7 @@
     // The owner of permits answers when it has decided.
     const Duration wait = limits.permits == nullptr ? Duration(0) : acquisition.need.maxWait;
     calls.start(endpoint, {.method = "POST", .path = path(), .body = query.SerializeAsString()},
-                options.responseTimeout + wait,
+                options.responseTimeout + calls.connectDelay() + wait,
                 [this, ownerId, askedAt,
                  acquisition = std::move(acquisition)](const http::BufferedResponse &response) {
                     onQueryAnswered(ownerId, askedAt, response, acquisition);
@@ -334,7 +334,7 @@
     }
     calls.start(endpoint,
                 {.method = "POST", .path = path(claimPath), .body = claimMessage(organisation)},
-                options.claimTimeout,
+                options.claimTimeout + calls.connectDelay(),
                 [this, organisation, index](const http::BufferedResponse &response) {
                     LimitClaimResult &result = claims[organisation].results[index];
                     result.isProcessGone = response.failure == http::CallFailure::Refused;
