A VM with an outdated configuration makes no final refusals, and one that is behind takes no requests (CONFIG)

A VM refused with 401 or 404 what it did not know, though it knew that it had not heard from the store for longer than the time in which a change must be in force. It now refuses as unavailable (503, Retry-After 0.3 s). While the store responds to no VM, all go on to serve by what they have.

Each refusal logs the age of the confirmation and where it came from.

--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -15,6 +15,7 @@
 
 #include "teaseldrift/attempts/service_retry_budgets.hpp"
 #include "teaseldrift/base/time.hpp"
+#include "teaseldrift/configuration/configuration_freshness.hpp"
 #include "teaseldrift/quarantine/segment_quarantine.hpp"
 #include "teaseldrift/routing/route_table.hpp"
 #include "teaseldrift/schema/vm_record.pb.h"
@@ -61,6 +62,8 @@
     /// Time after a change of the desired weights version during which requests may still start on
     /// older weights.
     Duration olderWeightsGracePeriod = 6s;
+    /// Time after a change of the configuration from which requests must be decided by it.
+    Duration configurationApplyTime = 2s;
     /// During `settlingTime` after its start, a VM may not know all others yet; it assumes at least
     /// this many VMs when it divides limits.
     size_t minVmCount = 3;
@@ -173,6 +176,13 @@
     /// limits.
     void tick(Instant now);
 
+    /// @brief How recent the configuration is.
+    ConfigurationFreshness &configurationFreshness() { return m_configurationFreshness; }
+    [[nodiscard]] const ConfigurationFreshness &configurationFreshness() const
+    {
+        return m_configurationFreshness;
+    }
+
     /// @brief The current configuration; null before the first one is applied.
     [[nodiscard]] const std::shared_ptr<const RouteTable> &table() const { return m_table; }
 
@@ -318,6 +328,7 @@
     FleetOptions m_options;
     telemetry::EventLog &m_log;
     std::shared_ptr<const RouteTable> m_table;
+    ConfigurationFreshness m_configurationFreshness;
     TargetDirectory m_directory;
     TargetSelector m_targetSelector;
     TargetPaths m_targetPaths;
--- a/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_watcher.hpp
@@ -91,6 +91,10 @@
                 .onDisconnected
                 = [this](std::error_code error) { logLost("operator_records", error); },
                 .onReconnected = [this] { logRegained("operator_records"); },
+                .onConfirmed =
+                        [this](Instant confirmedAt, std::string_view relayedBy) {
+                            m_fleet.configurationFreshness().confirmed(confirmedAt, relayedBy);
+                        },
                 .onLate
                 = [this](Duration age, int failed) { logLate("operator_records", age, failed); }};
     }
--- a/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaseldrift/base/milliseconds.hpp"
 #include "teaseldrift/relay/frontend.hpp"
 
 namespace teaseldrift::relay {
@@ -12,6 +13,12 @@
 /// Age of a request from which its caller's connection is checked: most requests complete earlier.
 inline constexpr Duration minCallerCheckAge = 100ms;
 
+/// Reason of refusals by a VM that lacks recent changes of the configuration.
+inline constexpr std::string_view outdatedConfiguration = "configuration_outdated";
+
+/// Retry-After of a VM without a recent configuration: other VMs serve the caller at once.
+inline constexpr Duration configurationRetryAfter = 300ms;
+
 template <Dialect D>
 Frontend<D>::Frontend(RelayContext &context, D dialect)
     : m_context(context), m_dialect(std::move(dialect))
@@ -92,14 +99,25 @@
     constexpr int tooLarge = 413;
     const CallerRequest &request = admitted.request;
     admitted.table = m_context.fleet.table();
-    if (admitted.table == nullptr) {
-        constexpr Duration configurationWait = 300ms;
+    const ConfigurationFreshness &freshness = m_context.fleet.configurationFreshness();
+    if (admitted.table == nullptr || freshness.isBehind(admitted.arrivedAt)) {
         refuse(exchange, request,
                {.status = unavailable,
-                .reason = "no_configuration",
-                .retryAfter = configurationWait});
+                .reason = admitted.table == nullptr ? "no_configuration" : outdatedConfiguration,
+                .retryAfter = configurationRetryAfter});
         return false;
     }
+    // What this VM does not know may have been added since.
+    const auto refuseUnknown = [&](int status, std::string_view reason) {
+        if (freshness.isOutdated(admitted.arrivedAt)) {
+            refuse(exchange, request,
+                   {.status = unavailable,
+                    .reason = outdatedConfiguration,
+                    .retryAfter = configurationRetryAfter});
+        } else {
+            refuse(exchange, request, {.status = status, .reason = reason});
+        }
+    };
     const FleetDefinition &definition = admitted.table->definition();
     if (request.host.empty()) {
         refuse(exchange, request, {.status = badRequest, .reason = "no_host"});
@@ -107,7 +125,7 @@
     }
     admitted.route = admitted.table->findRoute(request.host, request.path);
     if (admitted.route == nullptr) {
-        refuse(exchange, request, {.status = notFound, .reason = "no_route"});
+        refuseUnknown(notFound, "no_route");
         return false;
     }
     if (exchange.body().size() > definition.limits.maxBodyBytes) {
@@ -119,7 +137,7 @@
     }
     admitted.organisation = admitted.table->findOrganisation(request.key);
     if (admitted.organisation == nullptr) {
-        refuse(exchange, request, {.status = unauthorized, .reason = "unknown_key"});
+        refuseUnknown(unauthorized, "unknown_key");
         return false;
     }
     admitted.cost = costOf(request, *admitted.organisation);
@@ -224,7 +242,10 @@
              {"configuration",
               static_cast<int64_t>(m_context.fleet.table() == nullptr
                                            ? 0
-                                           : m_context.fleet.table()->definition().version)}});
+                                           : m_context.fleet.table()->definition().version)},
+             {"configuration_age_ms",
+              toMs(m_context.fleet.configurationFreshness().age(http::EventLoop::now()))},
+             {"configuration_from", m_context.fleet.configurationFreshness().relayedBy()}});
 }
 
 inline bool isUnread(const std::weak_ptr<http::Exchange> &weak)
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "teaseldrift/http/event_loop.hpp"
@@ -48,6 +49,9 @@
     std::function<void(std::error_code)> onDisconnected;
     /// Called when the first call succeeds, and when one succeeds after a failed one.
     std::function<void()> onReconnected;
+    /// Optional; called after a response has been applied, with the time up to which all changes
+    /// are known, and the VM that passed the response on, if one did.
+    std::function<void(Instant confirmedAt, std::string_view relayedBy)> onConfirmed = nullptr;
     /// Optional; called when a call succeeds although what this VM knew was older than `maxAge`,
     /// with that age and the number of calls that failed meanwhile.
     std::function<void(Duration age, int failedCalls)> onLate = nullptr;
@@ -101,6 +105,7 @@
                                }
                                succeeded(sentAt);
                                applySnapshot(snapshot);
+                               confirm(snapshot);
                                scheduleCall(pollDelay());
                            });
     }
@@ -162,10 +167,18 @@
             if (!changes.entries.empty()) {
                 m_handlers.onChanges(changes);
             }
+            confirm(changes);
             scheduleCall(pollDelay());
         };
     }
 
+    void confirm(const store::StoreSnapshot &response)
+    {
+        if (m_handlers.onConfirmed) {
+            m_handlers.onConfirmed(m_confirmedAt, response.relayedBy);
+        }
+    }
+
     /// Handles a failed call, and one that was made before the newest response arrived.
     /// @return whether the response counts
     bool isAwaited(uint64_t round, std::error_code error)
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -45,6 +45,7 @@
 
 FleetState::FleetState(FleetOptions options, telemetry::EventLog &log, Instant now)
     : m_options(std::move(options)), m_log(log),
+      m_configurationFreshness(m_options.configurationApplyTime),
       m_targetSelector(
               {.availabilityZone = m_options.availabilityZone,
                .speed = {.isAlwaysMeasured = m_options.hasUnevenTargets},
@@ -83,6 +84,7 @@
     const std::string scopeBefore
             = m_table == nullptr ? std::string() : m_table->cacheScopes().shared();
     m_table = std::make_shared<const RouteTable>(std::move(definition));
+    m_configurationFreshness.applied(m_table->definition().version);
     const std::string &scope = m_table->cacheScopes().shared();
     if (!scopeBefore.empty() && scope != scopeBefore) {
         m_targetSelector.clearCaches();
--- a/packages/relay/src/teaseldrift/relay/load_task.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task.cpp
@@ -84,6 +84,25 @@
     }
 }
 
+void writeConfiguration(const FleetState &fleet, Instant now, schema::FleetLoad &load)
+{
+    if (fleet.table() != nullptr) {
+        load.set_configuration_version(fleet.table()->definition().version);
+        load.set_configuration_age_ms(
+                static_cast<uint64_t>(fleet.configurationFreshness().age(now) / 1ms));
+    }
+}
+
+void applyConfiguration(const schema::FleetLoad &load, FleetState &fleet, Instant now)
+{
+    // A greater age has no further effect.
+    const uint64_t maxAgeMs
+            = 2 * static_cast<uint64_t>(fleet.options().configurationApplyTime / 1ms);
+    fleet.configurationFreshness().announced(
+            load.configuration_version(),
+            now - std::chrono::milliseconds(std::min(load.configuration_age_ms(), maxAgeMs)));
+}
+
 void writeDesiredWeights(const FleetState &fleet, Instant now, schema::FleetLoad &load)
 {
     for (const std::pair<const std::string, std::vector<DesiredWeights>> &model :
@@ -226,6 +245,7 @@
     if (const schema::VmRecord *vm = zoneRepresentative(fleet.options().availabilityZone, now)) {
         schema::FleetLoad report;
         report.set_vm_id(fleet.options().vmId);
+        writeConfiguration(fleet, now, report);
         writeDesiredWeights(fleet, now, report);
         write(localLoad, report);
         write(plans, now, report);
@@ -264,6 +284,7 @@
         prefilledSegments.add(read, true);
     }
     schema::FleetLoad common;
+    writeConfiguration(fleet, now, common);
     common.set_availability_zone(fleet.options().availabilityZone);
     writeDesiredWeights(fleet, now, common);
     write(load.zoneTotal(localLoad, now), common);
@@ -344,6 +365,7 @@
                         rememberDigests(vmId, load);
                         applyDesiredWeights(load, fleet, http::EventLoop::now());
                         applyPlans(load, fleet, http::EventLoop::now());
+                        applyConfiguration(load, fleet, http::EventLoop::now());
                         handler(load);
                         return;
                     }
@@ -372,7 +394,9 @@
     applyPlans(report, impl.fleet, now);
     impl.mergeRecords(report, now);
     const InFlightLoadTable localLoad = impl.fleet.targetSelector().inFlightLoad();
+    applyConfiguration(report, impl.fleet, now);
     schema::FleetLoad response;
+    writeConfiguration(impl.fleet, now, response);
     writeDesiredWeights(impl.fleet, now, response);
     write(impl.fleet.rolloutPlans(now), now, response);
     impl.writeRecords(response,
--- a/packages/relay/src/teaseldrift/relay/load_task_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/load_task_test.cpp
@@ -120,6 +120,33 @@
     }));
 }
 
+// Guards against a VM that decides by an old configuration while others have a newer one (CONFIG).
+TEST_CASE("a VM learns from the others that its configuration is behind")
+{
+    http::EventLoop loop;
+    Vm a(loop, "a", "north");
+    Vm b(loop, "b", "north");
+    Vm c(loop, "c", "south");
+    const std::array all{&a, &b, &c};
+    const Vms vms = recordsOf({&a, &b, &c});
+    const Instant now = http::EventLoop::now();
+    const Vm *behind = GENERATE_REF(values<const Vm *>({&a, &b, &c}));
+    for (Vm *vm : all) {
+        const bool isBehind = vm == behind;
+        vm->fleet.applyDefinition({.version = isBehind ? 4U : 5U}, {}, now);
+        vm->fleet.configurationFreshness().confirmed(isBehind ? now - 60s : now, {});
+        vm->fleet.applyVms(vms, now, now);
+        vm->load.start();
+    }
+    CHECK(waitFor(loop, [&] {
+        return behind->fleet.configurationFreshness().isBehind(http::EventLoop::now());
+    }));
+    for (const Vm *vm : all) {
+        const bool isBehind = vm->fleet.configurationFreshness().isBehind(http::EventLoop::now());
+        CHECK(isBehind == (vm == behind));
+    }
+}
+
 TEST_CASE("messages about speeds are empty while nothing was learned")
 {
     http::EventLoop loop;
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -191,7 +191,9 @@
                             schema::ChangesAnswer changes;
                             if (response.status == statusOk
                                 && changes.ParseFromString(response.body)) {
-                                handler(RelayResult::Changes, read(changes, sentBefore));
+                                store::StoreSnapshot received = read(changes, sentBefore);
+                                received.relayedBy = vmId;
+                                handler(RelayResult::Changes, received);
                                 return;
                             }
                             if (response.status == statusGone) {
--- a/packages/store/include/teaseldrift/store/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -39,6 +39,8 @@
     /// Time up to which the result holds all changes, if another VM passed it on; the clock's epoch
     /// if the store itself responded.
     Instant confirmedAt{};
+    /// The VM that passed it on; empty if the store itself responded.
+    std::string relayedBy;
 };
 
 /// @brief One write of a transaction.
