A zone is represented by one of its VMs with the fastest links (CONFIG)

The representative exchanges load each 0.2 s or so with all VMs of its zone and relays changes to them. It was drawn among all VMs; limits.link-mbps was read nowhere, so that a VM with 10 Mbit/s could represent 30.

The rate is in each VM's record now, and VMs are compared by its power of two before they are drawn.

Before: fleet_state_test's new case fails, as there is no rate.

--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -46,6 +46,8 @@
     std::string callerAddress;
     /// IP:port that other VMs connect to.
     std::string peerAddress;
+    /// Rate of this VM's link in Mbit/s; 0 if it is not known.
+    uint32_t linkMbps = 0;
     /// Retries of the whole fleet at each service.
     FleetRetryLimits retryLimits;
     /// Units by which all VMs together may exceed an organisation's usage limit within a window.
@@ -239,8 +241,8 @@
     /// it is this one.
     [[nodiscard]] const schema::VmRecord *cachePoller(std::string_view cache) const;
 
-    /// @brief The VM that represents an availability zone; null if it is this one, or if there is
-    /// none.
+    /// @brief The VM that represents an availability zone, one of those with the fastest links: it
+    /// exchanges messages with all others of its zone. Null if it is this one, or if there is none.
     /// @param isExcluded returns true for VMs that cannot be queried at present
     [[nodiscard]] const schema::VmRecord *
     zoneRepresentative(std::string_view availabilityZone,
@@ -307,8 +309,8 @@
     /// @param scoreOf score of another VM; 0 if it is no candidate
     /// @return VM with the highest score; null if it is this VM
     [[nodiscard]] const schema::VmRecord *
-    rendezvousWinner(uint64_t key, double localScore,
-                     const std::function<bool(const schema::VmRecord &)> &isCandidate) const;
+    highestScore(double localScore,
+                 const std::function<double(const schema::VmRecord &)> &scoreOf) const;
     [[nodiscard]] double localScore(uint64_t key) const;
     void logTarget(const TargetEntry &entry, TargetChange change);
     void logQuarantine(Instant now);
--- a/packages/relay/include/teaseldrift/relay/membership_task.hpp
+++ b/packages/relay/include/teaseldrift/relay/membership_task.hpp
@@ -100,6 +100,7 @@
         record.set_availability_zone(m_fleet.options().availabilityZone);
         record.set_peer_address(m_fleet.options().peerAddress);
         record.set_is_leaving(isLeaving);
+        record.set_link_mbps(m_fleet.options().linkMbps);
         m_localRecord.set(record.SerializeAsString());
     }
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/relay/fleet_state.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <iterator>
 #include <optional>
 #include <span>
@@ -23,6 +24,14 @@
 /// Longer than the time for which a limiter counts a VM that has left the list.
 constexpr Duration unlistedPeerLifetime = 15s;
 
+/// Rendezvous score among the VMs whose links differ by less than a factor of two; all of them come
+/// before those with slower links.
+double representativeScore(uint64_t key, std::string_view vmId, uint32_t linkMbps)
+{
+    const double score = rendezvousScore(key, vmId);
+    return static_cast<double>(std::bit_width(linkMbps)) + score / (1.0 + score);
+}
+
 std::string_view nameOf(TargetChange change)
 {
     switch (change) {
@@ -412,8 +421,8 @@
 }
 
 const schema::VmRecord *
-FleetState::rendezvousWinner(uint64_t key, double localScore,
-                             const std::function<bool(const schema::VmRecord &)> &isCandidate) const
+FleetState::highestScore(double localScore,
+                         const std::function<double(const schema::VmRecord &)> &scoreOf) const
 {
     const schema::VmRecord *first = nullptr;
     double best = localScore;
@@ -421,7 +430,7 @@
         if (vm.first == m_options.vmId || vm.second.is_leaving()) {
             continue;
         }
-        const double score = rendezvousScore(key, vm.first);
+        const double score = scoreOf(vm.second);
         if (score > best) {
             best = score;
             first = &vm.second;
@@ -438,8 +447,10 @@
 const schema::VmRecord *FleetState::cachePoller(std::string_view cache) const
 {
     const uint64_t key = rendezvousKey(cache);
-    return rendezvousWinner(key, localScore(key), [this](const schema::VmRecord &vm) {
-        return vm.availability_zone() == m_options.availabilityZone;
+    return highestScore(localScore(key), [&](const schema::VmRecord &vm) {
+        return vm.availability_zone() == m_options.availabilityZone
+                       ? rendezvousScore(key, vm.vm_id())
+                       : 0.0;
     });
 }
 
@@ -448,10 +459,13 @@
                                const std::function<bool(const std::string &)> &isExcluded) const
 {
     const uint64_t key = rendezvousKey(availabilityZone);
-    const bool isLocalZone = availabilityZone == m_options.availabilityZone;
-    return rendezvousWinner(
-            key, isLocalZone ? localScore(key) : 0.0, [&](const schema::VmRecord &vm) {
-                return vm.availability_zone() == availabilityZone && !isExcluded(vm.vm_id());
+    const bool isCandidate = availabilityZone == m_options.availabilityZone && !m_isLeaving;
+    return highestScore(
+            isCandidate ? representativeScore(key, m_options.vmId, m_options.linkMbps) : 0.0,
+            [&](const schema::VmRecord &vm) {
+                return vm.availability_zone() == availabilityZone && !isExcluded(vm.vm_id())
+                               ? representativeScore(key, vm.vm_id(), vm.link_mbps())
+                               : 0.0;
             });
 }
 
--- a/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
@@ -1,5 +1,10 @@
 #include "teaseldrift/relay/fleet_state.hpp"
 
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
 #include <fcntl.h>
 
 #include <catch2/catch.hpp>
@@ -29,4 +34,44 @@
     CHECK(fleet.directory().find("t") != nullptr);
 }
 
+// Guards against a VM with a slow link that exchanges messages with all VMs of its zone, and takes
+// changes of the configuration late (CONFIG).
+TEST_CASE("a zone is represented by one of the VMs with the fastest links")
+{
+    telemetry::EventLog log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)});
+    const Instant now(100s);
+    std::map<std::string, schema::VmRecord, std::less<>> vms;
+    for (int i = 0; i < 20; ++i) {
+        schema::VmRecord record;
+        record.set_vm_id("vm-" + std::to_string(i));
+        record.set_availability_zone("z");
+        record.set_link_mbps(i < 2 ? 200 : i < 8 ? 25 : 10);
+        vms.emplace(record.vm_id(), record);
+    }
+    std::set<std::string> representatives;
+    const auto representativeFor
+            = [&](int vm, const std::function<bool(const std::string &)> &isExcluded) {
+                  FleetState fleet({.vmId = "vm-" + std::to_string(vm),
+                                    .availabilityZone = "z",
+                                    .linkMbps = vms.at("vm-" + std::to_string(vm)).link_mbps()},
+                                   log, now);
+                  fleet.applyVms(vms, now, now);
+                  const schema::VmRecord *found = fleet.zoneRepresentative("z", isExcluded);
+                  return found == nullptr ? fleet.options().vmId : found->vm_id();
+              };
+    for (int i = 0; i < 20; ++i) {
+        representatives.insert(representativeFor(i, [](const std::string &) { return false; }));
+    }
+    REQUIRE(representatives.size() == 1);
+    CHECK(vms.at(*representatives.begin()).link_mbps() == 200);
+    const std::string next = representativeFor(
+            19, [](const std::string &vm) { return vm == "vm-0" || vm == "vm-1"; });
+    CHECK(vms.at(next).link_mbps() == 25);
+    // Those with equal links are drawn, and VMs that do not state a link come last.
+    vms.at("vm-0").set_link_mbps(0);
+    vms.at("vm-1").set_link_mbps(0);
+    CHECK(vms.at(representativeFor(19, [](const std::string &) { return false; })).link_mbps()
+          == 25);
+}
+
 } // namespace teaseldrift::relay
