--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// More interim responses to one request are an error.
+constexpr int maxInterimResponses = 32;
+
 /// Parses `timeout=SECONDS` in a Keep-Alive header.
 std::optional<Duration> readIdleTime(std::string_view text)
 {
@@ -66,18 +69,29 @@
     m_onUnusable = nullptr;
     m_isBusy = true;
     m_isWriting = true;
+    m_interimResponses = 0;
     beginResponse();
     h2o_iovec_t buffer = toIovec(m_request);
     startReading();
     h2o_socket_write(m_socket, &buffer, 1, [](h2o_socket_t *socket, const char *error) {
         const std::shared_ptr<Connection> self = of(socket).shared_from_this();
-        self->m_isWriting = false;
-        if (error != nullptr && self->m_isBusy) {
-            self->finish(ConnectionOutcome::Broken);
-        }
+        self->onWritten(error);
     });
 }
 
+void Connection::onWritten(const char *error)
+{
+    m_isWriting = false;
+    if (error == nullptr || !m_isBusy) {
+        return;
+    }
+    // A complete response may have arrived before the connection failed.
+    m_hasWriteFailed = true;
+    while (m_isBusy && h2o_socket_is_reading(m_socket) != 0) {
+        read();
+    }
+}
+
 void Connection::beginResponse()
 {
     m_isSkipping = false;
@@ -118,7 +132,7 @@
 {
     const ssize_t size
             = ::recv(h2o_socket_get_fd(m_socket), m_readBuffer.data(), m_readBuffer.size(), 0);
-    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+    if (size < 0 && (errno == EAGAIN || errno == EINTR) && !m_hasWriteFailed) {
         return;
     }
     if (size < 0) {
@@ -167,6 +181,10 @@
             }
             continue;
         }
+        if (m_parser->isInterim() && ++m_interimResponses > maxInterimResponses) {
+            finish(ConnectionOutcome::Broken);
+            return {};
+        }
         if (m_isSkipping || m_parser->isInterim()) {
             beginResponse();
             continue;
@@ -185,7 +203,7 @@
     boost::beast::error_code failure;
     // A response without a length is complete when its connection is closed, but not if it is
     // reset.
-    if (m_parser->got_some() && !m_isSkipping) {
+    if (m_parser->got_some() && !m_isSkipping && wasClosedOrderly()) {
         m_parser->put_eof(failure);
         if (!m_isBusy) {
             return;
@@ -198,6 +216,18 @@
     finish(ConnectionOutcome::Broken);
 }
 
+/// The error of a reset is reported once. If a write has taken it, reading ends as if the peer had
+/// closed the connection.
+bool Connection::wasClosedOrderly() const
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (::getsockopt(h2o_socket_get_fd(m_socket), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+        return !m_isWriting && !m_hasWriteFailed;
+    }
+    return info.tcpi_state != TCP_CLOSE && !m_hasWriteFailed;
+}
+
 void Connection::finish(ConnectionOutcome end)
 {
     m_isBusy = false;
--- a/packages/http/src/teaseldrift/http/connection.hpp
+++ b/packages/http/src/teaseldrift/http/connection.hpp
@@ -81,7 +81,9 @@
     void read();
     /// @return the bytes that the parser needs again together with those that follow
     std::string_view parse(std::string_view input);
+    void onWritten(const char *error);
     void handleClosed();
+    [[nodiscard]] bool wasClosedOrderly() const;
     void finish(ConnectionOutcome end);
     [[nodiscard]] bool hasUnreadBytes() const;
     [[nodiscard]] bool isClosed() const { return m_socket == nullptr; }
@@ -94,11 +96,14 @@
     std::string m_request;
     bool m_isHead = false;
     bool m_isWriting = false;
+    bool m_hasWriteFailed = false;
     bool m_isSkipping = false;
     bool m_isBusy = false;
     bool m_wasGivenUp = false;
     /// The last read filled the buffer, so that the kernel may hold more.
     bool m_mayHaveUnread = false;
+    /// Interim responses to the request.
+    int m_interimResponses = 0;
     std::optional<ResponseParser> m_parser;
     ConnectionHandlers m_handlers;
     std::function<void()> m_onUnusable;
--- a/packages/http/src/teaseldrift/http/response_parser.cpp
+++ b/packages/http/src/teaseldrift/http/response_parser.cpp
@@ -26,9 +26,14 @@
 }
 
 void ResponseParser::on_response_impl(int status, View /*reason*/, int /*version*/,
-                                      ErrorCode & /*error*/)
+                                      ErrorCode &error)
 {
     m_head.status = status;
+    // Requests ask for no other protocol.
+    constexpr int switchingProtocols = 101;
+    if (status < firstStatus || status > lastStatus || status == switchingProtocols) {
+        error = boost::beast::http::error::bad_status;
+    }
 }
 
 void ResponseParser::on_field_impl(boost::beast::http::field /*field*/, View name, View value,
--- a/packages/http/src/teaseldrift/http/response_parser.hpp
+++ b/packages/http/src/teaseldrift/http/response_parser.hpp
@@ -36,7 +36,9 @@
     using ErrorCode = boost::beast::error_code;
     using View = boost::beast::string_view;
 
+    static constexpr int firstStatus = 100;
     static constexpr int firstFinalStatus = 200;
+    static constexpr int lastStatus = 599;
 
     void on_request_impl(boost::beast::http::verb, View, View, int, ErrorCode &) override { }
     void on_response_impl(int status, View reason, int version, ErrorCode &error) override;
