--- a/packages/http/src/teaseldrift/http/connection.cpp
+++ b/packages/http/src/teaseldrift/http/connection.cpp
@@ -190,7 +190,8 @@
             continue;
         }
         // Bytes after the response belong to no request, so the connection is not reused.
-        const bool isClean = input.empty() && !m_isWriting && !hasUnreadBytes();
+        const bool isClean
+                = input.empty() && !m_isWriting && !m_hasWriteFailed && !hasUnreadBytes();
         finish(isClean && !m_parser->mustClose() ? ConnectionOutcome::Reusable
                                                  : ConnectionOutcome::Closing);
         return {};
--- a/packages/http/src/teaseldrift/http/early_response_test.cpp
+++ b/packages/http/src/teaseldrift/http/early_response_test.cpp
@@ -243,6 +243,40 @@
     }
 }
 
+TEST_CASE("a call that starts as such a response ends does not use its connection")
+{
+    const EarlyTarget target([](int connection) {
+        sendText(connection, std::string(okHead) + "content-length: 3000\r\n\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        sendText(connection, std::string(3000, 'y'));
+        reset(connection);
+    });
+    Caller caller;
+    bool isNextSent = true;
+    std::unique_ptr<Call> next;
+    std::unique_ptr<Call> call;
+    call = caller.client.start(target.endpoint(), longUpload(), ConnectionUse::Pooled,
+                               {.onHead =
+                                        [&](const ResponseHead &) {
+                                            call->pause();
+                                            caller.loop.startTimer(200ms, [&] { call->resume(); });
+                                        },
+                                .onData = [](std::string_view) {},
+                                .onEnd =
+                                        [&](CallOutcome outcome) {
+                                            CHECK(outcome == CallOutcome::Complete);
+                                            next = caller.client.start(
+                                                    target.endpoint(), {}, ConnectionUse::Pooled,
+                                                    {.onHead = [](const ResponseHead &) {},
+                                                     .onData = [](std::string_view) {},
+                                                     .onEnd = [](CallOutcome) {}});
+                                            isNextSent = next->maybeSent();
+                                            caller.loop.stop();
+                                        }});
+    caller.loop.run();
+    CHECK_FALSE(isNextSent);
+}
+
 // A part never looks whole, wherever the connection is reset, with a short request and a long one.
 TEST_CASE("a response that is reset at any byte is complete only if its length has arrived")
 {
