A VM that is behind is noticed whatever older announcements say; a stalled response is not waited for (CONFIG)

- Only the newest announced version was kept, with its confirmation.
An old announcement of a higher version, as before the store returns from an older copy, hid recent ones of a version that is newer than this VM's: the VM went on taking requests.
What counts is the latest confirmation of any newer version; that alone is kept.
The new case failed before.
- While a response was being received, the watcher looked again after up to 1 s, so that one that stalled cost a second of the time in which a change must be in force.
It looks each 100 ms.
That no call is started beside such a response had no test: the new one fails with the rule taken out.

--- a/packages/policy/include/teaseldrift/configuration/configuration_freshness.hpp
+++ b/packages/policy/include/teaseldrift/configuration/configuration_freshness.hpp
@@ -11,10 +11,10 @@
 
 /// @brief How recent the configuration is by which a VM decides.
 ///
-/// A VM whose confirmation is older than the time in which a change must be in force cannot know
-/// that a route or a key does not exist. If another VM has a newer version that was confirmed
-/// meanwhile, the store works and only this VM is behind: it cannot decide any request. While the
-/// store responds to no VM, its version stays in force.
+/// A VM whose confirmation is older than the time in which a change must be in force cannot refuse
+/// a route or a key as nonexistent. If another VM has a newer version that was confirmed meanwhile,
+/// the store works and only this VM is behind: it cannot decide any request. While the store
+/// responds to no VM, its version stays in force.
 class ConfigurationFreshness
 {
 public:
@@ -22,7 +22,12 @@
     explicit ConfigurationFreshness(Duration applyTime) : m_applyTime(applyTime) { }
 
     /// @brief A version is in force at this VM.
-    void applied(uint64_t version) { m_version = version; }
+    void applied(uint64_t version)
+    {
+        m_version = version;
+        // The others announce theirs again within a second.
+        m_newerConfirmedAt = Instant();
+    }
 
     /// @brief All changes up to a time are known.
     /// @param relayedBy VM that passed them on; empty if the store itself responded
@@ -33,16 +38,12 @@
     }
 
     /// @brief Another VM decides by a version.
-    /// @param confirmedAt time up to which that VM knows all changes
+    /// @param confirmedAt time up to which that VM has received all changes
     void announced(uint64_t version, Instant confirmedAt)
     {
-        if (version < m_announced) {
-            return;
+        if (version > m_version) {
+            m_newerConfirmedAt = std::max(m_newerConfirmedAt, confirmedAt);
         }
-        m_announcedConfirmedAt = version > m_announced
-                                         ? confirmedAt
-                                         : std::max(m_announcedConfirmedAt, confirmedAt);
-        m_announced = version;
     }
 
     /// @brief Time since the last confirmation; 0 if there has been none, as without a store.
@@ -57,8 +58,8 @@
     /// @brief Whether this VM lacks a change that may have to be in force.
     [[nodiscard]] bool isBehind(Instant now) const
     {
-        return isOutdated(now) && m_announced > m_version
-               && now - m_announcedConfirmedAt <= m_applyTime;
+        return isOutdated(now) && m_newerConfirmedAt != Instant()
+               && now - m_newerConfirmedAt <= m_applyTime;
     }
 
     /// @brief VM that passed on the last confirmation; empty if the store itself responded.
@@ -67,9 +68,8 @@
 private:
     Duration m_applyTime;
     uint64_t m_version = 0;
-    /// Newest version of another VM.
-    uint64_t m_announced = 0;
-    Instant m_announcedConfirmedAt;
+    /// Latest confirmation of another VM that has a newer version.
+    Instant m_newerConfirmedAt;
     Instant m_confirmedAt;
     std::string m_relayedBy;
 };
--- a/packages/policy/src/teaseldrift/configuration/configuration_freshness_test.cpp
+++ b/packages/policy/src/teaseldrift/configuration/configuration_freshness_test.cpp
@@ -46,6 +46,21 @@
     CHECK_FALSE(freshness.isBehind(now));
 }
 
+// The store may return from an older copy, so that the newest version is confirmed no more.
+TEST_CASE("an old announcement of a higher version does not hide a recent one of a newer version")
+{
+    ConfigurationFreshness freshness(applyTime);
+    freshness.applied(4);
+    freshness.confirmed(start, {});
+    const Instant now = start + 60s;
+    freshness.announced(6, start);
+    CHECK_FALSE(freshness.isBehind(now));
+    freshness.announced(5, now);
+    CHECK(freshness.isBehind(now));
+    freshness.announced(6, start + 1s);
+    CHECK(freshness.isBehind(now));
+}
+
 TEST_CASE("a VM whose configuration is confirmed is not behind another one that is faster")
 {
     ConfigurationFreshness freshness(applyTime);
--- a/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
+++ b/packages/relay/include/teaseldrift/relay/frontend_impl.hpp
@@ -107,7 +107,7 @@
                 .retryAfter = configurationRetryAfter});
         return false;
     }
-    // What this VM does not know may have been added since.
+    // A route or key that is missing here may have been added since.
     const auto refuseUnknown = [&](int status, std::string_view reason) {
         if (freshness.isOutdated(admitted.arrivedAt)) {
             refuse(exchange, request,
--- a/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
+++ b/packages/relay/include/teaseldrift/relay/prefix_watcher.hpp
@@ -95,6 +95,9 @@
 private:
     using ReadHandler = std::function<void(std::error_code, const store::StoreSnapshot &)>;
 
+    /// Interval at which a response that is being received is checked for having stalled.
+    static constexpr Duration receivingCheckInterval = 100ms;
+
     void readSnapshot()
     {
         m_store.readPrefix(m_options.prefix, store::ReadConsistency::Current,
@@ -207,7 +210,7 @@
         if constexpr (store::DirectStore<Store>) {
             // Another call would take a part of the link from it.
             if (m_store.isReceiving(m_options.prefix)) {
-                scheduleSearch(http::EventLoop::now() + spread(m_options.searchInterval));
+                scheduleSearch(http::EventLoop::now() + receivingCheckInterval);
                 return;
             }
         }
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.cpp
@@ -138,8 +138,8 @@
     playDays({.vms = 195, .zones = 5, .contactTime = 5s, .applyTime = 4s}, 6);
 }
 
-// Guards against a VM that relies on a representative that has ended, is new, or does not know that
-// it is one (CONFIG).
+// Guards against a VM that relies on a representative that has ended, is new, or has a list in
+// which another VM is it (CONFIG).
 TEST_CASE("changes are in force in time while VMs leave, join and know older lists of VMs")
 {
     const size_t vms = GENERATE(7, 65, 88);
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -46,7 +46,7 @@
     /// Time from the acknowledgement of a version until it must be in force.
     Duration applyTime = 3s;
     /// Each VM reads the list of VMs itself, at its own times, as it was up to `maxListAge` before;
-    /// otherwise all of them know it at once.
+    /// otherwise each change of it reaches all of them at once.
     bool readsLists = false;
     Duration maxListAge = 3s;
 };
--- a/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/prefix_watcher_test.cpp
@@ -293,6 +293,22 @@
     CHECK(watch.watcher.isConnected());
 }
 
+// Guards against calls that share a slow link until none of their responses arrives in time, and
+// against a wait for a response that has stalled (CONFIG).
+TEST_CASE("no call is started beside a response that is being received, until it stalls")
+{
+    SilentStoreWatch watch;
+    watch.watcher.start();
+    watch.silent.isResponseArriving = true;
+    watch.runFor(4s);
+    CHECK(watch.silent.directCalls == 0);
+    CHECK(watch.silent.closedConnections == 0);
+    watch.silent.isResponseArriving = false;
+    watch.runFor(200ms);
+    CHECK(watch.silent.directCalls == 1);
+    CHECK(watch.changes == 1);
+}
+
 TEST_CASE("while no call succeeds a watcher makes one each search interval")
 {
     SilentStoreWatch watch;
