What a target states after its restart counts, however late its registration is read (BUDGET)

The store had refused calls when the target started, so its registration was read after the response.

Cause: the response was recorded for the incarnation that the VM knew, and reading the registration dropped it. The same held for the limit that a target names, and for a response that arrives after the registration was read, to a request sent before: it replaced the new incarnation's quiet period. Class: a statement is filed under what the reader knew, not under who made it.

Now the start that the registration states decides: what was stated from then on, less 500 ms for clocks that differ, is the new incarnation's. Earlier statements still end with the incarnation that made them, as a test that existed before checks.

Ruled out: keeping all quiet periods over a restart, which would leave out a sound target for up to ten minutes.

--- a/packages/policy/include/teaseldrift/targets/quiet_periods.hpp
+++ b/packages/policy/include/teaseldrift/targets/quiet_periods.hpp
@@ -26,6 +26,11 @@
     /// @brief Starts or extends the quiet period of an incarnation.
     void start(std::string_view id, uint64_t startedAtMs, Duration time, Instant now);
 
+    /// @brief Applies a quiet period to a new incarnation if that incarnation may have stated it:
+    /// a registration can be read after responses of the incarnation.
+    /// @param since time from which responses are those of the new incarnation
+    void restarted(std::string_view id, uint64_t startedAtMs, Instant since);
+
     /// @brief Whether the target is in its quiet period.
     [[nodiscard]] bool isQuiet(std::string_view id, uint64_t startedAtMs, Instant now) const;
 
@@ -43,6 +48,8 @@
     struct Period
     {
         uint64_t startedAtMs = 0;
+        /// Time of the response that stated `endsAt`.
+        Instant statedAt;
         Instant endsAt;
         /// Earliest time of the next request during the recovery.
         Instant nextRequest;
--- a/packages/policy/include/teaseldrift/targets/target_limits.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_limits.hpp
@@ -104,6 +104,12 @@
     /// @brief Equal on VMs that know the same limits in force.
     [[nodiscard]] uint64_t digest() const;
 
+    /// @brief Drops what earlier incarnations of a target stated, and applies to the new one what
+    /// it may have stated itself: a registration can be read after responses of the incarnation.
+    /// @param since time from which responses are those of the new incarnation
+    /// @return whether a limit was in force
+    bool restarted(TargetLimitKey key, Instant since);
+
     /// @brief Drops what is known of a target that is gone.
     /// @return whether a limit was in force
     bool remove(uint32_t target);
--- a/packages/policy/include/teaseldrift/targets/target_selector.hpp
+++ b/packages/policy/include/teaseldrift/targets/target_selector.hpp
@@ -201,6 +201,14 @@
         m_quietPeriods.start(id, startedAtMs, time, now);
     }
 
+    /// @brief Applies to a new incarnation the quiet period that it may have stated before its
+    /// registration was read.
+    /// @param since time from which responses are those of the new incarnation
+    void keepQuietPeriod(std::string_view id, uint64_t startedAtMs, Instant since)
+    {
+        m_quietPeriods.restarted(id, startedAtMs, since);
+    }
+
     /// @brief Whether a target has asked this VM to send it nothing at present.
     [[nodiscard]] bool isQuiet(const TargetEntry &target, Instant now) const
     {
--- a/packages/policy/src/teaseldrift/targets/quiet_periods.cpp
+++ b/packages/policy/src/teaseldrift/targets/quiet_periods.cpp
@@ -14,7 +14,18 @@
     if (period.startedAtMs != startedAtMs) {
         period = {.startedAtMs = startedAtMs};
     }
-    period.endsAt = std::max(period.endsAt, now + time);
+    if (now + time >= period.endsAt) {
+        period.statedAt = now;
+        period.endsAt = now + time;
+    }
+}
+
+void QuietPeriods::restarted(std::string_view id, uint64_t startedAtMs, Instant since)
+{
+    const auto period = m_periods.find(id);
+    if (period != m_periods.end() && period->second.statedAt >= since) {
+        period->second.startedAtMs = startedAtMs;
+    }
 }
 
 bool QuietPeriods::isQuiet(std::string_view id, uint64_t startedAtMs, Instant now) const
--- a/packages/policy/src/teaseldrift/targets/quiet_periods_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/quiet_periods_test.cpp
@@ -83,6 +83,29 @@
     CHECK(fixture.choose(start + 1s, excluded));
 }
 
+// Guards against requests within a target's Retry-After because the registration of its restart is
+// read after the response that stated it (BUDGET).
+TEST_CASE("a quiet period that the new incarnation stated outlasts the reading of its registration")
+{
+    Fixture fixture;
+    const std::vector<std::string> excluded{"b"};
+    fixture.selector.startQuietPeriod("a", 1, 10s, start + 2s);
+    fixture.put("a", 2);
+    fixture.selector.keepQuietPeriod("a", 2, start + 1s);
+    CHECK_FALSE(fixture.choose(start + 11s, excluded));
+    CHECK(fixture.choose(start + 12s, excluded));
+    fixture.selector.startQuietPeriod("b", 1, 10s, start + 2s);
+    fixture.put("b", 2);
+    fixture.selector.keepQuietPeriod("b", 2, start + 3s);
+    CHECK(fixture.choose(start + 3s));
+    // A shorter period that is stated later does not make the longer one the new incarnation's.
+    fixture.selector.startQuietPeriod("b", 2, 10s, start + 4s);
+    fixture.selector.startQuietPeriod("b", 2, 1s, start + 6s);
+    fixture.put("b", 3);
+    fixture.selector.keepQuietPeriod("b", 3, start + 5s);
+    CHECK(fixture.choose(start + 6s));
+}
+
 TEST_CASE("a quiet period is not taken for ill health")
 {
     Fixture fixture;
--- a/packages/policy/src/teaseldrift/targets/target_limits.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_limits.cpp
@@ -140,6 +140,22 @@
     return digest;
 }
 
+bool TargetLimits::restarted(TargetLimitKey key, Instant since)
+{
+    std::optional<State> own;
+    for (const std::pair<const TargetLimitKey, State> &state : m_states) {
+        const bool isOwn = state.first.target == key.target && state.second.statedAt >= since;
+        if (isOwn && (!own || state.second.statedAt > own->statedAt)) {
+            own = state.second;
+        }
+    }
+    const bool wasInForce = remove(key.target);
+    if (own) {
+        m_states.emplace(key, *own);
+    }
+    return wasInForce;
+}
+
 bool TargetLimits::remove(uint32_t target)
 {
     bool wasInForce = false;
--- a/packages/policy/src/teaseldrift/targets/target_limits_test.cpp
+++ b/packages/policy/src/teaseldrift/targets/target_limits_test.cpp
@@ -99,6 +99,23 @@
     }
 }
 
+// Guards against a limit that is forgotten because the registration of a restart is read after the
+// response in which the new incarnation named it (LIMIT).
+TEST_CASE("a limit that the new incarnation named outlasts the reading of its registration")
+{
+    TargetLimits limits;
+    const TargetLimitKey before = limitKeyOf("t", 1);
+    const TargetLimitKey after = limitKeyOf("t", 2);
+    limits.named(before, 4.0, start + 2s);
+    limits.named(limitKeyOf("u", 1), 5.0, start + 2s);
+    CHECK(limits.restarted(after, start + 1s));
+    CHECK_FALSE(limits.of(before));
+    CHECK(limits.of(after) == 4.0);
+    CHECK(limits.restarted(limitKeyOf("t", 3), start + 3s));
+    CHECK(limits.count() == 1);
+    CHECK(limits.of(limitKeyOf("u", 1)) == 5.0);
+}
+
 TEST_CASE("the number of known limits is bounded")
 {
     TargetLimits limits({.maxTargets = 2});
--- a/packages/relay/include/teaseldrift/relay/fleet_state.hpp
+++ b/packages/relay/include/teaseldrift/relay/fleet_state.hpp
@@ -73,6 +73,11 @@
     /// Targets of a service differ in speed: their speeds are measured, and all routes of a service
     /// share its queues by the shortest objective.
     bool hasUnevenTargets = false;
+    /// Wall-clock time; if it is not set, all that a target stated before the registration of a new
+    /// incarnation was read counts for the one before.
+    std::function<int64_t()> unixMs;
+    /// Difference that is allowed for between the wall clocks of targets and of this VM.
+    Duration clockTolerance = 500ms;
 };
 
 /// @brief This VM's view of the fleet: configuration, targets, weights, other VMs and limits.
@@ -325,6 +330,11 @@
     /// Applies limits that have changed.
     void updateTargetLimiter(Instant now);
     void removeLimits(std::string_view target, Instant now);
+    [[nodiscard]] std::optional<Instant> respondsSince(const TargetEntry &target,
+                                                       Instant now) const;
+    [[nodiscard]] uint64_t respondingIncarnation(std::string_view target, uint64_t startedAtMs,
+                                                 Instant sentAt, Instant now) const;
+    void keepStatements(const TargetEntry &target, Instant now);
     void logInvalid(std::string_view target, const std::optional<InvalidHeader> &header);
 
     FleetOptions m_options;
--- a/packages/relay/src/teaseldrift/relay/fleet_state.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state.cpp
@@ -150,7 +150,7 @@
     const TargetEntry &target = *known;
     m_targetSelector.update(target, change, now);
     if (change == TargetChange::Restarted) {
-        removeLimits(target.id, now);
+        keepStatements(target, now);
     }
     m_isConcurrencyOutdated = m_isConcurrencyOutdated || change != TargetChange::None;
     logTarget(target, change);
--- a/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_notice.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -18,9 +19,13 @@
     logInvalid(target, notice.invalidLimit);
     logInvalid(target, notice.invalidRefusals);
     applyBearableRefusals(target, notice, sentAt, now);
-    applyLimit(target, startedAtMs, notice, sentAt, now);
-    if (notice.quietTime > Duration(0)) {
-        m_targetSelector.startQuietPeriod(target, startedAtMs, notice.quietTime, now);
+    const uint64_t incarnation
+            = respondingIncarnation(target, startedAtMs, sentAt.value_or(now), now);
+    applyLimit(target, incarnation, notice, sentAt, now);
+    const TargetEntry *known = m_directory.find(target);
+    const bool isReplaced = known != nullptr && known->startedAtMs != incarnation;
+    if (notice.quietTime > Duration(0) && !isReplaced) {
+        m_targetSelector.startQuietPeriod(target, incarnation, notice.quietTime, now);
         m_log.write(EventPriority::Routine, "target_quiet",
                     {{"target", target}, {"quiet_ms", toMs(notice.quietTime)}});
     }
@@ -150,6 +155,47 @@
                  {"source", source}});
 }
 
+/// Time from which an incarnation may have responded, by the wall clock.
+std::optional<Instant> FleetState::respondsSince(const TargetEntry &target, Instant now) const
+{
+    if (!m_options.unixMs) {
+        return std::nullopt;
+    }
+    // The registration may state any number.
+    constexpr Duration maxAge = std::chrono::hours(24);
+    const uint64_t unixMs = static_cast<uint64_t>(std::max<int64_t>(0, m_options.unixMs()));
+    const uint64_t ageMs = std::min(unixMs - std::min(unixMs, target.startedAtMs),
+                                    static_cast<uint64_t>(maxAge / 1ms));
+    return now - ageMs * Duration(1ms) - m_options.clockTolerance;
+}
+
+/// Incarnation that has responded. It differs from the one that was sent the request if the
+/// registration of a restart was read meanwhile.
+uint64_t FleetState::respondingIncarnation(std::string_view target, uint64_t startedAtMs,
+                                           Instant sentAt, Instant now) const
+{
+    const TargetEntry *known = m_directory.find(target);
+    if (known == nullptr || known->startedAtMs == startedAtMs) {
+        return startedAtMs;
+    }
+    const std::optional<Instant> since = respondsSince(*known, now);
+    return since && sentAt >= *since ? known->startedAtMs : startedAtMs;
+}
+
+/// Keeps what a new incarnation stated before its registration was read, and drops the rest.
+void FleetState::keepStatements(const TargetEntry &target, Instant now)
+{
+    const std::optional<Instant> since = respondsSince(target, now);
+    if (!since) {
+        removeLimits(target.id, now);
+        return;
+    }
+    m_targetSelector.keepQuietPeriod(target.id, target.startedAtMs, *since);
+    if (m_targetLimits.restarted(limitKeyOf(target.id, target.startedAtMs), *since)) {
+        updateTargetLimiter(now);
+    }
+}
+
 void FleetState::removeLimits(std::string_view target, Instant now)
 {
     if (m_targetLimits.remove(targetKeyOf(target))) {
--- a/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
+++ b/packages/relay/src/teaseldrift/relay/fleet_state_test.cpp
@@ -1,6 +1,7 @@
 #include "teaseldrift/relay/fleet_state.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -34,6 +35,52 @@
     CHECK(fleet.directory().find("t") != nullptr);
 }
 
+// Guards against a target that is sent requests although it has asked for none after its restart: a
+// store that refused calls has delayed the registration (BUDGET).
+TEST_CASE("what a new incarnation states before its registration is read counts for it")
+{
+    telemetry::EventLog log({.descriptor = ::open("/dev/null", O_WRONLY | O_CLOEXEC)});
+    const Instant start(100s);
+    constexpr int64_t startUnixMs = 1'700'000'000'000;
+    int64_t unixMs = startUnixMs;
+    FleetState fleet({.vmId = "vm", .unixMs = [&unixMs] { return unixMs; }}, log, start);
+    TargetEntry entry{.id = "t",
+                      .service = "s",
+                      .address = "10.0.0.1:80",
+                      .startedAtMs = startUnixMs - 60000};
+    fleet.applyTarget(entry, start);
+    fleet.applyNotice("t", entry.startedAtMs, {.quietTime = 5s, .requestsPerSecond = 2.0},
+                      start + 3s);
+    // The registration of an incarnation that started at 2 s is read at 4 s.
+    unixMs = startUnixMs + 4000;
+    entry.startedAtMs = startUnixMs + 2000;
+    fleet.applyTarget(entry, start + 4s);
+    CHECK(fleet.targetSelector().isQuiet(entry, start + 4s));
+    CHECK(fleet.targetLimits().of(limitKeyOf("t", entry.startedAtMs)) == 2.0);
+    // Another one, which has stated nothing, started at 5 s.
+    unixMs = startUnixMs + 6000;
+    entry.startedAtMs = startUnixMs + 5000;
+    fleet.applyTarget(entry, start + 6s);
+    CHECK_FALSE(fleet.targetSelector().isQuiet(entry, start + 6s));
+    CHECK(fleet.targetLimits().count() == 0);
+    // A request was sent before the registration was read, and its response arrives after it.
+    fleet.applyNotice("t", startUnixMs + 2000, {.quietTime = 5s, .requestsPerSecond = 3.0},
+                      start + 6100ms, start + 5800ms);
+    CHECK(fleet.targetSelector().isQuiet(entry, start + 7s));
+    CHECK(fleet.targetLimits().of(limitKeyOf("t", entry.startedAtMs)) == 3.0);
+    // Another response is the former incarnation's.
+    fleet.applyNotice("t", startUnixMs + 2000, {.quietTime = 1s}, start + 6200ms, start + 4s);
+    CHECK(fleet.targetSelector().isQuiet(entry, start + 7s));
+    unixMs = startUnixMs + 20000;
+    // Registrations may state any start.
+    for (const uint64_t startedAtMs : {uint64_t{1}, std::numeric_limits<uint64_t>::max()}) {
+        entry.startedAtMs = startedAtMs;
+        fleet.applyNotice("t", 0, {.quietTime = 1s}, start + 20s);
+        fleet.applyTarget(entry, start + 21s);
+        CHECK(fleet.directory().find("t")->startedAtMs == startedAtMs);
+    }
+}
+
 // Guards against a VM with a slow link that exchanges messages with all VMs of its zone, and takes
 // changes of the configuration late (CONFIG).
 TEST_CASE("a zone is represented by one of the VMs with the fastest links")
