A response confirms what was known when its head arrived, not its last byte (CONFIG)

The log line of the refusal states an age of the confirmation of 1.87 s, within config-apply-ms, so the VM refused finally; the response it had read was decided by the store a second before that confirmation.

Cause: a response to a held call counted from when it was received, or from the end of the time for which it may be held. The store decides it when there is a change, and a large one takes long to receive.

The time that the head itself waits on a link remains. Ruled out: to count from when the call was sent. Confirmations would be up to 1.5 s older in calm, and each VM would call the store more often.

--- a/packages/http/include/teaseldrift/http/buffered_client.hpp
+++ b/packages/http/include/teaseldrift/http/buffered_client.hpp
@@ -45,6 +45,9 @@
     CallFailure failure = CallFailure::None;
     /// Time from start() to the end of the call.
     Duration elapsed{0};
+    /// When the head arrived: what the response says was decided before, also if its body took
+    /// long.
+    Instant headAt{};
     /// Bytes of the body that arrived, also if the call failed.
     size_t receivedBytes = 0;
 
--- a/packages/http/src/teaseldrift/http/buffered_client.cpp
+++ b/packages/http/src/teaseldrift/http/buffered_client.cpp
@@ -99,6 +99,7 @@
                              open->response.status = head.status;
                              open->response.headers = head.headers;
                              open->receivedAt = EventLoop::now();
+                             open->response.headAt = open->receivedAt;
                          }
                      },
              .onData =
--- a/packages/relay/include/teaseldrift/relay/relayed_store.hpp
+++ b/packages/relay/include/teaseldrift/relay/relayed_store.hpp
@@ -160,8 +160,11 @@
                     } else if (error) {
                         m_relay.markStoreUnavailable(prefix, sentAt);
                     } else {
-                        m_relay.recordChanges(prefix, revision, changes,
-                                              std::min(http::EventLoop::now(), sentBefore));
+                        const bool isAgeKnown = changes.confirmedAt != Instant();
+                        m_relay.recordChanges(
+                                prefix, revision, changes,
+                                isAgeKnown ? changes.confirmedAt
+                                           : std::min(http::EventLoop::now(), sentBefore));
                     }
                     handler(error, changes);
                 });
--- a/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
+++ b/packages/relay/src/teaseldrift/relay/change_simulation_test.hpp
@@ -820,7 +820,9 @@
         void end(int status, std::string body)
         {
             if (!std::exchange(isEnded, true) && !caller.expired()) {
-                onResponse({.status = status, .body = std::move(body)});
+                onResponse({.status = status,
+                            .body = std::move(body),
+                            .headAt = http::EventLoop::now()});
             }
         }
     };
--- a/packages/relay/src/teaseldrift/relay/store_relay.cpp
+++ b/packages/relay/src/teaseldrift/relay/store_relay.cpp
@@ -34,7 +34,7 @@
     const std::chrono::milliseconds age(std::min(response.age_ms(), maxStatedAgeMs));
     store::StoreSnapshot changes{.revision = response.revision(),
                                  .epoch = response.epoch(),
-                                 .confirmedAt = std::min(http::EventLoop::now(), sentBefore) - age};
+                                 .confirmedAt = sentBefore - age};
     for (const schema::ChangesAnswer::Change &change : response.changes()) {
         changes.entries.push_back({.key = change.key(),
                                    .value = change.value(),
@@ -191,7 +191,8 @@
                             schema::ChangesAnswer changes;
                             if (response.status == statusOk
                                 && changes.ParseFromString(response.body)) {
-                                store::StoreSnapshot received = read(changes, sentBefore);
+                                store::StoreSnapshot received
+                                        = read(changes, std::min(sentBefore, response.headAt));
                                 received.relayedBy = vmId;
                                 handler(RelayResult::Changes, received);
                                 return;
--- a/packages/store/include/teaseldrift/store/store.hpp
+++ b/packages/store/include/teaseldrift/store/store.hpp
@@ -36,8 +36,7 @@
     /// Epoch of the store. It rises when the store returns from an older copy of its data:
     /// revisions of different epochs are not comparable. 0 if the store has no epochs.
     uint64_t epoch = 0;
-    /// Time up to which the result holds all changes, if another VM passed it on; the clock's epoch
-    /// if the store itself responded.
+    /// Time up to which the result holds all changes; the clock's epoch if it is not known.
     Instant confirmedAt{};
     /// The VM that passed it on; empty if the store itself responded.
     std::string relayedBy;
