--- a/review/standins3/slow_requesters.cpp
+++ b/review/standins3/slow_requesters.cpp
@@ -38,13 +38,13 @@
 
 std::string configuration()
 {
-    const nlohmann::json route{{"name", "r-sheet"},       {"host", "app.example"},
-                               {"prefix", "/sheet/"},     {"kind", "streaming"},
-                               {"timeout-ms", 12000},     {"target-latency-ms", 2500},
-                               {"target-gap-ms", 800},    {"priority", 1},
-                               {"service", "map-writer"}, {"max-attempts", 1}};
+    const nlohmann::json route{{"name", "r-sheet"},        {"host", "app.example"},
+                               {"prefix", "/sheet/"},      {"kind", "streaming"},
+                               {"timeout-ms", 12000},      {"target-latency-ms", 2500},
+                               {"target-gap-ms", 800},     {"priority", 1},
+                               {"service", "model-harti"}, {"max-attempts", 1}};
     const nlohmann::json service{
-            {"name", "map-writer"}, {"health-path", "/health"}, {"max-conns", 230}};
+            {"name", "model-harti"}, {"health-path", "/health"}, {"max-conns", 710}};
     const nlohmann::json limits{{"max-header-bytes", 16384},
                                 {"max-body-bytes", 4194304},
                                 {"header-timeout-ms", 3000},
@@ -128,12 +128,12 @@
     const bool isDisturbed = trouble == nullptr || std::string_view(trouble) != "0";
     Store store;
     store.put("op/config", configuration());
-    const Server server(store, "map-writer", "i-1", "perth",
+    const Server server(store, "model-harti", "i-1", "zona-unu",
                         [&record](int connection, const Message &message) {
                             return answer(connection, message, record);
                         });
-    Edge edge("edge-perth-1", "perth", store.port(), folder);
-    Edge other("edge-dundee-1", "dundee", store.port(), folder);
+    Edge edge("edge-unu-1", "zona-unu", store.port(), folder);
+    Edge other("edge-doi-1", "zona-doi", store.port(), folder);
     if (!edge.start() || !other.start() || !edge.waitUntilReady(startTime)
         || !other.waitUntilReady(startTime)) {
         record.write("the processes did not become ready");
